--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,158 @@
+package config
+
+import (
+	"fmt"
+
+	"sapphirering/internal/state/statepb"
+)
+
+// Document is the YAML form of a team's document.
+type Document struct {
+	Team string `yaml:"team" json:"team"`
+	// Revision that an edit is based on; zero creates the document.
+	Revision uint64 `yaml:"revision,omitempty" json:"revision"`
+	// Share is the relative weight when the fleet is full.
+	Share uint32 `yaml:"share" json:"share"`
+	// UpperLimit is the most requests and jobs that run at once over the fleet.
+	UpperLimit   uint32         `yaml:"upper_limit" json:"upper_limit"`
+	Availability []Availability `yaml:"availability,omitempty" json:"availability,omitempty"`
+	Queues       []Queue        `yaml:"queues,omitempty" json:"queues,omitempty"`
+}
+
+// Availability keeps VMs of a pool available.
+type Availability struct {
+	Pool            string `yaml:"pool" json:"pool"`
+	MinAvailableVMs uint32 `yaml:"min_available_vms" json:"min_available_vms"`
+}
+
+// Queue declares one entry point.
+type Queue struct {
+	Name string `yaml:"name" json:"name"`
+	Pool string `yaml:"pool" json:"pool"`
+	// Open queues take work without a key.
+	Open   bool     `yaml:"open,omitempty" json:"open,omitempty"`
+	Admits []string `yaml:"admits,omitempty" json:"admits,omitempty"`
+	// Class is urgent, normal or long.
+	Class         string `yaml:"class" json:"class"`
+	MaxQueued     uint32 `yaml:"max_queued,omitempty" json:"max_queued,omitempty"`
+	MaxDeadlineMS uint32 `yaml:"max_deadline_ms,omitempty" json:"max_deadline_ms,omitempty"`
+	Needs         Needs  `yaml:"needs,omitempty" json:"needs"`
+}
+
+// Needs is what one request or job takes of a VM.
+type Needs struct {
+	Millicores   uint32 `yaml:"millicores,omitempty" json:"millicores,omitempty"`
+	MemoryMB     uint32 `yaml:"memory_mb,omitempty" json:"memory_mb,omitempty"`
+	Accelerators uint32 `yaml:"accelerators,omitempty" json:"accelerators,omitempty"`
+}
+
+const (
+	defaultMaxQueued     = 256
+	defaultMaxDeadlineMS = 30_000
+)
+
+var classNames = map[string]statepb.Class{
+	"urgent": statepb.Class_CLASS_URGENT,
+	"normal": statepb.Class_CLASS_NORMAL,
+	"long":   statepb.Class_CLASS_LONG,
+}
+
+// ClassName returns the document's word for a class.
+func ClassName(class statepb.Class) string {
+	for name, value := range classNames {
+		if value == class {
+			return name
+		}
+	}
+	return "unspecified"
+}
+
+// LoadDocument reads a document file.
+func LoadDocument(path string) (*Document, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := ParseDocument(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return doc, nil
+}
+
+// ParseDocument reads a document. Rules that need the state are checked when it is applied.
+func ParseDocument(data []byte) (*Document, error) {
+	doc := new(Document)
+	if err := decodeStrict(data, doc); err != nil {
+		return nil, err
+	}
+	if _, err := doc.Proto(); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// Proto converts the document to the form of the state machine.
+func (d *Document) Proto() (*statepb.TeamDocument, error) {
+	if d.Team == "" {
+		return nil, fmt.Errorf("team: is required")
+	}
+	out := &statepb.TeamDocument{
+		Team: d.Team, Revision: d.Revision, ShareWeight: d.Share, UpperLimitUnits: d.UpperLimit,
+	}
+	for _, a := range d.Availability {
+		out.Budgets = append(out.Budgets, &statepb.AvailabilityBudget{
+			Pool: a.Pool, MinAvailableVms: a.MinAvailableVMs,
+		})
+	}
+	for _, q := range d.Queues {
+		queue, err := q.proto()
+		if err != nil {
+			return nil, err
+		}
+		out.Queues = append(out.Queues, queue)
+	}
+	return out, nil
+}
+
+func (q Queue) proto() (*statepb.Queue, error) {
+	class, ok := classNames[q.Class]
+	if !ok {
+		return nil, fmt.Errorf("queue %q: class: %q is not urgent, normal or long", q.Name, q.Class)
+	}
+	queue := &statepb.Queue{
+		Name: q.Name, Pool: q.Pool, Open: q.Open, AdmittedTeams: q.Admits, Class: class,
+		MaxQueued: q.MaxQueued, MaxDeadlineMs: q.MaxDeadlineMS,
+		Needs: &statepb.Resources{
+			Millicores: q.Needs.Millicores, MemoryMb: q.Needs.MemoryMB, Accelerators: q.Needs.Accelerators,
+		},
+	}
+	if queue.MaxQueued == 0 {
+		queue.MaxQueued = defaultMaxQueued
+	}
+	if queue.MaxDeadlineMs == 0 {
+		queue.MaxDeadlineMs = defaultMaxDeadlineMS
+	}
+	return queue, nil
+}
+
+// FromProto converts a committed document to its YAML form.
+func FromProto(doc *statepb.TeamDocument) *Document {
+	out := &Document{
+		Team: doc.Team, Revision: doc.Revision, Share: doc.ShareWeight, UpperLimit: doc.UpperLimitUnits,
+	}
+	for _, b := range doc.Budgets {
+		out.Availability = append(out.Availability, Availability{Pool: b.Pool, MinAvailableVMs: b.MinAvailableVms})
+	}
+	for _, q := range doc.Queues {
+		out.Queues = append(out.Queues, Queue{
+			Name: q.Name, Pool: q.Pool, Open: q.Open, Admits: q.AdmittedTeams, Class: ClassName(q.Class),
+			MaxQueued: q.MaxQueued, MaxDeadlineMS: q.MaxDeadlineMs,
+			Needs: Needs{
+				Millicores: q.Needs.GetMillicores(), MemoryMB: q.Needs.GetMemoryMb(),
+				Accelerators: q.Needs.GetAccelerators(),
+			},
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/manager.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/state"
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire/wirepb"
+)
+
+const (
+	stepInterval = 100 * time.Millisecond
+	stepTimeout  = 2 * time.Second
+	// reclaimAfter is when work of an expired session is surely over.
+	reclaimAfter = (state.MaxRequestDeadlineMS + 5_000) * time.Millisecond
+)
+
+// Log is the leader's own access to the replicated log.
+type Log interface {
+	// ProposeLocal commits a command while this daemon leads.
+	ProposeLocal(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error)
+	// ConfirmLeadership returns nil once a quorum confirmed that this daemon leads.
+	ConfirmLeadership(ctx context.Context) error
+	// CommitIndex returns the last committed index.
+	CommitIndex() uint64
+}
+
+// Config holds what a Manager needs.
+type Config struct {
+	Machine *state.Machine
+	Log     Log
+	Lease   time.Duration
+	Now     func() time.Time
+}
+
+// Manager runs the loops while this daemon leads.
+type Manager struct {
+	cfg      Config
+	sessions *sessions
+}
+
+// NewManager returns a manager.
+func NewManager(cfg Config) *Manager {
+	return &Manager{cfg: cfg, sessions: newSessions(cfg.Lease, cfg.Now)}
+}
+
+// Run carries out the loops until ctx ends with the leadership.
+func (m *Manager) Run(ctx context.Context) {
+	if err := m.cfg.Log.ConfirmLeadership(ctx); err != nil {
+		return
+	}
+	m.sessions.start(m.cfg.Machine.Sessions())
+	event.ControlStarted.Emit()
+	defer event.ControlStopped.Emit()
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.step(ctx)
+		}
+	}
+}
+
+// step runs each loop once. A failed loop is tried again at the next step.
+func (m *Manager) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	m.sessions.noteCommit(m.cfg.Log.CommitIndex())
+	loops := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"expire sessions", m.expireSessions},
+		{"split reservations", m.splitReservations},
+		{"place jobs", m.placeJobs},
+		{"watch VMs", m.watchVMs},
+	}
+	for _, loop := range loops {
+		if err := loop.run(ctx); err != nil && ctx.Err() == nil {
+			event.ControlFailed.Emit(event.F("step", loop.name), event.Err(err))
+		}
+	}
+}
+
+// propose commits a command; an outcome other than ok is an error.
+func (m *Manager) propose(ctx context.Context, command *statepb.Command) error {
+	outcome, err := m.cfg.Log.ProposeLocal(ctx, command)
+	if err != nil {
+		return err
+	}
+	if outcome.Code != statepb.Code_CODE_OK {
+		return fmt.Errorf("%s: %s", outcome.Code, outcome.Message)
+	}
+	return nil
+}
+
+// Renew serves one session renewal.
+func (m *Manager) Renew(ctx context.Context, r *wirepb.RenewRequest) *wirepb.CallResponse {
+	if err := m.cfg.Log.ConfirmLeadership(ctx); err != nil {
+		return &wirepb.CallResponse{ErrorCode: wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, ErrorMessage: err.Error()}
+	}
+	result, wanted := m.sessions.renew(m.cfg.Machine.Session(r.Session), r)
+	switch result {
+	case renewExpired:
+		return &wirepb.CallResponse{
+			ErrorCode: wirepb.ErrorCode_ERROR_CODE_SESSION_EXPIRED, ErrorMessage: "session " + r.Session + " has expired",
+		}
+	case renewLagging:
+		return &wirepb.CallResponse{
+			ErrorCode:    wirepb.ErrorCode_ERROR_CODE_UNAVAILABLE,
+			ErrorMessage: fmt.Sprintf("index %d applied at %s lags behind", r.AppliedIndex, r.Member),
+		}
+	}
+	return &wirepb.CallResponse{Body: &wirepb.CallResponse_Renew{Renew: &wirepb.RenewResponse{
+		LeaseMs: uint32(m.cfg.Lease.Milliseconds()), Wanted: wanted, CommitIndex: m.cfg.Log.CommitIndex(),
+	}}}
+}
+
+// InForce reports whether every live session has applied index.
+func (m *Manager) InForce(index uint64) *wirepb.InForceResponse {
+	waiting := m.sessions.waitingFor(index, m.cfg.Machine.Sessions())
+	return &wirepb.InForceResponse{InForce: len(waiting) == 0, Waiting: waiting}
+}
+
+// expireSessions ends overdue sessions and reclaims what is surely over.
+func (m *Manager) expireSessions(ctx context.Context) error {
+	open := m.cfg.Machine.Sessions()
+	for _, id := range m.sessions.overdue(open) {
+		err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_ExpireSession{
+			ExpireSession: &statepb.ExpireSession{Session: id},
+		}})
+		if err != nil {
+			return fmt.Errorf("expire session %s: %w", id, err)
+		}
+		event.SessionExpired.Emit(event.F("session", id))
+	}
+	now := m.cfg.Now().UnixMilli()
+	for _, session := range open {
+		if session.ExpiredUnixMs == 0 || time.Duration(now-session.ExpiredUnixMs)*time.Millisecond < reclaimAfter {
+			continue
+		}
+		err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_ReclaimSession{
+			ReclaimSession: &statepb.ReclaimSession{Session: session.Id},
+		}})
+		if err != nil {
+			return fmt.Errorf("reclaim session %s: %w", session.Id, err)
+		}
+		event.SessionReclaimed.Emit(event.F("session", session.Id))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/sessions.go
@@ -0,0 +1,189 @@
+// Package control holds the leader's loops: session leases, reservations, job
+// placement, VM liveness, moves and maintenance. Each loop compares committed
+// state with what daemons report and proposes commands; the state machine
+// checks every rule again when it applies them.
+package control
+
+import (
+	"sync"
+	"time"
+
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire/wirepb"
+)
+
+// lease is the leader's view of one session.
+type lease struct {
+	renewed  time.Time
+	expiring bool
+	applied  uint64
+	demands  []*wirepb.TeamDemand
+	vms      []*wirepb.VMReport
+	leaving  bool
+}
+
+// commitSample remembers the commit index at a time.
+type commitSample struct {
+	at    time.Time
+	index uint64
+}
+
+// sessions tracks leases while this daemon leads.
+type sessions struct {
+	length time.Duration
+	now    func() time.Time
+
+	mu      sync.Mutex
+	leases  map[string]*lease
+	commits []commitSample
+	wanted  map[string][]*statepb.Reservation
+}
+
+func newSessions(length time.Duration, now func() time.Time) *sessions {
+	return &sessions{length: length, now: now, leases: make(map[string]*lease)}
+}
+
+// drift is the margin by which the leader waits longer than the holder.
+func (s *sessions) drift() time.Duration { return s.length / 4 }
+
+// start gives every open session one full period: the former leader may have
+// renewed it just before this one was elected.
+func (s *sessions) start(open []*statepb.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases = make(map[string]*lease)
+	s.commits = nil
+	for _, session := range open {
+		if session.ExpiredUnixMs == 0 {
+			s.leases[session.Id] = &lease{renewed: s.now()}
+		}
+	}
+}
+
+// noteCommit remembers the commit index for lagIndex.
+func (s *sessions) noteCommit(index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.commits = append(s.commits, commitSample{now, index})
+	for len(s.commits) > 1 && now.Sub(s.commits[1].at) >= s.length {
+		s.commits = s.commits[1:]
+	}
+}
+
+// lagIndex is the index that a daemon must have applied to be renewed: what
+// was committed one lease ago. A daemon that follows too slowly loses its
+// lease, so every change is in force within two leases.
+func (s *sessions) lagIndex() uint64 {
+	if len(s.commits) == 0 || s.now().Sub(s.commits[0].at) < s.length {
+		return 0
+	}
+	return s.commits[0].index
+}
+
+// renewal is the result of renew.
+type renewal int
+
+const (
+	renewed renewal = iota
+	renewExpired
+	renewLagging
+)
+
+// renew extends a lease. committed is the session in the committed state.
+func (s *sessions) renew(committed *statepb.Session, r *wirepb.RenewRequest) (renewal, []*statepb.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if committed == nil || committed.ExpiredUnixMs != 0 {
+		return renewExpired, nil
+	}
+	l := s.leases[r.Session]
+	if l == nil {
+		l = &lease{}
+		s.leases[r.Session] = l
+	}
+	if l.expiring {
+		return renewExpired, nil
+	}
+	if r.AppliedIndex < max(s.lagIndex(), committed.Revision) {
+		return renewLagging, nil
+	}
+	l.renewed = s.now()
+	l.applied = r.AppliedIndex
+	l.demands, l.vms, l.leaving = r.Demands, r.Vms, r.Leaving
+	return renewed, s.wanted[r.Session]
+}
+
+// overdue marks and returns the sessions whose lease is surely over at the holder.
+func (s *sessions) overdue(open []*statepb.Session) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for _, session := range open {
+		if session.ExpiredUnixMs != 0 {
+			delete(s.leases, session.Id)
+			continue
+		}
+		l := s.leases[session.Id]
+		if l == nil {
+			s.leases[session.Id] = &lease{renewed: s.now()}
+			continue
+		}
+		if l.expiring || s.now().Sub(l.renewed) > s.length+s.drift() {
+			l.expiring = true
+			ids = append(ids, session.Id)
+		}
+	}
+	return ids
+}
+
+// waitingFor returns the members whose live sessions have not applied index.
+func (s *sessions) waitingFor(index uint64, open []*statepb.Session) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var members []string
+	for _, session := range open {
+		if session.ExpiredUnixMs != 0 {
+			continue
+		}
+		if l := s.leases[session.Id]; l == nil || l.applied < index {
+			members = append(members, session.Member)
+		}
+	}
+	return members
+}
+
+// report is what one live session reported last.
+type report struct {
+	session string
+	zone    string
+	age     time.Duration
+	demands []*wirepb.TeamDemand
+	vms     []*wirepb.VMReport
+	leaving bool
+}
+
+// reports returns the last report of every live session.
+func (s *sessions) reports(open []*statepb.Session) []report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []report
+	for _, session := range open {
+		l := s.leases[session.Id]
+		if session.ExpiredUnixMs != 0 || l == nil || l.expiring {
+			continue
+		}
+		out = append(out, report{
+			session: session.Id, zone: session.Zone, age: s.now().Sub(l.renewed),
+			demands: l.demands, vms: l.vms, leaving: l.leaving,
+		})
+	}
+	return out
+}
+
+// setWanted tells what each session is to come down to at its next renewal.
+func (s *sessions) setWanted(wanted map[string][]*statepb.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanted = wanted
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"sapphirering/internal/config"
+	"sapphirering/internal/session"
+)
+
+const (
+	histogramSamples = 1028
+	histogramAlpha   = 0.015
+)
+
+// metrics keeps histograms per team and class.
+type metrics struct{}
+
+func newMetrics() *metrics { return &metrics{} }
+
+func newHistogram() gometrics.Histogram {
+	return gometrics.NewHistogram(gometrics.NewExpDecaySample(histogramSamples, histogramAlpha))
+}
+
+// observe records the time and outcome of one request, in microseconds.
+func (m *metrics) observe(r *request, outcome string, took time.Duration) {
+	class := config.ClassName(r.class)
+	name := fmt.Sprintf("request_us;team=%s;class=%s", r.team, class)
+	gometrics.GetOrRegister(name, newHistogram).(gometrics.Histogram).Update(took.Microseconds())
+	counter := fmt.Sprintf("requests;team=%s;class=%s;outcome=%s", r.team, class, outcome)
+	gometrics.GetOrRegisterCounter(counter, nil).Inc(1)
+}
+
+// waitCounts counts waiting requests per team and tells the ledger.
+type waitCounts struct {
+	ledger *session.Ledger
+	mu     sync.Mutex
+	teams  map[string]*waitCount
+}
+
+type waitCount struct{ all, urgent uint32 }
+
+func newWaitCounts(ledger *session.Ledger) *waitCounts {
+	return &waitCounts{ledger: ledger, teams: make(map[string]*waitCount)}
+}
+
+// add counts one request in; the returned function counts it out.
+func (w *waitCounts) add(team string, urgent bool) func() {
+	w.change(team, urgent, func(n *uint32) { *n++ })
+	return func() { w.change(team, urgent, func(n *uint32) { *n-- }) }
+}
+
+func (w *waitCounts) change(team string, urgent bool, by func(*uint32)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := w.teams[team]
+	if count == nil {
+		count = &waitCount{}
+		w.teams[team] = count
+	}
+	by(&count.all)
+	if urgent {
+		by(&count.urgent)
+	}
+	w.ledger.SetWaiting(team, count.all, count.urgent)
+}
+
+// of returns how many requests of the team wait.
+func (w *waitCounts) of(team string) uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if count := w.teams[team]; count != nil {
+		return count.all
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,60 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of the daemon's life.
+var (
+	DaemonStarted   = define(1001, log.InfoLevel, "daemon started", "")
+	DaemonStopping  = define(1002, log.InfoLevel, "daemon is shutting down", "")
+	DaemonStopped   = define(1003, log.InfoLevel, "daemon stopped", "")
+	ShutdownCut     = define(1004, log.WarnLevel, "shutdown deadline reached, work was cut off", "Raise shutdown_timeout above the longest request deadline.")
+	StorageFailed   = define(1005, log.ErrorLevel, "storage failed, the daemon stops", "Replace the disk, then follow 'replace a voter' in the runbook.")
+	ClusterCreated  = define(1006, log.InfoLevel, "new cluster bootstrapped", "")
+	IdentityCreated = define(1007, log.InfoLevel, "empty data folder, new member identity made", "If this VM was a voter, follow 'replace a voter' in the runbook.")
+	ListenerFailed  = define(1008, log.ErrorLevel, "listener failed", "Check the listen addresses in the settings.")
+)
+
+// Events of agreement and membership.
+var (
+	LeaderChanged     = define(2001, log.InfoLevel, "leader changed", "")
+	MembershipApplied = define(2002, log.InfoLevel, "member list applied", "")
+	JoinFailed        = define(2003, log.WarnLevel, "join attempt failed", "Check seeds and links.")
+	WrongCluster      = define(2004, log.ErrorLevel, "peer belongs to another cluster, refused", "Check the peer's settings and data folder.")
+	WrongMember       = define(2005, log.WarnLevel, "stream names another member, refused", "The VM at this address has a new identity; remove the old one.")
+	MemberAdded       = define(2006, log.InfoLevel, "member joined as learner", "")
+	VoterPromoted     = define(2007, log.InfoLevel, "member promoted to voter", "")
+	MemberRemoved     = define(2008, log.InfoLevel, "member removed", "")
+)
+
+// Events of sessions and reservations.
+var (
+	SessionOpened    = define(3001, log.InfoLevel, "session opened", "")
+	SessionLost      = define(3002, log.WarnLevel, "session lease ran out, keyed work is refused", "Check the links to the leader.")
+	SessionExpired   = define(3003, log.WarnLevel, "session expired by the leader", "")
+	SessionReclaimed = define(3004, log.InfoLevel, "expired session reclaimed", "")
+	ReserveFailed    = define(3005, log.WarnLevel, "reservation change failed", "")
+)
+
+// Events of requests and targets.
+var (
+	TargetSeen     = define(4001, log.InfoLevel, "target announced itself", "")
+	TargetLost     = define(4002, log.WarnLevel, "target stopped announcing itself", "")
+	TargetLeaving  = define(4003, log.InfoLevel, "target is leaving, dispatch stopped", "")
+	AnswerDropped  = define(4004, log.WarnLevel, "answer dropped: late, foreign or truncated", "")
+	ClaimEndFailed = define(4005, log.WarnLevel, "outcome of a claimed request could not be recorded", "")
+)
+
+// Events of jobs.
+var (
+	JobStarted      = define(5001, log.InfoLevel, "job attempt started", "")
+	JobEnded        = define(5002, log.InfoLevel, "job attempt ended", "")
+	JobStartFailed  = define(5003, log.WarnLevel, "job attempt could not be started", "")
+	JobReportFailed = define(5004, log.WarnLevel, "end of a job attempt could not be recorded yet", "")
+)
+
+// Events of the leader's control loops.
+var (
+	ControlStarted = define(6001, log.InfoLevel, "control loops started", "")
+	ControlStopped = define(6002, log.InfoLevel, "control loops stopped", "")
+	ControlFailed  = define(6003, log.WarnLevel, "control step failed, it is tried again", "")
+)
--- /dev/null
+++ b/internal/server/announce.go
@@ -0,0 +1,92 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/target"
+)
+
+const (
+	maxAnnouncementBytes = 64 << 10
+	registerTimeout      = 3 * time.Second
+)
+
+// announcer takes announcements and registers VMs that the state does not know.
+type announcer struct {
+	registry *target.Registry
+	leader   *leaderClient
+
+	mu          sync.Mutex
+	registering map[string]bool
+}
+
+// ServeHTTP takes one announcement.
+func (a *announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncementBytes))
+	if err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	var announcement target.Announcement
+	if err := json.Unmarshal(data, &announcement); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, registered, err := a.registry.Announce(announcement)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !registered {
+		a.register(announcement)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
+
+// register commits the VM once at a time.
+func (a *announcer) register(announcement target.Announcement) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.registering[announcement.VM] {
+		return
+	}
+	if a.registering == nil {
+		a.registering = make(map[string]bool)
+	}
+	a.registering[announcement.VM] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+		defer cancel()
+		a.propose(ctx, announcement)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.registering, announcement.VM)
+	}()
+}
+
+func (a *announcer) propose(ctx context.Context, v target.Announcement) error {
+	outcome, err := a.leader.Propose(ctx, &statepb.Command{Body: &statepb.Command_AnnounceVm{
+		AnnounceVm: &statepb.AnnounceVM{Vm: &statepb.VM{
+			Name: v.VM, Pool: v.Pool, Zone: v.Zone, Rack: v.Rack, Region: v.Region, Address: v.Address,
+			Incarnation: v.Incarnation, Slots: v.Slots,
+			Capacity: &statepb.Resources{
+				Millicores: v.Millicores, MemoryMb: v.MemoryMB, Accelerators: v.Accelerators,
+			},
+		}},
+	}})
+	if err != nil {
+		return fmt.Errorf("register vm %s: %w", v.VM, err)
+	}
+	if outcome.Code != statepb.Code_CODE_OK {
+		return fmt.Errorf("register vm %s: %s", v.VM, outcome.Message)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/server/daemon.go
@@ -0,0 +1,310 @@
+// Package server assembles a daemon from its parts and runs it.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sapphirering/internal/config"
+	"sapphirering/internal/control"
+	"sapphirering/internal/entry"
+	"sapphirering/internal/event"
+	"sapphirering/internal/operator"
+	"sapphirering/internal/replica"
+	"sapphirering/internal/replica/store"
+	"sapphirering/internal/runner"
+	"sapphirering/internal/session"
+	"sapphirering/internal/state"
+	"sapphirering/internal/target"
+	"sapphirering/internal/wire"
+	"sapphirering/internal/wire/wirepb"
+)
+
+const (
+	electionTicks   = 10
+	heartbeatTicks  = 1
+	snapshotEntries = 10_000
+
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 32 << 10
+	handOverTimeout   = 2 * time.Second
+)
+
+// Daemon is one running process of the system.
+type Daemon struct {
+	settings *config.Settings
+	identity store.Identity
+	store    *store.Store
+	machine  *state.Machine
+	node     *replica.Node
+	peers    *wire.Peers
+	dialer   *wire.Dialer
+	links    *wire.Server
+	leader   *leaderClient
+	holder   *session.Holder
+	registry *target.Registry
+	entry    *entry.Server
+	manager  *control.Manager
+	client   *target.Client
+
+	servers []*http.Server
+	fatal   chan error
+
+	background       context.Context
+	cancelBackground context.CancelFunc
+	running          sync.WaitGroup
+
+	leadMu     sync.Mutex
+	cancelLead context.CancelFunc
+}
+
+// Options are the command-line choices of one start.
+type Options struct {
+	// Bootstrap creates a new cluster when the data folder is empty.
+	Bootstrap bool
+	// OperatorKeys are the secrets that operators may use.
+	OperatorKeys []string
+}
+
+// New opens the data folder, joins or creates the cluster, and returns a
+// daemon that is ready to run.
+func New(ctx context.Context, settings *config.Settings, options Options) (*Daemon, error) {
+	d := &Daemon{settings: settings, fatal: make(chan error, 1), machine: state.New()}
+	d.background, d.cancelBackground = context.WithCancel(context.Background())
+	clientTLS, serverTLS, err := loadTLS(settings.TLS)
+	if err != nil {
+		return nil, err
+	}
+	d.dialer = &wire.Dialer{TLS: clientTLS, Addresses: settings.PeerAddresses}
+	d.identity, d.store, err = identify(ctx, settings, options.Bootstrap, d.dialer)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.assemble(options); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if err := d.listen(serverTLS, options); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// assemble builds the parts in the order of their dependencies.
+func (d *Daemon) assemble(Options) error {
+	incarnation := uint64(time.Now().UnixNano())
+	d.peers = wire.NewPeers(d.dialer, d.identity.ClusterID, d.identity.MemberID)
+	d.leader = &leaderClient{
+		dialer: d.dialer, clusterID: d.identity.ClusterID, self: d.identity.MemberID, now: time.Now,
+		handle: d.handleCall,
+	}
+	if err := d.startReplica(incarnation); err != nil {
+		return err
+	}
+	d.leader.node = d.node
+	d.registry = target.NewRegistry(d.machine, time.Now)
+	d.client = target.NewClient()
+	d.manager = control.NewManager(control.Config{
+		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
+	})
+	d.holder = session.NewHolder(session.Config{
+		MemberID: d.identity.MemberID, Incarnation: incarnation, MemberName: d.settings.Name,
+		Zone: d.settings.Zone, Lease: d.settings.SessionLease.Duration, Machine: d.machine,
+		Leader: d.leader, Now: time.Now,
+		Report: func(r *wirepb.RenewRequest) { r.Vms = d.registry.Reports() },
+	})
+	d.entry = entry.NewServer(entry.Config{
+		Machine: d.machine, Holder: d.holder, Registry: d.registry, Client: d.client,
+		Proposer: d.leader, Forward: newForwarder(d.leader, d.settings), Now: time.Now,
+	})
+	return nil
+}
+
+func (d *Daemon) startReplica(incarnation uint64) error {
+	var loaded store.Loaded
+	var storage replica.Storage
+	if d.store != nil {
+		var err error
+		if loaded, err = d.store.Load(); err != nil {
+			return err
+		}
+		storage = d.store
+	}
+	node, err := replica.NewNode(replica.NodeConfig{
+		Core: replica.Config{
+			ID: d.identity.MemberID, Incarnation: incarnation, Durable: d.store != nil,
+			ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+			Rand: rand.New(rand.NewSource(int64(incarnation))),
+		},
+		Machine: d.machine, Storage: storage, Sender: memberSender{d}, TickInterval: d.settings.Tick.Duration,
+		SnapshotEntries: snapshotEntries, OnLeaderChange: d.onLeaderChange,
+		OnFatal: func(err error) {
+			event.StorageFailed.Emit(event.Err(err))
+			d.fatal <- err
+		},
+	}, loaded)
+	if err != nil {
+		return err
+	}
+	d.node = node
+	return nil
+}
+
+// memberSender sends replica messages and keeps the member list for calls.
+type memberSender struct{ d *Daemon }
+
+func (s memberSender) Send(messages []*wirepb.ReplicaMessage) { s.d.peers.Send(messages) }
+
+func (s memberSender) SetMembership(m *wirepb.Membership) {
+	s.d.leader.membership.Store(m)
+	s.d.peers.SetMembership(m)
+}
+
+// onLeaderChange starts the control loops with the leadership and ends them with it.
+func (d *Daemon) onLeaderChange(leader string, term uint64) {
+	d.leader.leader.Store(&leader)
+	event.LeaderChanged.Emit(event.F("leader", leader), event.F("term", term))
+	d.leadMu.Lock()
+	defer d.leadMu.Unlock()
+	if d.cancelLead != nil {
+		d.cancelLead()
+		d.cancelLead = nil
+	}
+	if leader != d.identity.MemberID {
+		return
+	}
+	ctx, cancel := context.WithCancel(d.background)
+	d.cancelLead = cancel
+	d.running.Go(func() { d.manager.Run(ctx) })
+	d.running.Go(func() { promoteLoop(ctx, d.node) })
+}
+
+// listen opens every listener, so that a wrong address fails at start.
+func (d *Daemon) listen(peerTLS *tls.Config, options Options) error {
+	peers, err := net.Listen("tcp", d.settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	if peerTLS != nil {
+		peers = tls.NewListener(peers, peerTLS)
+	}
+	d.links = &wire.Server{Listener: peers, Handler: d.serveStream}
+	api := operator.NewServer(operator.Config{
+		Machine: d.machine, Cluster: d, Keys: options.OperatorKeys, Ready: d.entry.Ready,
+	})
+	targets := http.NewServeMux()
+	targets.Handle("POST /v1/announcements", &announcer{registry: d.registry, leader: d.leader})
+	for _, service := range []struct {
+		field, address string
+		handler        http.Handler
+	}{
+		{"listen.callers", d.settings.Listen.Callers, d.entry.Handler()},
+		{"listen.targets", d.settings.Listen.Targets, targets},
+		{"listen.operators", d.settings.Listen.Operators, api.Handler()},
+	} {
+		if err := d.serveHTTP(service.field, service.address, service.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) serveHTTP(field, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	d.servers = append(d.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Emit(event.F("field", field), event.Err(err))
+		}
+	}()
+	return nil
+}
+
+// Run serves until ctx ends, then shuts down gracefully. It returns the
+// storage error that stopped the daemon, if any.
+func (d *Daemon) Run(ctx context.Context) error {
+	event.DaemonStarted.Emit(event.F("member", d.identity.MemberID), event.F("zone", d.settings.Zone))
+	go d.links.Serve()
+	go d.node.Run()
+	jobs := &runner.Runner{
+		Machine: d.machine, Holder: d.holder, Registry: d.registry, Client: d.client, Proposer: d.leader,
+	}
+	d.running.Go(func() { d.holder.Run(d.background) })
+	d.running.Go(func() { jobs.Run(d.background) })
+	select {
+	case <-ctx.Done():
+		d.shutdown()
+		return nil
+	case err := <-d.fatal:
+		d.Close()
+		return err
+	}
+}
+
+// shutdown finishes requests in flight before anything that they need ends.
+func (d *Daemon) shutdown() {
+	event.DaemonStopping.Emit()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout.Duration)
+	defer cancel()
+	if !d.entry.Drain(ctx) {
+		event.ShutdownCut.Emit()
+	}
+	for _, server := range d.servers {
+		server.Shutdown(ctx)
+	}
+	d.handOverLeadership()
+	d.stop()
+	event.DaemonStopped.Emit()
+}
+
+// handOverLeadership lets another voter lead at once instead of after a timeout.
+func (d *Daemon) handOverLeadership() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	for d.leader.isLocal() && ctx.Err() == nil {
+		if started, err := d.node.TransferLeadership(ctx); err != nil || !started {
+			return
+		}
+		time.Sleep(retryDelay)
+	}
+}
+
+func (d *Daemon) stop() {
+	d.cancelBackground()
+	d.running.Wait()
+	d.node.Stop()
+	d.Close()
+}
+
+// Close releases listeners, links and the data folder.
+func (d *Daemon) Close() {
+	d.cancelBackground()
+	for _, server := range d.servers {
+		server.Close()
+	}
+	if d.links != nil {
+		d.links.Close()
+	}
+	if d.peers != nil {
+		d.peers.Close()
+	}
+	d.dialer.Close()
+	if d.store != nil {
+		d.store.Close()
+	}
+}
--- /dev/null
+++ b/internal/server/leader.go
@@ -0,0 +1,157 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/replica"
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire"
+	"sapphirering/internal/wire/wirepb"
+)
+
+const (
+	// proposeTimeout bounds a proposal whose caller set no deadline.
+	proposeTimeout = 10 * time.Second
+	// tryTimeout bounds one try, so that a silent leader does not use up the whole time.
+	tryTimeout = 2 * time.Second
+	retryDelay = 50 * time.Millisecond
+)
+
+var errNoLeader = errors.New("no leader is known")
+
+// leaderClient reaches the leader, which may be this daemon.
+type leaderClient struct {
+	node      *replica.Node
+	dialer    *wire.Dialer
+	clusterID string
+	self      string
+	now       func() time.Time
+	// handle serves calls of this daemon to itself.
+	handle func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse
+
+	leader     atomic.Pointer[string]
+	membership atomic.Pointer[wirepb.Membership]
+}
+
+func (c *leaderClient) hello(to string) *wirepb.Hello {
+	return &wirepb.Hello{ClusterId: c.clusterID, FromMember: c.self, ToMember: to}
+}
+
+// leaderMember returns the leader's entry in the member list.
+func (c *leaderClient) leaderMember() (*wirepb.Member, error) {
+	id := c.leader.Load()
+	if id == nil || *id == "" {
+		return nil, errNoLeader
+	}
+	member := replica.FindMember(c.membership.Load(), *id)
+	if member == nil {
+		return nil, fmt.Errorf("leader %s: %w", *id, errNoLeader)
+	}
+	return member, nil
+}
+
+// call sends a request to the leader over a link.
+func (c *leaderClient) call(ctx context.Context, request *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	member, err := c.leaderMember()
+	if err != nil {
+		return nil, err
+	}
+	response, _, err := c.dialer.Call(ctx, member.Address, c.hello(member.Id), request)
+	return response, err
+}
+
+// isLocal reports whether this daemon is the leader it knows.
+func (c *leaderClient) isLocal() bool {
+	id := c.leader.Load()
+	return id != nil && *id == c.self
+}
+
+// Propose commits a command through the leader. It tries again until ctx ends:
+// commands carry ids, tokens or revisions that make a resend idempotent.
+func (c *leaderClient) Propose(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		ctx = bounded
+	}
+	for {
+		outcome, err := c.tryPropose(ctx, command)
+		if err == nil {
+			return outcome, nil
+		}
+		timer := time.NewTimer(retryDelay)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, fmt.Errorf("propose: %w", err)
+		case <-timer.C:
+		}
+	}
+}
+
+func (c *leaderClient) tryPropose(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if c.isLocal() {
+		return c.ProposeLocal(ctx, command)
+	}
+	response, err := c.call(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Propose{
+		Propose: &wirepb.ProposeRequest{Command: command},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetPropose().GetOutcome(), nil
+}
+
+// ProposeLocal commits a command through this daemon's own log.
+func (c *leaderClient) ProposeLocal(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error) {
+	stamped := proto.CloneOf(command)
+	stamped.TimeUnixMs = c.now().UnixMilli()
+	data, err := proto.Marshal(stamped)
+	if err != nil {
+		return nil, fmt.Errorf("marshal command: %w", err)
+	}
+	outcome, err := c.node.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	return outcome.(*statepb.Outcome), nil
+}
+
+// ConfirmLeadership asks a quorum whether this daemon still leads.
+func (c *leaderClient) ConfirmLeadership(ctx context.Context) error {
+	return c.node.ConfirmLeadership(ctx)
+}
+
+// CommitIndex returns the last applied index of this daemon.
+func (c *leaderClient) CommitIndex() uint64 { return c.node.Applied() }
+
+// Renew renews a session with the leader.
+func (c *leaderClient) Renew(ctx context.Context, request *wirepb.RenewRequest) (*wirepb.RenewResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	response, err := c.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Renew{Renew: request}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetRenew(), nil
+}
+
+// askLeader calls the leader once, without a link when it is this daemon.
+func (c *leaderClient) askLeader(ctx context.Context, request *wirepb.CallRequest) (*wirepb.CallResponse, error) {
+	if !c.isLocal() {
+		return c.call(ctx, request)
+	}
+	response := c.handle(ctx, request)
+	if response.ErrorCode != wirepb.ErrorCode_ERROR_CODE_NONE {
+		return nil, &wire.CallError{Code: response.ErrorCode, Message: response.ErrorMessage, Peer: c.self}
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/server/operations.go
@@ -0,0 +1,46 @@
+package server
+
+import (
+	"context"
+
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire/wirepb"
+)
+
+// Propose commits an operator's command.
+func (d *Daemon) Propose(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error) {
+	return d.leader.Propose(ctx, command)
+}
+
+// InForce asks the leader whether an index is in force everywhere.
+func (d *Daemon) InForce(ctx context.Context, index uint64) (*wirepb.InForceResponse, error) {
+	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_InForce{
+		InForce: &wirepb.InForceRequest{Index: index},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetInForce(), nil
+}
+
+// ChangeMember asks the leader for a membership change.
+func (d *Daemon) ChangeMember(ctx context.Context, action wirepb.MemberRequest_Action, member string) (uint64, error) {
+	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Member{
+		Member: &wirepb.MemberRequest{Action: action, Member: member},
+	}})
+	if err != nil {
+		return 0, err
+	}
+	return response.GetMember().GetIndex(), nil
+}
+
+// Status asks the leader for its view of the cluster.
+func (d *Daemon) Status(ctx context.Context) (*wirepb.StatusResponse, error) {
+	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Status{
+		Status: &wirepb.StatusRequest{},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetStatus(), nil
+}
--- /dev/null
+++ b/internal/server/tls.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+
+	"sapphirering/internal/config"
+)
+
+// loadTLS reads the files for mutual TLS; both results are nil without settings.
+func loadTLS(s *config.TLS) (client, server *tls.Config, err error) {
+	if s == nil {
+		return nil, nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.Certificate, s.Key)
+	if err != nil {
+		return nil, nil, fmt.Errorf("tls: %w", err)
+	}
+	data, err := os.ReadFile(s.Authority)
+	if err != nil {
+		return nil, nil, fmt.Errorf("tls.authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, nil, fmt.Errorf("tls.authority: %s holds no certificate", s.Authority)
+	}
+	certificates := []tls.Certificate{certificate}
+	client = &tls.Config{Certificates: certificates, RootCAs: pool, MinVersion: tls.VersionTLS13}
+	server = &tls.Config{
+		Certificates: certificates, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+	return client, server, nil
+}
--- /dev/null
+++ b/internal/session/holder.go
@@ -0,0 +1,186 @@
+// Package session holds the daemon's side of session leases and reservations.
+// A daemon admits keyed work only under a live lease, and runs no more of a
+// team than the committed state has reserved for its session.
+package session
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/state"
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire"
+	"sapphirering/internal/wire/wirepb"
+)
+
+// Leader reaches the current leader.
+type Leader interface {
+	// Propose commits a command and returns its outcome.
+	Propose(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error)
+	// Renew sends one renewal.
+	Renew(ctx context.Context, request *wirepb.RenewRequest) (*wirepb.RenewResponse, error)
+}
+
+// renewalsPerLease is how often the lease is renewed within its length.
+const renewalsPerLease = 4
+
+// Config holds what a Holder needs.
+type Config struct {
+	// MemberID and Incarnation make session ids unique over all processes.
+	MemberID    string
+	Incarnation uint64
+	MemberName  string
+	Zone        string
+	Lease       time.Duration
+	Machine     *state.Machine
+	Leader      Leader
+	// Report fills in demand and target reports before a renewal.
+	Report func(*wirepb.RenewRequest)
+	// Now reads the clock; its differences are monotonic.
+	Now func() time.Time
+}
+
+// Holder keeps the session lease of this daemon.
+type Holder struct {
+	cfg    Config
+	ledger *Ledger
+
+	mu         sync.Mutex
+	session    string
+	serial     int
+	validUntil time.Time
+	leaving    bool
+}
+
+// NewHolder returns a holder without a lease.
+func NewHolder(cfg Config) *Holder {
+	h := &Holder{cfg: cfg}
+	h.ledger = newLedger(h, cfg)
+	return h
+}
+
+// Ledger returns the reservations of this daemon.
+func (h *Holder) Ledger() *Ledger { return h.ledger }
+
+// Session returns the current session id and whether its lease is live.
+func (h *Holder) Session() (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.session, h.session != "" && h.cfg.Now().Before(h.validUntil)
+}
+
+// Live reports whether the lease is live.
+func (h *Holder) Live() bool {
+	_, live := h.Session()
+	return live
+}
+
+// SetLeaving marks the following renewals as those of a daemon that shuts down.
+func (h *Holder) SetLeaving() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+}
+
+// Run renews the lease until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	interval := h.cfg.Lease / renewalsPerLease
+	wasLive := false
+	for ctx.Err() == nil {
+		step, cancel := context.WithTimeout(ctx, h.cfg.Lease)
+		err := h.renew(step)
+		cancel()
+		live := h.Live()
+		if wasLive && !live && err != nil {
+			event.SessionLost.Emit(event.Err(err))
+		}
+		wasLive = live
+		sleep(ctx, interval)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// renew opens a session when there is none and renews it. The lease counts
+// from before the request was sent, so that a slow answer never extends it.
+func (h *Holder) renew(ctx context.Context) error {
+	session, err := h.ensureSession(ctx)
+	if err != nil {
+		return err
+	}
+	request := &wirepb.RenewRequest{
+		Session: session, Member: h.cfg.MemberID, Zone: h.cfg.Zone, AppliedIndex: h.cfg.Machine.Index(),
+	}
+	h.mu.Lock()
+	request.Leaving = h.leaving
+	h.mu.Unlock()
+	h.ledger.report(request)
+	if h.cfg.Report != nil {
+		h.cfg.Report(request)
+	}
+	sent := h.cfg.Now()
+	response, err := h.cfg.Leader.Renew(ctx, request)
+	if err != nil {
+		h.forgetExpired(session, err)
+		return fmt.Errorf("renew session %s: %w", session, err)
+	}
+	h.mu.Lock()
+	h.validUntil = sent.Add(time.Duration(response.LeaseMs) * time.Millisecond)
+	h.mu.Unlock()
+	h.ledger.setWanted(response.Wanted)
+	return nil
+}
+
+// ensureSession opens a session through the log when there is none.
+func (h *Holder) ensureSession(ctx context.Context) (string, error) {
+	h.mu.Lock()
+	if h.session != "" {
+		defer h.mu.Unlock()
+		return h.session, nil
+	}
+	h.serial++
+	id := fmt.Sprintf("%s/%x/%d", h.cfg.MemberID, h.cfg.Incarnation, h.serial)
+	h.mu.Unlock()
+	outcome, err := h.cfg.Leader.Propose(ctx, &statepb.Command{
+		Actor: h.cfg.MemberID,
+		Body: &statepb.Command_OpenSession{OpenSession: &statepb.OpenSession{
+			Session: &statepb.Session{Id: id, Member: h.cfg.MemberID, Zone: h.cfg.Zone},
+		}},
+	})
+	if err != nil {
+		return "", fmt.Errorf("open session: %w", err)
+	}
+	if outcome.Code != statepb.Code_CODE_OK {
+		return "", fmt.Errorf("open session: %s", outcome.Message)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.session = id
+	event.SessionOpened.Emit(event.F("session", id))
+	return id, nil
+}
+
+// forgetExpired drops a session that the leader has expired; the next renewal opens a new one.
+func (h *Holder) forgetExpired(session string, err error) {
+	var callError *wire.CallError
+	if !errors.As(err, &callError) || callError.Code != wirepb.ErrorCode_ERROR_CODE_SESSION_EXPIRED {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.session == session {
+		h.session = ""
+		h.validUntil = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/state/documents.go
@@ -0,0 +1,187 @@
+package state
+
+import (
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/state/statepb"
+)
+
+const (
+	// MaxNameBytes bounds every name in the state.
+	MaxNameBytes = 64
+	// MaxRequestDeadlineMS is the longest deadline of any request.
+	MaxRequestDeadlineMS = 120_000
+	// maxQueuesPerTeam bounds one document.
+	maxQueuesPerTeam = 64
+)
+
+// ValidName reports whether s is a name: 1 to 64 bytes of a-z, 0-9, '-', '_' and '.'.
+func ValidName(s string) bool {
+	if s == "" || len(s) > MaxNameBytes {
+		return false
+	}
+	for _, c := range []byte(s) {
+		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !letter && c != '-' && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) applyDocument(c *statepb.ApplyDocument) *statepb.Outcome {
+	doc := c.GetDocument()
+	if outcome := m.checkDocument(doc); outcome != nil {
+		return outcome
+	}
+	inForce := m.documents[doc.Team].GetRevision()
+	if c.BaseRevision != inForce {
+		return m.conflict("document", doc.Team, c.BaseRevision, inForce)
+	}
+	if outcome := m.checkDocumentRules(doc); outcome != nil {
+		return outcome
+	}
+	m.dropQueues(doc.Team)
+	stored := proto.CloneOf(doc)
+	stored.Revision = m.index
+	m.documents[doc.Team] = stored
+	m.indexQueues(stored)
+	return m.ok(m.index)
+}
+
+// checkDocument checks the fields of a document on their own.
+func (m *Machine) checkDocument(doc *statepb.TeamDocument) *statepb.Outcome {
+	if !ValidName(doc.GetTeam()) {
+		return m.invalid("team: %q is not a name", doc.GetTeam())
+	}
+	if doc.ShareWeight == 0 {
+		return m.invalid("share: must be at least 1")
+	}
+	if doc.UpperLimitUnits == 0 {
+		return m.invalid("upper_limit: must be at least 1")
+	}
+	if len(doc.Queues) > maxQueuesPerTeam {
+		return m.invalid("queues: %d given, at most %d are allowed", len(doc.Queues), maxQueuesPerTeam)
+	}
+	seen := make(map[string]bool)
+	for _, queue := range doc.Queues {
+		if outcome := m.checkQueue(doc.Team, queue); outcome != nil {
+			return outcome
+		}
+		if seen[queue.Name] {
+			return m.invalid("queues: %q is given twice", queue.Name)
+		}
+		seen[queue.Name] = true
+	}
+	return nil
+}
+
+func (m *Machine) checkQueue(team string, queue *statepb.Queue) *statepb.Outcome {
+	if !ValidName(queue.Name) {
+		return m.invalid("queues: %q is not a name", queue.Name)
+	}
+	if queue.Class == statepb.Class_CLASS_UNSPECIFIED {
+		return m.invalid("queue %q: class: must be urgent, normal or long", queue.Name)
+	}
+	if queue.MaxQueued == 0 {
+		return m.invalid("queue %q: max_queued: must be at least 1", queue.Name)
+	}
+	if queue.MaxDeadlineMs == 0 || queue.MaxDeadlineMs > MaxRequestDeadlineMS {
+		return m.invalid("queue %q: max_deadline: must be within 1 ms and %d ms", queue.Name, MaxRequestDeadlineMS)
+	}
+	if m.pools[queue.Pool] == nil {
+		return m.invalid("queue %q: pool: %q does not exist", queue.Name, queue.Pool)
+	}
+	if other, ok := m.queues[queue.Name]; ok && other.team != team {
+		return m.invalid("queue %q: belongs to team %q", queue.Name, other.team)
+	}
+	return nil
+}
+
+// checkDocumentRules checks a document against what is handed out and drained.
+func (m *Machine) checkDocumentRules(doc *statepb.TeamDocument) *statepb.Outcome {
+	if kept := m.keptUnits(doc.Team); doc.UpperLimitUnits < kept {
+		return m.refused("upper_limit: %d is below the %d units that VMs keep for a cut", doc.UpperLimitUnits, kept)
+	}
+	for _, budget := range doc.Budgets {
+		if m.pools[budget.Pool] == nil {
+			return m.invalid("availability: pool %q does not exist", budget.Pool)
+		}
+		if budget.MinAvailableVms > m.availableVMs(budget.Pool) && m.drainingVMs(budget.Pool) > 0 {
+			return m.refused("availability: pool %q has VMs in maintenance and cannot keep %d available",
+				budget.Pool, budget.MinAvailableVms)
+		}
+	}
+	return nil
+}
+
+func (m *Machine) deleteDocument(c *statepb.DeleteDocument) *statepb.Outcome {
+	doc := m.documents[c.Team]
+	if doc == nil {
+		return m.notFound("document", c.Team)
+	}
+	if doc.Revision != c.BaseRevision {
+		return m.conflict("document", c.Team, c.BaseRevision, doc.Revision)
+	}
+	if units := m.handedOut(c.Team); units > 0 {
+		return m.refused("document %q: %d units are still handed out", c.Team, units)
+	}
+	for _, key := range m.keys {
+		if key.Team == c.Team {
+			return m.refused("document %q: key %q is still granted", c.Team, key.Id)
+		}
+	}
+	m.dropQueues(c.Team)
+	delete(m.documents, c.Team)
+	return m.ok(m.index)
+}
+
+func (m *Machine) dropQueues(team string) {
+	for _, queue := range m.documents[team].GetQueues() {
+		delete(m.queues, queue.Name)
+	}
+}
+
+func (m *Machine) indexQueues(doc *statepb.TeamDocument) {
+	for _, queue := range doc.Queues {
+		m.queues[queue.Name] = queueRef{team: doc.Team, queue: queue}
+	}
+}
+
+func (m *Machine) grantKey(c *statepb.GrantKey) *statepb.Outcome {
+	key := c.GetKey()
+	if !ValidName(key.GetId()) {
+		return m.invalid("key id: %q is not a name", key.GetId())
+	}
+	if len(key.Hash) != sha256.Size {
+		return m.invalid("key hash: %d bytes given, want %d", len(key.Hash), sha256.Size)
+	}
+	if m.documents[key.Team] == nil {
+		return m.notFound("document", key.Team)
+	}
+	if m.keys[key.Id] != nil {
+		return m.refused("key %q exists already", key.Id)
+	}
+	hash := [sha256.Size]byte(key.Hash)
+	if _, ok := m.keyByHash[hash]; ok {
+		return m.refused("key %q: the secret is in use", key.Id)
+	}
+	stored := proto.CloneOf(key)
+	stored.GrantedUnixMs = m.nowMS
+	stored.GrantedRevision = m.index
+	m.keys[key.Id] = stored
+	m.keyByHash[hash] = key.Id
+	return m.ok(m.index)
+}
+
+func (m *Machine) withdrawKey(c *statepb.WithdrawKey) *statepb.Outcome {
+	key := m.keys[c.KeyId]
+	if key == nil {
+		return m.notFound("key", c.KeyId)
+	}
+	delete(m.keys, c.KeyId)
+	delete(m.keyByHash, [sha256.Size]byte(key.Hash))
+	return m.ok(m.index)
+}
--- /dev/null
+++ b/internal/state/jobs.go
@@ -0,0 +1,267 @@
+package state
+
+import (
+	"bytes"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/state/statepb"
+)
+
+const (
+	// MaxJobPayloadBytes bounds what a job carries through the log.
+	MaxJobPayloadBytes = 256 << 10
+	// maxJobAttempts bounds the attempts that a job may ask for.
+	maxJobAttempts = 20
+)
+
+// Ended reports whether a job state is final.
+func Ended(s statepb.JobState) bool {
+	switch s {
+	case statepb.JobState_JOB_STATE_DONE, statepb.JobState_JOB_STATE_FAILED,
+		statepb.JobState_JOB_STATE_CANCELLED, statepb.JobState_JOB_STATE_UNKNOWN:
+		return true
+	}
+	return false
+}
+
+func (m *Machine) submitJob(c *statepb.SubmitJob) *statepb.Outcome {
+	job := c.GetJob()
+	if known := m.jobs[job.GetId()]; known != nil {
+		return m.resubmitJob(job, known)
+	}
+	if err := checkAge(job.GetId(), m.nowMS, OperationWindow); err != nil {
+		return m.invalid("job id: %v", err)
+	}
+	ref, ok := m.queues[job.Queue]
+	if !ok {
+		return m.notFound("queue", job.Queue)
+	}
+	if m.documents[job.Team] == nil {
+		return m.notFound("document", job.Team)
+	}
+	if len(job.Payload) > MaxJobPayloadBytes {
+		return m.invalid("payload: %d bytes, at most %d are allowed", len(job.Payload), MaxJobPayloadBytes)
+	}
+	if job.MaxAttempts == 0 || job.MaxAttempts > maxJobAttempts {
+		return m.invalid("max_attempts: must be within 1 and %d", maxJobAttempts)
+	}
+	stored := proto.CloneOf(job)
+	stored.Pool = ref.queue.Pool
+	stored.State = statepb.JobState_JOB_STATE_QUEUED
+	stored.SubmittedUnixMs = m.nowMS
+	stored.Revision = m.index
+	stored.Attempts, stored.CancelRequested, stored.PreemptRequested = nil, false, false
+	m.putJob(stored)
+	outcome := m.ok(m.index)
+	outcome.Job = stored
+	return outcome
+}
+
+// resubmitJob answers a resend with the job that is there.
+func (m *Machine) resubmitJob(job, known *statepb.Job) *statepb.Outcome {
+	if known.Team != job.Team || known.Queue != job.Queue || !bytes.Equal(known.Payload, job.Payload) {
+		return m.invalid("job id %q was used for another job", job.Id)
+	}
+	outcome := m.outcome(statepb.Code_CODE_EXISTS, "job %q is %s", job.Id, known.State)
+	outcome.Job = known
+	outcome.Revision = known.Revision
+	return outcome
+}
+
+// putJob stores a job and keeps the derived counts right.
+func (m *Machine) putJob(job *statepb.Job) {
+	if old := m.jobs[job.Id]; old.GetState() == statepb.JobState_JOB_STATE_RUNNING {
+		m.runningJobs[job.Team]--
+	}
+	if job.State == statepb.JobState_JOB_STATE_RUNNING {
+		m.runningJobs[job.Team]++
+	}
+	delete(m.openJobs, job.Id)
+	if !Ended(job.State) {
+		m.openJobs[job.Id] = struct{}{}
+	}
+	m.jobs[job.Id] = job
+}
+
+func (m *Machine) changeJob(job *statepb.Job) *statepb.Job {
+	next := proto.CloneOf(job)
+	next.Revision = m.index
+	return next
+}
+
+// CurrentAttempt returns the running attempt of a job, or nil.
+func CurrentAttempt(job *statepb.Job) *statepb.Attempt {
+	if job.GetState() != statepb.JobState_JOB_STATE_RUNNING || len(job.Attempts) == 0 {
+		return nil
+	}
+	return job.Attempts[len(job.Attempts)-1]
+}
+
+// startAttempt runs a queued job on a VM. It counts against the upper limit
+// until the attempt ends.
+func (m *Machine) startAttempt(c *statepb.StartAttempt) *statepb.Outcome {
+	job := m.jobs[c.Job]
+	if job == nil {
+		return m.notFound("job", c.Job)
+	}
+	if job.Revision != c.BaseRevision {
+		return m.conflict("job", c.Job, c.BaseRevision, job.Revision)
+	}
+	if job.State != statepb.JobState_JOB_STATE_QUEUED {
+		return m.refused("job %q is %s", job.Id, job.State)
+	}
+	vm := m.vms[c.Vm]
+	if vm == nil || vm.Phase != statepb.VMPhase_VM_PHASE_ACTIVE || vm.Pool != job.Pool {
+		return m.refused("vm %q is not an active VM of pool %q", c.Vm, job.Pool)
+	}
+	if m.liveSession(c.Session) == nil {
+		return m.refused("session %q is not live", c.Session)
+	}
+	if units := m.handedOut(job.Team); units >= m.documents[job.Team].GetUpperLimitUnits() {
+		return m.refused("team %q: %d units are handed out, the upper limit is %d",
+			job.Team, units, m.documents[job.Team].GetUpperLimitUnits())
+	}
+	next := m.changeJob(job)
+	next.State = statepb.JobState_JOB_STATE_RUNNING
+	next.Reason = ""
+	next.Attempts = append(next.Attempts, &statepb.Attempt{
+		Number: uint32(len(job.Attempts) + 1), Vm: c.Vm, Session: c.Session,
+		StartedUnixMs: m.nowMS, LeaseUntilUnixMs: c.LeaseUntilUnixMs,
+	})
+	m.putJob(next)
+	outcome := m.ok(m.index)
+	outcome.Job = next
+	return outcome
+}
+
+// runningAttempt returns the job when the numbered attempt is the running one.
+func (m *Machine) runningAttempt(id string, attempt uint32) (*statepb.Job, *statepb.Outcome) {
+	job := m.jobs[id]
+	if job == nil {
+		return nil, m.notFound("job", id)
+	}
+	current := CurrentAttempt(job)
+	if current.GetNumber() != attempt || attempt == 0 {
+		return nil, m.refused("job %q: attempt %d is not running", id, attempt)
+	}
+	return job, nil
+}
+
+// renewAttempt extends the task lease; the session may change when another
+// entry VM of the zone takes the task over.
+func (m *Machine) renewAttempt(c *statepb.RenewAttempt) *statepb.Outcome {
+	job, outcome := m.runningAttempt(c.Job, c.Attempt)
+	if outcome != nil {
+		return outcome
+	}
+	if m.liveSession(c.Session) == nil {
+		return m.refused("session %q is not live", c.Session)
+	}
+	next := proto.CloneOf(job)
+	current := CurrentAttempt(next)
+	current.Session = c.Session
+	current.LeaseUntilUnixMs = max(current.LeaseUntilUnixMs, c.LeaseUntilUnixMs)
+	m.putJob(next)
+	return m.ok(next.Revision)
+}
+
+func (m *Machine) endAttempt(c *statepb.EndAttempt) *statepb.Outcome {
+	job, outcome := m.runningAttempt(c.Job, c.Attempt)
+	if outcome != nil {
+		return outcome
+	}
+	if c.State == statepb.JobState_JOB_STATE_RUNNING || c.State == statepb.JobState_JOB_STATE_UNSPECIFIED {
+		return m.invalid("state: %s does not end an attempt", c.State)
+	}
+	next := m.changeJob(job)
+	current := CurrentAttempt(next)
+	current.EndedUnixMs = m.nowMS
+	current.Outcome, current.Reason = c.Outcome, c.Reason
+	next.State, next.Reason = c.State, c.Reason
+	next.PreemptRequested = false
+	if c.State == statepb.JobState_JOB_STATE_QUEUED && job.CancelRequested {
+		next.State = statepb.JobState_JOB_STATE_CANCELLED
+	}
+	if c.Checkpoint != "" {
+		next.Checkpoint = c.Checkpoint
+	}
+	if Ended(next.State) {
+		next.EndedUnixMs = m.nowMS
+		next.Answer = c.Answer
+	}
+	m.putJob(next)
+	return m.ok(m.index)
+}
+
+// cancelJobs cancels each job at once when it is not running, else asks the
+// running attempt to stop. Ended and unknown jobs are left alone.
+func (m *Machine) cancelJobs(c *statepb.CancelJobs) *statepb.Outcome {
+	for _, id := range c.Jobs {
+		job := m.jobs[id]
+		if job == nil || Ended(job.State) || job.CancelRequested {
+			continue
+		}
+		next := m.changeJob(job)
+		next.CancelRequested = true
+		if job.State != statepb.JobState_JOB_STATE_RUNNING {
+			next.State = statepb.JobState_JOB_STATE_CANCELLED
+			next.Reason = "cancelled before it ran"
+			next.EndedUnixMs = m.nowMS
+		}
+		m.putJob(next)
+	}
+	return m.ok(m.index)
+}
+
+func (m *Machine) preemptJob(c *statepb.PreemptJob) *statepb.Outcome {
+	job := m.jobs[c.Job]
+	if job == nil {
+		return m.notFound("job", c.Job)
+	}
+	if CurrentAttempt(job) == nil {
+		return m.refused("job %q is not running", c.Job)
+	}
+	next := m.changeJob(job)
+	next.PreemptRequested = true
+	next.Reason = c.Reason
+	m.putJob(next)
+	return m.ok(m.index)
+}
+
+// retryJob queues a parked job again with fresh attempts.
+func (m *Machine) retryJob(c *statepb.RetryJob) *statepb.Outcome {
+	job := m.jobs[c.Job]
+	if job == nil {
+		return m.notFound("job", c.Job)
+	}
+	if job.State != statepb.JobState_JOB_STATE_PARKED {
+		return m.refused("job %q is %s, only a parked job can be retried", c.Job, job.State)
+	}
+	next := m.changeJob(job)
+	next.State = statepb.JobState_JOB_STATE_QUEUED
+	next.Reason = "retried by an operator"
+	next.MaxAttempts = uint32(len(job.Attempts)) + max(1, job.MaxAttempts)
+	m.putJob(next)
+	return m.ok(m.index)
+}
+
+// prune forgets what is older than the stated times. Open claims and jobs stay.
+func (m *Machine) prune(c *statepb.Prune) *statepb.Outcome {
+	for id, claim := range m.claims {
+		if claim.State != statepb.ClaimState_CLAIM_STATE_RUNNING && claim.ClaimedUnixMs < c.ClaimsBeforeUnixMs {
+			delete(m.claims, id)
+		}
+	}
+	for id, operation := range m.operations {
+		if operation.TimeUnixMs < c.OperationsBeforeUnixMs {
+			delete(m.operations, id)
+		}
+	}
+	for id, job := range m.jobs {
+		if Ended(job.State) && job.EndedUnixMs < c.JobsBeforeUnixMs {
+			delete(m.jobs, id)
+		}
+	}
+	return m.ok(m.index)
+}
--- /dev/null
+++ b/internal/state/read.go
@@ -0,0 +1,197 @@
+package state
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+
+	"sapphirering/internal/state/statepb"
+)
+
+// Index returns the log index of the last applied command.
+func (m *Machine) Index() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.index
+}
+
+// NowMS returns the newest leader time seen, in Unix milliseconds.
+func (m *Machine) NowMS() int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.nowMS
+}
+
+// HashKey returns the stored form of a key's secret.
+func HashKey(secret string) [sha256.Size]byte { return sha256.Sum256([]byte(secret)) }
+
+// KeyBySecret returns the granted key with the secret, or nil. The look-up is
+// by hash; the hash is compared in constant time.
+func (m *Machine) KeyBySecret(secret string) *statepb.Key {
+	hash := HashKey(secret)
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	key := m.keys[m.keyByHash[hash]]
+	if key == nil || subtle.ConstantTimeCompare(key.Hash, hash[:]) != 1 {
+		return nil
+	}
+	return key
+}
+
+// Queue returns a queue and the team that owns it; nil when unknown.
+func (m *Machine) Queue(name string) (*statepb.Queue, string) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	ref := m.queues[name]
+	return ref.queue, ref.team
+}
+
+// Document returns the document of a team, or nil.
+func (m *Machine) Document(team string) *statepb.TeamDocument {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.documents[team]
+}
+
+// Documents returns all documents by team.
+func (m *Machine) Documents() []*statepb.TeamDocument {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.documents)
+}
+
+// Keys returns all keys by id.
+func (m *Machine) Keys() []*statepb.Key {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.keys)
+}
+
+// Pool returns a pool, or nil.
+func (m *Machine) Pool(name string) *statepb.Pool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.pools[name]
+}
+
+// Pools returns all pools by name.
+func (m *Machine) Pools() []*statepb.Pool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.pools)
+}
+
+// VM returns a VM, or nil.
+func (m *Machine) VM(name string) *statepb.VM {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.vms[name]
+}
+
+// VMs returns all VMs by name.
+func (m *Machine) VMs() []*statepb.VM {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.vms)
+}
+
+// Wave returns a wave, or nil.
+func (m *Machine) Wave(id string) *statepb.Wave {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.waves[id]
+}
+
+// Waves returns all waves by id.
+func (m *Machine) Waves() []*statepb.Wave {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.waves)
+}
+
+// Session returns a session, or nil.
+func (m *Machine) Session(id string) *statepb.Session {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.sessions[id]
+}
+
+// Sessions returns all sessions that are not reclaimed, by id.
+func (m *Machine) Sessions() []*statepb.Session {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.sessions)
+}
+
+// Reserved returns the units of a team that a live session holds.
+func (m *Machine) Reserved(session, team string) uint32 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return reserved(m.liveSession(session), team)
+}
+
+// Kept returns the units of a team that the named VM may use while cut off.
+func (m *Machine) Kept(memberName, team string) uint32 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.kept[keptID{memberName, team}]
+}
+
+// KeptReservations returns all kept parts.
+func (m *Machine) KeptReservations() []*statepb.KeptReservation {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.keptList()
+}
+
+// HandedOut returns the units of a team that may be running anywhere.
+func (m *Machine) HandedOut(team string) uint32 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.handedOut(team)
+}
+
+// RunningJobs returns the number of running jobs of a team.
+func (m *Machine) RunningJobs(team string) uint32 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.runningJobs[team]
+}
+
+// Claim returns a claim, or nil.
+func (m *Machine) Claim(requestID string) *statepb.Claim {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.claims[requestID]
+}
+
+// Job returns a job, or nil.
+func (m *Machine) Job(id string) *statepb.Job {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.jobs[id]
+}
+
+// Jobs returns all jobs by id.
+func (m *Machine) Jobs() []*statepb.Job {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return sorted(m.jobs)
+}
+
+// OpenJobs returns the jobs that have not ended, by id: the order of submission.
+func (m *Machine) OpenJobs() []*statepb.Job {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	open := make(map[string]*statepb.Job, len(m.openJobs))
+	for id := range m.openJobs {
+		open[id] = m.jobs[id]
+	}
+	return sorted(open)
+}
+
+// Budget returns the availability budget of a pool and how many VMs are available.
+func (m *Machine) Budget(pool string) (least, available uint32) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.budget(pool), m.availableVMs(pool)
+}
--- /dev/null
+++ b/internal/target/protocol.go
@@ -0,0 +1,85 @@
+// Package target knows the targets of this availability zone: their
+// announcements, whether they may be given work, and how to reach them.
+package target
+
+// Headers between daemons and targets.
+const (
+	HeaderRequestID = "Sapphirering-Request-Id"
+	HeaderTeam      = "Sapphirering-Team"
+	HeaderClass     = "Sapphirering-Class"
+	// HeaderDeadlineMS is the time left for the request, in milliseconds.
+	HeaderDeadlineMS = "Sapphirering-Deadline-Ms"
+	// HeaderAnnouncement names the announcement that the dispatch relies on,
+	// as INCARNATION/SEQUENCE. A target refuses dispatches that rely on an
+	// announcement more than MaxAnnouncementAge old by its own clock, so that
+	// a daemon that was frozen cannot hand in work it admitted long ago.
+	HeaderAnnouncement = "Sapphirering-Announcement"
+	// HeaderNotRun is set by a target that refused without running; its value is the reason.
+	HeaderNotRun = "Sapphirering-Not-Run"
+)
+
+// Announcement is what a target sends to every entry VM of its zone, every
+// AnnounceInterval.
+type Announcement struct {
+	VM          string `json:"vm"`
+	Incarnation string `json:"incarnation"`
+	// Sequence rises with every announcement of an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Pool counts only until the VM is registered.
+	Pool         string `json:"pool"`
+	Zone         string `json:"zone"`
+	Rack         string `json:"rack"`
+	Region       string `json:"region"`
+	Address      string `json:"address"`
+	Slots        uint32 `json:"slots"`
+	Millicores   uint32 `json:"millicores"`
+	MemoryMB     uint32 `json:"memory_mb"`
+	Accelerators uint32 `json:"accelerators"`
+	// Leaving targets take no new work.
+	Leaving bool `json:"leaving"`
+	// DrainRevision echoes the newest drain that the target was told of.
+	DrainRevision uint64 `json:"drain_revision"`
+	InFlight      uint32 `json:"in_flight"`
+	// Usage as measured by the target; it lags.
+	UsedMillicores uint32 `json:"used_millicores"`
+	UsedMemoryMB   uint32 `json:"used_memory_mb"`
+}
+
+// AnnouncementAnswer tells a target what the daemon knows of it.
+type AnnouncementAnswer struct {
+	Pool  string `json:"pool"`
+	Phase string `json:"phase"`
+	// Drain asks the target to leave.
+	Drain         bool   `json:"drain"`
+	DrainRevision uint64 `json:"drain_revision"`
+}
+
+// TaskRequest starts an attempt of a job, or renews its lease.
+type TaskRequest struct {
+	Team       string `json:"team"`
+	Queue      string `json:"queue"`
+	Payload    []byte `json:"payload,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// LeaseMS is how long the task may run without a renewal, in milliseconds.
+	LeaseMS uint32 `json:"lease_ms"`
+	// Start is false for a renewal, which never starts a task.
+	Start bool `json:"start"`
+}
+
+// Task states that a target reports.
+const (
+	TaskRunning = "running"
+	TaskDone    = "done"
+	TaskFailed  = "failed"
+	TaskStopped = "stopped"
+	// TaskAbsent is answered to a renewal of a task that the target does not have.
+	TaskAbsent = "absent"
+)
+
+// TaskStatus is the target's answer about one attempt.
+type TaskStatus struct {
+	State      string `json:"state"`
+	Reason     string `json:"reason,omitempty"`
+	Answer     []byte `json:"answer,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
--- /dev/null
+++ b/internal/wire/call.go
@@ -0,0 +1,71 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"sapphirering/internal/wire/wirepb"
+)
+
+// CallError is an error answered by the called daemon.
+type CallError struct {
+	Code          wirepb.ErrorCode
+	Message       string
+	Peer          string
+	LeaderAddress string
+}
+
+// Error names the peer and the reason.
+func (e *CallError) Error() string {
+	return fmt.Sprintf("call to %s: %s: %s", e.Peer, e.Code, e.Message)
+}
+
+// Call sends one request on a stream of its own and reads the response. sent
+// tells whether the request may have reached the peer.
+func (d *Dialer) Call(ctx context.Context, address string, hello *wirepb.Hello, request *wirepb.CallRequest) (response *wirepb.CallResponse, sent bool, err error) {
+	hello.Kind = wirepb.StreamKind_STREAM_KIND_CALL
+	stream, err := d.Open(ctx, address, hello)
+	if err != nil {
+		return nil, false, err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := WriteFrame(stream, request); err != nil {
+		return nil, true, fmt.Errorf("send request to %s: %w", address, err)
+	}
+	response = new(wirepb.CallResponse)
+	if err := ReadFrame(stream, response, MaxFrameBytes); err != nil {
+		return nil, true, fmt.Errorf("read response of %s: %w", address, err)
+	}
+	if response.ErrorCode != wirepb.ErrorCode_ERROR_CODE_NONE {
+		return nil, true, &CallError{
+			Code: response.ErrorCode, Message: response.ErrorMessage, Peer: address,
+			LeaderAddress: response.LeaderAddress,
+		}
+	}
+	return response, true, nil
+}
+
+// ServeCall reads the request of a call stream and writes the handler's response.
+func ServeCall(stream net.Conn, handle func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse) {
+	request := new(wirepb.CallRequest)
+	if ReadFrame(stream, request, MaxFrameBytes) != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		// The caller sends nothing more: a read ends when the stream does.
+		var b [1]byte
+		stream.Read(b[:])
+		cancel()
+	}()
+	response := handle(ctx, request)
+	if stream.SetWriteDeadline(time.Now().Add(streamTimeout)) != nil {
+		return
+	}
+	WriteFrame(stream, response)
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,56 @@
+// Package wire is the inner protocol between daemons: length-prefixed
+// protobuf messages on yamux streams over TCP or TLS.
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxFrameBytes bounds one message, so that a torn or hostile length cannot exhaust memory.
+const MaxFrameBytes = 64 << 20
+
+// ErrFrameTooLarge is returned for a length above MaxFrameBytes.
+var ErrFrameTooLarge = errors.New("frame exceeds the size limit")
+
+// WriteFrame writes one message.
+func WriteFrame(w io.Writer, m proto.Message) error {
+	data := make([]byte, 4, 4+proto.Size(m))
+	data, err := proto.MarshalOptions{}.MarshalAppend(data, m)
+	if err != nil {
+		return fmt.Errorf("marshal frame: %w", err)
+	}
+	size := len(data) - 4
+	if size > MaxFrameBytes {
+		return fmt.Errorf("write frame of %d bytes: %w", size, ErrFrameTooLarge)
+	}
+	binary.BigEndian.PutUint32(data, uint32(size))
+	if _, err := w.Write(data); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
+
+// ReadFrame reads one message of at most maxBytes.
+func ReadFrame(r io.Reader, m proto.Message, maxBytes int) error {
+	var header [4]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return fmt.Errorf("read frame length: %w", err)
+	}
+	size := int64(binary.BigEndian.Uint32(header[:]))
+	if size > int64(maxBytes) {
+		return fmt.Errorf("read frame of %d bytes: %w", size, ErrFrameTooLarge)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return fmt.Errorf("read frame body of %d bytes: %w", size, err)
+	}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return fmt.Errorf("unmarshal frame: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/link.go
@@ -0,0 +1,230 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"sapphirering/internal/wire/wirepb"
+)
+
+const (
+	protocolVersion = 1
+
+	dialTimeout       = 1500 * time.Millisecond
+	keepAliveInterval = 1 * time.Second
+	streamTimeout     = 3 * time.Second
+	helloTimeout      = 3 * time.Second
+	maxHelloBytes     = 4 << 10
+)
+
+// Dialer opens sessions to other daemons and keeps one per address.
+type Dialer struct {
+	// TLS secures links; nil only for loopback addresses.
+	TLS *tls.Config
+	// Addresses overrides the address to dial, by advertised address.
+	Addresses map[string]string
+
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = true
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = streamTimeout
+	cfg.StreamOpenTimeout = streamTimeout
+	cfg.StreamCloseTimeout = streamTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Open opens a stream and sends its hello. A session that cannot open a
+// stream is closed with all it holds, so that the next call dials afresh.
+func (d *Dialer) Open(ctx context.Context, address string, hello *wirepb.Hello) (net.Conn, error) {
+	session, err := d.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		d.Drop(address, session)
+		return nil, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	hello.Version = protocolVersion
+	if err := stream.SetWriteDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, fmt.Errorf("set deadline to %s: %w", address, err)
+	}
+	if err := WriteFrame(stream, hello); err != nil {
+		d.Drop(address, session)
+		return nil, fmt.Errorf("hello to %s: %w", address, err)
+	}
+	return stream, stream.SetWriteDeadline(time.Time{})
+}
+
+func (d *Dialer) session(ctx context.Context, address string) (*yamux.Session, error) {
+	d.mu.Lock()
+	session := d.sessions[address]
+	d.mu.Unlock()
+	if session != nil && !session.IsClosed() {
+		return session, nil
+	}
+	target := address
+	if override, ok := d.Addresses[address]; ok {
+		target = override
+	}
+	conn, err := d.dial(ctx, target)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	session, err = yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("start session to %s: %w", address, err)
+	}
+	return d.keep(address, session), nil
+}
+
+func (d *Dialer) dial(ctx context.Context, target string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if d.TLS == nil {
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, "tcp", target)
+	}
+	dialer := tls.Dialer{Config: d.TLS}
+	return dialer.DialContext(ctx, "tcp", target)
+}
+
+// keep stores the session unless another call was faster.
+func (d *Dialer) keep(address string, session *yamux.Session) *yamux.Session {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if other := d.sessions[address]; other != nil && !other.IsClosed() {
+		session.Close()
+		return other
+	}
+	if d.sessions == nil {
+		d.sessions = make(map[string]*yamux.Session)
+	}
+	d.sessions[address] = session
+	return session
+}
+
+// Drop closes a session that went silent.
+func (d *Dialer) Drop(address string, session *yamux.Session) {
+	d.mu.Lock()
+	if d.sessions[address] == session {
+		delete(d.sessions, address)
+	}
+	d.mu.Unlock()
+	session.Close()
+}
+
+// Close closes every session.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, session := range d.sessions {
+		session.Close()
+	}
+	d.sessions = nil
+}
+
+// StreamHandler serves one accepted stream after its hello.
+type StreamHandler func(hello *wirepb.Hello, stream net.Conn)
+
+// Server accepts sessions of other daemons.
+type Server struct {
+	Listener net.Listener
+	Handler  StreamHandler
+
+	mu       sync.Mutex
+	closed   bool
+	sessions map[*yamux.Session]struct{}
+}
+
+// Serve accepts until Close.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			return fmt.Errorf("accept on %s: %w", s.Listener.Addr(), err)
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	if !s.track(session) {
+		session.Close()
+		return
+	}
+	defer s.untrack(session)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			session.Close()
+			return
+		}
+		go s.serveStream(stream)
+	}
+}
+
+// serveStream reads the hello; a malformed one closes this stream only.
+func (s *Server) serveStream(stream net.Conn) {
+	defer stream.Close()
+	hello := new(wirepb.Hello)
+	if stream.SetReadDeadline(time.Now().Add(helloTimeout)) != nil {
+		return
+	}
+	if ReadFrame(stream, hello, maxHelloBytes) != nil || hello.Version != protocolVersion {
+		return
+	}
+	if stream.SetReadDeadline(time.Time{}) != nil {
+		return
+	}
+	s.Handler(hello, stream)
+}
+
+func (s *Server) track(session *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if s.sessions == nil {
+		s.sessions = make(map[*yamux.Session]struct{})
+	}
+	s.sessions[session] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(session *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, session)
+}
+
+// Close stops accepting and closes every session.
+func (s *Server) Close() {
+	s.Listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for session := range s.sessions {
+		session.Close()
+	}
+}
