--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -96,7 +96,8 @@
 	wait := flags.Bool("wait", false, "wait until the change is in force everywhere")
 	timeout := flags.Duration("timeout", defaultTimeout, "longest time for the whole command")
 	opID := flags.String("operation-id", "", "id of an earlier try, to finish a command whose answer was lost")
-	if flags.Parse(args) != nil {
+	positional, err := parseInterspersed(flags, args)
+	if err != nil {
 		return ExitUsage
 	}
 	env := &Env{Out: out, Err: errOut, json: *output == "json", wait: *wait, opID: *opID}
@@ -112,7 +113,22 @@
 		}
 		env.client = client
 	}
-	return exitCode(sub.name, sub.run(env, flags.Args()), errOut)
+	return exitCode(sub.name, sub.run(env, positional), errOut)
+}
+
+// parseInterspersed parses flags before, between and after the arguments.
+func parseInterspersed(flags *flag.FlagSet, args []string) ([]string, error) {
+	var positional []string
+	for {
+		if err := flags.Parse(args); err != nil {
+			return nil, err
+		}
+		if flags.NArg() == 0 {
+			return positional, nil
+		}
+		positional = append(positional, flags.Arg(0))
+		args = flags.Args()[1:]
+	}
 }
 
 func exitCode(name string, err error, errOut io.Writer) int {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -99,7 +99,7 @@
 	}
 	l := s.leases[r.Session]
 	if l == nil {
-		l = &lease{}
+		l = &lease{renewed: s.now()}
 		s.leases[r.Session] = l
 	}
 	if l.expiring {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -77,9 +77,10 @@
 }
 
 type proposal struct {
-	data       []byte
-	membership *wirepb.Membership
-	reply      chan proposalResult
+	data []byte
+	// change makes the next member list from the one in effect.
+	change func(current *wirepb.Membership) (*wirepb.Membership, error)
+	reply  chan proposalResult
 }
 
 type proposalResult struct {
@@ -210,8 +211,8 @@
 func (n *Node) propose(p proposal) {
 	var index uint64
 	var err error
-	if p.membership != nil {
-		index, err = n.core.ProposeMembership(p.membership)
+	if p.change != nil {
+		index, err = n.changeMembership(p.change)
 	} else {
 		index, err = n.core.Propose(p.data)
 	}
@@ -222,6 +223,16 @@
 	n.waiters[index] = waiter{term: n.core.Term(), reply: p.reply}
 }
 
+// changeMembership makes and proposes the next list in one step: a list made
+// from an older one would undo a change that was proposed in between.
+func (n *Node) changeMembership(change func(*wirepb.Membership) (*wirepb.Membership, error)) (uint64, error) {
+	next, err := change(n.core.Membership())
+	if err != nil {
+		return 0, err
+	}
+	return n.core.ProposeMembership(next)
+}
+
 // process carries out everything that the core has ready.
 func (n *Node) process() error {
 	for n.core.HasReady() {
@@ -324,7 +335,7 @@
 
 // noteChanges reports a new leader or member list and fails what waits on the old one.
 func (n *Node) noteChanges() {
-	if m := n.core.Membership(); m != n.lastMembers {
+	if m := n.core.Membership(); m != nil && m != n.lastMembers {
 		n.lastMembers = m
 		n.cfg.Sender.SetMembership(m)
 	}
@@ -442,9 +453,10 @@
 	return result.outcome, err
 }
 
-// ProposeMembership commits a member list and returns its log index.
-func (n *Node) ProposeMembership(ctx context.Context, m *wirepb.Membership) (uint64, error) {
-	result, err := n.submit(ctx, proposal{membership: m, reply: make(chan proposalResult, 1)})
+// ChangeMembership commits the member list that change makes from the one in
+// effect, and returns its log index. change runs on the node's goroutine.
+func (n *Node) ChangeMembership(ctx context.Context, change func(current *wirepb.Membership) (*wirepb.Membership, error)) (uint64, error) {
+	result, err := n.submit(ctx, proposal{change: change, reply: make(chan proposalResult, 1)})
 	return result.index, err
 }
 
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -84,11 +84,12 @@
 		return nil, err
 	}
 	d.dialer = &wire.Dialer{TLS: clientTLS, Addresses: settings.PeerAddresses}
-	d.identity, d.store, err = identify(ctx, settings, options.Bootstrap, d.dialer)
+	from, st, err := identify(ctx, settings, options.Bootstrap, d.dialer)
 	if err != nil {
 		return nil, err
 	}
-	if err := d.assemble(options); err != nil {
+	d.identity, d.store = from.identity, st
+	if err := d.assemble(from); err != nil {
 		d.Close()
 		return nil, err
 	}
@@ -100,14 +101,17 @@
 }
 
 // assemble builds the parts in the order of their dependencies.
-func (d *Daemon) assemble(Options) error {
+func (d *Daemon) assemble(from origin) error {
 	incarnation := uint64(time.Now().UnixNano())
 	d.peers = wire.NewPeers(d.dialer, d.identity.ClusterID, d.identity.MemberID)
 	d.leader = &leaderClient{
 		dialer: d.dialer, clusterID: d.identity.ClusterID, self: d.identity.MemberID, now: time.Now,
 		handle: d.handleCall,
 	}
-	if err := d.startReplica(incarnation); err != nil {
+	if from.members != nil {
+		memberSender{d}.SetMembership(from.members)
+	}
+	if err := d.startReplica(incarnation, from.loaded); err != nil {
 		return err
 	}
 	d.leader.node = d.node
@@ -129,14 +133,9 @@
 	return nil
 }
 
-func (d *Daemon) startReplica(incarnation uint64) error {
-	var loaded store.Loaded
+func (d *Daemon) startReplica(incarnation uint64, loaded store.Loaded) error {
 	var storage replica.Storage
 	if d.store != nil {
-		var err error
-		if loaded, err = d.store.Load(); err != nil {
-			return err
-		}
 		storage = d.store
 	}
 	node, err := replica.NewNode(replica.NodeConfig{
--- a/internal/server/identity.go
+++ b/internal/server/identity.go
@@ -36,47 +36,76 @@
 	}
 }
 
+// origin is where this daemon starts from.
+type origin struct {
+	identity store.Identity
+	loaded   store.Loaded
+	// members is the member list that the leader answered to a join; it gives
+	// the addresses to answer to until the log brings the list itself.
+	members *wirepb.Membership
+}
+
 // identify opens the data folder and returns this daemon's identity. An empty
 // folder gets a new identity: a voter whose disk was lost never votes as the
 // old one, since what it had promised is forgotten.
-func identify(ctx context.Context, s *config.Settings, bootstrap bool, dialer *wire.Dialer) (store.Identity, *store.Store, error) {
+func identify(ctx context.Context, s *config.Settings, bootstrap bool, dialer *wire.Dialer) (origin, *store.Store, error) {
 	if s.DataFolder == "" {
 		if bootstrap {
-			return store.Identity{}, nil, errors.New("bootstrap: a data_folder is required")
+			return origin{}, nil, errors.New("bootstrap: a data_folder is required")
 		}
-		id, err := join(ctx, s, dialer)
-		return id, nil, err
+		o, err := join(ctx, s, newMemberID(s), dialer)
+		return o, nil, err
 	}
 	if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
-		return store.Identity{}, nil, fmt.Errorf("data_folder: %w", err)
+		return origin{}, nil, fmt.Errorf("data_folder: %w", err)
 	}
 	st, err := store.Open(s.DataFolder)
 	if err != nil {
-		return store.Identity{}, nil, err
+		return origin{}, nil, err
 	}
-	id, err := identifyFolder(ctx, s, bootstrap, dialer, st)
+	o, err := identifyFolder(ctx, s, bootstrap, dialer, st)
 	if err != nil {
 		st.Close()
-		return store.Identity{}, nil, err
+		return origin{}, nil, err
 	}
-	return id, st, nil
+	return o, st, nil
 }
 
-func identifyFolder(ctx context.Context, s *config.Settings, bootstrap bool, dialer *wire.Dialer, st *store.Store) (store.Identity, error) {
+func identifyFolder(ctx context.Context, s *config.Settings, bootstrap bool, dialer *wire.Dialer, st *store.Store) (origin, error) {
 	id, found, err := st.Identity()
 	if err != nil {
-		return store.Identity{}, err
+		return origin{}, err
 	}
-	if found {
-		return id, nil
+	if !found && bootstrap {
+		if id, err = bootstrapFolder(s, st); err != nil {
+			return origin{}, err
+		}
+	} else if !found {
+		return joinWithFolder(ctx, s, newMemberID(s), dialer, st)
 	}
-	if bootstrap {
-		return bootstrapFolder(s, st)
+	loaded, err := st.Load()
+	if err != nil {
+		return origin{}, err
 	}
-	if id, err = join(ctx, s, dialer); err != nil {
-		return store.Identity{}, err
+	if loaded.Snapshot == nil && len(loaded.Entries) == 0 {
+		// The process ended between its join and the first append.
+		return joinWithFolder(ctx, s, id.MemberID, dialer, st)
 	}
-	return id, st.SetIdentity(id)
+	return origin{identity: id, loaded: loaded}, nil
+}
+
+func joinWithFolder(ctx context.Context, s *config.Settings, member string, dialer *wire.Dialer, st *store.Store) (origin, error) {
+	o, err := join(ctx, s, member, dialer)
+	if err != nil {
+		return origin{}, err
+	}
+	return o, st.SetIdentity(o.identity)
+}
+
+func newMemberID(s *config.Settings) string {
+	id := s.Name + "-" + randomHex(4)
+	event.IdentityCreated.Emit(event.F("member", id))
+	return id
 }
 
 // bootstrapFolder creates a cluster of one voter. The identity is written
@@ -97,19 +126,18 @@
 }
 
 // join asks the seeds until the leader has added this daemon as a learner.
-func join(ctx context.Context, s *config.Settings, dialer *wire.Dialer) (store.Identity, error) {
-	id := store.Identity{MemberID: s.Name + "-" + randomHex(4)}
-	event.IdentityCreated.Emit(event.F("member", id.MemberID))
+func join(ctx context.Context, s *config.Settings, member string, dialer *wire.Dialer) (origin, error) {
 	addresses := append([]string(nil), s.Seeds...)
 	if len(addresses) == 0 {
-		return store.Identity{}, errors.New("seeds: are required to join; or start the first daemon with -bootstrap")
+		return origin{}, errors.New("seeds: are required to join; or start the first daemon with -bootstrap")
 	}
 	for round := 0; ; round++ {
 		address := addresses[round%len(addresses)]
-		clusterID, leader, err := tryJoin(ctx, s, id.MemberID, address, dialer)
+		joined, leader, err := tryJoin(ctx, s, member, address, dialer)
 		if err == nil {
-			id.ClusterID = clusterID
-			return id, nil
+			return origin{
+				identity: store.Identity{ClusterID: joined.ClusterId, MemberID: member}, members: joined.Membership,
+			}, nil
 		}
 		if leader != "" {
 			addresses = append(addresses[:len(s.Seeds):len(s.Seeds)], leader)
@@ -119,14 +147,14 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return store.Identity{}, fmt.Errorf("join: %w", ctx.Err())
+			return origin{}, fmt.Errorf("join: %w", ctx.Err())
 		case <-timer.C:
 		}
 	}
 }
 
 // tryJoin asks one daemon; leader is the address of the leader when it answered with one.
-func tryJoin(ctx context.Context, s *config.Settings, member, address string, dialer *wire.Dialer) (clusterID, leader string, err error) {
+func tryJoin(ctx context.Context, s *config.Settings, member, address string, dialer *wire.Dialer) (joined *wirepb.JoinResponse, leader string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	response, _, err := dialer.Call(ctx, address, &wirepb.Hello{FromMember: member}, &wirepb.CallRequest{
@@ -139,7 +167,7 @@
 		if errors.As(err, &callError) {
 			leader = callError.LeaderAddress
 		}
-		return "", leader, err
+		return nil, leader, err
 	}
-	return response.GetJoin().GetClusterId(), "", nil
+	return response.GetJoin(), "", nil
 }
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -32,8 +32,22 @@
 	if replica.FindMember(status.Membership, joining.Id) != nil {
 		return status.Membership, nil
 	}
-	next := proto.CloneOf(status.Membership)
-	for _, member := range status.Membership.GetMembers() {
+	var joined *wirepb.Membership
+	_, err = node.ChangeMembership(ctx, func(current *wirepb.Membership) (*wirepb.Membership, error) {
+		joined = withLearner(current, joining, wantsVote)
+		return joined, nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("add member %s: %w", joining.Id, err)
+	}
+	event.MemberAdded.Emit(event.F("member", joining.Id), event.F("zone", joining.Zone))
+	return joined, nil
+}
+
+// withLearner adds the member as a learner in place of others of its name.
+func withLearner(current *wirepb.Membership, joining *wirepb.Member, wantsVote bool) *wirepb.Membership {
+	next := proto.CloneOf(current)
+	for _, member := range current.GetMembers() {
 		if member.Name == joining.Name && member.Role == wirepb.Role_ROLE_LEARNER {
 			next = replica.WithoutMember(next, member.Id)
 		}
@@ -41,12 +55,7 @@
 	added := proto.CloneOf(joining)
 	added.Role = wirepb.Role_ROLE_LEARNER
 	added.Durable = joining.Durable && wantsVote
-	next = replica.WithMember(next, added)
-	if _, err := node.ProposeMembership(ctx, next); err != nil {
-		return nil, fmt.Errorf("add member %s: %w", joining.Id, err)
-	}
-	event.MemberAdded.Emit(event.F("member", joining.Id), event.F("zone", joining.Zone))
-	return next, nil
+	return replica.WithMember(next, added)
 }
 
 // promoteLoop promotes caught-up learners that want to vote while there are
@@ -105,20 +114,18 @@
 
 // promote makes a learner a voter and returns the log index of the change.
 func promote(ctx context.Context, node *replica.Node, id string) (uint64, error) {
-	status, err := node.Status(ctx)
-	if err != nil {
-		return 0, err
-	}
-	member := replica.FindMember(status.Membership, id)
-	if member == nil {
-		return 0, fmt.Errorf("member %q does not exist", id)
-	}
-	if !member.Durable {
-		return 0, fmt.Errorf("member %q has no data folder or did not ask to vote", id)
-	}
-	promoted := proto.CloneOf(member)
-	promoted.Role = wirepb.Role_ROLE_VOTER
-	index, err := node.ProposeMembership(ctx, replica.WithMember(status.Membership, promoted))
+	index, err := node.ChangeMembership(ctx, func(current *wirepb.Membership) (*wirepb.Membership, error) {
+		member := replica.FindMember(current, id)
+		if member == nil {
+			return nil, fmt.Errorf("member %q does not exist", id)
+		}
+		if !member.Durable {
+			return nil, fmt.Errorf("member %q has no data folder or did not ask to vote", id)
+		}
+		promoted := proto.CloneOf(member)
+		promoted.Role = wirepb.Role_ROLE_VOTER
+		return replica.WithMember(current, promoted), nil
+	})
 	if err != nil {
 		return 0, fmt.Errorf("promote member %s: %w", id, err)
 	}
@@ -128,14 +135,12 @@
 
 // removeMember takes a member out and returns the log index of the change.
 func removeMember(ctx context.Context, node *replica.Node, id string) (uint64, error) {
-	status, err := node.Status(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if replica.FindMember(status.Membership, id) == nil {
-		return 0, fmt.Errorf("member %q does not exist", id)
-	}
-	index, err := node.ProposeMembership(ctx, replica.WithoutMember(status.Membership, id))
+	index, err := node.ChangeMembership(ctx, func(current *wirepb.Membership) (*wirepb.Membership, error) {
+		if replica.FindMember(current, id) == nil {
+			return nil, fmt.Errorf("member %q does not exist", id)
+		}
+		return replica.WithoutMember(current, id), nil
+	})
 	if err != nil {
 		return 0, fmt.Errorf("remove member %s: %w", id, err)
 	}
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -28,6 +28,9 @@
 // renewalsPerLease is how often the lease is renewed within its length.
 const renewalsPerLease = 4
 
+// appliedPause spaces looks at the applied index.
+const appliedPause = 10 * time.Millisecond
+
 // Config holds what a Holder needs.
 type Config struct {
 	// MemberID and Incarnation make session ids unique over all processes.
@@ -164,6 +167,9 @@
 	if outcome.Code != statepb.Code_CODE_OK {
 		return "", fmt.Errorf("open session: %s", outcome.Message)
 	}
+	if err := h.waitApplied(ctx, outcome.Revision); err != nil {
+		return "", err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.session = id
@@ -171,6 +177,18 @@
 	return id, nil
 }
 
+// waitApplied waits until this daemon's state holds the opened session: the
+// leader renews no session of a daemon that lags behind its opening.
+func (h *Holder) waitApplied(ctx context.Context, index uint64) error {
+	for h.cfg.Machine.Index() < index {
+		if ctx.Err() != nil {
+			return fmt.Errorf("open session: index %d is not applied here: %w", index, ctx.Err())
+		}
+		sleep(ctx, appliedPause)
+	}
+	return nil
+}
+
 // forgetExpired drops a session that the leader has expired; the next renewal opens a new one.
 func (h *Holder) forgetExpired(session string, err error) {
 	var callError *wire.CallError
