--- /dev/null
+++ b/internal/replica/election.go
@@ -0,0 +1,225 @@
+package replica
+
+import (
+	"sort"
+
+	"sapphirering/internal/wire/wirepb"
+)
+
+// LeaderReady reports whether this leader has committed an entry of its own
+// term. Before that its commit index may lag behind its predecessor's.
+func (c *Core) LeaderReady() bool {
+	term, ok := c.log.term(c.log.commit)
+	return c.role == leader && ok && term == c.term
+}
+
+func (c *Core) selfVotes() bool { return isVoter(FindMember(c.Membership(), c.cfg.ID)) }
+
+func (c *Core) quorum() int { return Voters(c.Membership())/2 + 1 }
+
+func (c *Core) resetTimer() {
+	c.elapsed = 0
+	c.timeout = c.cfg.ElectionTicks + c.cfg.Rand.Intn(c.cfg.ElectionTicks)
+}
+
+func (c *Core) becomeFollower(term uint64, lead string) {
+	if term > c.term {
+		c.term = term
+		c.vote = ""
+	}
+	c.role = follower
+	c.lead = lead
+	c.votes = nil
+	c.peers = nil
+	c.resetTimer()
+}
+
+func (c *Core) becomeLeader() {
+	c.role = leader
+	c.lead = c.cfg.ID
+	c.votes = nil
+	c.peers = make(map[string]*progress)
+	c.round++
+	c.hbElapsed = 0
+	c.elapsed = 0
+	c.syncPeers()
+	c.appendOwn(&wirepb.Entry{Kind: wirepb.EntryKind_ENTRY_KIND_EMPTY})
+	c.broadcastAppend()
+}
+
+// checkQuorum steps down when no quorum answered within one election timeout,
+// so that a leader cut off from the others stops serving.
+func (c *Core) checkQuorum() {
+	active := 0
+	for _, member := range c.Membership().GetMembers() {
+		if !isVoter(member) {
+			continue
+		}
+		if member.Id == c.cfg.ID {
+			active++
+			continue
+		}
+		if p := c.peers[member.Id]; p != nil && p.active {
+			active++
+		}
+	}
+	for _, p := range c.peers {
+		p.active = false
+	}
+	if active < c.quorum() {
+		c.becomeFollower(c.term, "")
+	}
+}
+
+// quorumValue returns the greatest value that a quorum of voters has reached.
+func (c *Core) quorumValue(of func(*progress) uint64, own uint64) uint64 {
+	var values []uint64
+	for _, member := range c.Membership().GetMembers() {
+		if !isVoter(member) {
+			continue
+		}
+		switch p := c.peers[member.Id]; {
+		case member.Id == c.cfg.ID:
+			values = append(values, own)
+		case p != nil:
+			values = append(values, of(p))
+		default:
+			values = append(values, 0)
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] > values[j] })
+	return values[c.quorum()-1]
+}
+
+func (c *Core) startPreVote() {
+	c.role = preCandidate
+	c.lead = ""
+	c.resetTimer()
+	c.votes = map[string]bool{c.cfg.ID: true}
+	if c.countVotes() >= c.quorum() {
+		c.startVote(false)
+		return
+	}
+	c.requestVotes(wirepb.MessageType_MESSAGE_TYPE_PRE_VOTE, c.term+1, false)
+}
+
+func (c *Core) startVote(forced bool) {
+	c.role = candidate
+	c.lead = ""
+	c.term++
+	c.vote = c.cfg.ID
+	c.resetTimer()
+	c.votes = map[string]bool{c.cfg.ID: true}
+	if c.countVotes() >= c.quorum() {
+		c.becomeLeader()
+		return
+	}
+	c.requestVotes(wirepb.MessageType_MESSAGE_TYPE_VOTE, c.term, forced)
+}
+
+func (c *Core) requestVotes(kind wirepb.MessageType, term uint64, forced bool) {
+	for _, member := range c.Membership().GetMembers() {
+		if member.Id == c.cfg.ID || !isVoter(member) {
+			continue
+		}
+		c.send(&wirepb.ReplicaMessage{
+			Type: kind, To: member.Id, Term: term,
+			Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(), Forced: forced,
+		})
+	}
+}
+
+// countVotes counts granted votes of members that vote in the current list.
+func (c *Core) countVotes() int {
+	count := 0
+	for id, granted := range c.votes {
+		if granted && isVoter(FindMember(c.Membership(), id)) {
+			count++
+		}
+	}
+	return count
+}
+
+// handleVoteRequest answers a vote or pre-vote. Followers that hear from a
+// leader ignore both, so that a returning member does not disturb it.
+func (c *Core) handleVoteRequest(m *wirepb.ReplicaMessage) {
+	preVote := m.Type == wirepb.MessageType_MESSAGE_TYPE_PRE_VOTE
+	hearsLeader := c.lead != "" && c.elapsed < c.cfg.ElectionTicks
+	if hearsLeader && !m.Forced || !c.cfg.Durable {
+		return
+	}
+	answer := wirepb.MessageType_MESSAGE_TYPE_VOTE_ANSWER
+	if preVote {
+		answer = wirepb.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER
+	} else if m.Term > c.term {
+		c.becomeFollower(m.Term, "")
+	}
+	free := preVote && m.Term > c.term || m.Term == c.term && (c.vote == m.From || c.vote == "" && c.lead == "")
+	granted := free && c.log.upToDate(m.Index, m.LogTerm)
+	if granted && !preVote {
+		c.vote = m.From
+		c.resetTimer()
+	}
+	term := c.term
+	if granted {
+		term = m.Term
+	}
+	c.send(&wirepb.ReplicaMessage{Type: answer, To: m.From, Term: term, Reject: !granted})
+}
+
+func (c *Core) handlePreVoteAnswer(m *wirepb.ReplicaMessage) {
+	if m.Reject && m.Term > c.term {
+		c.becomeFollower(m.Term, "")
+		return
+	}
+	if c.role != preCandidate || m.Term != c.term+1 && !m.Reject {
+		return
+	}
+	c.votes[m.From] = !m.Reject
+	if c.countVotes() >= c.quorum() {
+		c.startVote(false)
+	}
+}
+
+func (c *Core) handleVoteAnswer(m *wirepb.ReplicaMessage) {
+	if c.role != candidate {
+		return
+	}
+	c.votes[m.From] = !m.Reject
+	if c.countVotes() >= c.quorum() {
+		c.becomeLeader()
+	}
+}
+
+// TransferLeadership asks the most up-to-date voter to campaign at once.
+func (c *Core) TransferLeadership() bool {
+	if c.role != leader {
+		return false
+	}
+	best := ""
+	for _, member := range c.Membership().GetMembers() {
+		p := c.peers[member.Id]
+		if !isVoter(member) || p == nil || !p.active {
+			continue
+		}
+		if best == "" || p.match > c.peers[best].match {
+			best = member.Id
+		}
+	}
+	if best == "" || c.peers[best].match < c.log.lastIndex() {
+		return false
+	}
+	c.send(&wirepb.ReplicaMessage{Type: wirepb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW, To: best})
+	return true
+}
+
+// stepDownIfRemoved ends leadership once the own removal is committed.
+func (c *Core) stepDownIfRemoved() {
+	last := c.config[len(c.config)-1]
+	if c.role == leader && last.index <= c.log.applied && !c.selfVotes() {
+		c.becomeFollower(c.term, "")
+	}
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -55,11 +55,14 @@
 	TickInterval time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+	// SnapshotTail is the number of entries kept before a snapshot, so that a
+	// slow member needs no snapshot each time.
+	SnapshotTail uint64
 	// OnLeaderChange is called from the node's goroutine; it must not block.
 	OnLeaderChange func(leader string, term uint64)
 	// OnMembership is called when a member list is applied.
 	OnMembership func(m *wirepb.Membership)
-	// OnFatal is called when storage fails; the node has stopped.
+	// OnFatal is called when storage fails or the log proves unsafe; the node has stopped.
 	OnFatal func(err error)
 }
 
@@ -160,7 +163,7 @@
 	for {
 		select {
 		case <-n.done:
-			n.failAll(ErrStopped)
+			n.failAll(ErrOutcomeUnknown)
 			return
 		case <-ticker.C:
 			n.core.Tick()
@@ -173,7 +176,7 @@
 		}
 		n.drain()
 		if err := n.process(); err != nil {
-			n.failAll(ErrStopped)
+			n.failAll(ErrOutcomeUnknown)
 			n.cfg.OnFatal(err)
 			return
 		}
@@ -220,6 +223,9 @@
 		p.reply <- proposalResult{err: err}
 		return
 	}
+	if replaced, ok := n.waiters[index]; ok {
+		replaced.reply <- proposalResult{err: ErrOutcomeUnknown}
+	}
 	n.waiters[index] = waiter{term: n.core.Term(), reply: p.reply}
 }
 
@@ -237,6 +243,7 @@
 func (n *Node) process() error {
 	for n.core.HasReady() {
 		r := n.core.Ready()
+		n.cfg.Sender.Send(r.Early)
 		if err := n.persist(r); err != nil {
 			return err
 		}
@@ -253,6 +260,10 @@
 			return err
 		}
 	}
+	if err := n.core.Fault(); err != nil {
+		return err
+	}
+	n.noteChanges()
 	n.finishConfirmations()
 	return n.maybeSnapshot()
 }
@@ -264,7 +275,8 @@
 	if n.cfg.Storage == nil || r.HardState == nil && len(r.Entries) == 0 && r.Snapshot == nil {
 		return nil
 	}
-	if r.HardState != nil && len(r.Entries) == 0 && r.Snapshot == nil && !n.mustSync(r.HardState) {
+	if len(r.Entries) == 0 && r.Snapshot == nil && !n.core.voteChanged() {
+		// Only the commit index moved: it is found again from the leader.
 		return nil
 	}
 	err := n.cfg.Storage.Save(store.Batch{
@@ -276,11 +288,6 @@
 	return nil
 }
 
-// mustSync is false when only the commit index moved: it is found again from the leader.
-func (n *Node) mustSync(hs *wirepb.HardState) bool {
-	return hs.Term != n.core.savedState.Term || hs.Vote != n.core.savedState.Vote
-}
-
 func (n *Node) restore(snapshot *wirepb.ReplicaSnapshot) error {
 	if err := n.cfg.Machine.Restore(snapshot.State); err != nil {
 		return fmt.Errorf("restore snapshot %d: %w", snapshot.Meta.Index, err)
@@ -327,6 +334,10 @@
 		delete(n.waiters, index)
 		w.reply <- proposalResult{err: err}
 	}
+	n.failConfirmations(err)
+}
+
+func (n *Node) failConfirmations(err error) {
 	for _, c := range n.confirmations {
 		c.reply <- err
 	}
@@ -356,7 +367,7 @@
 		return
 	}
 	if !n.core.IsLeader() {
-		n.failAll(ErrNotLeader)
+		n.failConfirmations(ErrNotLeader)
 		return
 	}
 	confirmed := n.core.ConfirmedRound()
@@ -396,7 +407,7 @@
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	meta := n.core.Compact(applied)
+	meta := n.core.Compact(applied, n.cfg.SnapshotTail)
 	if meta == nil {
 		return nil
 	}
@@ -404,7 +415,9 @@
 	if n.cfg.Storage == nil {
 		return nil
 	}
-	err = n.cfg.Storage.Save(store.Batch{Snapshot: &wirepb.ReplicaSnapshot{Meta: meta, State: state}})
+	err = n.cfg.Storage.Save(store.Batch{
+		Snapshot: &wirepb.ReplicaSnapshot{Meta: meta, State: state}, KeepFrom: n.core.log.base,
+	})
 	if err != nil {
 		return fmt.Errorf("save snapshot %d: %w", meta.Index, err)
 	}
--- a/internal/replica/store/store.go
+++ b/internal/replica/store/store.go
@@ -40,8 +40,9 @@
 	HardState *wirepb.HardState
 	// Entries replace everything in the log from the first one's index on.
 	Entries []*wirepb.Entry
-	// Snapshot replaces the log up to its index; Reset drops the whole log.
+	// Snapshot replaces the log before KeepFrom; Reset drops the whole log.
 	Snapshot *wirepb.ReplicaSnapshot
+	KeepFrom uint64
 	Reset    bool
 }
 
@@ -176,7 +177,7 @@
 	}
 	cursor := log.Cursor()
 	for k, _ := cursor.First(); k != nil; k, _ = cursor.First() {
-		if !b.Reset && binary.BigEndian.Uint64(k) > b.Snapshot.Meta.Index {
+		if !b.Reset && binary.BigEndian.Uint64(k) >= b.KeepFrom {
 			return nil
 		}
 		if err := cursor.Delete(); err != nil {
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -31,6 +31,8 @@
 	electionTicks   = 10
 	heartbeatTicks  = 1
 	snapshotEntries = 10_000
+	// snapshotTail lets a voter that was away for a while catch up without a snapshot.
+	snapshotTail = 5_000
 
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
@@ -145,7 +147,7 @@
 			Rand: rand.New(rand.NewSource(int64(incarnation))),
 		},
 		Machine: d.machine, Storage: storage, Sender: memberSender{d}, TickInterval: d.settings.Tick.Duration,
-		SnapshotEntries: snapshotEntries, OnLeaderChange: d.onLeaderChange,
+		SnapshotEntries: snapshotEntries, SnapshotTail: snapshotTail, OnLeaderChange: d.onLeaderChange,
 		OnFatal: func(err error) {
 			event.StorageFailed.Emit(event.Err(err))
 			d.fatal <- err
