--- a/internal/replica/store/store.go
+++ b/internal/replica/store/store.go
@@ -5,11 +5,16 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
+	"hash/crc32"
+	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/wire/wirepb"
@@ -20,6 +25,14 @@
 	openTimeout = 2 * time.Second
 )
 
+// ErrDamaged is returned for a file that this program cannot have written.
+// The member must come back as a new one, with an empty data folder.
+var ErrDamaged = errors.New("data file is damaged; replace this member with an empty data folder")
+
+const checksumBytes = 4
+
+var checksumTable = crc32.MakeTable(crc32.Castagnoli)
+
 var (
 	bucketLog  = []byte("log")
 	bucketMeta = []byte("meta")
@@ -58,10 +71,11 @@
 	db *bolt.DB
 }
 
-// Open opens or creates the file in the folder.
+// Open opens or creates the file in the folder. It returns ErrDamaged for a
+// file that was cut short or overwritten.
 func Open(folder string) (*Store, error) {
 	path := filepath.Join(folder, fileName)
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: openTimeout})
+	db, err := openFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("open %s: %w", path, err)
 	}
@@ -79,6 +93,46 @@
 	return &Store{db: db}, nil
 }
 
+// openFile opens the file and checks that it is as long as its header says:
+// reading past its end would end the process.
+func openFile(path string) (db *bolt.DB, err error) {
+	defer asError(&err)
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: openTimeout})
+	if errors.Is(err, bolterrors.ErrInvalid) || errors.Is(err, bolterrors.ErrChecksum) || errors.Is(err, bolterrors.ErrVersionMismatch) {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := checkSize(db, path); err != nil {
+		db.Close()
+		return nil, err
+	}
+	return db, nil
+}
+
+func checkSize(db *bolt.DB, path string) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	return db.View(func(tx *bolt.Tx) error {
+		if tx.Size() > info.Size() {
+			return fmt.Errorf("%w: %d bytes long, %d are due", ErrDamaged, info.Size(), tx.Size())
+		}
+		return nil
+	})
+}
+
+// asError turns a panic over a damaged page, or a fault while reading it,
+// into ErrDamaged. Faults become panics only on the calling goroutine.
+func asError(err *error) {
+	if r := recover(); r != nil {
+		*err = fmt.Errorf("%w: %v", ErrDamaged, r)
+	}
+}
+
 // Close releases the file.
 func (s *Store) Close() error { return s.db.Close() }
 
@@ -92,7 +146,7 @@
 			return nil
 		}
 		found = true
-		return proto.Unmarshal(data, member)
+		return getMessage(data, member)
 	})
 	if err != nil {
 		return Identity{}, false, fmt.Errorf("read identity: %w", err)
@@ -102,11 +156,8 @@
 
 // SetIdentity writes the identity of a new folder.
 func (s *Store) SetIdentity(id Identity) error {
-	data, err := proto.Marshal(&wirepb.Hello{ClusterId: id.ClusterID, FromMember: id.MemberID})
-	if err != nil {
-		return fmt.Errorf("marshal identity: %w", err)
-	}
-	err = s.db.Update(func(tx *bolt.Tx) error { return tx.Bucket(bucketMeta).Put(keyIdentity, data) })
+	hello := &wirepb.Hello{ClusterId: id.ClusterID, FromMember: id.MemberID}
+	err := s.db.Update(func(tx *bolt.Tx) error { return putMessage(tx.Bucket(bucketMeta), keyIdentity, hello) })
 	if err != nil {
 		return fmt.Errorf("write identity: %w", err)
 	}
@@ -114,25 +165,26 @@
 }
 
 // Load reads everything that was synced.
-func (s *Store) Load() (Loaded, error) {
-	var l Loaded
-	err := s.db.View(func(tx *bolt.Tx) error {
+func (s *Store) Load() (l Loaded, err error) {
+	defer asError(&err)
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	err = s.db.View(func(tx *bolt.Tx) error {
 		meta := tx.Bucket(bucketMeta)
 		if data := meta.Get(keyHardState); data != nil {
 			l.HardState = new(wirepb.HardState)
-			if err := proto.Unmarshal(data, l.HardState); err != nil {
+			if err := getMessage(data, l.HardState); err != nil {
 				return fmt.Errorf("hard state: %w", err)
 			}
 		}
 		if data := meta.Get(keySnapshot); data != nil {
 			l.Snapshot = new(wirepb.ReplicaSnapshot)
-			if err := proto.Unmarshal(data, l.Snapshot); err != nil {
+			if err := getMessage(data, l.Snapshot); err != nil {
 				return fmt.Errorf("snapshot: %w", err)
 			}
 		}
 		return tx.Bucket(bucketLog).ForEach(func(k, v []byte) error {
 			entry := new(wirepb.Entry)
-			if err := proto.Unmarshal(v, entry); err != nil {
+			if err := getMessage(v, entry); err != nil {
 				return fmt.Errorf("entry %d: %w", binary.BigEndian.Uint64(k), err)
 			}
 			l.Entries = append(l.Entries, entry)
@@ -204,14 +256,31 @@
 	return nil
 }
 
+// putMessage writes a message behind its checksum.
 func putMessage(bucket *bolt.Bucket, key []byte, m proto.Message) error {
-	data, err := proto.Marshal(m)
+	data := make([]byte, checksumBytes, checksumBytes+proto.Size(m))
+	data, err := proto.MarshalOptions{}.MarshalAppend(data, m)
 	if err != nil {
 		return fmt.Errorf("marshal %q: %w", key, err)
 	}
+	binary.BigEndian.PutUint32(data, crc32.Checksum(data[checksumBytes:], checksumTable))
 	return bucket.Put(key, data)
 }
 
+// getMessage reads what putMessage wrote.
+func getMessage(data []byte, m proto.Message) error {
+	if len(data) < checksumBytes {
+		return fmt.Errorf("%w: value of %d bytes", ErrDamaged, len(data))
+	}
+	if binary.BigEndian.Uint32(data) != crc32.Checksum(data[checksumBytes:], checksumTable) {
+		return fmt.Errorf("%w: checksum differs", ErrDamaged)
+	}
+	if err := proto.Unmarshal(data[checksumBytes:], m); err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return nil
+}
+
 func indexKey(index uint64) []byte {
 	return binary.BigEndian.AppendUint64(nil, index)
 }
