Recover a lost quorum from one data folder, under a new cluster id

sapphireringd -recover makes a stopped daemon's folder the only voter; the log up to its last entry is kept. Weighed: editing the member list under the same cluster id was rejected, since former voters that return could form a second quorum and undo accepted changes.

--- a/cmd/sapphireringd/main.go
+++ b/cmd/sapphireringd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/apex/log"
@@ -19,9 +20,14 @@
 func main() {
 	settingsPath := flag.String("settings", "", "path of the settings file (required)")
 	bootstrap := flag.Bool("bootstrap", false, "create a new cluster if the data folder is empty; give it once, on one daemon")
+	recoverFolder := flag.Bool("recover", false, "make this data folder the only voter of a new cluster and exit; only for a quorum that is lost for good")
 	flag.Parse()
 	log.SetHandler(logfmt.New(os.Stderr))
-	if err := run(*settingsPath, *bootstrap); err != nil {
+	start := run
+	if *recoverFolder {
+		start = recoverCluster
+	}
+	if err := start(*settingsPath, *bootstrap); err != nil {
 		fmt.Fprintln(os.Stderr, "sapphireringd:", err)
 		os.Exit(1)
 	}
@@ -47,3 +53,19 @@
 	}
 	return daemon.Run(ctx)
 }
+
+// recoverCluster prints what a recovery keeps and what the operator does next.
+func recoverCluster(path string, _ bool) error {
+	settings, err := config.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	r, err := server.Recover(settings)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("new cluster %s, member %s, log kept up to index %d\n", r.Identity.ClusterID, r.Identity.MemberID, r.LastIndex)
+	fmt.Printf("start this daemon, then wipe the data folders of the former voters and start them: %s\n",
+		strings.Join(r.FormerVoters, ", "))
+	return nil
+}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -142,7 +142,7 @@
 		Core: replica.Config{
 			ID: d.identity.MemberID, Incarnation: incarnation, Durable: d.store != nil,
 			ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-			Rand: rand.New(rand.NewSource(int64(incarnation))),
+			Rand: newRand(int64(incarnation)),
 		},
 		Machine: d.machine, Storage: storage, Sender: memberSender{d}, TickInterval: d.settings.Tick.Duration,
 		SnapshotEntries: snapshotEntries, OnLeaderChange: d.onLeaderChange,
@@ -158,6 +158,8 @@
 	return nil
 }
 
+func newRand(seed int64) *rand.Rand { return rand.New(rand.NewSource(seed)) }
+
 // memberSender sends replica messages and keeps the member list for calls.
 type memberSender struct{ d *Daemon }
 
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -123,7 +123,7 @@
 		fmt.Fprintf(&b, "data_folder: %s\n", n.folder)
 	}
 	fmt.Fprintf(&b, "listen: {callers: %q, targets: %q, operators: %q, peers: %q}\n", n.callers, n.targets, n.operator, n.peers)
-	fmt.Fprintf(&b, "session_lease: 2s\nseeds: [%q]\n", c.nodes[0].peers)
+	fmt.Fprintf(&b, "session_lease: 2s\nseeds: [%s]\n", c.seeds())
 	if c.links != nil {
 		b.WriteString("peer_addresses:\n")
 		for _, other := range c.nodes {
@@ -137,6 +137,15 @@
 	}
 }
 
+// seeds lists the peer addresses of all daemons.
+func (c *cluster) seeds() string {
+	var addresses []string
+	for _, n := range c.nodes {
+		addresses = append(addresses, fmt.Sprintf("%q", n.peers))
+	}
+	return strings.Join(addresses, ", ")
+}
+
 func (n *node) start(bootstrap bool) {
 	n.t.Helper()
 	args := []string{"-settings", n.settings}
