--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -1,21 +1,56 @@
 package command
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 
 	"sapphirering/internal/config"
+	"sapphirering/internal/operator"
 )
 
 var applyCommand = subcommand{
-	name: "apply", args: "FILE", help: "create or change a team's document",
+	name: "apply", args: "FILE", help: "create or change a team's document; its 'revision' field is what the change is based on",
+	examples: []string{"apply kita.yaml", "apply -wait -timeout 30s kita.yaml", "get kita > kita.yaml   # then edit and apply"},
 	run: func(env *Env, args []string) error {
 		if err := wantArgs(args, 1, "FILE"); err != nil {
 			return err
 		}
-		doc, err := config.LoadDocument(args[0])
+		doc, err := loadDocument(args[0])
 		if err != nil {
 			return err
 		}
-		return env.change(http.MethodPut, "/v1/documents/"+doc.Team, doc)
+		result, err := env.send(http.MethodPut, "/v1/documents/"+doc.Team, doc)
+		var refused *resultError
+		if errors.As(err, &refused) && refused.result.Code == "conflict" {
+			env.printInForce(doc)
+		}
+		if err != nil {
+			return err
+		}
+		return env.finish(result)
 	},
 }
+
+// loadDocument reads a document file.
+func loadDocument(path string) (*config.Document, error) {
+	doc, err := config.LoadDocument(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBadFile, err)
+	}
+	return doc, nil
+}
+
+// printInForce tells the loser of a race what is in force. The document may
+// have been replaced again since, so its own revision is printed.
+func (e *Env) printInForce(mine *config.Document) {
+	var view operator.DocumentView
+	if err := e.client.get("/v1/documents/"+mine.Team, &view); err != nil {
+		fmt.Fprintf(e.Err, "document in force could not be read: %v\n", err)
+		return
+	}
+	fmt.Fprintf(e.Err, "revision %d of %s is in force; your file against it:\n", view.Document.Revision, mine.Team)
+	for _, change := range compareDocuments(view.Document, mine) {
+		fmt.Fprintln(e.Err, change)
+	}
+}
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"sapphirering/internal/config"
@@ -18,54 +17,81 @@
 )
 
 const (
-	inForcePause = 100 * time.Millisecond
-	resendPause  = 300 * time.Millisecond
-	tryTimeout   = 12 * time.Second
+	resendPause    = 300 * time.Millisecond
+	tryTimeout     = 12 * time.Second
+	maxAnswerBytes = 64 << 20
 )
 
-// errUnknownOutcome marks a command whose answer was lost.
-var errUnknownOutcome = errors.New("the answer was lost; the command may have taken effect")
+var (
+	// errUnavailable marks a try that no entry VM answered.
+	errUnavailable = errors.New("no answer")
+	// errUnknownOutcome marks a command whose answer was lost.
+	errUnknownOutcome = errors.New("the answer was lost; the command may have taken effect")
+	// errBadFile marks a file that is wrong.
+	errBadFile = errors.New("file")
+)
 
 // resultError is a command that the system refused.
 type resultError struct{ result operator.Result }
 
 func (e *resultError) Error() string { return e.result.Code + ": " + e.result.Message }
 
-// client talks to one entry VM.
+// client talks to the entry VMs, one at a time.
 type client struct {
-	address string
+	addresses []string
+	// current is the entry VM that answered last.
+	current int
 	key     string
 	ctx     context.Context
 	http    *http.Client
 }
 
-func newClient(address, keyFile string, timeout time.Duration) (*client, error) {
-	if address == "" {
-		return nil, errors.New("-address or SAPPHIRERING_ADDRESS is required")
+// newClient returns a client and the function that ends its context.
+func newClient(addresses, keyFile string, timeout time.Duration) (*client, context.CancelFunc, error) {
+	c := &client{http: &http.Client{Timeout: tryTimeout}}
+	for _, address := range strings.Split(addresses, ",") {
+		if address = strings.TrimSuffix(strings.TrimSpace(address), "/"); address != "" {
+			c.addresses = append(c.addresses, address)
+		}
+	}
+	if len(c.addresses) == 0 {
+		return nil, nil, fmt.Errorf("-address or %s is required", addressEnv)
 	}
 	keys, err := config.LoadOperatorKeys(keyFile)
 	if err != nil {
-		return nil, err
+		return nil, nil, fmt.Errorf("-key-file: %w", err)
 	}
 	if len(keys) == 0 {
-		return nil, errors.New("-key-file or SAPPHIRERING_KEY_FILE is required and must hold a key")
+		return nil, nil, fmt.Errorf("-key-file or %s is required and must hold a key", keyFileEnv)
 	}
+	c.key = keys[0].Secret
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	_ = cancel // The process ends with the command.
-	return &client{
-		address: strings.TrimSuffix(address, "/"), key: keys[0], ctx: ctx, http: &http.Client{Timeout: tryTimeout},
-	}, nil
+	c.ctx = ctx
+	return c, cancel, nil
 }
 
-// do sends one request and decodes the answer into out.
+// do sends a request to each entry VM in turn until one answers it, and
+// decodes the answer into out. It returns errUnavailable when none did.
 func (c *client) do(method, path, opID string, body, out any) error {
+	var err error
+	for range c.addresses {
+		err = c.try(c.addresses[c.current], method, path, opID, body, out)
+		if !errors.Is(err, errUnavailable) {
+			return err
+		}
+		c.current = (c.current + 1) % len(c.addresses)
+	}
+	return err
+}
+
+func (c *client) try(address, method, path, opID string, body, out any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return fmt.Errorf("marshal request: %w", err)
 	}
-	request, err := http.NewRequestWithContext(c.ctx, method, c.address+path, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(c.ctx, method, address+path, bytes.NewReader(data))
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: -address: %w", errUsage, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	if opID != "" {
@@ -73,29 +99,29 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUnknownOutcome, err)
+		return fmt.Errorf("%w: %w", errUnavailable, err)
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUnknownOutcome, err)
+		return fmt.Errorf("%w: read answer of %s: %w", errUnavailable, address, err)
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return statusError(response.StatusCode, answer)
+		return statusError(address, response.StatusCode, answer)
 	}
 	if err := json.Unmarshal(answer, out); err != nil {
-		return fmt.Errorf("decode answer of %s: %w", c.address, err)
+		return fmt.Errorf("decode answer of %s: %w", address, err)
 	}
 	return nil
 }
 
-func statusError(status int, answer []byte) error {
+func statusError(address string, status int, answer []byte) error {
 	var result operator.Result
 	if json.Unmarshal(answer, &result) != nil || result.Code == "" {
-		return fmt.Errorf("status %d: %.200s", status, answer)
+		return fmt.Errorf("%s answered status %d: %.200s", address, status, answer)
 	}
 	if result.Code == "unavailable" {
-		return fmt.Errorf("%w: %s", errUnknownOutcome, result.Message)
+		return fmt.Errorf("%w: %s: %s", errUnavailable, address, result.Message)
 	}
 	return &resultError{result}
 }
@@ -106,25 +132,31 @@
 // change sends a command under one operation id, again after a lost answer,
 // and waits until it is in force when asked to.
 func (e *Env) change(method, path string, body any) error {
+	result, err := e.send(method, path, body)
+	if err != nil {
+		return err
+	}
+	return e.finish(result)
+}
+
+// send sends a command under one operation id until its outcome is known.
+func (e *Env) send(method, path string, body any) (operator.Result, error) {
 	if e.opID == "" {
 		e.opID = state.NewID()
 	}
-	var result operator.Result
 	for {
+		var result operator.Result
 		err := e.client.do(method, path, e.opID, body, &result)
-		if err == nil {
-			break
-		}
-		if !errors.Is(err, errUnknownOutcome) {
-			return err
+		if !errors.Is(err, errUnavailable) {
+			return result, err
 		}
 		if !e.pause(resendPause) {
-			return fmt.Errorf("%w; finish it with -operation-id %s", err, e.opID)
+			return result, fmt.Errorf("%w; repeat the same command with -operation-id %s: %w", errUnknownOutcome, e.opID, err)
 		}
 	}
-	return e.finish(result)
 }
 
+// pause waits and returns false when the command's time is over.
 func (e *Env) pause(d time.Duration) bool {
 	select {
 	case <-e.client.ctx.Done():
@@ -151,40 +183,3 @@
 	fmt.Fprintf(e.Out, "%s: revision %d, %s\n", result.Code, result.Revision, state)
 	return nil
 }
-
-func (e *Env) waitInForce(index uint64) error {
-	var view operator.InForceView
-	for {
-		err := e.client.get(fmt.Sprintf("/v1/in-force/%d", index), &view)
-		if err == nil && view.InForce {
-			return nil
-		}
-		if !e.pause(inForcePause) {
-			return fmt.Errorf("committed at index %d, but not in force everywhere yet; waiting for %s",
-				index, strings.Join(view.Waiting, ", "))
-		}
-	}
-}
-
-func (e *Env) printJSON(value any) error {
-	encoder := json.NewEncoder(e.Out)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
-}
-
-// table prints rows under a header, or value as JSON when -o json is given.
-func (e *Env) table(value any, header string, rows func(print func(cells ...any))) error {
-	if e.json {
-		return e.printJSON(value)
-	}
-	w := tabwriter.NewWriter(e.Out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, strings.ReplaceAll(header, " ", "\t"))
-	rows(func(cells ...any) {
-		texts := make([]string, len(cells))
-		for i, cell := range cells {
-			texts[i] = fmt.Sprint(cell)
-		}
-		fmt.Fprintln(w, strings.Join(texts, "\t"))
-	})
-	return w.Flush()
-}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -15,17 +15,31 @@
 // Exit codes.
 const (
 	ExitOK = 0
-	// ExitFailed: the command was refused or failed.
+	// ExitFailed: the command was refused or failed; nothing was changed.
 	ExitFailed = 1
-	// ExitUsage: the command line is wrong.
+	// ExitUsage: the command line or a file is wrong; nothing was sent.
 	ExitUsage = 2
-	// ExitConflict: another change came first.
+	// ExitConflict: another change came first; nothing was changed.
 	ExitConflict = 3
 	// ExitUnknown: the answer was lost; the command may have taken effect.
 	ExitUnknown = 4
+	// ExitNotInForce: committed, but not in force everywhere within -timeout.
+	ExitNotInForce = 5
 )
 
-const defaultTimeout = 20 * time.Second
+const exitCodeHelp = `exit codes:
+  0  done
+  1  refused or failed; nothing was changed
+  2  the command line or a file is wrong; nothing was sent
+  3  another change came first; what is in force is printed
+  4  the answer was lost; repeat the command with the -operation-id that is printed
+  5  committed, but not in force everywhere within -timeout`
+
+const (
+	defaultTimeout = 20 * time.Second
+	addressEnv     = "SAPPHIRERING_ADDRESS"
+	keyFileEnv     = "SAPPHIRERING_KEY_FILE"
+)
 
 // errUsage marks errors of the command line.
 var errUsage = errors.New("usage")
@@ -41,79 +55,132 @@
 
 // subcommand is one verb of the tool.
 type subcommand struct {
-	name  string
-	args  string
-	help  string
-	run   func(env *Env, args []string) error
+	name string
+	args string
+	help string
+	// examples are whole command lines without the program's name.
+	examples []string
+	run      func(env *Env, args []string) error
+	// local commands need no running system.
 	local bool
 }
 
 func subcommands() []subcommand {
 	all := []subcommand{
-		applyCommand, getCommand, keyCommand, poolCommand, vmCommand, jobCommand,
+		applyCommand, deleteCommand, diffCommand, getCommand, keyCommand, poolCommand, vmCommand, jobCommand,
 		memberCommand, statusCommand, checkCommand,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
 	return all
 }
 
+func findSubcommand(name string) (subcommand, bool) {
+	for _, sub := range subcommands() {
+		if sub.name == name {
+			return sub, true
+		}
+	}
+	return subcommand{}, false
+}
+
 // Main runs the tool and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+		return helpCommand(args, out, errOut)
+	}
+	sub, ok := findSubcommand(args[0])
+	if !ok {
+		fmt.Fprintf(errOut, "sapphirering: no command %q; see 'sapphirering help'\n", args[0])
+		return ExitUsage
+	}
+	return runSubcommand(sub, args[1:], out, errOut)
+}
+
+// helpCommand prints the help of the tool or of one subcommand.
+func helpCommand(args []string, out, errOut io.Writer) int {
+	if len(args) < 2 {
 		usage(out)
 		return ExitOK
 	}
-	for _, sub := range subcommands() {
-		if sub.name == args[0] {
-			return runSubcommand(sub, args[1:], out, errOut)
-		}
+	sub, ok := findSubcommand(args[1])
+	if !ok {
+		fmt.Fprintf(errOut, "sapphirering: no command %q; see 'sapphirering help'\n", args[1])
+		return ExitUsage
 	}
-	fmt.Fprintf(errOut, "sapphirering: no command %q; see 'sapphirering help'\n", args[0])
-	return ExitUsage
+	flags, _ := newFlags(sub, out)
+	flags.Usage()
+	return ExitOK
 }
 
 func usage(out io.Writer) {
 	fmt.Fprintln(out, "usage: sapphirering COMMAND [flags] [arguments]")
 	fmt.Fprintln(out)
 	for _, sub := range subcommands() {
-		fmt.Fprintf(out, "  %-8s %-44s %s\n", sub.name, sub.args, sub.help)
+		fmt.Fprintf(out, "  %-8s %s\n  %-8s   %s\n", sub.name, sub.args, "", sub.help)
 	}
 	fmt.Fprintln(out)
-	fmt.Fprintln(out, "flags: -address URL, -key-file FILE, -o table|json, -wait, -timeout DURATION, -operation-id ID")
-	fmt.Fprintln(out, "The environment variables SAPPHIRERING_ADDRESS and SAPPHIRERING_KEY_FILE give the defaults.")
+	fmt.Fprintln(out, "flags: -address URL[,URL…], -key-file FILE, -o table|json, -wait, -timeout DURATION, -operation-id ID")
+	fmt.Fprintf(out, "%s and %s give the defaults of -address and -key-file.\n", addressEnv, keyFileEnv)
+	fmt.Fprintln(out, "'sapphirering help COMMAND' prints the flags and examples of a command.")
+	fmt.Fprintln(out)
+	fmt.Fprintln(out, exitCodeHelp)
 }
 
-func runSubcommand(sub subcommand, args []string, out, errOut io.Writer) int {
+// options are the flags that every subcommand takes.
+type options struct {
+	address, keyFile, output, opID string
+	wait                           bool
+	timeout                        time.Duration
+}
+
+func newFlags(sub subcommand, out io.Writer) (*flag.FlagSet, *options) {
 	flags := flag.NewFlagSet(sub.name, flag.ContinueOnError)
-	flags.SetOutput(errOut)
+	flags.SetOutput(out)
 	flags.Usage = func() {
-		fmt.Fprintf(errOut, "usage: sapphirering %s %s\n%s\n", sub.name, sub.args, sub.help)
+		fmt.Fprintf(out, "usage: sapphirering %s %s\n\n%s\n\nflags:\n", sub.name, sub.args, sub.help)
 		flags.PrintDefaults()
+		if len(sub.examples) > 0 {
+			fmt.Fprintln(out, "\nexamples:")
+		}
+		for _, example := range sub.examples {
+			fmt.Fprintln(out, "  sapphirering", example)
+		}
+		fmt.Fprintf(out, "\n%s\n", exitCodeHelp)
 	}
-	address := flags.String("address", os.Getenv("SAPPHIRERING_ADDRESS"), "base URL of an entry VM's operators' listener")
-	keyFile := flags.String("key-file", os.Getenv("SAPPHIRERING_KEY_FILE"), "file with the operator key")
-	output := flags.String("o", "table", "output format: table or json")
-	wait := flags.Bool("wait", false, "wait until the change is in force everywhere")
-	timeout := flags.Duration("timeout", defaultTimeout, "longest time for the whole command")
-	opID := flags.String("operation-id", "", "id of an earlier try, to finish a command whose answer was lost")
+	o := new(options)
+	flags.StringVar(&o.address, "address", os.Getenv(addressEnv), "base `URLs` of entry VMs' operators' listeners, tried in turn")
+	flags.StringVar(&o.keyFile, "key-file", os.Getenv(keyFileEnv), "`file` of mode 0600 with the operator key")
+	flags.StringVar(&o.output, "o", "table", "output `format`: table or json")
+	flags.BoolVar(&o.wait, "wait", false, "wait until the change is in force everywhere")
+	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "longest time for the whole command")
+	flags.StringVar(&o.opID, "operation-id", "", "`id` of an earlier try, to finish a command whose answer was lost")
+	return flags, o
+}
+
+func runSubcommand(sub subcommand, args []string, out, errOut io.Writer) int {
+	flags, o := newFlags(sub, errOut)
 	positional, err := parseInterspersed(flags, args)
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
 	if err != nil {
 		return ExitUsage
 	}
-	env := &Env{Out: out, Err: errOut, json: *output == "json", wait: *wait, opID: *opID}
-	if *output != "table" && *output != "json" {
-		fmt.Fprintf(errOut, "sapphirering %s: -o: %q is not table or json\n", sub.name, *output)
+	env := &Env{Out: out, Err: errOut, json: o.output == "json", wait: o.wait, opID: o.opID}
+	if o.output != "table" && o.output != "json" {
+		fmt.Fprintf(errOut, "sapphirering %s: -o: %q is not table or json\n", sub.name, o.output)
 		return ExitUsage
 	}
 	if !sub.local {
-		client, err := newClient(*address, *keyFile, *timeout)
+		client, cancel, err := newClient(o.address, o.keyFile, o.timeout)
 		if err != nil {
 			fmt.Fprintf(errOut, "sapphirering %s: %v\n", sub.name, err)
 			return ExitUsage
 		}
+		defer cancel()
 		env.client = client
 	}
-	return exitCode(sub.name, sub.run(env, positional), errOut)
+	return exitCode(sub, sub.run(env, positional), errOut)
 }
 
 // parseInterspersed parses flags before, between and after the arguments.
@@ -131,17 +198,23 @@
 	}
 }
 
-func exitCode(name string, err error, errOut io.Writer) int {
+// exitCode prints the error and returns the code for it.
+func exitCode(sub subcommand, err error, errOut io.Writer) int {
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintf(errOut, "sapphirering %s: %v\n", name, err)
+	fmt.Fprintf(errOut, "sapphirering %s: %v\n", sub.name, err)
 	var refused *resultError
 	switch {
 	case errors.Is(err, errUsage):
+		fmt.Fprintf(errOut, "usage: sapphirering %s %s\n", sub.name, sub.args)
+		return ExitUsage
+	case errors.Is(err, errBadFile):
 		return ExitUsage
-	case errors.Is(err, errUnknownOutcome):
+	case errors.Is(err, errUnknownOutcome), errors.Is(err, errUnavailable):
 		return ExitUnknown
+	case errors.Is(err, errNotInForce):
+		return ExitNotInForce
 	case errors.As(err, &refused) && refused.result.Code == "conflict":
 		return ExitConflict
 	}
--- a/internal/command/get.go
+++ b/internal/command/get.go
@@ -1,13 +1,17 @@
 package command
 
 import (
+	"fmt"
+
 	"gopkg.in/yaml.v3"
 
 	"sapphirering/internal/config"
+	"sapphirering/internal/operator"
 )
 
 var getCommand = subcommand{
-	name: "get", args: "[TEAM]", help: "print a team's document, or list all",
+	name: "get", args: "[TEAM]", help: "print a team's document with its keys, or list all documents",
+	examples: []string{"get", "get kita > kita.yaml", "get -o json kita"},
 	run: func(env *Env, args []string) error {
 		if len(args) == 1 {
 			return getDocument(env, args[0])
@@ -27,13 +31,19 @@
 	},
 }
 
+// getDocument prints YAML that can be edited and applied; keys are comments in it.
 func getDocument(env *Env, team string) error {
-	doc := new(config.Document)
-	if err := env.client.get("/v1/documents/"+team, doc); err != nil {
+	var view operator.DocumentView
+	if err := env.client.get("/v1/documents/"+team, &view); err != nil {
 		return err
 	}
 	if env.json {
-		return env.printJSON(doc)
+		return env.printJSON(view)
+	}
+	for _, key := range view.Keys {
+		fmt.Fprintf(env.Out, "# key %s, granted %s\n", key.ID, unixMS(key.Granted))
 	}
-	return yaml.NewEncoder(env.Out).Encode(doc)
+	encoder := yaml.NewEncoder(env.Out)
+	encoder.SetIndent(2)
+	return encoder.Encode(view.Document)
 }
--- a/internal/command/key.go
+++ b/internal/command/key.go
@@ -7,16 +7,24 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"sapphirering/internal/operator"
 	"sapphirering/internal/state"
 )
 
-const keySecretBytes = 24
+const (
+	keySecretBytes = 24
+	minSecretBytes = 16
+)
 
 var keyCommand = subcommand{
-	name: "key", args: "list | grant TEAM KEY-ID SECRET-FILE | withdraw KEY-ID", help: "list, grant and withdraw callers' keys",
+	name: "key", args: "list | grant TEAM KEY-ID SECRET-FILE | withdraw KEY-ID", help: "list, grant and withdraw callers' keys; only the hash of a secret leaves this machine",
+	examples: []string{
+		"key grant -wait kita kita-2027 kita.secret   # writes a new secret to the file unless it exists",
+		"key withdraw -wait kita-2026",
+	},
 	run: func(env *Env, args []string) error {
 		switch {
 		case len(args) == 1 && args[0] == "list":
@@ -34,24 +42,58 @@
 // lost answer never leaves a granted key without its secret. An existing file
 // is used as it is: a repeated command grants the same secret.
 func grantKey(env *Env, team, id, path string) error {
-	secret, err := os.ReadFile(path)
+	secret, err := readSecret(path)
 	if os.IsNotExist(err) {
 		secret, err = newSecret(path)
 	}
 	if err != nil {
-		return fmt.Errorf("secret file: %w", err)
+		return fmt.Errorf("%w: secret file: %w", errBadFile, err)
 	}
-	hash := state.HashKey(string(secret))
+	hash := state.HashKey(secret)
 	return env.change(http.MethodPut, "/v1/keys/"+id, operator.KeyRequest{Team: team, SHA256Hex: hex.EncodeToString(hash[:])})
 }
 
-func newSecret(path string) ([]byte, error) {
+// readSecret reads a secret that only the owner of the file may read.
+func readSecret(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", err
+	}
+	if mode := info.Mode().Perm(); mode&0o077 != 0 {
+		return "", fmt.Errorf("%s has mode %04o, want 0600", path, mode)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	secret := strings.TrimSpace(string(data))
+	if len(secret) < minSecretBytes {
+		return "", fmt.Errorf("%s: the secret is shorter than %d bytes", path, minSecretBytes)
+	}
+	return secret, nil
+}
+
+// newSecret writes a new secret and syncs it before it is used.
+func newSecret(path string) (string, error) {
 	random := make([]byte, keySecretBytes)
-	rand.Read(random)
-	secret := []byte(base64.RawURLEncoding.EncodeToString(random))
-	return secret, os.WriteFile(path, secret, 0o600)
+	if _, err := rand.Read(random); err != nil {
+		return "", err
+	}
+	secret := base64.RawURLEncoding.EncodeToString(random)
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return "", err
+	}
+	defer file.Close()
+	if _, err := file.WriteString(secret); err != nil {
+		return "", err
+	}
+	return secret, file.Sync()
 }
 
+// unixMS prints a time given in Unix milliseconds.
+func unixMS(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339) }
+
 func listKeys(env *Env) error {
 	var keys []operator.KeyView
 	if err := env.client.get("/v1/keys", &keys); err != nil {
@@ -59,7 +101,7 @@
 	}
 	return env.table(keys, "KEY TEAM GRANTED", func(print func(...any)) {
 		for _, key := range keys {
-			print(key.ID, key.Team, time.UnixMilli(key.Granted).UTC().Format(time.RFC3339))
+			print(key.ID, key.Team, unixMS(key.Granted))
 		}
 	})
 }
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -1,8 +1,7 @@
 package config
 
 import (
-	"fmt"
-
+	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
 )
 
@@ -67,36 +66,45 @@
 	return "unspecified"
 }
 
-// LoadDocument reads a document file.
+// LoadDocument reads and checks a document file. A FieldErrors lists every fault.
 func LoadDocument(path string) (*Document, error) {
 	data, err := readFile(path)
 	if err != nil {
 		return nil, err
 	}
-	doc, err := ParseDocument(data)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return doc, nil
+	return parseDocument(path, data)
 }
 
-// ParseDocument reads a document. Rules that need the state are checked when it is applied.
-func ParseDocument(data []byte) (*Document, error) {
+// ParseDocument reads and checks a document. A FieldErrors lists every fault.
+// Rules that need the state are checked when the document is applied.
+func ParseDocument(data []byte) (*Document, error) { return parseDocument("", data) }
+
+func parseDocument(file string, data []byte) (*Document, error) {
 	doc := new(Document)
-	if err := decodeStrict(data, doc); err != nil {
+	src, err := decodeStrict(file, data, doc)
+	if err != nil {
 		return nil, err
 	}
-	if _, err := doc.Proto(); err != nil {
+	for _, fault := range state.CheckDocument(doc.proto()) {
+		src.addField(fault.Field, "%s", fault.Reason)
+	}
+	if err := src.err(); err != nil {
 		return nil, err
 	}
 	return doc, nil
 }
 
-// Proto converts the document to the form of the state machine.
+// Proto converts the document to the form of the state machine. It returns the
+// first fault as a *FieldError.
 func (d *Document) Proto() (*statepb.TeamDocument, error) {
-	if d.Team == "" {
-		return nil, fmt.Errorf("team: is required")
+	out := d.proto()
+	if faults := state.CheckDocument(out); len(faults) > 0 {
+		return nil, &FieldError{Field: faults[0].Field, Reason: faults[0].Reason}
 	}
+	return out, nil
+}
+
+func (d *Document) proto() *statepb.TeamDocument {
 	out := &statepb.TeamDocument{
 		Team: d.Team, Revision: d.Revision, ShareWeight: d.Share, UpperLimitUnits: d.UpperLimit,
 	}
@@ -106,22 +114,15 @@
 		})
 	}
 	for _, q := range d.Queues {
-		queue, err := q.proto()
-		if err != nil {
-			return nil, err
-		}
-		out.Queues = append(out.Queues, queue)
+		out.Queues = append(out.Queues, q.proto())
 	}
-	return out, nil
+	return out
 }
 
-func (q Queue) proto() (*statepb.Queue, error) {
-	class, ok := classNames[q.Class]
-	if !ok {
-		return nil, fmt.Errorf("queue %q: class: %q is not urgent, normal or long", q.Name, q.Class)
-	}
+// proto converts the queue; an unknown class becomes unspecified, which is refused.
+func (q Queue) proto() *statepb.Queue {
 	queue := &statepb.Queue{
-		Name: q.Name, Pool: q.Pool, Open: q.Open, AdmittedTeams: q.Admits, Class: class,
+		Name: q.Name, Pool: q.Pool, Open: q.Open, AdmittedTeams: q.Admits, Class: classNames[q.Class],
 		MaxQueued: q.MaxQueued, MaxDeadlineMs: q.MaxDeadlineMS,
 		Needs: &statepb.Resources{
 			Millicores: q.Needs.Millicores, MemoryMb: q.Needs.MemoryMB, Accelerators: q.Needs.Accelerators,
@@ -133,7 +134,7 @@
 	if queue.MaxDeadlineMs == 0 {
 		queue.MaxDeadlineMs = defaultMaxDeadlineMS
 	}
-	return queue, nil
+	return queue
 }
 
 // FromProto converts a committed document to its YAML form.
--- a/internal/config/operatorkeys.go
+++ b/internal/config/operatorkeys.go
@@ -4,40 +4,87 @@
 	"fmt"
 	"os"
 	"strings"
+
+	"sapphirering/internal/state"
 )
 
 const (
 	minOperatorKeyBytes = 16
-	privateFileMode     = 0o077
+	othersMayRead       = 0o077
+	defaultOperatorName = "operator"
 )
 
-// LoadOperatorKeys reads operator keys, one a line. Other users must not be
-// able to read the file. An empty path gives no keys.
-func LoadOperatorKeys(path string) ([]string, error) {
+// OperatorKey is the secret of one operator.
+type OperatorKey struct {
+	// Name is recorded with every command that the key issues.
+	Name string
+	// Secret is never logged or stored.
+	Secret string
+}
+
+// String leaves the secret out, so that it cannot reach a log.
+func (k OperatorKey) String() string { return k.Name }
+
+// GoString leaves the secret out.
+func (k OperatorKey) GoString() string { return k.Name }
+
+// LoadOperatorKeys reads operator keys, one "NAME:SECRET" a line; blank lines
+// and lines that begin with '#' are skipped, and a line without a name belongs
+// to "operator". Other users must not be able to read the file. An empty path
+// gives no keys. Errors never quote a line.
+func LoadOperatorKeys(path string) ([]OperatorKey, error) {
 	if path == "" {
 		return nil, nil
 	}
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, fmt.Errorf("operator_key_file: %w", err)
+		return nil, &FieldError{Field: "operator_key_file", Reason: err.Error()}
 	}
-	if info.Mode().Perm()&privateFileMode != 0 {
-		return nil, fmt.Errorf("operator_key_file: %s has mode %o, want 0600", path, info.Mode().Perm())
+	if info.Mode().Perm()&othersMayRead != 0 {
+		reason := fmt.Sprintf("has mode %04o, want 0600", info.Mode().Perm())
+		return nil, &FieldError{File: path, Field: "operator_key_file", Reason: reason}
 	}
 	data, err := readFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("operator_key_file: %w", err)
 	}
-	var keys []string
-	for i, line := range strings.Split(string(data), "\n") {
-		key := strings.TrimSpace(line)
-		if key == "" {
+	return parseOperatorKeys(path, string(data))
+}
+
+func parseOperatorKeys(path, text string) ([]OperatorKey, error) {
+	var keys []OperatorKey
+	seen := make(map[string]bool)
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == '#' {
 			continue
 		}
-		if len(key) < minOperatorKeyBytes {
-			return nil, fmt.Errorf("operator_key_file: line %d is shorter than %d bytes", i+1, minOperatorKeyBytes)
+		key := parseOperatorKey(line)
+		reason := operatorKeyFault(key, seen)
+		if reason != "" {
+			return nil, &FieldError{File: path, Line: i + 1, Field: "operator_key_file", Reason: reason}
 		}
+		seen[key.Secret] = true
 		keys = append(keys, key)
 	}
 	return keys, nil
 }
+
+func parseOperatorKey(line string) OperatorKey {
+	if name, secret, ok := strings.Cut(line, ":"); ok {
+		return OperatorKey{Name: name, Secret: secret}
+	}
+	return OperatorKey{Name: defaultOperatorName, Secret: line}
+}
+
+func operatorKeyFault(key OperatorKey, seen map[string]bool) string {
+	switch {
+	case !state.ValidName(key.Name):
+		return "the part before ':' is not a name"
+	case len(key.Secret) < minOperatorKeyBytes:
+		return fmt.Sprintf("the secret is shorter than %d bytes", minOperatorKeyBytes)
+	case seen[key.Secret]:
+		return "the secret is given twice"
+	}
+	return ""
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,17 +1,20 @@
 // Package config reads and checks the daemon's settings and the teams'
-// documents. Both are strict YAML: unknown fields are errors.
+// documents. Both are strict YAML; every fault is reported with its file, line
+// and field.
 package config
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"os"
+	"strconv"
 	"time"
 
 	"gopkg.in/yaml.v3"
+
+	"sapphirering/internal/state"
 )
 
 // MaxFileBytes bounds settings and documents.
@@ -22,14 +25,22 @@
 
 // UnmarshalYAML reads the text form.
 func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
-	parsed, err := time.ParseDuration(node.Value)
+	parsed, err := parseDuration(node)
 	if err != nil {
-		return fmt.Errorf("line %d: %q is not a duration such as \"4s\"", node.Line, node.Value)
+		return fmt.Errorf("line %d: %w", node.Line, err)
 	}
 	d.Duration = parsed
 	return nil
 }
 
+func parseDuration(node *yaml.Node) (time.Duration, error) {
+	parsed, err := time.ParseDuration(node.Value)
+	if err != nil || node.Kind != yaml.ScalarNode {
+		return 0, fmt.Errorf("want a time span with its unit such as \"4s\" or \"150ms\", got %s", nodeKind(node))
+	}
+	return parsed, nil
+}
+
 // MarshalYAML writes the text form.
 func (d Duration) MarshalYAML() (any, error) { return d.String(), nil }
 
@@ -90,56 +101,51 @@
 	maxSessionLease        = 10 * time.Second
 	minTick                = 5 * time.Millisecond
 	maxTick                = time.Second
+	minShutdownTimeout     = time.Second
+	maxShutdownTimeout     = 10 * time.Minute
 )
 
-// LoadSettings reads and checks a settings file.
+// LoadSettings reads and checks a settings file. A FieldErrors lists every fault.
 func LoadSettings(path string) (*Settings, error) {
 	data, err := readFile(path)
 	if err != nil {
 		return nil, err
 	}
-	settings, err := ParseSettings(data)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return settings, nil
+	return parseSettings(path, data)
 }
 
-func readFile(path string) ([]byte, error) {
-	info, err := os.Stat(path)
-	if err != nil {
-		return nil, err
-	}
-	if info.Size() > MaxFileBytes {
-		return nil, fmt.Errorf("%s: %d bytes, at most %d are allowed", path, info.Size(), MaxFileBytes)
-	}
-	return os.ReadFile(path)
-}
+// ParseSettings reads and checks settings. A FieldErrors lists every fault.
+func ParseSettings(data []byte) (*Settings, error) { return parseSettings("", data) }
 
-// ParseSettings reads and checks settings.
-func ParseSettings(data []byte) (*Settings, error) {
+func parseSettings(file string, data []byte) (*Settings, error) {
 	s := new(Settings)
-	if err := decodeStrict(data, s); err != nil {
+	src, err := decodeStrict(file, data, s)
+	if err != nil {
 		return nil, err
 	}
 	s.setDefaults()
-	if err := s.Validate(); err != nil {
+	s.validate(src)
+	if err := src.err(); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-// decodeStrict decodes exactly one YAML document without unknown fields.
-func decodeStrict(data []byte, into any) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(into); err != nil {
-		return fmt.Errorf("yaml: %w", err)
+// readFile reads a file of at most MaxFileBytes.
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
 	}
-	if err := decoder.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
-		return errors.New("yaml: more than one document")
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
 	}
-	return nil
+	if len(data) > MaxFileBytes {
+		return nil, &FieldError{File: path, Reason: fmt.Sprintf("larger than %d bytes", MaxFileBytes)}
+	}
+	return data, nil
 }
 
 func (s *Settings) setDefaults() {
@@ -157,47 +163,120 @@
 	}
 }
 
-// Validate checks every field and names the first that is wrong.
-func (s *Settings) Validate() error {
-	if s.Name == "" {
-		return errors.New("name: is required")
-	}
-	if s.Zone == "" {
-		return errors.New("zone: is required")
+// validate checks every field and records each fault in src.
+func (s *Settings) validate(src *source) {
+	requireName(src, "name", s.Name)
+	requireName(src, "zone", s.Zone)
+	if s.Region != "" {
+		requireName(src, "region", s.Region)
 	}
 	if s.Voter && s.DataFolder == "" {
-		return errors.New("data_folder: is required for a voter")
-	}
-	if err := s.validateAddresses(); err != nil {
-		return err
+		src.addField("data_folder", "is required for a voter")
 	}
-	if s.Tick.Duration < minTick || s.Tick.Duration > maxTick {
-		return fmt.Errorf("tick: %s is not within %s and %s", s.Tick, minTick, maxTick)
+	s.validateListeners(src)
+	s.validatePeers(src)
+	s.validateTLS(src)
+	requireRange(src, "tick", s.Tick, minTick, maxTick)
+	requireRange(src, "session_lease", s.SessionLease, minSessionLease, maxSessionLease)
+	requireRange(src, "shutdown_timeout", s.ShutdownTimeout, minShutdownTimeout, maxShutdownTimeout)
+	if s.PlatformURL != "" {
+		requireURL(src, "platform_url", s.PlatformURL)
 	}
-	if s.SessionLease.Duration < minSessionLease || s.SessionLease.Duration > maxSessionLease {
-		return fmt.Errorf("session_lease: %s is not within %s and %s", s.SessionLease, minSessionLease, maxSessionLease)
-	}
-	return nil
 }
 
-func (s *Settings) validateAddresses() error {
-	addresses := []struct{ field, value string }{
+func (s *Settings) validateListeners(src *source) {
+	seen := make(map[string]string)
+	for _, listener := range []struct{ field, value string }{
 		{"listen.callers", s.Listen.Callers}, {"listen.targets", s.Listen.Targets},
 		{"listen.operators", s.Listen.Operators}, {"listen.peers", s.Listen.Peers},
-		{"advertise_peers", s.AdvertisePeers},
+	} {
+		if !requireAddress(src, listener.field, listener.value) {
+			continue
+		}
+		if other, ok := seen[listener.value]; ok {
+			src.addField(listener.field, "%q is the address of %s too", listener.value, other)
+		}
+		seen[listener.value] = listener.field
 	}
-	for _, address := range addresses {
-		host, _, err := net.SplitHostPort(address.value)
-		if err != nil {
-			return fmt.Errorf("%s: %q is not host:port", address.field, address.value)
+}
+
+func (s *Settings) validatePeers(src *source) {
+	if s.AdvertisePeers != s.Listen.Peers && requireAddress(src, "advertise_peers", s.AdvertisePeers) {
+		if host, _, _ := net.SplitHostPort(s.AdvertisePeers); net.ParseIP(host).IsUnspecified() {
+			src.addField("advertise_peers", "%q is no address that others can dial", s.AdvertisePeers)
 		}
-		ip := net.ParseIP(host)
-		if ip == nil {
-			return fmt.Errorf("%s: %q is not an IP number", address.field, host)
+	} else if host, _, _ := net.SplitHostPort(s.AdvertisePeers); host != "" && net.ParseIP(host).IsUnspecified() {
+		src.addField("advertise_peers", "is required when listen.peers is %q", s.Listen.Peers)
+	}
+	for i, seed := range s.Seeds {
+		requireAddress(src, fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	for from, to := range s.PeerAddresses {
+		requireAddress(src, "peer_addresses."+from, to)
+	}
+}
+
+// validateTLS requires mutual TLS between daemons unless every address is loopback.
+func (s *Settings) validateTLS(src *source) {
+	if s.TLS == nil {
+		for _, address := range append([]string{s.Listen.Peers, s.AdvertisePeers}, s.Seeds...) {
+			host, _, _ := net.SplitHostPort(address)
+			if ip := net.ParseIP(host); ip != nil && !ip.IsLoopback() {
+				src.addField("tls", "is required unless all peer addresses are loopback; %s is not", address)
+				return
+			}
 		}
-		if s.TLS == nil && address.field == "listen.peers" && !ip.IsLoopback() {
-			return errors.New("tls: is required unless all peer addresses are loopback")
+		return
+	}
+	for _, file := range []struct{ field, value string }{
+		{"tls.certificate", s.TLS.Certificate}, {"tls.key", s.TLS.Key}, {"tls.authority", s.TLS.Authority},
+	} {
+		if file.value == "" {
+			src.addField(file.field, "is required")
 		}
 	}
-	return nil
+}
+
+func requireName(src *source, field, value string) {
+	switch {
+	case value == "":
+		src.addField(field, "is required")
+	case !state.ValidName(value):
+		src.addField(field, "%q is not a name: 1 to %d of a-z, 0-9, '-', '_' and '.'", value, state.MaxNameBytes)
+	}
+}
+
+// requireAddress reports whether value is an IP number with a port.
+func requireAddress(src *source, field, value string) bool {
+	if value == "" {
+		src.addField(field, "is required")
+		return false
+	}
+	host, port, err := net.SplitHostPort(value)
+	if err != nil {
+		src.addField(field, "%q is not host:port", value)
+		return false
+	}
+	if net.ParseIP(host) == nil {
+		src.addField(field, "%q is not an IP number", host)
+		return false
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		src.addField(field, "%q is not a port from 1 to 65535", port)
+		return false
+	}
+	return true
+}
+
+func requireRange(src *source, field string, value Duration, least, most time.Duration) {
+	if value.Duration < least || value.Duration > most {
+		src.addField(field, "%s is not within %s and %s", value, least, most)
+	}
+}
+
+func requireURL(src *source, field, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		src.addField(field, "%q is not an http or https URL", value)
+	}
 }
--- /dev/null
+++ b/internal/metrics/help.go
@@ -0,0 +1,31 @@
+package metrics
+
+// help holds the HELP text by base name, without prefix and "_total".
+var help = map[string]string{
+	"requests":               "Requests by team, class and outcome.",
+	"request_us":             "Time of requests from admission to the end of the answer, in microseconds.",
+	"applied_index":          "Index of the last log entry applied on this VM.",
+	"session_live":           "1 while this VM holds a session lease, 0 when it refuses keyed work.",
+	"session_renewed_age_ms": "Milliseconds since the last successful renewal of the session was sent.",
+	"leading":                "1 while this VM leads.",
+	"documents":              "Teams with a document.",
+	"keys":                   "Granted keys of callers.",
+	"sessions":               "Sessions by state.",
+	"vms":                    "VMs by pool and phase.",
+	"pool_available_vms":     "VMs of a pool that count as available.",
+	"pool_min_available_vms": "Largest availability budget declared for a pool.",
+	"jobs":                   "Durable jobs by state.",
+	"team_upper_limit":       "Upper limit of a team, in units.",
+	"team_handed_out":        "Units of a team that are handed out to sessions or kept by VMs.",
+	"metrics_series_dropped": "Series left out of this scrape because of the bound.",
+	"process_heap_bytes":     "Bytes of live heap.",
+	"process_goroutines":     "Goroutines.",
+}
+
+// helpOf returns the HELP text; metrics without one point to their name.
+func helpOf(base string) string {
+	if text, ok := help[base]; ok {
+		return text
+	}
+	return "See " + base + " in the metrics list of docs/RUNBOOK.md."
+}
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -1,65 +1,91 @@
 package operator
 
 import (
-	"fmt"
 	"net/http"
-	"sort"
-	"strings"
+	"runtime"
 
 	gometrics "github.com/rcrowley/go-metrics"
+
+	"sapphirering/internal/entry"
+	"sapphirering/internal/event"
+	"sapphirering/internal/metrics"
+	"sapphirering/internal/state"
+	"sapphirering/internal/state/statepb"
 )
 
-// quantiles are the histogram quantiles that /metrics prints.
-var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+// serveMetrics writes every metric in the Prometheus text format. Series of
+// teams whose document is gone are forgotten first.
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.Prune(gometrics.DefaultRegistry, func(team string) bool { return s.cfg.Machine.Document(team) != nil })
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	gauges := append(s.localGauges(), stateGauges(s.cfg.Machine)...)
+	if err := metrics.Write(w, gometrics.DefaultRegistry, gauges); err != nil {
+		event.MetricsFailed.Emit(event.Err(err))
+	}
+}
 
-// serveMetrics prints every metric in the Prometheus text format. Names carry
-// their labels as "name;label=value;…".
-func serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	var lines []string
-	gometrics.DefaultRegistry.Each(func(name string, metric any) {
-		lines = append(lines, metricLines(name, metric)...)
-	})
-	sort.Strings(lines)
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	for _, line := range lines {
-		fmt.Fprintln(w, line)
+// localGauges describe this entry VM.
+func (s *Server) localGauges() []metrics.Gauge {
+	local := s.cfg.Cluster.Local()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return []metrics.Gauge{
+		{Name: "applied_index", Value: float64(local.AppliedIndex)},
+		{Name: "session_live", Value: oneIf(local.Live)},
+		{Name: "session_renewed_age_ms", Value: float64(local.RenewedAge.Milliseconds())},
+		{Name: "leading", Value: oneIf(local.Leading)},
+		{Name: "process_heap_bytes", Value: float64(memory.HeapAlloc)},
+		{Name: "process_goroutines", Value: float64(runtime.NumGoroutine())},
 	}
 }
 
-func metricLines(name string, metric any) []string {
-	base, labels := splitName(name)
-	switch m := metric.(type) {
-	case gometrics.Counter:
-		return []string{fmt.Sprintf("%s_total%s %d", base, braces(labels), m.Count())}
-	case gometrics.Gauge:
-		return []string{fmt.Sprintf("%s%s %d", base, braces(labels), m.Value())}
-	case gometrics.Histogram:
-		snapshot := m.Snapshot()
-		lines := []string{
-			fmt.Sprintf("%s_count%s %d", base, braces(labels), snapshot.Count()),
-			fmt.Sprintf("%s_sum%s %d", base, braces(labels), snapshot.Sum()),
-		}
-		for i, value := range snapshot.Percentiles(quantiles) {
-			with := append(append([]string(nil), labels...), fmt.Sprintf("quantile=\"%g\"", quantiles[i]))
-			lines = append(lines, fmt.Sprintf("%s%s %g", base, braces(with), value))
-		}
-		return lines
+func oneIf(condition bool) float64 {
+	if condition {
+		return 1
 	}
-	return nil
+	return 0
 }
 
-func splitName(name string) (base string, labels []string) {
-	parts := strings.Split(name, ";")
-	for _, part := range parts[1:] {
-		key, value, _ := strings.Cut(part, "=")
-		labels = append(labels, fmt.Sprintf("%s=%q", key, value))
+// stateGauges describe the committed state.
+func stateGauges(m *state.Machine) []metrics.Gauge {
+	documents := m.Documents()
+	gauges := []metrics.Gauge{
+		{Name: "documents", Value: float64(len(documents))},
+		{Name: "keys", Value: float64(len(m.Keys()))},
 	}
-	return "sapphirering_" + parts[0], labels
+	for _, doc := range documents {
+		team := metrics.L("team", doc.Team)
+		gauges = append(gauges,
+			metrics.Gauge{Name: metrics.Name("team_upper_limit", team), Value: float64(doc.UpperLimitUnits)},
+			metrics.Gauge{Name: metrics.Name("team_handed_out", team), Value: float64(m.HandedOut(doc.Team))})
+	}
+	for _, pool := range m.Pools() {
+		least, available := m.Budget(pool.Name)
+		label := metrics.L("pool", pool.Name)
+		gauges = append(gauges,
+			metrics.Gauge{Name: metrics.Name("pool_min_available_vms", label), Value: float64(least)},
+			metrics.Gauge{Name: metrics.Name("pool_available_vms", label), Value: float64(available)})
+	}
+	gauges = append(gauges, count("vms", m.VMs(), func(vm *statepb.VM) []metrics.Label {
+		return []metrics.Label{metrics.L("pool", vm.Pool), metrics.L("phase", PhaseName(vm.Phase))}
+	})...)
+	gauges = append(gauges, count("sessions", m.Sessions(), func(session *statepb.Session) []metrics.Label {
+		return []metrics.Label{metrics.L("state", sessionState(session))}
+	})...)
+	return append(gauges, count("jobs", m.Jobs(), func(job *statepb.Job) []metrics.Label {
+		return []metrics.Label{metrics.L("state", entry.StateName(job.State))}
+	})...)
 }
 
-func braces(labels []string) string {
-	if len(labels) == 0 {
-		return ""
+// count makes one gauge per combination of labels.
+func count[T any](name string, items []T, labels func(T) []metrics.Label) []metrics.Gauge {
+	totals := make(map[string]float64)
+	for _, item := range items {
+		totals[metrics.Name(name, labels(item)...)]++
+	}
+	gauges := make([]metrics.Gauge, 0, len(totals))
+	for full, total := range totals {
+		gauges = append(gauges, metrics.Gauge{Name: full, Value: total})
 	}
-	return "{" + strings.Join(labels, ",") + "}"
+	return gauges
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,8 @@
 
 	"github.com/gorilla/mux"
 
+	"sapphirering/internal/config"
+	"sapphirering/internal/event"
 	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/wire/wirepb"
@@ -26,6 +29,15 @@
 const (
 	maxBodyBytes   = 1 << 20
 	requestTimeout = 10 * time.Second
+	// statusTimeout leaves time to answer with what this daemon knows itself.
+	statusTimeout = 2 * time.Second
+)
+
+// Result codes beside those of the state machine.
+const (
+	codeInvalid     = "invalid"
+	codeNotFound    = "not-found"
+	codeUnavailable = "unavailable"
 )
 
 // Cluster reaches the leader.
@@ -34,29 +46,52 @@
 	InForce(ctx context.Context, index uint64) (*wirepb.InForceResponse, error)
 	ChangeMember(ctx context.Context, action wirepb.MemberRequest_Action, member string) (uint64, error)
 	Status(ctx context.Context) (*wirepb.StatusResponse, error)
+	// Local describes this daemon without asking the leader.
+	Local() LocalStatus
+}
+
+// LocalStatus is what one daemon knows of itself.
+type LocalStatus struct {
+	ClusterID string
+	Name      string
+	Zone      string
+	// Live is true while the daemon holds a session lease.
+	Live bool
+	// RenewedAge is the time since the last successful renewal was sent.
+	RenewedAge   time.Duration
+	AppliedIndex uint64
+	Leading      bool
 }
 
 // Config holds what a Server needs.
 type Config struct {
 	Machine *state.Machine
 	Cluster Cluster
-	// Keys are the operators' secrets.
-	Keys  []string
+	// Keys admit operators.
+	Keys []config.OperatorKey
+	// Ready turns false when a shutdown begins.
 	Ready func() bool
 }
 
+// operatorHash is the stored form of an operator key.
+type operatorHash struct {
+	name string
+	hash [sha256.Size]byte
+}
+
 // Server serves operators.
 type Server struct {
-	cfg    Config
-	hashes [][sha256.Size]byte
+	cfg  Config
+	keys []operatorHash
 }
 
 // NewServer returns a server.
 func NewServer(cfg Config) *Server {
 	s := &Server{cfg: cfg}
 	for _, key := range cfg.Keys {
-		s.hashes = append(s.hashes, sha256.Sum256([]byte(key)))
+		s.keys = append(s.keys, operatorHash{name: key.Name, hash: sha256.Sum256([]byte(key.Secret))})
 	}
+	s.cfg.Keys = nil
 	return s
 }
 
@@ -72,11 +107,23 @@
 // Handler returns the operators' HTTP interface.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) })
-	r.HandleFunc("/readyz", s.serveReady)
-	r.HandleFunc("/metrics", serveMetrics)
+	r.NotFoundHandler = http.HandlerFunc(notFound)
+	r.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
+	r.HandleFunc("/healthz", serveAlive).Methods(http.MethodGet, http.MethodHead)
+	r.HandleFunc("/readyz", s.serveReady).Methods(http.MethodGet, http.MethodHead)
+	r.HandleFunc("/metrics", s.serveMetrics).Methods(http.MethodGet)
 	v1 := r.PathPrefix("/v1").Subrouter()
 	v1.Use(s.authenticate)
+	s.routeDocuments(v1)
+	s.routeFleet(v1)
+	s.routeJobs(v1)
+	v1.HandleFunc("/members/{member}", s.changeMember).Methods(http.MethodPost, http.MethodDelete)
+	v1.HandleFunc("/status", s.getStatus).Methods(http.MethodGet)
+	v1.HandleFunc("/in-force/{index}", s.getInForce).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Server) routeDocuments(v1 *mux.Router) {
 	v1.HandleFunc("/documents", s.listDocuments).Methods(http.MethodGet)
 	v1.HandleFunc("/documents/{team}", s.getDocument).Methods(http.MethodGet)
 	v1.HandleFunc("/documents/{team}", s.putDocument).Methods(http.MethodPut)
@@ -84,46 +131,79 @@
 	v1.HandleFunc("/keys", s.listKeys).Methods(http.MethodGet)
 	v1.HandleFunc("/keys/{key}", s.putKey).Methods(http.MethodPut)
 	v1.HandleFunc("/keys/{key}", s.deleteKey).Methods(http.MethodDelete)
+}
+
+func (s *Server) routeFleet(v1 *mux.Router) {
 	v1.HandleFunc("/pools", s.listPools).Methods(http.MethodGet)
 	v1.HandleFunc("/pools/{pool}", s.putPool).Methods(http.MethodPut)
 	v1.HandleFunc("/vms", s.listVMs).Methods(http.MethodGet)
+}
+
+func (s *Server) routeJobs(v1 *mux.Router) {
 	v1.HandleFunc("/jobs", s.listJobs).Methods(http.MethodGet)
 	v1.HandleFunc("/jobs/{job}", s.getJob).Methods(http.MethodGet)
-	v1.HandleFunc("/members/{member}", s.changeMember).Methods(http.MethodPost, http.MethodDelete)
-	v1.HandleFunc("/status", s.getStatus).Methods(http.MethodGet)
-	v1.HandleFunc("/in-force/{index}", s.getInForce).Methods(http.MethodGet)
-	return r
+	v1.HandleFunc("/jobs/{job}/cancel", s.cancelJob).Methods(http.MethodPost)
+	v1.HandleFunc("/jobs/{job}/retry", s.retryJob).Methods(http.MethodPost)
+}
+
+func notFound(w http.ResponseWriter, r *http.Request) {
+	write(w, http.StatusNotFound, Result{Code: codeNotFound, Message: fmt.Sprintf("no such path: %.200s", r.URL.Path)})
+}
+
+func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+	message := fmt.Sprintf("%.20s is not allowed on %.200s", r.Method, r.URL.Path)
+	write(w, http.StatusMethodNotAllowed, Result{Code: codeInvalid, Message: message})
 }
 
+func serveAlive(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) }
+
+// serveReady turns first when a shutdown begins, so that the balancer leaves.
+// A daemon that is cut off stays ready: open queues and statuses go on.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.cfg.Ready() {
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 		return
 	}
+	if !s.cfg.Cluster.Local().Live {
+		w.Write([]byte("ready; cut off from the leader, keyed work is refused as not run\n"))
+		return
+	}
 	w.Write([]byte("ready\n"))
 }
 
+type actorKey struct{}
+
+// actorOf returns the name of the operator key that a request came with.
+func actorOf(ctx context.Context) string {
+	name, _ := ctx.Value(actorKey{}).(string)
+	return name
+}
+
 // authenticate admits requests with an operator key and bounds their time.
 func (s *Server) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if !s.known(secret) {
-			write(w, http.StatusUnauthorized, Result{Code: "invalid", Message: "the operator key is not known"})
+		name, ok := s.operatorOf(secret)
+		if !ok {
+			event.OperatorUnknown.Emit(event.F("remote", r.RemoteAddr), event.F("method", r.Method))
+			write(w, http.StatusUnauthorized, Result{Code: codeInvalid, Message: "the operator key is not known"})
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		ctx, cancel := context.WithTimeout(context.WithValue(r.Context(), actorKey{}, name), requestTimeout)
 		defer cancel()
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
-func (s *Server) known(secret string) bool {
+// operatorOf compares with every key, so that the time tells nothing about which one is near.
+func (s *Server) operatorOf(secret string) (name string, ok bool) {
 	hash := sha256.Sum256([]byte(secret))
-	match := 0
-	for _, known := range s.hashes {
-		match |= subtle.ConstantTimeCompare(hash[:], known[:])
+	for _, known := range s.keys {
+		if subtle.ConstantTimeCompare(hash[:], known.hash[:]) == 1 {
+			name, ok = known.name, true
+		}
 	}
-	return match == 1
+	return name, ok
 }
 
 func write(w http.ResponseWriter, status int, value any) {
@@ -133,14 +213,18 @@
 }
 
 func fail(w http.ResponseWriter, err error) {
-	write(w, http.StatusServiceUnavailable, Result{Code: "unavailable", Message: err.Error()})
+	write(w, http.StatusServiceUnavailable, Result{Code: codeUnavailable, Message: err.Error()})
+}
+
+func refuseInvalid(w http.ResponseWriter, format string, args ...any) {
+	write(w, http.StatusBadRequest, Result{Code: codeInvalid, Message: fmt.Sprintf(format, args...)})
 }
 
 // codeNames and codeStatus are the HTTP forms of outcome codes.
 var (
 	codeNames = map[statepb.Code]string{
-		statepb.Code_CODE_OK: "ok", statepb.Code_CODE_INVALID: "invalid", statepb.Code_CODE_CONFLICT: "conflict",
-		statepb.Code_CODE_NOT_FOUND: "not-found", statepb.Code_CODE_REFUSED: "refused", statepb.Code_CODE_EXISTS: "exists",
+		statepb.Code_CODE_OK: "ok", statepb.Code_CODE_INVALID: codeInvalid, statepb.Code_CODE_CONFLICT: "conflict",
+		statepb.Code_CODE_NOT_FOUND: codeNotFound, statepb.Code_CODE_REFUSED: "refused", statepb.Code_CODE_EXISTS: "exists",
 	}
 	codeStatus = map[statepb.Code]int{
 		statepb.Code_CODE_OK: http.StatusOK, statepb.Code_CODE_INVALID: http.StatusBadRequest,
@@ -149,32 +233,52 @@
 	}
 )
 
-// propose commits the command under the operation id of the request.
+// propose commits the command under the operation id of the request. Every
+// decided command is logged with its operator.
 func (s *Server) propose(w http.ResponseWriter, r *http.Request, command *statepb.Command) {
 	command.OperationId = r.Header.Get(HeaderOperationID)
+	command.Actor = actorOf(r.Context())
 	if _, err := state.IDTime(command.OperationId); err != nil {
-		write(w, http.StatusBadRequest, Result{Code: "invalid", Message: fmt.Sprintf("%s: %v", HeaderOperationID, err)})
+		refuseInvalid(w, "%s: %v", HeaderOperationID, err)
 		return
 	}
+	fields := []event.Field{
+		event.F("actor", command.Actor), event.F("method", r.Method), event.F("path", r.URL.Path),
+		event.F("operation", command.OperationId),
+	}
 	outcome, err := s.cfg.Cluster.Propose(r.Context(), command)
 	if err != nil {
+		event.OperatorLost.Emit(append(fields, event.Err(err))...)
 		fail(w, fmt.Errorf("%w; resend it with the same %s", err, HeaderOperationID))
 		return
 	}
+	event.OperatorCommand.Emit(append(fields, event.F("code", codeNames[outcome.Code]), event.F("index", outcome.Index))...)
 	write(w, codeStatus[outcome.Code], Result{
 		Code: codeNames[outcome.Code], Message: outcome.Message, Revision: outcome.Revision, Index: outcome.Index,
 	})
 }
 
-// readBody decodes a JSON body strictly; it answers and returns false when it cannot.
+// readBody decodes one JSON value strictly; it answers and returns false when it cannot.
 func readBody(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		write(w, http.StatusBadRequest, Result{Code: "invalid", Message: "body: " + err.Error()})
-		return false
+	err := decoder.Decode(into)
+	if err == nil {
+		if _, extra := decoder.Token(); !errors.Is(extra, io.EOF) {
+			err = errors.New("more than one JSON value")
+		}
 	}
-	return true
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &tooLarge):
+		message := fmt.Sprintf("body: larger than %d bytes", maxBodyBytes)
+		write(w, http.StatusRequestEntityTooLarge, Result{Code: codeInvalid, Message: message})
+	default:
+		refuseInvalid(w, "body: %v", err)
+	}
+	return false
 }
 
 func (s *Server) changeMember(w http.ResponseWriter, r *http.Request) {
@@ -190,19 +294,25 @@
 	write(w, http.StatusOK, Result{Code: "ok", Index: index})
 }
 
+// getStatus answers with what this daemon knows when the leader is out of reach.
 func (s *Server) getStatus(w http.ResponseWriter, r *http.Request) {
-	status, err := s.cfg.Cluster.Status(r.Context())
+	view := viewLocal(s.cfg.Cluster.Local(), s.cfg.Machine)
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	status, err := s.cfg.Cluster.Status(ctx)
 	if err != nil {
-		fail(w, err)
+		view.CutOff = err.Error()
+		write(w, http.StatusOK, view)
 		return
 	}
-	write(w, http.StatusOK, viewStatus(status))
+	view.addLeader(status)
+	write(w, http.StatusOK, view)
 }
 
 func (s *Server) getInForce(w http.ResponseWriter, r *http.Request) {
 	index, err := strconv.ParseUint(mux.Vars(r)["index"], 10, 64)
 	if err != nil {
-		write(w, http.StatusBadRequest, Result{Code: "invalid", Message: "index: " + err.Error()})
+		refuseInvalid(w, "index: %v", err)
 		return
 	}
 	response, err := s.cfg.Cluster.InForce(r.Context(), index)
--- a/internal/operator/views.go
+++ b/internal/operator/views.go
@@ -2,15 +2,15 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/gorilla/mux"
 
 	"sapphirering/internal/config"
-	"sapphirering/internal/entry"
 	"sapphirering/internal/state/statepb"
-	"sapphirering/internal/wire/wirepb"
 )
 
 // KeyRequest grants a key. Only the hash of the secret leaves the operator's machine.
@@ -48,42 +48,18 @@
 	Maintained int64  `json:"last_maintained_unix_ms"`
 }
 
-// MemberView is the JSON form of a member.
-type MemberView struct {
-	ID      string `json:"id"`
-	Name    string `json:"name"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-	Voter   bool   `json:"voter"`
-	Leader  bool   `json:"leader"`
-	Active  bool   `json:"active"`
-	Match   uint64 `json:"match_index"`
-}
-
-// StatusView is the JSON form of the cluster's status.
-type StatusView struct {
-	ClusterID string       `json:"cluster_id"`
-	Leader    string       `json:"leader"`
-	Term      uint64       `json:"term"`
-	Commit    uint64       `json:"commit_index"`
-	Members   []MemberView `json:"members"`
+// DocumentView is a document with the keys that may hand in its work.
+type DocumentView struct {
+	Document *config.Document `json:"document"`
+	Keys     []KeyView        `json:"keys"`
 }
 
-// InForceView tells whether a change is in force everywhere.
-type InForceView struct {
-	InForce bool     `json:"in_force"`
-	Waiting []string `json:"waiting,omitempty"`
-}
-
-func viewStatus(status *wirepb.StatusResponse) StatusView {
-	view := StatusView{
-		ClusterID: status.ClusterId, Leader: status.Leader, Term: status.Term, Commit: status.CommitIndex,
-	}
-	for _, m := range status.Members {
-		view.Members = append(view.Members, MemberView{
-			ID: m.Member.Id, Name: m.Member.Name, Zone: m.Member.Zone, Address: m.Member.Address,
-			Voter: m.Member.Role == wirepb.Role_ROLE_VOTER, Leader: m.Leader, Active: m.Active, Match: m.MatchIndex,
-		})
+func (s *Server) viewDocument(doc *statepb.TeamDocument) DocumentView {
+	view := DocumentView{Document: config.FromProto(doc), Keys: []KeyView{}}
+	for _, key := range s.cfg.Machine.Keys() {
+		if key.Team == doc.Team {
+			view.Keys = append(view.Keys, viewKey(key))
+		}
 	}
 	return view
 }
@@ -99,10 +75,14 @@
 func (s *Server) getDocument(w http.ResponseWriter, r *http.Request) {
 	doc := s.cfg.Machine.Document(mux.Vars(r)["team"])
 	if doc == nil {
-		write(w, http.StatusNotFound, Result{Code: "not-found", Message: "document does not exist"})
+		missing(w, "document", mux.Vars(r)["team"])
 		return
 	}
-	write(w, http.StatusOK, config.FromProto(doc))
+	write(w, http.StatusOK, s.viewDocument(doc))
+}
+
+func missing(w http.ResponseWriter, kind, name string) {
+	write(w, http.StatusNotFound, Result{Code: codeNotFound, Message: fmt.Sprintf("%s %.80q does not exist", kind, name)})
 }
 
 func (s *Server) putDocument(w http.ResponseWriter, r *http.Request) {
@@ -111,12 +91,12 @@
 		return
 	}
 	if doc.Team != mux.Vars(r)["team"] {
-		write(w, http.StatusBadRequest, Result{Code: "invalid", Message: "team: differs from the address"})
+		refuseInvalid(w, "team: %q differs from the path", doc.Team)
 		return
 	}
 	converted, err := doc.Proto()
 	if err != nil {
-		write(w, http.StatusBadRequest, Result{Code: "invalid", Message: err.Error()})
+		refuseInvalid(w, "%v", err)
 		return
 	}
 	s.propose(w, r, &statepb.Command{Body: &statepb.Command_ApplyDocument{
@@ -124,17 +104,27 @@
 	}})
 }
 
+// deleteDocument wants the revision that the operator saw, so that a resend is
+// the same command and a race is a conflict.
 func (s *Server) deleteDocument(w http.ResponseWriter, r *http.Request) {
-	team := mux.Vars(r)["team"]
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		refuseInvalid(w, "revision: %v", err)
+		return
+	}
 	s.propose(w, r, &statepb.Command{Body: &statepb.Command_DeleteDocument{
-		DeleteDocument: &statepb.DeleteDocument{Team: team, BaseRevision: s.cfg.Machine.Document(team).GetRevision()},
+		DeleteDocument: &statepb.DeleteDocument{Team: mux.Vars(r)["team"], BaseRevision: revision},
 	}})
 }
 
+func viewKey(key *statepb.Key) KeyView {
+	return KeyView{ID: key.Id, Team: key.Team, Granted: key.GrantedUnixMs}
+}
+
 func (s *Server) listKeys(w http.ResponseWriter, _ *http.Request) {
 	views := []KeyView{}
 	for _, key := range s.cfg.Machine.Keys() {
-		views = append(views, KeyView{ID: key.Id, Team: key.Team, Granted: key.GrantedUnixMs})
+		views = append(views, viewKey(key))
 	}
 	write(w, http.StatusOK, views)
 }
@@ -146,7 +136,7 @@
 	}
 	hash, err := hex.DecodeString(request.SHA256Hex)
 	if err != nil {
-		write(w, http.StatusBadRequest, Result{Code: "invalid", Message: "sha256_hex: " + err.Error()})
+		refuseInvalid(w, "sha256_hex: %v", err)
 		return
 	}
 	s.propose(w, r, &statepb.Command{Body: &statepb.Command_GrantKey{GrantKey: &statepb.GrantKey{
@@ -196,23 +186,3 @@
 func PhaseName(phase statepb.VMPhase) string {
 	return strings.ToLower(strings.TrimPrefix(phase.String(), "VM_PHASE_"))
 }
-
-func (s *Server) listJobs(w http.ResponseWriter, r *http.Request) {
-	state := r.URL.Query().Get("state")
-	views := []entry.JobView{}
-	for _, job := range s.cfg.Machine.Jobs() {
-		if state == "" || entry.StateName(job.State) == state {
-			views = append(views, entry.ViewJob(job))
-		}
-	}
-	write(w, http.StatusOK, views)
-}
-
-func (s *Server) getJob(w http.ResponseWriter, r *http.Request) {
-	job := s.cfg.Machine.Job(mux.Vars(r)["job"])
-	if job == nil {
-		write(w, http.StatusNotFound, Result{Code: "not-found", Message: "job does not exist"})
-		return
-	}
-	write(w, http.StatusOK, entry.ViewJob(job))
-}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -70,8 +70,8 @@
 type Options struct {
 	// Bootstrap creates a new cluster when the data folder is empty.
 	Bootstrap bool
-	// OperatorKeys are the secrets that operators may use.
-	OperatorKeys []string
+	// OperatorKeys admit operators.
+	OperatorKeys []config.OperatorKey
 }
 
 // New opens the data folder, joins or creates the cluster, and returns a
--- a/internal/server/operations.go
+++ b/internal/server/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"sapphirering/internal/operator"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/wire/wirepb"
 )
@@ -44,3 +45,12 @@
 	}
 	return response.GetStatus(), nil
 }
+
+// Local describes this daemon without asking the leader.
+func (d *Daemon) Local() operator.LocalStatus {
+	age, _ := d.holder.RenewedAge()
+	return operator.LocalStatus{
+		ClusterID: d.identity.ClusterID, Name: d.settings.Name, Zone: d.settings.Zone,
+		Live: d.holder.Live(), RenewedAge: age, AppliedIndex: d.machine.Index(), Leading: d.leader.isLocal(),
+	}
+}
--- /dev/null
+++ b/internal/session/lease.go
@@ -0,0 +1,14 @@
+package session
+
+import "time"
+
+// RenewedAge returns the time since the last successful renewal was sent, and
+// false when there is no session.
+func (h *Holder) RenewedAge() (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.validUntil.IsZero() {
+		return 0, false
+	}
+	return h.cfg.Now().Sub(h.validUntil.Add(-h.cfg.Lease)), true
+}
--- /dev/null
+++ b/internal/state/document_check.go
@@ -0,0 +1,110 @@
+package state
+
+import (
+	"fmt"
+
+	"sapphirering/internal/state/statepb"
+)
+
+const (
+	// MaxQueuesPerTeam bounds one document.
+	MaxQueuesPerTeam = 64
+	// MaxBudgetsPerTeam bounds one document.
+	MaxBudgetsPerTeam = 128
+	// MaxAdmittedTeams bounds one queue.
+	MaxAdmittedTeams = 512
+	// MaxShareWeight keeps sums of weights far from overflow.
+	MaxShareWeight = 1_000_000
+	// MaxQueuedPerQueue bounds the memory of one queue on one entry VM.
+	MaxQueuedPerQueue = 100_000
+)
+
+// DocumentFault is one field of a document that breaks a rule.
+type DocumentFault struct {
+	// Field is a path such as "queues[1].class".
+	Field  string
+	Reason string
+}
+
+// documentCheck collects the faults of one document.
+type documentCheck struct{ faults []DocumentFault }
+
+func (c *documentCheck) add(field, reason string, args ...any) {
+	c.faults = append(c.faults, DocumentFault{Field: field, Reason: fmt.Sprintf(reason, args...)})
+}
+
+func (c *documentCheck) name(field, value string) {
+	switch {
+	case value == "":
+		c.add(field, "is required")
+	case !ValidName(value):
+		c.add(field, "%q is not a name: 1 to %d of a-z, 0-9, '-', '_' and '.'", value, MaxNameBytes)
+	}
+}
+
+func (c *documentCheck) within(field string, value, least, most uint32) {
+	if value < least || value > most {
+		c.add(field, "%d is not within %d and %d", value, least, most)
+	}
+}
+
+// CheckDocument returns every fault that shows in the document alone. The
+// state machine and the offline check share it.
+func CheckDocument(doc *statepb.TeamDocument) []DocumentFault {
+	c := new(documentCheck)
+	c.name("team", doc.GetTeam())
+	c.within("share", doc.GetShareWeight(), 1, MaxShareWeight)
+	if doc.GetUpperLimitUnits() == 0 {
+		c.add("upper_limit", "must be at least 1")
+	}
+	c.budgets(doc.GetBudgets())
+	if len(doc.GetQueues()) > MaxQueuesPerTeam {
+		c.add("queues", "%d given, at most %d are allowed", len(doc.Queues), MaxQueuesPerTeam)
+		return c.faults
+	}
+	seen := make(map[string]bool)
+	for i, queue := range doc.GetQueues() {
+		path := fmt.Sprintf("queues[%d]", i)
+		c.queue(path, queue)
+		if seen[queue.GetName()] {
+			c.add(path+".name", "queue %q is given twice", queue.GetName())
+		}
+		seen[queue.GetName()] = true
+	}
+	return c.faults
+}
+
+func (c *documentCheck) budgets(budgets []*statepb.AvailabilityBudget) {
+	if len(budgets) > MaxBudgetsPerTeam {
+		c.add("availability", "%d given, at most %d are allowed", len(budgets), MaxBudgetsPerTeam)
+		return
+	}
+	seen := make(map[string]bool)
+	for i, budget := range budgets {
+		path := fmt.Sprintf("availability[%d].pool", i)
+		c.name(path, budget.GetPool())
+		if seen[budget.GetPool()] {
+			c.add(path, "pool %q is given twice", budget.GetPool())
+		}
+		seen[budget.GetPool()] = true
+	}
+}
+
+func (c *documentCheck) queue(path string, queue *statepb.Queue) {
+	c.name(path+".name", queue.GetName())
+	c.name(path+".pool", queue.GetPool())
+	switch queue.GetClass() {
+	case statepb.Class_CLASS_URGENT, statepb.Class_CLASS_NORMAL, statepb.Class_CLASS_LONG:
+	default:
+		c.add(path+".class", "must be urgent, normal or long")
+	}
+	c.within(path+".max_queued", queue.GetMaxQueued(), 1, MaxQueuedPerQueue)
+	c.within(path+".max_deadline_ms", queue.GetMaxDeadlineMs(), 1, MaxRequestDeadlineMS)
+	if len(queue.GetAdmittedTeams()) > MaxAdmittedTeams {
+		c.add(path+".admits", "%d given, at most %d are allowed", len(queue.AdmittedTeams), MaxAdmittedTeams)
+		return
+	}
+	for i, team := range queue.GetAdmittedTeams() {
+		c.name(fmt.Sprintf("%s.admits[%d]", path, i), team)
+	}
+}
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -13,8 +13,6 @@
 	MaxNameBytes = 64
 	// MaxRequestDeadlineMS is the longest deadline of any request.
 	MaxRequestDeadlineMS = 120_000
-	// maxQueuesPerTeam bounds one document.
-	maxQueuesPerTeam = 64
 )
 
 // ValidName reports whether s is a name: 1 to 64 bytes of a-z, 0-9, '-', '_' and '.'.
@@ -51,51 +49,18 @@
 	return m.ok(m.index)
 }
 
-// checkDocument checks the fields of a document on their own.
+// checkDocument checks the fields of a document, and its queues against the state.
 func (m *Machine) checkDocument(doc *statepb.TeamDocument) *statepb.Outcome {
-	if !ValidName(doc.GetTeam()) {
-		return m.invalid("team: %q is not a name", doc.GetTeam())
+	if faults := CheckDocument(doc); len(faults) > 0 {
+		return m.invalid("%s: %s", faults[0].Field, faults[0].Reason)
 	}
-	if doc.ShareWeight == 0 {
-		return m.invalid("share: must be at least 1")
-	}
-	if doc.UpperLimitUnits == 0 {
-		return m.invalid("upper_limit: must be at least 1")
-	}
-	if len(doc.Queues) > maxQueuesPerTeam {
-		return m.invalid("queues: %d given, at most %d are allowed", len(doc.Queues), maxQueuesPerTeam)
-	}
-	seen := make(map[string]bool)
 	for _, queue := range doc.Queues {
-		if outcome := m.checkQueue(doc.Team, queue); outcome != nil {
-			return outcome
+		if m.pools[queue.Pool] == nil {
+			return m.invalid("queue %q: pool: %q does not exist", queue.Name, queue.Pool)
 		}
-		if seen[queue.Name] {
-			return m.invalid("queues: %q is given twice", queue.Name)
+		if other, ok := m.queues[queue.Name]; ok && other.team != doc.Team {
+			return m.invalid("queue %q: belongs to team %q", queue.Name, other.team)
 		}
-		seen[queue.Name] = true
-	}
-	return nil
-}
-
-func (m *Machine) checkQueue(team string, queue *statepb.Queue) *statepb.Outcome {
-	if !ValidName(queue.Name) {
-		return m.invalid("queues: %q is not a name", queue.Name)
-	}
-	if queue.Class == statepb.Class_CLASS_UNSPECIFIED {
-		return m.invalid("queue %q: class: must be urgent, normal or long", queue.Name)
-	}
-	if queue.MaxQueued == 0 {
-		return m.invalid("queue %q: max_queued: must be at least 1", queue.Name)
-	}
-	if queue.MaxDeadlineMs == 0 || queue.MaxDeadlineMs > MaxRequestDeadlineMS {
-		return m.invalid("queue %q: max_deadline: must be within 1 ms and %d ms", queue.Name, MaxRequestDeadlineMS)
-	}
-	if m.pools[queue.Pool] == nil {
-		return m.invalid("queue %q: pool: %q does not exist", queue.Name, queue.Pool)
-	}
-	if other, ok := m.queues[queue.Name]; ok && other.team != team {
-		return m.invalid("queue %q: belongs to team %q", queue.Name, other.team)
 	}
 	return nil
 }
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	daemon, err := server.New(ctx, settings, server.Options{Bootstrap: true, OperatorKeys: []string{operatorKey}})
+	daemon, err := server.New(ctx, settings, server.Options{Bootstrap: true, OperatorKeys: []config.OperatorKey{{Name: "demo", Secret: operatorKey}}})
 	if err != nil {
 		return err
 	}
