--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -68,7 +68,7 @@
 		base, labels := split(gauge.Name)
 		w.add(base, base, "gauge", labels, fmt.Sprintf("%g", gauge.Value))
 	}
-	w.add("metrics_series_dropped", "metrics_series_dropped", "gauge", nil, fmt.Sprint(w.dropped))
+	w.append("metrics_series_dropped", "metrics_series_dropped", "gauge", nil, fmt.Sprint(w.dropped))
 	return w.flush(out)
 }
 
@@ -96,13 +96,17 @@
 	w.add(base, base+"_count", "summary", labels, fmt.Sprint(snapshot.Count()))
 }
 
-// add adds one series to a family.
+// add adds one series to a family unless the bound is reached.
 func (w *writer) add(familyName, name, kind string, labels []Label, value string) {
 	if w.series >= MaxSeries {
 		w.dropped++
 		return
 	}
 	w.series++
+	w.append(familyName, name, kind, labels, value)
+}
+
+func (w *writer) append(familyName, name, kind string, labels []Label, value string) {
 	f := w.families[familyName]
 	if f == nil {
 		f = &family{name: familyName, kind: kind, help: helpOf(strings.TrimSuffix(familyName, "_total"))}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -164,6 +164,7 @@
 func (s memberSender) Send(messages []*wirepb.ReplicaMessage) { s.d.peers.Send(messages) }
 
 func (s memberSender) SetMembership(m *wirepb.Membership) {
+	event.MembershipApplied.Emit(event.F("members", len(m.GetMembers())))
 	s.d.leader.membership.Store(m)
 	s.d.peers.SetMembership(m)
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"sapphirering/internal/event"
 )
 
 // MaxAnswerBytes bounds an answer that is buffered and checked.
@@ -121,6 +123,7 @@
 		return nil, &BusyError{VM: vm, Reason: reason}
 	}
 	if got := response.Header.Get(HeaderRequestID); got != id {
+		event.AnswerDropped.Emit(event.F("vm", vm), event.F("request", id))
 		return nil, fmt.Errorf("answer of %s is for request %q, want %q", vm, got, id)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
