--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -70,8 +70,8 @@
 type Options struct {
 	// Bootstrap creates a new cluster when the data folder is empty.
 	Bootstrap bool
-	// OperatorKeys are the secrets that operators may use.
-	OperatorKeys []string
+	// OperatorKeys admit operators.
+	OperatorKeys []config.OperatorKey
 }
 
 // New opens the data folder, joins or creates the cluster, and returns a
@@ -166,6 +166,7 @@
 func (s memberSender) Send(messages []*wirepb.ReplicaMessage) { s.d.peers.Send(messages) }
 
 func (s memberSender) SetMembership(m *wirepb.Membership) {
+	event.MembershipApplied.Emit(event.F("members", len(m.GetMembers())))
 	s.d.leader.membership.Store(m)
 	s.d.peers.SetMembership(m)
 }
