--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -30,6 +30,7 @@
 	keys       map[string]*statepb.Key
 	pools      map[string]*statepb.Pool
 	vms        map[string]*statepb.VM
+	removedVMs map[string]*statepb.RemovedVM
 	waves      map[string]*statepb.Wave
 	sessions   map[string]*statepb.Session
 	kept       map[keptID]uint32
@@ -67,6 +68,7 @@
 	m.keys = make(map[string]*statepb.Key)
 	m.pools = make(map[string]*statepb.Pool)
 	m.vms = make(map[string]*statepb.VM)
+	m.removedVMs = make(map[string]*statepb.RemovedVM)
 	m.waves = make(map[string]*statepb.Wave)
 	m.sessions = make(map[string]*statepb.Session)
 	m.kept = make(map[keptID]uint32)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -31,7 +31,7 @@
 		Documents: sorted(m.documents), Keys: sorted(m.keys), Pools: sorted(m.pools),
 		Vms: sorted(m.vms), Waves: sorted(m.waves), Sessions: sorted(m.sessions),
 		Kept: m.keptList(), Claims: sorted(m.claims), Jobs: sorted(m.jobs),
-		Operations: sorted(m.operations),
+		Operations: sorted(m.operations), RemovedVms: sorted(m.removedVMs),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -84,6 +84,9 @@
 	for _, vm := range snapshot.Vms {
 		m.vms[vm.Name] = vm
 	}
+	for _, removed := range snapshot.RemovedVms {
+		m.removedVMs[removed.Name] = removed
+	}
 	for _, wave := range snapshot.Waves {
 		m.waves[wave.Id] = wave
 	}
--- a/internal/state/vms.go
+++ b/internal/state/vms.go
@@ -1,11 +1,39 @@
 package state
 
 import (
+	"strings"
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/state/statepb"
 )
 
+const (
+	// MoveOwner owns the drains of moves between pools.
+	MoveOwner = "move"
+	// waveOwnerPrefix and operatorOwnerPrefix end in a byte that no name holds.
+	waveOwnerPrefix     = "wave:"
+	operatorOwnerPrefix = "operator:"
+	// removedWindow is how long the last incarnation of a removed VM is refused.
+	removedWindow = 24 * time.Hour
+)
+
+// WaveOwner returns the owner of the drains of a wave.
+func WaveOwner(wave string) string { return waveOwnerPrefix + wave }
+
+// OperatorOwner returns the owner of drains that an operator asked for.
+func OperatorOwner(operator string) string { return operatorOwnerPrefix + operator }
+
+// OwnerWave returns the wave that owns a drain, or "".
+func OwnerWave(owner string) string {
+	wave, ok := strings.CutPrefix(owner, waveOwnerPrefix)
+	if !ok {
+		return ""
+	}
+	return wave
+}
+
 func (m *Machine) putPool(c *statepb.PutPool) *statepb.Outcome {
 	pool := c.GetPool()
 	if !ValidName(pool.GetName()) {
@@ -17,7 +45,11 @@
 	}
 	stored := proto.CloneOf(pool)
 	stored.Revision = m.index
-	stored.Epoch = inForce.GetEpoch()
+	// A pool that is created again never repeats an epoch of its predecessor.
+	stored.Epoch = m.index
+	if inForce != nil {
+		stored.Epoch = inForce.Epoch
+	}
 	m.pools[pool.Name] = stored
 	return m.ok(m.index)
 }
@@ -40,6 +72,9 @@
 			return m.refused("pool %q: queue %q uses it", c.Name, ref.queue.Name)
 		}
 	}
+	if team := m.budgetOwner(c.Name); team != "" {
+		return m.refused("pool %q: the document of team %q states a budget for it", c.Name, team)
+	}
 	delete(m.pools, c.Name)
 	return m.ok(m.index)
 }
@@ -51,6 +86,9 @@
 	if !ValidName(vm.GetName()) {
 		return m.invalid("vm: %q is not a name", vm.GetName())
 	}
+	if removed := m.removedVMs[vm.Name]; removed != nil && removed.Incarnation == vm.Incarnation {
+		return m.refused("vm %q: incarnation %q was removed", vm.Name, vm.Incarnation)
+	}
 	known := m.vms[vm.Name]
 	if known == nil && m.pools[vm.Pool] == nil {
 		return m.notFound("pool", vm.Pool)
@@ -60,14 +98,17 @@
 	if known == nil {
 		stored.Phase = statepb.VMPhase_VM_PHASE_ACTIVE
 		stored.PhaseSinceUnixMs = m.nowMS
-		stored.DrainOwner, stored.DrainReason, stored.MoveToPool = "", "", ""
+		clearDrain(stored)
+		stored.LentFrom = ""
 		stored.MoveEpoch = m.bumpEpoch(vm.Pool)
 		stored.LastMaintainedUnixMs = m.nowMS
+		delete(m.removedVMs, vm.Name)
 	} else {
 		stored.Pool, stored.MoveEpoch = known.Pool, known.MoveEpoch
 		stored.Phase, stored.PhaseSinceUnixMs = known.Phase, known.PhaseSinceUnixMs
 		stored.DrainOwner, stored.DrainReason = known.DrainOwner, known.DrainReason
-		stored.MoveToPool = known.MoveToPool
+		stored.MoveToPool, stored.DrainRevision = known.MoveToPool, known.DrainRevision
+		stored.RebootIncarnation, stored.LentFrom = known.RebootIncarnation, known.LentFrom
 		stored.LastMaintainedUnixMs = known.LastMaintainedUnixMs
 	}
 	m.vms[vm.Name] = stored
@@ -126,6 +167,18 @@
 	return least
 }
 
+// budgetOwner returns a team whose document states a budget for the pool, or "".
+func (m *Machine) budgetOwner(pool string) string {
+	for _, doc := range sorted(m.documents) {
+		for _, budget := range doc.Budgets {
+			if budget.Pool == pool {
+				return doc.Team
+			}
+		}
+	}
+	return ""
+}
+
 // checkBudget refuses when taking out more VMs would leave the pool below its
 // availability budget. VMs lost outside of maintenance are not available.
 func (m *Machine) checkBudget(pool string, takenOut uint32) *statepb.Outcome {
@@ -136,6 +189,8 @@
 	return nil
 }
 
+// startDrain begins to take one active VM out. Everything that takes a VM out
+// on purpose passes here, so the budget is checked with all VMs lost already.
 func (m *Machine) startDrain(c *statepb.StartDrain) *statepb.Outcome {
 	vm, outcome := m.vmAt(c.Vm, c.BaseRevision)
 	if outcome != nil {
@@ -144,11 +199,11 @@
 	if vm.Phase != statepb.VMPhase_VM_PHASE_ACTIVE {
 		return m.refused("vm %q: is %s, only an active VM can be drained", vm.Name, vm.Phase)
 	}
-	if c.Owner == "" {
-		return m.invalid("owner: a drain names its wave or move")
+	if outcome := m.checkDrainOwner(vm, c); outcome != nil {
+		return outcome
 	}
-	if c.MoveToPool != "" && (m.pools[c.MoveToPool] == nil || c.MoveToPool == vm.Pool) {
-		return m.invalid("move_to_pool: %q does not exist or holds the VM already", c.MoveToPool)
+	if outcome := m.checkMoveTarget(vm, c); outcome != nil {
+		return outcome
 	}
 	if outcome := m.checkBudget(vm.Pool, 1); outcome != nil {
 		return outcome
@@ -156,9 +211,43 @@
 	next := m.changeVM(vm)
 	m.enterPhase(next, statepb.VMPhase_VM_PHASE_DRAINING)
 	next.DrainOwner, next.DrainReason, next.MoveToPool = c.Owner, c.Reason, c.MoveToPool
+	next.DrainRevision = m.index
 	return m.ok(m.index)
 }
 
+// checkDrainOwner refuses drains that nobody owns or that their wave does not allow.
+func (m *Machine) checkDrainOwner(vm *statepb.VM, c *statepb.StartDrain) *statepb.Outcome {
+	if id := OwnerWave(c.Owner); id != "" {
+		if c.MoveToPool != "" {
+			return m.invalid("owner: a drain of wave %q cannot move the VM", id)
+		}
+		return m.checkWaveDrain(id, vm.Name)
+	}
+	if c.Owner != MoveOwner && !strings.HasPrefix(c.Owner, operatorOwnerPrefix) {
+		return m.invalid("owner: %q is not a wave, a move or an operator", c.Owner)
+	}
+	if c.Owner == MoveOwner && c.MoveToPool == "" {
+		return m.invalid("move_to_pool: a move names its pool")
+	}
+	return nil
+}
+
+// checkMoveTarget checks the destination of a move. The epoch fences a plan
+// that was made before another VM entered or left the pool.
+func (m *Machine) checkMoveTarget(vm *statepb.VM, c *statepb.StartDrain) *statepb.Outcome {
+	if c.MoveToPool == "" {
+		return nil
+	}
+	pool := m.pools[c.MoveToPool]
+	if pool == nil || c.MoveToPool == vm.Pool {
+		return m.invalid("move_to_pool: %q does not exist or holds the VM already", c.MoveToPool)
+	}
+	if c.ToPoolEpoch != 0 && c.ToPoolEpoch != pool.Epoch {
+		return m.conflict("pool epoch of", pool.Name, c.ToPoolEpoch, pool.Epoch)
+	}
+	return nil
+}
+
 // changeVM stores and returns a copy with a new revision.
 func (m *Machine) changeVM(vm *statepb.VM) *statepb.VM {
 	next := proto.CloneOf(vm)
@@ -171,10 +260,15 @@
 	vm.Phase = phase
 	vm.PhaseSinceUnixMs = m.nowMS
 	if phase == statepb.VMPhase_VM_PHASE_ACTIVE || phase == statepb.VMPhase_VM_PHASE_DOWN {
-		vm.DrainOwner, vm.DrainReason, vm.MoveToPool = "", "", ""
+		clearDrain(vm)
 	}
 }
 
+func clearDrain(vm *statepb.VM) {
+	vm.DrainOwner, vm.DrainReason, vm.MoveToPool = "", "", ""
+	vm.DrainRevision, vm.RebootIncarnation = 0, ""
+}
+
 // allowedPhases lists the phases that each phase may be followed by.
 var allowedPhases = map[statepb.VMPhase][]statepb.VMPhase{
 	statepb.VMPhase_VM_PHASE_ACTIVE:    {statepb.VMPhase_VM_PHASE_DOWN},
@@ -203,16 +297,14 @@
 	if !phaseAllowed(vm.Phase, c.Phase) {
 		return m.refused("vm %q: %s cannot follow %s", vm.Name, c.Phase, vm.Phase)
 	}
-	if c.Phase == statepb.VMPhase_VM_PHASE_REBOOTING {
-		if vm.MoveToPool != "" {
-			return m.refused("vm %q: drains for a move, not for maintenance", vm.Name)
-		}
-		if outcome := m.checkBudget(vm.Pool, 0); outcome != nil {
-			return outcome
-		}
+	if outcome := m.checkAdvance(vm, c); outcome != nil {
+		return outcome
 	}
 	next := m.changeVM(vm)
 	m.enterPhase(next, c.Phase)
+	if c.Phase == statepb.VMPhase_VM_PHASE_REBOOTING {
+		next.RebootIncarnation = vm.Incarnation
+	}
 	if c.Maintained {
 		next.LastMaintainedUnixMs = m.nowMS
 	}
@@ -220,6 +312,40 @@
 	return m.ok(m.index)
 }
 
+// checkAdvance checks what the phases alone do not tell.
+func (m *Machine) checkAdvance(vm *statepb.VM, c *statepb.AdvanceVM) *statepb.Outcome {
+	returned := vm.Phase == statepb.VMPhase_VM_PHASE_REBOOTING && c.Phase == statepb.VMPhase_VM_PHASE_ACTIVE
+	if c.Maintained && !returned {
+		return m.invalid("maintained: %s to %s is not the end of a reboot", vm.Phase, c.Phase)
+	}
+	switch c.Phase {
+	case statepb.VMPhase_VM_PHASE_DRAINED:
+		return m.checkIdle(vm)
+	case statepb.VMPhase_VM_PHASE_REBOOTING:
+		return m.checkReboot(vm)
+	}
+	return nil
+}
+
+// checkIdle refuses while a job attempt runs on the VM.
+func (m *Machine) checkIdle(vm *statepb.VM) *statepb.Outcome {
+	for id := range m.openJobs {
+		if CurrentAttempt(m.jobs[id]).GetVm() == vm.Name {
+			return m.refused("vm %q: a job attempt still runs on it", vm.Name)
+		}
+	}
+	return nil
+}
+
+// checkReboot allows reboots only for a running wave and within the budget.
+func (m *Machine) checkReboot(vm *statepb.VM) *statepb.Outcome {
+	wave := m.waves[OwnerWave(vm.DrainOwner)]
+	if wave.GetPhase() != statepb.WavePhase_WAVE_PHASE_RUNNING {
+		return m.refused("vm %q: drained by %q, which is not a running wave", vm.Name, vm.DrainOwner)
+	}
+	return m.checkBudget(vm.Pool, 0)
+}
+
 // moveVM commits the one transition between two pools.
 func (m *Machine) moveVM(c *statepb.MoveVM) *statepb.Outcome {
 	vm, outcome := m.vmAt(c.Vm, c.BaseRevision)
@@ -237,20 +363,52 @@
 	}
 	next := m.changeVM(vm)
 	m.bumpEpoch(vm.Pool)
+	next.LentFrom = m.lender(vm, c.ToPool)
 	next.Pool = c.ToPool
 	next.MoveEpoch = m.bumpEpoch(c.ToPool)
 	m.enterPhase(next, statepb.VMPhase_VM_PHASE_ACTIVE)
 	return m.ok(m.index)
 }
 
+// lender returns the spare pool that a moved VM is to return to, or "". It is
+// kept through moves between borrowers and ends when the VM is home.
+func (m *Machine) lender(vm *statepb.VM, toPool string) string {
+	if vm.LentFrom == toPool || m.pools[toPool].Spare {
+		return ""
+	}
+	if vm.LentFrom == "" && m.pools[vm.Pool].GetSpare() {
+		return vm.Pool
+	}
+	return vm.LentFrom
+}
+
+// removeVM forgets a VM that is lost or drained. Its incarnation may go on
+// announcing itself for a while, which must not register it again.
 func (m *Machine) removeVM(c *statepb.RemoveVM) *statepb.Outcome {
 	vm, outcome := m.vmAt(c.Vm, c.BaseRevision)
 	if outcome != nil {
 		return outcome
 	}
-	if vm.Phase != statepb.VMPhase_VM_PHASE_DOWN && vm.Phase != statepb.VMPhase_VM_PHASE_DRAINED {
+	switch vm.Phase {
+	case statepb.VMPhase_VM_PHASE_DOWN:
+	case statepb.VMPhase_VM_PHASE_DRAINED:
+		if outcome := m.checkBudget(vm.Pool, 0); outcome != nil {
+			return outcome
+		}
+	default:
 		return m.refused("vm %q: is %s, drain it first", vm.Name, vm.Phase)
 	}
 	delete(m.vms, vm.Name)
+	m.bumpEpoch(vm.Pool)
+	m.noteRemoved(vm)
 	return m.ok(m.index)
 }
+
+func (m *Machine) noteRemoved(vm *statepb.VM) {
+	for name, removed := range m.removedVMs {
+		if m.nowMS-removed.RemovedUnixMs > removedWindow.Milliseconds() {
+			delete(m.removedVMs, name)
+		}
+	}
+	m.removedVMs[vm.Name] = &statepb.RemovedVM{Name: vm.Name, Incarnation: vm.Incarnation, RemovedUnixMs: m.nowMS}
+}
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -52,6 +52,9 @@
 	// Drain asks the target to leave.
 	Drain         bool   `json:"drain"`
 	DrainRevision uint64 `json:"drain_revision"`
+	// Revision of the VM that the answer relies on. A target ignores answers
+	// below the newest that it has seen: they come from a daemon that lags.
+	Revision uint64 `json:"revision"`
 }
 
 // TaskRequest starts an attempt of a job, or renews its lease.
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -60,10 +60,10 @@
 	if vm == nil {
 		return AnnouncementAnswer{Pool: a.Pool}, false, nil
 	}
-	answer = AnnouncementAnswer{Pool: vm.Pool, Phase: vm.Phase.String()}
+	answer = AnnouncementAnswer{Pool: vm.Pool, Phase: vm.Phase.String(), Revision: vm.Revision}
 	if vm.Phase != statepb.VMPhase_VM_PHASE_ACTIVE && vm.Phase != statepb.VMPhase_VM_PHASE_DOWN {
 		answer.Drain = true
-		answer.DrainRevision = vm.Revision
+		answer.DrainRevision = vm.DrainRevision
 	}
 	registered = vm.Incarnation == a.Incarnation && vm.Address == a.Address && vm.Slots == a.Slots
 	return answer, registered, nil
@@ -222,7 +222,8 @@
 		reports = append(reports, &wirepb.VMReport{
 			Vm: name, Incarnation: t.Announcement.Incarnation, AgeMs: uint32(age.Milliseconds()),
 			Leaving: t.Announcement.Leaving, GateClosed: t.Announcement.Leaving,
-			InFlight: t.InFlight + t.Announcement.InFlight,
+			InFlight:      t.InFlight + t.Announcement.InFlight,
+			DrainRevision: t.Announcement.DrainRevision,
 			Usage: &statepb.Resources{
 				Millicores: t.Announcement.UsedMillicores, MemoryMb: t.Announcement.UsedMemoryMB,
 			},
--- a/test/standin/target.go
+++ b/test/standin/target.go
@@ -64,10 +64,12 @@
 	leaving   bool
 	leftAt    time.Time
 	drain     uint64
-	inFlight  uint32
-	peak      uint32
-	runs      []*Run
-	tasks     map[string]*task
+	// revision is the newest of any answer; answers of daemons that lag are ignored.
+	revision uint64
+	inFlight uint32
+	peak     uint32
+	runs     []*Run
+	tasks    map[string]*task
 }
 
 type task struct {
@@ -202,6 +204,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if answer.Revision < t.revision {
+		return
+	}
+	t.revision = answer.Revision
 	if answer.Drain && answer.DrainRevision > t.drain {
 		t.drain = answer.DrainRevision
 		t.leaving, t.leftAt = true, time.Now()
