--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -262,6 +262,22 @@
 	return json.Unmarshal([]byte(out), into)
 }
 
+// jsonRequest makes a request with a JSON body.
+func jsonRequest(method, url string, body any) (*http.Request, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequest(method, url, bytes.NewReader(data))
+}
+
+func decodeJSON(t *testing.T, r io.Reader, into any) {
+	t.Helper()
+	if err := json.NewDecoder(r).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // containsName reports whether JSON output names an object.
 func containsName(out, name string) bool { return strings.Contains(out, fmt.Sprintf("%q", name)) }
 
