--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -51,7 +51,7 @@
 func subcommands() []subcommand {
 	all := []subcommand{
 		applyCommand, getCommand, keyCommand, poolCommand, vmCommand, jobCommand,
-		memberCommand, statusCommand, checkCommand,
+		memberCommand, statusCommand, checkCommand, explainCommand,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
 	return all
--- /dev/null
+++ b/internal/control/explain.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"sapphirering/internal/wire/wirepb"
+)
+
+const (
+	// maxReasonsPerObject bounds the reasons kept about one object.
+	maxReasonsPerObject = 16
+	// maxExplained bounds the objects that reasons are kept about.
+	maxExplained = 4096
+)
+
+// ReasonKey names an explained object.
+type ReasonKey struct {
+	// Kind is one of job, team, vm and wave.
+	Kind string
+	ID   string
+}
+
+// Reasons keeps the newest reasons of the leader's decisions, per object. They
+// are not durable: what must survive is in the committed history of the object.
+type Reasons struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	objects map[ReasonKey]*reasonRing
+	// order holds the objects by their first reason; the oldest is dropped first.
+	order []ReasonKey
+}
+
+// reasonRing holds the newest reasons of one object, oldest first.
+type reasonRing struct{ reasons []reason }
+
+type reason struct {
+	first, last time.Time
+	times       int
+	text        string
+}
+
+// NewReasons returns an empty recorder.
+func NewReasons(now func() time.Time) *Reasons {
+	return &Reasons{now: now, objects: make(map[ReasonKey]*reasonRing)}
+}
+
+// Record keeps why an object was decided about as it was. A reason that
+// repeats the newest one only counts up.
+func (r *Reasons) Record(kind, id, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ring := r.ring(ReasonKey{kind, id})
+	now := r.now()
+	if n := len(ring.reasons); n > 0 && ring.reasons[n-1].text == text {
+		ring.reasons[n-1].last = now
+		ring.reasons[n-1].times++
+		return
+	}
+	if len(ring.reasons) == maxReasonsPerObject {
+		ring.reasons = append(ring.reasons[:0], ring.reasons[1:]...)
+	}
+	ring.reasons = append(ring.reasons, reason{first: now, last: now, times: 1, text: text})
+}
+
+func (r *Reasons) ring(key ReasonKey) *reasonRing {
+	ring := r.objects[key]
+	if ring != nil {
+		return ring
+	}
+	if len(r.order) == maxExplained {
+		delete(r.objects, r.order[0])
+		r.order = append(r.order[:0], r.order[1:]...)
+	}
+	ring = &reasonRing{}
+	r.objects[key] = ring
+	r.order = append(r.order, key)
+	return ring
+}
+
+// Lines returns the reasons kept about an object, oldest first.
+func (r *Reasons) Lines(kind, id string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ring := r.objects[ReasonKey{kind, id}]
+	if ring == nil {
+		return nil
+	}
+	lines := make([]string, 0, len(ring.reasons))
+	for _, reason := range ring.reasons {
+		line := reason.last.UTC().Format(time.RFC3339) + " " + reason.text
+		if reason.times > 1 {
+			line += fmt.Sprintf(" (%d times since %s)", reason.times, reason.first.UTC().Format(time.RFC3339))
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// Reasons returns the recorder that all loops share.
+func (m *Manager) Reasons() *Reasons { return m.reasons }
+
+// explainers describe an object of a kind from the committed state.
+var explainers = map[string]func(m *Manager, id string) ([]string, bool){
+	"job":  (*Manager).explainJob,
+	"team": (*Manager).explainTeam,
+}
+
+// Explain returns what is committed about an object and the leader's newest
+// reasons. An error names an unknown kind or object.
+func (m *Manager) Explain(request *wirepb.ExplainRequest) (*wirepb.ExplainResponse, error) {
+	explain, ok := explainers[request.Kind]
+	if !ok {
+		return nil, fmt.Errorf("explain: kind %q is not known", request.Kind)
+	}
+	lines, found := explain(m, request.Id)
+	reasons := m.reasons.Lines(request.Kind, request.Id)
+	if !found && len(reasons) == 0 {
+		return nil, fmt.Errorf("explain: %s %q does not exist", request.Kind, request.Id)
+	}
+	return &wirepb.ExplainResponse{Lines: append(lines, reasons...)}, nil
+}
+
+func (m *Manager) explainJob(id string) ([]string, bool) {
+	job := m.cfg.Machine.Job(id)
+	if job == nil {
+		return nil, false
+	}
+	lines := []string{fmt.Sprintf("job of team %s in queue %s, pool %s: %s %s",
+		job.Team, job.Queue, job.Pool, job.State, job.Reason)}
+	for _, a := range job.Attempts {
+		lines = append(lines, fmt.Sprintf("attempt %d on %s: %s %s", a.Number, a.Vm, a.Outcome, a.Reason))
+	}
+	return lines, true
+}
+
+func (m *Manager) explainTeam(id string) ([]string, bool) {
+	doc := m.cfg.Machine.Document(id)
+	holding := m.cfg.Machine.Holdings()[id]
+	if doc == nil || holding == nil {
+		return nil, false
+	}
+	lines := []string{fmt.Sprintf("share %d, upper limit %d, %d handed out, %d jobs running, %d queued",
+		doc.ShareWeight, doc.UpperLimitUnits, holding.Units, holding.RunningJobs, holding.QueuedJobs)}
+	for _, r := range holding.Reserved {
+		lines = append(lines, fmt.Sprintf("session %s holds %d", r.Session, r.Reservation.Units))
+	}
+	for _, k := range holding.Kept {
+		lines = append(lines, fmt.Sprintf("VM %s keeps %d for a cut", k.MemberName, k.Units))
+	}
+	return lines, true
+}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -3,119 +3,356 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/placement"
+	"sapphirering/internal/policy/share"
 	"sapphirering/internal/runner"
 	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
 )
 
-// maxReportAge is how old a VM report may be for a placement.
-const maxReportAge = 3 * time.Second
+const (
+	// maxReportAge is how old a VM report may be for a placement.
+	maxReportAge = 3 * time.Second
+	// maxStartsPerStep and maxWaitsPerStep bound one round of a pool.
+	maxStartsPerStep = 32
+	maxWaitsPerStep  = 256
+	// maxQueuedPerTeam bounds the jobs of one team and class that a round looks at.
+	maxQueuedPerTeam = 64
+	// maxPreemptsPerStep bounds the preemptions that one step proposes.
+	maxPreemptsPerStep = 16
+	// slotsPerReserved is how many slots of a worker keep one free for urgent work.
+	slotsPerReserved = 8
+	// idleRoundAfter is how long unchanged jobs are not looked at again.
+	idleRoundAfter = 500 * time.Millisecond
+	// attemptOverAfter is when an attempt whose driver's session expired is
+	// surely over: the driver gives up, then its last task lease runs out.
+	attemptOverAfter = runner.DriveGrace + runner.TaskLease + 5*time.Second
+)
+
+// jobLoop is what the leader remembers between rounds.
+type jobLoop struct {
+	health  *placement.Health
+	learner *placement.Learner
+	// running holds the attempts seen running in the last round.
+	running map[attemptKey]struct{}
+	changes uint64
+	last    time.Time
+}
+
+type attemptKey struct {
+	job     string
+	attempt uint32
+}
+
+func newJobLoop() *jobLoop {
+	l := &jobLoop{}
+	l.reset()
+	return l
+}
+
+// reset forgets what an earlier leadership of this daemon learned.
+func (l *jobLoop) reset() {
+	l.health, l.learner = placement.NewHealth(), placement.NewLearner()
+	l.running = make(map[attemptKey]struct{})
+	l.changes, l.last = 0, time.Time{}
+}
 
-// placeJobs ends attempts whose driver is gone and starts queued jobs.
+// due reports whether jobs changed or the last round is some time ago.
+func (l *jobLoop) due(changes uint64, now time.Time) bool {
+	if changes == l.changes && now.Sub(l.last) < idleRoundAfter {
+		return false
+	}
+	l.changes, l.last = changes, now
+	return true
+}
+
+// placeJobs hands over attempts whose driver is gone, learns from ended ones,
+// and starts, preempts and parks jobs as the policy plans.
 func (m *Manager) placeJobs(ctx context.Context) error {
+	if !m.jobs.due(m.cfg.Machine.JobChanges(), m.cfg.Now()) {
+		return nil
+	}
+	reports := m.sessions.reports(m.cfg.Machine.Sessions())
 	open := m.cfg.Machine.OpenJobs()
-	if err := m.endOrphans(ctx, open); err != nil {
+	m.learn(open)
+	if err := m.moveOrphans(ctx, open, reports); err != nil {
 		return err
 	}
-	free := m.freeVMs(open)
-	for _, job := range open {
-		if job.State != statepb.JobState_JOB_STATE_QUEUED {
-			continue
-		}
-		if err := m.placeJob(ctx, job, free); err != nil {
+	if err := m.preemptOverLimit(ctx, open, reports); err != nil {
+		return err
+	}
+	for _, pool := range m.fleet(open, reports).pools() {
+		if err := m.placePool(ctx, pool); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// endOrphans ends attempts whose session expired so long ago that the task
-// lease has run out at the target.
-func (m *Manager) endOrphans(ctx context.Context, open []*statepb.Job) error {
+// moveOrphans hands each attempt whose driver is gone or leaving to another
+// entry VM of the zone. The task goes on: a renewal never starts it anew. One
+// that nobody can take over ends once it is surely over.
+func (m *Manager) moveOrphans(ctx context.Context, open []*statepb.Job, reports []report) error {
 	for _, job := range open {
 		current := state.CurrentAttempt(job)
-		if current == nil || !m.surelyOver(current) {
+		if current == nil {
 			continue
 		}
-		end := &statepb.EndAttempt{
-			Job: job.Id, Attempt: current.Number, State: statepb.JobState_JOB_STATE_QUEUED,
-			Outcome: "lost", Reason: "the entry VM that drove the task is gone",
+		orphaned, over := m.orphaned(current, reports)
+		if !orphaned {
+			continue
 		}
-		if !job.Repeatable {
-			end.State = statepb.JobState_JOB_STATE_UNKNOWN
+		var err error
+		if driver := m.newDriver(current, reports); driver != "" {
+			err = m.takeOver(ctx, job, current, driver)
+		} else if over {
+			err = m.endOrphan(ctx, job, current)
 		}
-		if err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_EndAttempt{EndAttempt: end}}); err != nil {
-			return fmt.Errorf("end attempt of job %s: %w", job.Id, err)
+		if err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (m *Manager) surelyOver(attempt *statepb.Attempt) bool {
+// orphaned reports whether the driver of an attempt is gone or leaving, and
+// whether the attempt is surely over.
+func (m *Manager) orphaned(attempt *statepb.Attempt, reports []report) (orphaned, over bool) {
 	session := m.cfg.Machine.Session(attempt.Session)
 	if session == nil {
-		return true
+		// Reclaimed: expired for longer than any task lease.
+		return true, true
 	}
-	if session.ExpiredUnixMs == 0 {
-		return false
+	if session.ExpiredUnixMs != 0 {
+		return true, m.sessions.expiredFor(session) >= attemptOverAfter
+	}
+	leaving := slices.ContainsFunc(reports, func(r report) bool { return r.session == session.Id && r.leaving })
+	return leaving, false
+}
+
+// newDriver returns a live session that hears the VM of the attempt, or "".
+func (m *Manager) newDriver(attempt *statepb.Attempt, reports []report) string {
+	for _, r := range reports {
+		if r.leaving || r.session == attempt.Session {
+			continue
+		}
+		for _, v := range r.vms {
+			if v.Vm == attempt.Vm && r.age+time.Duration(v.AgeMs)*time.Millisecond <= maxReportAge {
+				return r.session
+			}
+		}
 	}
-	over := session.ExpiredUnixMs + 2*runner.TaskLease.Milliseconds()
-	return m.cfg.Now().UnixMilli() > over
+	return ""
 }
 
-// freeVM is an active VM that a live session of its zone reports.
-type freeVM struct {
-	vm      *statepb.VM
-	session string
-	slots   uint32
+func (m *Manager) takeOver(ctx context.Context, job *statepb.Job, attempt *statepb.Attempt, driver string) error {
+	err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_RenewAttempt{RenewAttempt: &statepb.RenewAttempt{
+		Job: job.Id, Attempt: attempt.Number, Session: driver,
+	}}})
+	if err != nil {
+		return fmt.Errorf("hand job %s to session %s: %w", job.Id, driver, err)
+	}
+	event.JobTakenOver.Emit(event.F("job", job.Id), event.F("from", attempt.Session), event.F("to", driver))
+	m.reasons.Record("job", job.Id, "handed to session %s, since %s is gone or leaving", driver, attempt.Session)
+	return nil
 }
 
-// freeVMs lists the VMs that may take a job.
-func (m *Manager) freeVMs(open []*statepb.Job) []*freeVM {
-	running := make(map[string]uint32)
+func (m *Manager) endOrphan(ctx context.Context, job *statepb.Job, attempt *statepb.Attempt) error {
+	end := &statepb.EndAttempt{
+		Job: job.Id, Attempt: attempt.Number, State: statepb.JobState_JOB_STATE_QUEUED,
+		Outcome: "lost", Reason: "the entry VM that drove the task is gone",
+	}
+	if !job.Repeatable {
+		end.State = statepb.JobState_JOB_STATE_UNKNOWN
+	}
+	if err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_EndAttempt{EndAttempt: end}}); err != nil {
+		return fmt.Errorf("end attempt of job %s: %w", job.Id, err)
+	}
+	return nil
+}
+
+// learn notes the outcomes of attempts that ended since the last round.
+func (m *Manager) learn(open []*statepb.Job) {
+	running := make(map[attemptKey]struct{}, len(m.jobs.running))
 	for _, job := range open {
 		if current := state.CurrentAttempt(job); current != nil {
-			running[current.Vm]++
+			running[attemptKey{job.Id, current.Number}] = struct{}{}
 		}
 	}
-	seen := make(map[string]bool)
-	var free []*freeVM
-	for _, r := range m.sessions.reports(m.cfg.Machine.Sessions()) {
-		for _, v := range r.vms {
-			vm := m.cfg.Machine.VM(v.Vm)
-			age := r.age + time.Duration(v.AgeMs)*time.Millisecond
-			if vm == nil || seen[v.Vm] || v.Leaving || age > maxReportAge || vm.Phase != statepb.VMPhase_VM_PHASE_ACTIVE {
-				continue
-			}
-			seen[v.Vm] = true
-			if used := running[v.Vm]; used < vm.Slots {
-				free = append(free, &freeVM{vm: vm, session: r.session, slots: vm.Slots - used})
+	for key := range m.jobs.running {
+		if _, still := running[key]; !still {
+			m.learnFrom(m.cfg.Machine.Job(key.job), key.attempt)
+		}
+	}
+	m.jobs.running = running
+}
+
+func (m *Manager) learnFrom(job *statepb.Job, number uint32) {
+	for _, a := range job.GetAttempts() {
+		if a.Number != number {
+			continue
+		}
+		switch a.Outcome {
+		case "done":
+			m.jobs.health.Observe(a.Vm, job.Pool, job.Id, true, m.cfg.Now())
+			m.jobs.learner.ObserveTime(job.Team, class(job.Class), a.EndedUnixMs-a.StartedUnixMs, int64(job.DeclaredMs))
+		case state.AttemptFailed:
+			m.jobs.health.Observe(a.Vm, job.Pool, job.Id, false, m.cfg.Now())
+		}
+	}
+}
+
+// preemptOverLimit asks jobs to checkpoint where a team has more handed out
+// than its upper limit, or where urgent requests find no unit because jobs
+// take more than their part.
+func (m *Manager) preemptOverLimit(ctx context.Context, open []*statepb.Job, reports []report) error {
+	split := newSplit(reports)
+	holdings := m.cfg.Machine.Holdings()
+	left := maxPreemptsPerStep
+	for _, doc := range m.cfg.Machine.Documents() {
+		holding := holdings[doc.Team]
+		if holding == nil || holding.RunningJobs == 0 {
+			continue
+		}
+		excess, reason := m.excessJobs(doc, holding, split)
+		for _, job := range youngest(open, doc.Team, min(excess, left)) {
+			if err := m.preempt(ctx, job.Id, reason); err != nil {
+				return err
 			}
+			left--
 		}
 	}
-	return free
+	return nil
 }
 
-func (m *Manager) placeJob(ctx context.Context, job *statepb.Job, free []*freeVM) error {
-	for _, f := range free {
-		if f.vm.Pool != job.Pool || f.slots == 0 {
+// excessJobs returns how many of the team's running jobs are to stop, those
+// asked already included.
+func (m *Manager) excessJobs(doc *statepb.TeamDocument, holding *state.Holding, s *split) (int, string) {
+	if over := int(holding.Units) - int(doc.UpperLimitUnits); over > 0 {
+		return min(over, int(holding.RunningJobs)), fmt.Sprintf("the upper limit was lowered to %d", doc.UpperLimitUnits)
+	}
+	demand, urgent := s.requestDemand(doc.Team)
+	if urgent == 0 {
+		return 0, ""
+	}
+	part := m.jobUnits(holding, doc.Team, doc.UpperLimitUnits, s)
+	free := int(doc.UpperLimitUnits) - int(holding.Units)
+	idle := int(holding.Units-holding.RunningJobs) - int(min(demand-urgent, holding.Units))
+	lacking := int(urgent) - free - max(0, idle)
+	return min(int(holding.RunningJobs)-int(part), lacking), "urgent requests of the team wait for a unit"
+}
+
+// youngest returns up to n running repeatable jobs of the team that are to be
+// asked to stop, the lowest class and youngest first. Jobs that were asked
+// already count.
+func youngest(open []*statepb.Job, team string, n int) []*statepb.Job {
+	var candidates []*statepb.Job
+	for _, job := range open {
+		if job.Team != team || state.CurrentAttempt(job) == nil {
 			continue
 		}
-		outcome, err := m.cfg.Log.ProposeLocal(ctx, &statepb.Command{Body: &statepb.Command_StartAttempt{
-			StartAttempt: &statepb.StartAttempt{Job: job.Id, BaseRevision: job.Revision, Vm: f.vm.Name, Session: f.session},
-		}})
-		if err != nil {
-			return fmt.Errorf("start job %s: %w", job.Id, err)
+		if job.PreemptRequested || job.CancelRequested {
+			n--
+		} else if job.Repeatable {
+			candidates = append(candidates, job)
 		}
-		if outcome.Code != statepb.Code_CODE_OK {
-			event.JobStartFailed.Emit(event.F("job", job.Id), event.F("reason", outcome.Message))
-			return nil
+	}
+	slices.SortStableFunc(candidates, func(a, b *statepb.Job) int {
+		if a.Class != b.Class {
+			return int(b.Class) - int(a.Class)
 		}
-		f.slots--
+		return int(state.CurrentAttempt(b).StartedUnixMs - state.CurrentAttempt(a).StartedUnixMs)
+	})
+	return candidates[:max(0, min(n, len(candidates)))]
+}
+
+func (m *Manager) preempt(ctx context.Context, job, reason string) error {
+	err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_PreemptJob{
+		PreemptJob: &statepb.PreemptJob{Job: job, Reason: reason},
+	}})
+	if err != nil {
+		return fmt.Errorf("preempt job %s: %w", job, err)
+	}
+	event.JobPreempted.Emit(event.F("job", job), event.F("reason", reason))
+	m.reasons.Record("job", job, "asked to checkpoint and stop: %s", reason)
+	return nil
+}
+
+// placePool carries out one planning round of a pool.
+func (m *Manager) placePool(ctx context.Context, pool *poolView) error {
+	fresh := m.jobs.health.Exclude(pool.name, pool.workerNames(), m.cfg.Now())
+	for _, worker := range fresh {
+		event.WorkerExcluded.Emit(event.F("vm", worker), event.F("pool", pool.name))
+		m.reasons.Record("vm", worker, "excluded from placement: it failed different jobs in a row while others succeed")
+	}
+	plan := placement.Make(m.snapshot(pool))
+	for _, never := range plan.Never {
+		if err := m.park(ctx, never); err != nil {
+			return err
+		}
+	}
+	for _, wait := range plan.Waits {
+		m.reasons.Record("job", wait.Job, "waits: %s", wait.Reason)
+	}
+	for _, victim := range plan.Preempt {
+		if err := m.preempt(ctx, victim.Job, victim.Reason); err != nil {
+			return err
+		}
+	}
+	for _, start := range plan.Starts {
+		if err := m.startJob(ctx, start, pool); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Manager) park(ctx context.Context, never placement.Refusal) error {
+	job := m.cfg.Machine.Job(never.Job)
+	err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_ParkJob{ParkJob: &statepb.ParkJob{
+		Job: never.Job, BaseRevision: job.GetRevision(), Reason: "can never run: " + never.Reason,
+	}}})
+	if err != nil {
+		return fmt.Errorf("park job %s: %w", never.Job, err)
+	}
+	event.JobCannotRun.Emit(event.F("job", never.Job), event.F("reason", never.Reason))
+	m.reasons.Record("job", never.Job, "can never run: %s", never.Reason)
+	return nil
+}
+
+// startJob commits one start. A refusal concerns this job only.
+func (m *Manager) startJob(ctx context.Context, start placement.Start, pool *poolView) error {
+	job := m.cfg.Machine.Job(start.Job)
+	outcome, err := m.cfg.Log.ProposeLocal(ctx, &statepb.Command{Body: &statepb.Command_StartAttempt{
+		StartAttempt: &statepb.StartAttempt{
+			Job: start.Job, BaseRevision: job.GetRevision(), Vm: start.Worker, Session: pool.drivers[start.Worker],
+		},
+	}})
+	if err != nil {
+		return fmt.Errorf("start job %s: %w", start.Job, err)
+	}
+	if outcome.Code != statepb.Code_CODE_OK {
+		event.JobStartFailed.Emit(event.F("job", start.Job), event.F("reason", outcome.Message))
+		m.reasons.Record("job", start.Job, "start refused: %s", outcome.Message)
 		return nil
 	}
+	if excluded, _ := m.jobs.health.State(start.Worker, m.cfg.Now()); excluded {
+		m.jobs.health.Probed(start.Worker, m.cfg.Now())
+	}
+	m.reasons.Record("job", start.Job, "started on %s: %s", start.Worker, start.Reason)
 	return nil
 }
+
+func class(c statepb.Class) share.Class {
+	switch c {
+	case statepb.Class_CLASS_URGENT:
+		return share.Urgent
+	case statepb.Class_CLASS_LONG:
+		return share.Long
+	}
+	return share.Normal
+}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"sapphirering/internal/event"
@@ -34,25 +35,44 @@
 	Log     Log
 	Lease   time.Duration
 	Now     func() time.Time
+	// AskRelease asks the holder of a session to come down at once; it may be
+	// nil, then holders learn it with their next renewal.
+	AskRelease func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
+	// MemberNames returns the names of the cluster's members; it may be nil.
+	MemberNames func() []string
 }
 
 // Manager runs the loops while this daemon leads.
 type Manager struct {
 	cfg      Config
 	sessions *sessions
+	asked    *releaseAsker
+	kept     *keptKeeper
+	jobs     *jobLoop
+	reasons  *Reasons
+	pruner   *pruner
+	// running makes an older Run end before the next one starts.
+	running sync.Mutex
 }
 
 // NewManager returns a manager.
 func NewManager(cfg Config) *Manager {
-	return &Manager{cfg: cfg, sessions: newSessions(cfg.Lease, cfg.Now)}
+	return &Manager{
+		cfg: cfg, sessions: newSessions(cfg.Lease, cfg.Now), asked: newReleaseAsker(cfg),
+		kept: newKeptKeeper(cfg.Now), jobs: newJobLoop(), reasons: NewReasons(cfg.Now), pruner: &pruner{},
+	}
 }
 
 // Run carries out the loops until ctx ends with the leadership.
 func (m *Manager) Run(ctx context.Context) {
+	m.running.Lock()
+	defer m.running.Unlock()
 	if err := m.cfg.Log.ConfirmLeadership(ctx); err != nil {
 		return
 	}
 	m.sessions.start(m.cfg.Machine.Sessions())
+	m.kept.reset()
+	m.jobs.reset()
 	event.ControlStarted.Emit()
 	defer event.ControlStopped.Emit()
 	ticker := time.NewTicker(stepInterval)
@@ -78,7 +98,9 @@
 	}{
 		{"expire sessions", m.expireSessions},
 		{"split reservations", m.splitReservations},
+		{"keep parts for a cut", m.keepParts},
 		{"place jobs", m.placeJobs},
+		{"prune", m.prune},
 		{"watch VMs", m.watchVMs},
 	}
 	for _, loop := range loops {
@@ -105,8 +127,7 @@
 	if err := m.cfg.Log.ConfirmLeadership(ctx); err != nil {
 		return &wirepb.CallResponse{ErrorCode: wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, ErrorMessage: err.Error()}
 	}
-	result, wanted := m.sessions.renew(m.cfg.Machine.Session(r.Session), r)
-	switch result {
+	switch m.sessions.renew(m.cfg.Machine.Session(r.Session), r) {
 	case renewExpired:
 		return &wirepb.CallResponse{
 			ErrorCode: wirepb.ErrorCode_ERROR_CODE_SESSION_EXPIRED, ErrorMessage: "session " + r.Session + " has expired",
@@ -117,17 +138,40 @@
 			ErrorMessage: fmt.Sprintf("index %d applied at %s lags behind", r.AppliedIndex, r.Member),
 		}
 	}
+	units, kept := m.sessions.wantedOf(r.Session)
 	return &wirepb.CallResponse{Body: &wirepb.CallResponse_Renew{Renew: &wirepb.RenewResponse{
-		LeaseMs: uint32(m.cfg.Lease.Milliseconds()), Wanted: wanted, CommitIndex: m.cfg.Log.CommitIndex(),
+		LeaseMs: uint32(m.cfg.Lease.Milliseconds()), Wanted: units, WantedKept: kept,
+		CommitIndex: m.cfg.Log.CommitIndex(),
 	}}}
 }
 
-// InForce reports whether every live session has applied index.
+// InForce reports whether every live session has applied index. A change that
+// lowers an upper limit is in force only once no more is handed out.
 func (m *Manager) InForce(index uint64) *wirepb.InForceResponse {
+	if m.cfg.Machine.Index() < index {
+		// Sessions opened before index may be unknown here yet.
+		return &wirepb.InForceResponse{Waiting: []string{"the leader"}}
+	}
 	waiting := m.sessions.waitingFor(index, m.cfg.Machine.Sessions())
+	waiting = append(waiting, m.overLimit(index)...)
 	return &wirepb.InForceResponse{InForce: len(waiting) == 0, Waiting: waiting}
 }
 
+// overLimit names the team whose document was written at index while more is
+// handed out than its upper limit.
+func (m *Manager) overLimit(index uint64) []string {
+	for _, doc := range m.cfg.Machine.Documents() {
+		if doc.Revision != index {
+			continue
+		}
+		if units := m.cfg.Machine.HandedOut(doc.Team); units > doc.UpperLimitUnits {
+			return []string{fmt.Sprintf("team %s: %d units are out, the upper limit is %d",
+				doc.Team, units, doc.UpperLimitUnits)}
+		}
+	}
+	return nil
+}
+
 // expireSessions ends overdue sessions and reclaims what is surely over.
 func (m *Manager) expireSessions(ctx context.Context) error {
 	open := m.cfg.Machine.Sessions()
@@ -140,18 +184,28 @@
 		}
 		event.SessionExpired.Emit(event.F("session", id))
 	}
-	now := m.cfg.Now().UnixMilli()
+	var failed error
 	for _, session := range open {
-		if session.ExpiredUnixMs == 0 || time.Duration(now-session.ExpiredUnixMs)*time.Millisecond < reclaimAfter {
+		if m.sessions.expiredFor(session) < reclaimAfter {
 			continue
 		}
-		err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_ReclaimSession{
-			ReclaimSession: &statepb.ReclaimSession{Session: session.Id},
-		}})
-		if err != nil {
-			return fmt.Errorf("reclaim session %s: %w", session.Id, err)
+		if err := m.reclaim(ctx, session); err != nil {
+			failed = err
 		}
-		event.SessionReclaimed.Emit(event.F("session", session.Id))
 	}
+	return failed
+}
+
+// reclaim forgets a session. One that is refused does not hold up the others:
+// the committed clock may lag behind the leader's monotonic one.
+func (m *Manager) reclaim(ctx context.Context, session *statepb.Session) error {
+	err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_ReclaimSession{
+		ReclaimSession: &statepb.ReclaimSession{Session: session.Id},
+	}})
+	if err != nil {
+		return fmt.Errorf("reclaim session %s: %w", session.Id, err)
+	}
+	m.sessions.forget(session.Id)
+	event.SessionReclaimed.Emit(event.F("session", session.Id))
 	return nil
 }
--- a/internal/control/reservations.go
+++ b/internal/control/reservations.go
@@ -3,97 +3,194 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"time"
 
+	"sapphirering/internal/event"
+	"sapphirering/internal/policy/share"
+	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire/wirepb"
+)
+
+const (
+	// turnLength is how long a single contended unit stays with jobs or requests.
+	turnLength = 5 * time.Second
+	// askInterval spaces repeated requests for the same release.
+	askInterval = 400 * time.Millisecond
+	askTimeout  = time.Second
 )
 
 // splitReservations divides each team's upper limit over the live sessions by
 // reported demand. A grant uses only what is free; where a session holds more
-// than its part, it is asked to release first.
+// than its part, it is asked to release first. All teams of one session go in
+// one command, so a step costs at most one commit per session.
 func (m *Manager) splitReservations(ctx context.Context) error {
 	reports := m.sessions.reports(m.cfg.Machine.Sessions())
-	wanted := make(map[string][]*statepb.Reservation)
-	grants := make(map[string][]*statepb.Reservation)
+	if len(reports) == 0 {
+		return nil
+	}
+	split := newSplit(reports)
+	holdings := m.cfg.Machine.Holdings()
 	for _, doc := range m.cfg.Machine.Documents() {
-		m.splitTeam(doc, reports, wanted, grants)
+		if holding := holdings[doc.Team]; holding != nil {
+			m.splitTeam(doc, holding, split)
+		}
 	}
-	m.sessions.setWanted(wanted)
-	for session, reservations := range grants {
+	m.sessions.setWanted(wanted{units: split.wanted, kept: m.kept.wantedByReport(reports)})
+	m.asked.ask(ctx, reports, split.wanted)
+	for _, r := range reports {
+		grants := split.grants[r.session]
+		if len(grants) == 0 {
+			continue
+		}
 		err := m.propose(ctx, &statepb.Command{Body: &statepb.Command_SetReservations{
-			SetReservations: &statepb.SetReservations{Session: session, Reservations: reservations},
+			SetReservations: &statepb.SetReservations{Session: r.session, Reservations: grants},
 		}})
 		if err != nil {
-			return fmt.Errorf("grant to session %s: %w", session, err)
+			return fmt.Errorf("grant to session %s: %w", r.session, err)
 		}
 	}
 	return nil
 }
 
-func (m *Manager) splitTeam(doc *statepb.TeamDocument, reports []report, wanted, grants map[string][]*statepb.Reservation) {
-	if len(reports) == 0 {
-		return
+// split collects the changes of one step, by session.
+type split struct {
+	reports []report
+	// demands holds the reported demand of each team, in the order of reports.
+	demands map[string][]*wirepb.TeamDemand
+	wanted  map[string][]*statepb.Reservation
+	grants  map[string][]*statepb.Reservation
+}
+
+func newSplit(reports []report) *split {
+	s := &split{
+		reports: reports, demands: make(map[string][]*wirepb.TeamDemand),
+		wanted: make(map[string][]*statepb.Reservation), grants: make(map[string][]*statepb.Reservation),
 	}
-	parts := splitByDemand(doc.UpperLimitUnits-min(doc.UpperLimitUnits, m.jobUnits(doc.Team)), demands(doc.Team, reports))
-	free := doc.UpperLimitUnits - min(doc.UpperLimitUnits, m.cfg.Machine.HandedOut(doc.Team))
 	for i, r := range reports {
-		held := m.cfg.Machine.Reserved(r.session, doc.Team)
-		switch {
-		case held > parts[i]:
-			wanted[r.session] = append(wanted[r.session], &statepb.Reservation{Team: doc.Team, Units: parts[i]})
-		case held < parts[i] && free > 0:
-			add := min(free, parts[i]-held)
-			free -= add
-			grants[r.session] = append(grants[r.session], &statepb.Reservation{Team: doc.Team, Units: held + add})
+		for _, d := range r.demands {
+			if s.demands[d.Team] == nil {
+				s.demands[d.Team] = make([]*wirepb.TeamDemand, len(reports))
+			}
+			s.demands[d.Team][i] = d
 		}
 	}
+	return s
 }
 
-// jobUnits is what the team's running and queued jobs ask of the limit, at
-// most half of it while requests compete.
-func (m *Manager) jobUnits(team string) uint32 {
-	units := m.cfg.Machine.RunningJobs(team)
-	for _, job := range m.cfg.Machine.OpenJobs() {
-		if job.Team == team && job.State == statepb.JobState_JOB_STATE_QUEUED {
-			units++
+// requestDemand sums what requests of the team ask for.
+func (s *split) requestDemand(team string) (demand, urgent uint32) {
+	for _, d := range s.demands[team] {
+		demand += d.GetRunningUnits() + d.GetWaitingUnits()
+		urgent += d.GetUrgentWaitingUnits()
+	}
+	return demand, urgent
+}
+
+// holders returns each session's side of the team, in the order of reports.
+func (s *split) holders(team string, held []*statepb.Reservation) []share.Holder {
+	holders := make([]share.Holder, len(s.reports))
+	for i, r := range s.reports {
+		holders[i].Held = held[i].GetUnits()
+		holders[i].Leaving = r.leaving
+		if r.silent {
+			// What it runs is not known yet: it keeps what it holds.
+			holders[i].Demand = holders[i].Held
+			continue
+		}
+		if demands := s.demands[team]; demands != nil {
+			holders[i].Demand = demands[i].GetRunningUnits() + demands[i].GetWaitingUnits()
+			holders[i].Urgent = demands[i].GetUrgentWaitingUnits()
 		}
 	}
-	return min(units, max(1, m.cfg.Machine.Document(team).GetUpperLimitUnits()/2))
+	return holders
 }
 
-func demands(team string, reports []report) []uint32 {
-	out := make([]uint32, len(reports))
-	for i, r := range reports {
-		for _, d := range r.demands {
-			if d.Team == team {
-				out[i] = d.RunningUnits + d.WaitingUnits
-			}
+func (m *Manager) splitTeam(doc *statepb.TeamDocument, holding *state.Holding, s *split) {
+	team, limit := doc.Team, doc.UpperLimitUnits
+	held := make([]*statepb.Reservation, len(s.reports))
+	heldUnits := uint32(0)
+	for i, r := range s.reports {
+		held[i] = holding.Held(r.session)
+		heldUnits += held[i].GetUnits()
+	}
+	// Kept parts, expired sessions and sessions without a report yet.
+	elsewhere := holding.Units - heldUnits - holding.RunningJobs
+	work := limit - min(limit, elsewhere)
+	jobs := m.jobUnits(holding, team, work, s)
+	free := limit - min(limit, holding.Units)
+	// Units that queued jobs wait for are not granted to sessions.
+	free -= min(free, jobs-min(jobs, holding.RunningJobs))
+	handouts := share.HandOut(work-min(work, jobs), free, s.holders(team, held))
+	for i, h := range handouts {
+		r := &statepb.Reservation{Team: team, Units: h.Target, Revision: held[i].GetRevision()}
+		session := s.reports[i].session
+		switch {
+		case h.Shrink:
+			s.wanted[session] = append(s.wanted[session], r)
+		case h.Grant:
+			s.grants[session] = append(s.grants[session], r)
 		}
 	}
-	return out
 }
 
-// splitByDemand divides units in proportion to demand, the rest evenly. The
-// parts never sum to more than units.
-func splitByDemand(units uint32, demands []uint32) []uint32 {
-	parts := make([]uint32, len(demands))
-	total := uint64(0)
-	for _, d := range demands {
-		total += uint64(d)
+// jobUnits is what the team's running and queued jobs get of its units.
+func (m *Manager) jobUnits(holding *state.Holding, team string, units uint32, s *split) uint32 {
+	jobs := holding.RunningJobs + holding.QueuedJobs
+	requests, _ := s.requestDemand(team)
+	turn := m.cfg.Now().UnixNano()/int64(turnLength)%2 == 0
+	return share.SplitWork(units, jobs, requests, turn)
+}
+
+// releaseAsker asks holders to come down without waiting for their renewals.
+type releaseAsker struct {
+	ask1 func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
+	now  func() time.Time
+
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+func newReleaseAsker(cfg Config) *releaseAsker {
+	return &releaseAsker{ask1: cfg.AskRelease, now: cfg.Now, last: make(map[string]time.Time)}
+}
+
+// ask sends each session its wanted reservations, at most once per askInterval.
+func (a *releaseAsker) ask(ctx context.Context, reports []report, wanted map[string][]*statepb.Reservation) {
+	if a.ask1 == nil {
+		return
 	}
-	left := units
-	for i, d := range demands {
-		if total > 0 {
-			parts[i] = min(d, uint32(uint64(units)*uint64(d)/total))
-			left -= parts[i]
+	for _, r := range reports {
+		units := wanted[r.session]
+		if len(units) == 0 || !a.due(r.session) {
+			continue
 		}
+		request := &wirepb.ReleaseRequest{Session: r.session, Wanted: units}
+		go a.send(context.WithoutCancel(ctx), r.member, request)
 	}
-	for left > 0 && len(parts) > 0 {
-		share := max(1, left/uint32(len(parts)))
-		for i := range parts {
-			add := min(share, left)
-			parts[i] += add
-			left -= add
+}
+
+func (a *releaseAsker) due(session string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	for other, at := range a.last {
+		if now.Sub(at) > time.Minute {
+			delete(a.last, other)
 		}
 	}
-	return parts
+	if at, ok := a.last[session]; ok && now.Sub(at) < askInterval {
+		return false
+	}
+	a.last[session] = now
+	return true
+}
+
+func (a *releaseAsker) send(ctx context.Context, member string, request *wirepb.ReleaseRequest) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if err := a.ask1(ctx, member, request); err != nil {
+		event.ReleaseAskFails.Emit(event.F("member", member), event.Err(err))
+	}
 }
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -16,6 +16,8 @@
 type lease struct {
 	renewed  time.Time
 	expiring bool
+	// reported is false until the holder renewed with this leader.
+	reported bool
 	applied  uint64
 	demands  []*wirepb.TeamDemand
 	vms      []*wirepb.VMReport
@@ -36,11 +38,22 @@
 	mu      sync.Mutex
 	leases  map[string]*lease
 	commits []commitSample
-	wanted  map[string][]*statepb.Reservation
+	wanted  wanted
+	// expired holds when this leader first saw each session as expired.
+	expired map[string]time.Time
+}
+
+// wanted is what sessions are to come down to, by session.
+type wanted struct {
+	units map[string][]*statepb.Reservation
+	kept  map[string][]*statepb.Reservation
 }
 
 func newSessions(length time.Duration, now func() time.Time) *sessions {
-	return &sessions{length: length, now: now, leases: make(map[string]*lease)}
+	return &sessions{
+		length: length, now: now,
+		leases: make(map[string]*lease), expired: make(map[string]time.Time),
+	}
 }
 
 // drift is the margin by which the leader waits longer than the holder.
@@ -52,7 +65,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leases = make(map[string]*lease)
+	s.expired = make(map[string]time.Time)
 	s.commits = nil
+	s.wanted = wanted{}
 	for _, session := range open {
 		if session.ExpiredUnixMs == 0 {
 			s.leases[session.Id] = &lease{renewed: s.now()}
@@ -91,11 +106,11 @@
 )
 
 // renew extends a lease. committed is the session in the committed state.
-func (s *sessions) renew(committed *statepb.Session, r *wirepb.RenewRequest) (renewal, []*statepb.Reservation) {
+func (s *sessions) renew(committed *statepb.Session, r *wirepb.RenewRequest) renewal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if committed == nil || committed.ExpiredUnixMs != 0 {
-		return renewExpired, nil
+		return renewExpired
 	}
 	l := s.leases[r.Session]
 	if l == nil {
@@ -103,15 +118,22 @@
 		s.leases[r.Session] = l
 	}
 	if l.expiring {
-		return renewExpired, nil
+		return renewExpired
 	}
-	if r.AppliedIndex < max(s.lagIndex(), committed.Revision) {
-		return renewLagging, nil
+	if r.AppliedIndex < max(s.lagIndex(), committed.OpenedIndex) {
+		return renewLagging
 	}
 	l.renewed = s.now()
-	l.applied = r.AppliedIndex
+	l.applied, l.reported = r.AppliedIndex, true
 	l.demands, l.vms, l.leaving = r.Demands, r.Vms, r.Leaving
-	return renewed, s.wanted[r.Session]
+	return renewed
+}
+
+// wantedOf returns what the session is to come down to.
+func (s *sessions) wantedOf(session string) (units, kept []*statepb.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.wanted.units[session], s.wanted.kept[session]
 }
 
 // overdue marks and returns the sessions whose lease is surely over at the holder.
@@ -137,13 +159,39 @@
 	return ids
 }
 
+// expiredFor returns how long this leader has seen the session expired. Wall
+// clocks of former leaders don't count: one that ran ahead would end the work
+// of a session before it is over.
+func (s *sessions) expiredFor(session *statepb.Session) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if session.ExpiredUnixMs == 0 {
+		return 0
+	}
+	since, seen := s.expired[session.Id]
+	if !seen {
+		since = s.now()
+		s.expired[session.Id] = since
+	}
+	return s.now().Sub(since)
+}
+
+// forget drops what is known of a session that is reclaimed.
+func (s *sessions) forget(session string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.expired, session)
+	delete(s.leases, session)
+}
+
 // waitingFor returns the members whose live sessions have not applied index.
+// A session opened after index serves only once its holder has applied both.
 func (s *sessions) waitingFor(index uint64, open []*statepb.Session) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var members []string
 	for _, session := range open {
-		if session.ExpiredUnixMs != 0 {
+		if session.ExpiredUnixMs != 0 || session.OpenedIndex >= index {
 			continue
 		}
 		if l := s.leases[session.Id]; l == nil || l.applied < index {
@@ -156,11 +204,15 @@
 // report is what one live session reported last.
 type report struct {
 	session string
+	member  string
+	name    string
 	zone    string
 	age     time.Duration
 	demands []*wirepb.TeamDemand
 	vms     []*wirepb.VMReport
 	leaving bool
+	// silent sessions have not renewed with this leader yet.
+	silent bool
 }
 
 // reports returns the last report of every live session.
@@ -174,16 +226,16 @@
 			continue
 		}
 		out = append(out, report{
-			session: session.Id, zone: session.Zone, age: s.now().Sub(l.renewed),
-			demands: l.demands, vms: l.vms, leaving: l.leaving,
+			session: session.Id, member: session.Member, name: session.MemberName, zone: session.Zone, age: s.now().Sub(l.renewed),
+			demands: l.demands, vms: l.vms, leaving: l.leaving, silent: !l.reported,
 		})
 	}
 	return out
 }
 
 // setWanted tells what each session is to come down to at its next renewal.
-func (s *sessions) setWanted(wanted map[string][]*statepb.Reservation) {
+func (s *sessions) setWanted(w wanted) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.wanted = wanted
+	s.wanted = w
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -34,6 +34,7 @@
 	InForce(ctx context.Context, index uint64) (*wirepb.InForceResponse, error)
 	ChangeMember(ctx context.Context, action wirepb.MemberRequest_Action, member string) (uint64, error)
 	Status(ctx context.Context) (*wirepb.StatusResponse, error)
+	Explain(ctx context.Context, kind, id string) ([]string, error)
 }
 
 // Config holds what a Server needs.
@@ -91,6 +92,7 @@
 	v1.HandleFunc("/jobs/{job}", s.getJob).Methods(http.MethodGet)
 	v1.HandleFunc("/members/{member}", s.changeMember).Methods(http.MethodPost, http.MethodDelete)
 	v1.HandleFunc("/status", s.getStatus).Methods(http.MethodGet)
+	v1.HandleFunc("/explain/{kind}/{id}", s.getExplanation).Methods(http.MethodGet)
 	v1.HandleFunc("/in-force/{index}", s.getInForce).Methods(http.MethodGet)
 	return r
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -25,6 +25,13 @@
 	callTimeout  = 3 * time.Second
 	// lostAfter is how long an attempt may go without an answer of its target.
 	lostAfter = TaskLease + 2*time.Second
+	// DriveGrace is how long a driver goes on renewing tasks after its session
+	// lease ran out, so that running jobs outlast a short cut. Later another
+	// daemon may count the attempt as over.
+	DriveGrace = 60 * time.Second
+	// takenOverLostAfter is how long a task that was taken over may be absent:
+	// its former driver may still start it until its grace is over.
+	takenOverLostAfter = DriveGrace + lostAfter
 )
 
 // Proposer commits commands through the leader.
@@ -42,6 +49,9 @@
 
 	mu      sync.Mutex
 	driving map[string]struct{}
+	// changes is the number of job changes at the last scan.
+	changes uint64
+	session string
 }
 
 // Run looks for attempts of this session until ctx ends.
@@ -59,19 +69,18 @@
 	}
 }
 
-// scan starts a driver for each attempt that has none.
+// scan starts a driver for each attempt of this session that has none.
 func (r *Runner) scan(ctx context.Context) {
 	session, _ := r.Holder.Session()
-	if session == "" {
+	changes := r.Machine.JobChanges()
+	if session == "" || session == r.session && changes == r.changes {
 		return
 	}
-	for _, job := range r.Machine.OpenJobs() {
+	r.session, r.changes = session, changes
+	for _, job := range r.Machine.DrivenBy(session) {
 		current := state.CurrentAttempt(job)
-		if current == nil || current.Session != session {
-			continue
-		}
-		key := attemptKey(job.Id, current.Number)
-		if r.begin(key) {
+		key := attemptKey(job.Id, current.GetNumber())
+		if current != nil && r.begin(key) {
 			go r.drive(ctx, key, job, current)
 		}
 	}
@@ -95,23 +104,29 @@
 	delete(r.driving, key)
 }
 
-// drive renews one attempt until it ends.
+// drive renews one attempt until it ends, or until this daemon may drive it no
+// more.
 func (r *Runner) drive(ctx context.Context, key string, job *statepb.Job, attempt *statepb.Attempt) {
 	defer r.end(key)
 	event.JobStarted.Emit(event.F("job", job.Id), event.F("attempt", attempt.Number), event.F("vm", attempt.Vm))
-	start, lastAnswer := true, time.Now()
-	for ctx.Err() == nil && r.current(job.Id, attempt.Number) {
+	// A task that was taken over may run already and is never started again.
+	takenOver := attempt.Takeovers > 0
+	start, lastAnswer, began := !takenOver, time.Now(), time.Now()
+	for ctx.Err() == nil && r.drives(job.Id, attempt) {
 		status, err := r.call(ctx, job, attempt, start)
-		if err != nil {
+		switch {
+		case err != nil:
 			if !job.Repeatable {
 				// The first call may have started the task; a second start could run it twice.
 				start = false
 			}
-			if time.Since(lastAnswer) > lostAfter {
+			if time.Since(lastAnswer) > lostAfter && !(takenOver && time.Since(began) < takenOverLostAfter) {
 				r.record(ctx, job, attempt, lostEnd(job, "the target stopped answering"))
 				return
 			}
-		} else {
+		case takenOver && status.State == target.TaskAbsent && time.Since(began) < takenOverLostAfter:
+			lastAnswer = time.Now()
+		default:
 			start, lastAnswer = false, time.Now()
 			if end := attemptEnd(job, status); end != nil {
 				r.record(ctx, job, attempt, end)
@@ -122,6 +137,17 @@
 	}
 }
 
+// drives reports whether this daemon may go on with the attempt: it is still
+// the running one and given to this process, and the session lease is live or
+// ran out less than DriveGrace ago.
+func (r *Runner) drives(job string, attempt *statepb.Attempt) bool {
+	current := state.CurrentAttempt(r.Machine.Job(job))
+	if current.GetNumber() != attempt.Number || current.GetSession() != attempt.Session {
+		return false
+	}
+	return time.Since(r.Holder.LastLive()) < DriveGrace
+}
+
 // current reports whether the attempt is still the running one.
 func (r *Runner) current(job string, attempt uint32) bool {
 	return state.CurrentAttempt(r.Machine.Job(job)).GetNumber() == attempt
@@ -155,21 +181,27 @@
 	case target.TaskFailed:
 		return failedEnd(job, status.Reason)
 	case target.TaskStopped:
-		return &statepb.EndAttempt{
-			State: statepb.JobState_JOB_STATE_QUEUED, Outcome: status.State,
-			Reason: status.Reason, Checkpoint: status.Checkpoint,
-		}
+		return stoppedEnd(job, status)
 	}
 	return lostEnd(job, "the target does not know the task")
 }
 
+// stoppedEnd queues a repeatable job again from its checkpoint. The state
+// machine cancels it instead when that was asked for.
+func stoppedEnd(job *statepb.Job, status *target.TaskStatus) *statepb.EndAttempt {
+	return &statepb.EndAttempt{
+		State: statepb.JobState_JOB_STATE_QUEUED, Outcome: status.State,
+		Reason: status.Reason, Checkpoint: status.Checkpoint,
+	}
+}
+
 // failedEnd queues a repeatable job again until its attempts are used up.
 func failedEnd(job *statepb.Job, reason string) *statepb.EndAttempt {
-	end := &statepb.EndAttempt{State: statepb.JobState_JOB_STATE_QUEUED, Outcome: target.TaskFailed, Reason: reason}
+	end := &statepb.EndAttempt{State: statepb.JobState_JOB_STATE_QUEUED, Outcome: state.AttemptFailed, Reason: reason}
 	switch {
 	case !job.Repeatable:
 		end.State = statepb.JobState_JOB_STATE_FAILED
-	case len(job.Attempts) >= int(job.MaxAttempts):
+	case state.FailedAttempts(job)+1 >= job.MaxAttempts:
 		end.State = statepb.JobState_JOB_STATE_PARKED
 	}
 	return end
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -45,6 +45,10 @@
 			Forward: d.entry.ServeForward(ctx, forward.Forward),
 		}}
 	}
+	if release, ok := request.Body.(*wirepb.CallRequest_Release); ok {
+		d.holder.Release(release.Release)
+		return &wirepb.CallResponse{Body: &wirepb.CallResponse_Release{Release: &wirepb.ReleaseResponse{}}}
+	}
 	if !d.leader.isLocal() {
 		response := failure(wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, replica.ErrNotLeader)
 		if member, err := d.leader.leaderMember(); err == nil {
@@ -75,6 +79,8 @@
 		return d.handleMember(ctx, body.Member)
 	case *wirepb.CallRequest_Status:
 		return d.handleStatus(ctx)
+	case *wirepb.CallRequest_Explain:
+		return d.handleExplain(body.Explain)
 	}
 	return failure(wirepb.ErrorCode_ERROR_CODE_INVALID, errors.New("call has no known body"))
 }
@@ -128,3 +134,11 @@
 		CommitIndex: status.Commit, Members: status.Members,
 	}}}
 }
+
+func (d *Daemon) handleExplain(r *wirepb.ExplainRequest) *wirepb.CallResponse {
+	explained, err := d.manager.Explain(r)
+	if err != nil {
+		return failure(wirepb.ErrorCode_ERROR_CODE_INVALID, err)
+	}
+	return &wirepb.CallResponse{Body: &wirepb.CallResponse_Explain{Explain: explained}}
+}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -36,6 +36,8 @@
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 32 << 10
 	handOverTimeout   = 2 * time.Second
+	// closeSessionTimeout covers the hand-over of running attempts to another entry VM.
+	closeSessionTimeout = 5 * time.Second
 )
 
 // Daemon is one running process of the system.
@@ -119,6 +121,7 @@
 	d.client = target.NewClient()
 	d.manager = control.NewManager(control.Config{
 		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
+		AskRelease: d.leader.AskRelease, MemberNames: d.leader.MemberNames,
 	})
 	d.holder = session.NewHolder(session.Config{
 		MemberID: d.identity.MemberID, Incarnation: incarnation, MemberName: d.settings.Name,
@@ -258,6 +261,7 @@
 // shutdown finishes requests in flight before anything that they need ends.
 func (d *Daemon) shutdown() {
 	event.DaemonStopping.Emit()
+	d.holder.SetLeaving()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout.Duration)
 	defer cancel()
 	if !d.entry.Drain(ctx) {
@@ -266,11 +270,21 @@
 	for _, server := range d.servers {
 		server.Shutdown(ctx)
 	}
+	d.closeSession()
 	d.handOverLeadership()
 	d.stop()
 	event.DaemonStopped.Emit()
 }
 
+// closeSession gives the session back, so that its reservations are free at once.
+func (d *Daemon) closeSession() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeSessionTimeout)
+	defer cancel()
+	if err := d.holder.Close(ctx); err != nil {
+		event.SessionNotBack.Emit(event.Err(err))
+	}
+}
+
 // handOverLeadership lets another voter lead at once instead of after a timeout.
 func (d *Daemon) handOverLeadership() {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -155,3 +155,28 @@
 	}
 	return response, nil
 }
+
+// AskRelease asks the holder of a session at another member to come down to
+// the wanted reservations.
+func (c *leaderClient) AskRelease(ctx context.Context, memberID string, request *wirepb.ReleaseRequest) error {
+	body := &wirepb.CallRequest{Body: &wirepb.CallRequest_Release{Release: request}}
+	if memberID == c.self {
+		c.handle(ctx, body)
+		return nil
+	}
+	member := replica.FindMember(c.membership.Load(), memberID)
+	if member == nil {
+		return fmt.Errorf("ask member %s to release: it is not in the member list", memberID)
+	}
+	_, _, err := c.dialer.Call(ctx, member.Address, c.hello(member.Id), body)
+	return err
+}
+
+// MemberNames returns the names in the member list.
+func (c *leaderClient) MemberNames() []string {
+	var names []string
+	for _, member := range c.membership.Load().GetMembers() {
+		names = append(names, member.Name)
+	}
+	return names
+}
--- a/internal/server/operations.go
+++ b/internal/server/operations.go
@@ -44,3 +44,14 @@
 	}
 	return response.GetStatus(), nil
 }
+
+// Explain asks the leader for the reasons kept about an object.
+func (d *Daemon) Explain(ctx context.Context, kind, id string) ([]string, error) {
+	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Explain{
+		Explain: &wirepb.ExplainRequest{Kind: kind, Id: id},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetExplain().GetLines(), nil
+}
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -25,11 +25,21 @@
 	Renew(ctx context.Context, request *wirepb.RenewRequest) (*wirepb.RenewResponse, error)
 }
 
-// renewalsPerLease is how often the lease is renewed within its length.
-const renewalsPerLease = 4
+const (
+	// renewalsPerLease is how often the lease is renewed within its length.
+	renewalsPerLease = 4
+	// minRenewInterval bounds renewals that new demand asks for.
+	minRenewInterval = 100 * time.Millisecond
+	// appliedPause spaces looks at the applied index.
+	appliedPause = 10 * time.Millisecond
+	// closePause spaces tries to give the session back.
+	closePause = 100 * time.Millisecond
+)
+
+var errClosed = errors.New("the holder is closed")
 
-// appliedPause spaces looks at the applied index.
-const appliedPause = 10 * time.Millisecond
+// ErrWorkRunning is returned when a session is to be closed under running work.
+var ErrWorkRunning = errors.New("work still runs under the session")
 
 // Config holds what a Holder needs.
 type Config struct {
@@ -51,17 +61,20 @@
 type Holder struct {
 	cfg    Config
 	ledger *Ledger
+	// kick asks for a renewal ahead of time.
+	kick chan struct{}
 
 	mu         sync.Mutex
 	session    string
 	serial     int
 	validUntil time.Time
 	leaving    bool
+	closed     bool
 }
 
 // NewHolder returns a holder without a lease.
 func NewHolder(cfg Config) *Holder {
-	h := &Holder{cfg: cfg}
+	h := &Holder{cfg: cfg, kick: make(chan struct{}, 1)}
 	h.ledger = newLedger(h, cfg)
 	return h
 }
@@ -102,10 +115,80 @@
 			event.SessionLost.Emit(event.Err(err))
 		}
 		wasLive = live
-		sleep(ctx, interval)
+		h.pause(ctx, interval)
+	}
+}
+
+// pause waits for the next renewal: the interval, or less when demand asks.
+func (h *Holder) pause(ctx context.Context, interval time.Duration) {
+	sleep(ctx, min(minRenewInterval, interval))
+	timer := time.NewTimer(interval - min(minRenewInterval, interval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-h.kick:
+	}
+}
+
+// renewSoon asks for a renewal ahead of time, so that new demand reaches the leader.
+func (h *Holder) renewSoon() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+// LastLive returns until when the newest lease is or was valid; zero before the first one.
+func (h *Holder) LastLive() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.validUntil
+}
+
+// Close gives the session and its reservations back at once, so that nobody
+// waits for its expiry. It fails with ErrWorkRunning while units are in use.
+// No session is opened afterwards.
+func (h *Holder) Close(ctx context.Context) error {
+	session, ok := h.endSession()
+	if !ok || session == "" {
+		return nil
+	}
+	for {
+		if h.ledger.running(session) > 0 {
+			return fmt.Errorf("close session %s: %w", session, ErrWorkRunning)
+		}
+		outcome, err := h.cfg.Leader.Propose(ctx, &statepb.Command{
+			Actor: h.cfg.MemberID,
+			Body:  &statepb.Command_CloseSession{CloseSession: &statepb.CloseSession{Session: session}},
+		})
+		if err != nil {
+			return fmt.Errorf("close session %s: %w", session, err)
+		}
+		if outcome.Code == statepb.Code_CODE_OK {
+			event.SessionClosed.Emit(event.F("session", session))
+			return nil
+		}
+		sleep(ctx, closePause)
+		if ctx.Err() != nil {
+			return fmt.Errorf("close session %s: %s", session, outcome.Message)
+		}
 	}
 }
 
+// endSession makes the lease invalid: nothing starts under the session any
+// more. It returns false when the holder is closed already.
+func (h *Holder) endSession() (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return "", false
+	}
+	h.closed = true
+	h.validUntil = time.Time{}
+	return h.session, true
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -138,27 +221,49 @@
 		h.forgetExpired(session, err)
 		return fmt.Errorf("renew session %s: %w", session, err)
 	}
-	h.mu.Lock()
-	h.validUntil = sent.Add(time.Duration(response.LeaseMs) * time.Millisecond)
-	h.mu.Unlock()
+	h.extend(sent.Add(time.Duration(response.LeaseMs) * time.Millisecond))
 	h.ledger.setWanted(response.Wanted)
+	h.ledger.setWantedKept(response.WantedKept)
 	return nil
 }
 
+func (h *Holder) extend(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.closed {
+		h.validUntil = until
+	}
+}
+
+// Release comes down to the wanted reservations of the session at once. A
+// request that names another session is ignored.
+func (h *Holder) Release(request *wirepb.ReleaseRequest) {
+	if session, live := h.Session(); live && session == request.Session {
+		h.ledger.setWanted(request.Wanted)
+	}
+}
+
 // ensureSession opens a session through the log when there is none.
 func (h *Holder) ensureSession(ctx context.Context) (string, error) {
 	h.mu.Lock()
 	if h.session != "" {
+		// A closed holder renews on, so that the leader hands its attempts over.
 		defer h.mu.Unlock()
 		return h.session, nil
 	}
+	if h.closed {
+		defer h.mu.Unlock()
+		return "", errClosed
+	}
 	h.serial++
 	id := fmt.Sprintf("%s/%x/%d", h.cfg.MemberID, h.cfg.Incarnation, h.serial)
 	h.mu.Unlock()
 	outcome, err := h.cfg.Leader.Propose(ctx, &statepb.Command{
 		Actor: h.cfg.MemberID,
 		Body: &statepb.Command_OpenSession{OpenSession: &statepb.OpenSession{
-			Session: &statepb.Session{Id: id, Member: h.cfg.MemberID, Zone: h.cfg.Zone},
+			Session: &statepb.Session{
+				Id: id, Member: h.cfg.MemberID, Zone: h.cfg.Zone, MemberName: h.cfg.MemberName,
+			},
 		}},
 	})
 	if err != nil {
@@ -172,6 +277,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.closed {
+		// Opened while the holder closed: it holds nothing and expires unused.
+		return "", errClosed
+	}
 	h.session = id
 	event.SessionOpened.Emit(event.F("session", id))
 	return id, nil
--- a/internal/session/ledger.go
+++ b/internal/session/ledger.go
@@ -25,6 +25,9 @@
 
 	mu    sync.Mutex
 	teams map[string]*teamUnits
+	// releasing is true while one proposal of releases is on its way.
+	releasing     bool
+	releasingKept bool
 }
 
 type teamUnits struct {
@@ -36,10 +39,18 @@
 	// Requests waiting for a unit.
 	waiting       uint32
 	urgentWaiting uint32
-	// Ceiling while a release is on its way; it holds until the release is applied here.
-	capped    bool
-	ceiling   uint32
-	releasing bool
+	// cap is set while a release of the session's units may still be applied.
+	cap *releaseCap
+	// keptCap is the same for the kept part.
+	keptCap *releaseCap
+}
+
+// releaseCap is the ceiling of a release that may be applied at any time. It
+// holds until the committed units change from the revision that the release is
+// based on: then the release is applied, or never will be.
+type releaseCap struct {
+	ceiling uint32
+	base    uint64
 }
 
 // Unit is the right to run one request.
@@ -64,6 +75,14 @@
 	return units
 }
 
+// enter forgets what belongs to an older session: its work is covered until
+// that session is reclaimed.
+func (u *teamUnits) enter(session string) {
+	if u.session != session {
+		u.session, u.running, u.cap = session, 0, nil
+	}
+}
+
 // Acquire takes a unit of the team, or returns nil when none is free. Keyed
 // work needs a live session; work of open queues may use the kept part.
 func (l *Ledger) Acquire(team string, open bool) *Unit {
@@ -71,15 +90,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	units := l.team(team)
-	if units.session != session {
-		// Work of an older session is covered until that session is reclaimed.
-		units.session, units.running, units.capped = session, 0, false
-	}
+	units.enter(session)
 	if live && units.running < l.limit(units, session, team) {
 		units.running++
 		return &Unit{ledger: l, team: team, session: session}
 	}
-	if (live || open) && l.keptUsable() && units.kept < l.cfg.Machine.Kept(l.cfg.MemberName, team) {
+	if (live || open) && l.keptUsable() && units.kept < l.keptLimit(units, team) {
 		units.kept++
 		return &Unit{ledger: l, team: team, kept: true}
 	}
@@ -88,15 +104,28 @@
 
 // limit is what the session may run of the team now.
 func (l *Ledger) limit(units *teamUnits, session, team string) uint32 {
-	held := l.cfg.Machine.Reserved(session, team)
-	if units.capped && !units.releasing && held <= units.ceiling {
-		// The release is applied here; whatever follows it in the log is a new grant.
-		units.capped = false
+	held := l.cfg.Machine.Reservation(session, team)
+	if units.cap == nil {
+		return held.GetUnits()
 	}
-	if units.capped {
-		return min(held, units.ceiling)
+	if held.GetRevision() != units.cap.base {
+		units.cap = nil
+		return held.GetUnits()
 	}
-	return held
+	return min(held.GetUnits(), units.cap.ceiling)
+}
+
+// keptLimit is what may run under the kept part now.
+func (l *Ledger) keptLimit(units *teamUnits, team string) uint32 {
+	held := l.cfg.Machine.KeptReservation(l.cfg.MemberName, team)
+	if units.keptCap == nil {
+		return held.GetUnits()
+	}
+	if held.GetRevision() != units.keptCap.base {
+		units.keptCap = nil
+		return held.GetUnits()
+	}
+	return min(held.GetUnits(), units.keptCap.ceiling)
 }
 
 // keptUsable is false until work that an earlier process of this VM may have
@@ -122,29 +151,51 @@
 	})
 }
 
-// SetWaiting records how many requests of the team wait for a unit.
+// running returns the units in use under the session, over all teams.
+func (l *Ledger) running(session string) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := uint32(0)
+	for _, units := range l.teams {
+		if units.session == session {
+			total += units.running
+		}
+	}
+	return total
+}
+
+// SetWaiting records how many requests of the team wait for a unit. Demand
+// that appears is reported at once, more of it with the next renewal.
 func (l *Ledger) SetWaiting(team string, waiting, urgent uint32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	units := l.team(team)
+	appeared := waiting > 0 && units.waiting == 0 || urgent > 0 && units.urgentWaiting == 0
 	units.waiting, units.urgentWaiting = waiting, urgent
+	if appeared {
+		l.holder.renewSoon()
+	}
 }
 
-// report fills in the demand of every team.
+// report fills in the demand of every team that has any.
 func (l *Ledger) report(request *wirepb.RenewRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for team, units := range l.teams {
+		running := units.running + units.kept
+		if running == 0 && units.waiting == 0 {
+			continue
+		}
 		request.Demands = append(request.Demands, &wirepb.TeamDemand{
-			Team: team, RunningUnits: units.running + units.kept,
+			Team: team, RunningUnits: running,
 			WaitingUnits: units.waiting, UrgentWaitingUnits: units.urgentWaiting,
 		})
 	}
 }
 
 // setWanted lowers what this daemon runs of the named teams and gives the rest
-// back through the log. The ceiling comes first: the leader may grant the
-// units elsewhere as soon as the release is committed.
+// back through the log, all teams in one command. The ceiling comes first: the
+// leader may grant the units elsewhere as soon as the release is committed.
 func (l *Ledger) setWanted(wanted []*statepb.Reservation) {
 	session, live := l.holder.Session()
 	if !live {
@@ -152,47 +203,119 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, w := range l.withPendingReleases(wanted) {
-		units := l.team(w.Team)
-		if units.releasing || units.session != session && units.session != "" {
-			continue
-		}
-		target := max(w.Units, units.running)
-		if target >= l.cfg.Machine.Reserved(session, w.Team) {
-			continue
+	if l.releasing {
+		return
+	}
+	var releases []*statepb.Reservation
+	for _, w := range l.withPendingReleases(session, wanted) {
+		if release := l.beginRelease(session, w); release != nil {
+			releases = append(releases, release)
 		}
-		units.session = session
-		units.capped, units.ceiling, units.releasing = true, target, true
-		go l.release(session, w.Team, target)
 	}
+	if len(releases) > 0 {
+		l.releasing = true
+		go l.release(session, releases)
+	}
+}
+
+// beginRelease sets the ceiling and returns the release, or nil when there is
+// nothing to give back.
+func (l *Ledger) beginRelease(session string, w *statepb.Reservation) *statepb.Reservation {
+	units := l.team(w.Team)
+	units.enter(session)
+	held := l.cfg.Machine.Reservation(session, w.Team)
+	target := max(w.Units, units.running)
+	if units.cap != nil && units.cap.base == held.GetRevision() {
+		// Whichever of several releases is applied, the ceiling covers it.
+		target = min(target, units.cap.ceiling)
+	}
+	if target >= held.GetUnits() {
+		return nil
+	}
+	units.cap = &releaseCap{ceiling: target, base: held.Revision}
+	return &statepb.Reservation{Team: w.Team, Units: target, Revision: held.Revision}
 }
 
 // withPendingReleases adds releases whose outcome stayed unknown: they are
 // repeated, since the ceiling is lifted only once the release is applied.
-func (l *Ledger) withPendingReleases(wanted []*statepb.Reservation) []*statepb.Reservation {
+func (l *Ledger) withPendingReleases(session string, wanted []*statepb.Reservation) []*statepb.Reservation {
 	all := append([]*statepb.Reservation(nil), wanted...)
+	named := make(map[string]bool, len(wanted))
+	for _, w := range wanted {
+		named[w.Team] = true
+	}
 	for team, units := range l.teams {
-		if units.capped && !units.releasing {
-			all = append(all, &statepb.Reservation{Team: team, Units: units.ceiling})
+		if units.cap != nil && units.session == session && !named[team] {
+			all = append(all, &statepb.Reservation{Team: team, Units: units.cap.ceiling})
 		}
 	}
 	return all
 }
 
-// release commits the lower reservation.
-func (l *Ledger) release(session, team string, target uint32) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	_, err := l.cfg.Leader.Propose(ctx, &statepb.Command{
+// release commits the lower reservations.
+func (l *Ledger) release(session string, releases []*statepb.Reservation) {
+	err := l.propose(&statepb.Command{
 		Actor: l.cfg.MemberID,
 		Body: &statepb.Command_SetReservations{SetReservations: &statepb.SetReservations{
-			Session: session, Reservations: []*statepb.Reservation{{Team: team, Units: target}},
+			Session: session, Reservations: releases,
 		}},
 	})
 	if err != nil {
-		event.ReserveFailed.Emit(event.F("team", team), event.Err(err))
+		event.ReserveFailed.Emit(event.F("session", session), event.Err(err))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.releasing = false
+}
+
+func (l *Ledger) propose(command *statepb.Command) error {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_, err := l.cfg.Leader.Propose(ctx, command)
+	return err
+}
+
+// setWantedKept comes down to the wanted kept parts in the same way. Only the
+// VM itself lowers its kept part, since it alone knows what runs under it.
+func (l *Ledger) setWantedKept(wanted []*statepb.Reservation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.releasingKept {
+		return
+	}
+	var lowered []*statepb.KeptReservation
+	for _, w := range wanted {
+		units := l.team(w.Team)
+		held := l.cfg.Machine.KeptReservation(l.cfg.MemberName, w.Team)
+		target := max(w.Units, units.kept)
+		if units.keptCap != nil && units.keptCap.base == held.GetRevision() {
+			target = min(target, units.keptCap.ceiling)
+		}
+		if target >= held.GetUnits() || !l.keptUsable() {
+			continue
+		}
+		units.keptCap = &releaseCap{ceiling: target, base: held.Revision}
+		lowered = append(lowered, &statepb.KeptReservation{
+			MemberName: l.cfg.MemberName, Team: w.Team, Units: target, Revision: held.Revision,
+		})
+	}
+	if len(lowered) > 0 {
+		l.releasingKept = true
+		go l.releaseKept(lowered)
+	}
+}
+
+func (l *Ledger) releaseKept(lowered []*statepb.KeptReservation) {
+	err := l.propose(&statepb.Command{
+		Actor: l.cfg.MemberID,
+		Body: &statepb.Command_SetKeptReservations{
+			SetKeptReservations: &statepb.SetKeptReservations{Kept: lowered},
+		},
+	})
+	if err != nil {
+		event.ReserveFailed.Emit(event.F("member", l.cfg.MemberName), event.Err(err))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.team(team).releasing = false
+	l.releasingKept = false
 }
--- /dev/null
+++ b/internal/session/ledger_test.go
@@ -0,0 +1,314 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"sapphirering/internal/state"
+	"sapphirering/internal/state/statepb"
+	"sapphirering/internal/wire"
+	"sapphirering/internal/wire/wirepb"
+)
+
+const testLease = 4 * time.Second
+
+// fakeLeader commits at once, or keeps proposals back so that a test commits
+// them later, twice, or never.
+type fakeLeader struct {
+	mu       sync.Mutex
+	machine  *state.Machine
+	index    uint64
+	holdBack bool
+	held     []*statepb.Command
+	renewed  error
+	proposed chan struct{}
+}
+
+func newFakeLeader() *fakeLeader {
+	return &fakeLeader{machine: state.New(), proposed: make(chan struct{}, 1024)}
+}
+
+func (l *fakeLeader) commit(command *statepb.Command) *statepb.Outcome {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		panic(err)
+	}
+	l.index++
+	return l.machine.Apply(l.index, data).(*statepb.Outcome)
+}
+
+func (l *fakeLeader) Propose(_ context.Context, command *statepb.Command) (*statepb.Outcome, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer func() { l.proposed <- struct{}{} }()
+	if l.holdBack {
+		l.held = append(l.held, command)
+		return nil, errors.New("outcome unknown")
+	}
+	return l.commit(command), nil
+}
+
+func (l *fakeLeader) Renew(context.Context, *wirepb.RenewRequest) (*wirepb.RenewResponse, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.renewed != nil {
+		return nil, l.renewed
+	}
+	return &wirepb.RenewResponse{LeaseMs: uint32(testLease.Milliseconds())}, nil
+}
+
+func (l *fakeLeader) setHoldBack(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdBack = on
+}
+
+func (l *fakeLeader) takeHeld() []*statepb.Command {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.held
+	l.held = nil
+	return held
+}
+
+// daemon is one holder with its clock.
+type daemon struct {
+	t      *testing.T
+	leader *fakeLeader
+	holder *Holder
+	now    time.Time
+	mu     sync.Mutex
+}
+
+func newDaemon(t *testing.T, limit uint32) *daemon {
+	d := &daemon{t: t, leader: newFakeLeader(), now: time.UnixMilli(1_700_000_000_000)}
+	d.leader.commit(&statepb.Command{Body: &statepb.Command_PutPool{PutPool: &statepb.PutPool{Pool: &statepb.Pool{Name: "p"}}}})
+	d.leader.commit(&statepb.Command{Body: &statepb.Command_ApplyDocument{ApplyDocument: &statepb.ApplyDocument{
+		Document: &statepb.TeamDocument{Team: "team", ShareWeight: 1, UpperLimitUnits: limit},
+	}}})
+	d.restart(1)
+	return d
+}
+
+// restart starts another process of the same VM.
+func (d *daemon) restart(incarnation uint64) {
+	d.holder = NewHolder(Config{
+		MemberID: "member", MemberName: "vm", Incarnation: incarnation, Zone: "a", Lease: testLease,
+		Machine: d.leader.machine, Leader: d.leader, Now: d.clock,
+	})
+}
+
+func (d *daemon) clock() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now
+}
+
+func (d *daemon) advance(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.now = d.now.Add(by)
+}
+
+func (d *daemon) renew() error { return d.holder.renew(context.Background()) }
+
+func (d *daemon) grant(units uint32) {
+	session, _ := d.holder.Session()
+	outcome := d.leader.commit(&statepb.Command{Body: &statepb.Command_SetReservations{SetReservations: &statepb.SetReservations{
+		Session: session, Reservations: []*statepb.Reservation{{Team: "team", Units: units}},
+	}}})
+	if outcome.Code != statepb.Code_CODE_OK {
+		d.t.Fatal(outcome.Message)
+	}
+}
+
+// want asks for a release and waits until it was proposed and noted.
+func (d *daemon) want(units uint32) {
+	session, _ := d.holder.Session()
+	d.holder.Release(&wirepb.ReleaseRequest{Session: session, Wanted: []*statepb.Reservation{{Team: "team", Units: units}}})
+	ledger := d.holder.Ledger()
+	for {
+		ledger.mu.Lock()
+		done := !ledger.releasing
+		ledger.mu.Unlock()
+		if done {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (d *daemon) acquireAll(open bool) []*Unit {
+	var units []*Unit
+	for {
+		unit := d.holder.Ledger().Acquire("team", open)
+		if unit == nil {
+			return units
+		}
+		units = append(units, unit)
+	}
+}
+
+// TestResentReleaseAfterGrant commits a release twice, the second time after the
+// leader granted the units again: the late one must not take back what runs.
+func TestResentReleaseAfterGrant(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	d.leader.setHoldBack(true)
+	d.want(3)
+	release := d.leader.takeHeld()[0]
+	d.leader.setHoldBack(false)
+	is.Equal(len(d.acquireAll(false)), 3) // the release may be applied at any time
+	d.leader.commit(release)
+	d.grant(8)
+	is.Equal(len(d.acquireAll(false)), 5) // the release is applied, the rest is a new grant
+	d.leader.commit(release)
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(8)) // nothing that runs is given to others
+}
+
+// TestReleaseCoversRunning never gives back what runs.
+func TestReleaseCoversRunning(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	running := d.acquireAll(false)
+	d.want(0)
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(8))
+	running[0].Release()
+	d.want(0)
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(7))
+	is.Equal(len(d.acquireAll(false)), 0)
+}
+
+// TestRunningWithinReserved takes random steps with lost and late releases: the
+// units in use never pass what the committed state reserves.
+func TestRunningWithinReserved(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := newDaemon(t, 10)
+		if err := d.renew(); err != nil {
+			rt.Fatal(err)
+		}
+		var units []*Unit
+		var late []*statepb.Command
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				d.grant(max(d.leader.machine.HandedOut("team"), rapid.Uint32Range(0, 10).Draw(rt, "grant")))
+			case 1:
+				d.leader.setHoldBack(rapid.Bool().Draw(rt, "lost"))
+				d.want(rapid.Uint32Range(0, 10).Draw(rt, "want"))
+				d.leader.setHoldBack(false)
+				late = append(late, d.leader.takeHeld()...)
+			case 2:
+				if len(late) > 0 {
+					d.leader.commit(late[rapid.IntRange(0, len(late)-1).Draw(rt, "late")])
+				}
+			case 3, 4:
+				if unit := d.holder.Ledger().Acquire("team", false); unit != nil {
+					units = append(units, unit)
+				}
+			default:
+				if len(units) > 0 {
+					units[0].Release()
+					units = units[1:]
+				}
+			}
+			if held := d.leader.machine.HandedOut("team"); uint32(len(units)) > held {
+				rt.Fatalf("%d units in use, %d reserved", len(units), held)
+			}
+		}
+	})
+}
+
+// TestLeaseFromSending counts a lease from before the renewal was sent.
+func TestLeaseFromSending(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.advance(testLease - time.Millisecond)
+	is.True(d.holder.Live())
+	d.advance(time.Millisecond)
+	is.True(!d.holder.Live())
+	is.True(d.holder.Ledger().Acquire("team", false) == nil) // frozen for a lease: nothing starts
+}
+
+// TestSessionReopened loses the session: the new one holds nothing of the old.
+func TestSessionReopened(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	old := d.acquireAll(false)
+	d.leader.renewed = &wire.CallError{Code: wirepb.ErrorCode_ERROR_CODE_SESSION_EXPIRED}
+	is.True(d.renew() != nil)
+	is.Equal(len(d.acquireAll(false)), 0)
+	d.leader.renewed = nil
+	is.NoErr(d.renew())
+	is.Equal(len(d.acquireAll(false)), 0) // the old session holds every unit until it is reclaimed
+	old[0].Release()                      // ends without touching the new session
+	is.Equal(d.holder.Ledger().running("member/1/2"), uint32(0))
+}
+
+// TestSecondProcess starts another process of the VM: it uses the kept part
+// only once work of the first one is surely over.
+func TestSecondProcess(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	d.leader.commit(&statepb.Command{Body: &statepb.Command_SetKeptReservations{SetKeptReservations: &statepb.SetKeptReservations{
+		Kept: []*statepb.KeptReservation{{MemberName: "vm", Team: "team", Units: 2}},
+	}}})
+	d.advance(state.MaxRequestDeadlineMS * time.Millisecond)
+	is.Equal(len(d.acquireAll(true)), 2) // cut off: open work runs under the kept part
+	is.Equal(len(d.acquireAll(false)), 0)
+	d.restart(2)
+	is.Equal(len(d.acquireAll(true)), 0)
+	d.advance(state.MaxRequestDeadlineMS * time.Millisecond)
+	is.Equal(len(d.acquireAll(true)), 2)
+}
+
+// TestKeptLoweredByHolder lowers the kept part only to what runs under it.
+func TestKeptLoweredByHolder(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	d.leader.commit(&statepb.Command{Body: &statepb.Command_SetKeptReservations{SetKeptReservations: &statepb.SetKeptReservations{
+		Kept: []*statepb.KeptReservation{{MemberName: "vm", Team: "team", Units: 4}},
+	}}})
+	d.advance(state.MaxRequestDeadlineMS * time.Millisecond)
+	first := d.holder.Ledger().Acquire("team", true)
+	is.True(first != nil)
+	d.holder.Ledger().setWantedKept([]*statepb.Reservation{{Team: "team", Units: 0}})
+	<-d.leader.proposed
+	is.Equal(d.leader.machine.Kept("vm", "team"), uint32(1))
+	is.True(d.holder.Ledger().Acquire("team", true) == nil)
+}
+
+// TestClose gives the session back, but not under running work.
+func TestClose(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	unit := d.holder.Ledger().Acquire("team", false)
+	is.True(errors.Is(d.holder.Close(context.Background()), ErrWorkRunning))
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(8))
+	unit.Release()
+
+	d = newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	is.NoErr(d.holder.Close(context.Background()))
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(0))
+	is.True(!d.holder.Live())
+	is.True(d.holder.Ledger().Acquire("team", false) == nil)
+	is.True(d.holder.renew(context.Background()) == nil || !d.holder.Live()) // never live again
+}
--- /dev/null
+++ b/internal/state/holdings.go
@@ -0,0 +1,74 @@
+package state
+
+import "sapphirering/internal/state/statepb"
+
+// Holding is what of one team's upper limit is handed out.
+type Holding struct {
+	// Reserved holds what live sessions hold, by session.
+	Reserved []SessionHolding
+	// Kept holds the parts that VMs keep for a cut.
+	Kept []*statepb.KeptReservation
+	// Units sums all that may run anywhere, jobs and expired sessions included.
+	Units uint32
+	// RunningJobs and QueuedJobs count the team's jobs.
+	RunningJobs, QueuedJobs uint32
+}
+
+// SessionHolding is what one live session holds of a team.
+type SessionHolding struct {
+	Session     string
+	Reservation *statepb.Reservation
+}
+
+// Held returns what the session holds, or nil.
+func (h *Holding) Held(session string) *statepb.Reservation {
+	for _, r := range h.Reserved {
+		if r.Session == session {
+			return r.Reservation
+		}
+	}
+	return nil
+}
+
+// KeptBy returns the part that the named VM keeps, or nil.
+func (h *Holding) KeptBy(memberName string) *statepb.KeptReservation {
+	for _, k := range h.Kept {
+		if k.MemberName == memberName {
+			return k
+		}
+	}
+	return nil
+}
+
+// Holdings returns the holding of every team with a document, by team, all at
+// one log index.
+func (m *Machine) Holdings() map[string]*Holding {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make(map[string]*Holding, len(m.documents))
+	for team := range m.documents {
+		all[team] = &Holding{
+			Units:       m.runningJobs[team],
+			RunningJobs: m.runningJobs[team], QueuedJobs: m.queuedJobs[team],
+		}
+	}
+	for _, kept := range m.keptList() {
+		if h := all[kept.Team]; h != nil {
+			h.Kept = append(h.Kept, kept)
+			h.Units += kept.Units
+		}
+	}
+	for _, session := range sorted(m.sessions) {
+		for _, r := range session.Reservations {
+			h := all[r.Team]
+			if h == nil {
+				continue
+			}
+			h.Units += r.Units
+			if session.ExpiredUnixMs == 0 {
+				h.Reserved = append(h.Reserved, SessionHolding{session.Id, r})
+			}
+		}
+	}
+	return all
+}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -13,6 +13,8 @@
 	MaxJobPayloadBytes = 256 << 10
 	// maxJobAttempts bounds the attempts that a job may ask for.
 	maxJobAttempts = 20
+	// maxKeptAttempts bounds the history that a job keeps.
+	maxKeptAttempts = 48
 )
 
 // Ended reports whether a job state is final.
@@ -69,21 +71,6 @@
 	return outcome
 }
 
-// putJob stores a job and keeps the derived counts right.
-func (m *Machine) putJob(job *statepb.Job) {
-	if old := m.jobs[job.Id]; old.GetState() == statepb.JobState_JOB_STATE_RUNNING {
-		m.runningJobs[job.Team]--
-	}
-	if job.State == statepb.JobState_JOB_STATE_RUNNING {
-		m.runningJobs[job.Team]++
-	}
-	delete(m.openJobs, job.Id)
-	if !Ended(job.State) {
-		m.openJobs[job.Id] = struct{}{}
-	}
-	m.jobs[job.Id] = job
-}
-
 func (m *Machine) changeJob(job *statepb.Job) *statepb.Job {
 	next := proto.CloneOf(job)
 	next.Revision = m.index
@@ -111,6 +98,9 @@
 	if job.State != statepb.JobState_JOB_STATE_QUEUED {
 		return m.refused("job %q is %s", job.Id, job.State)
 	}
+	if !job.Repeatable && len(job.Attempts) > 0 {
+		return m.refused("job %q is not repeatable and has been started", job.Id)
+	}
 	vm := m.vms[c.Vm]
 	if vm == nil || vm.Phase != statepb.VMPhase_VM_PHASE_ACTIVE || vm.Pool != job.Pool {
 		return m.refused("vm %q is not an active VM of pool %q", c.Vm, job.Pool)
@@ -125,8 +115,8 @@
 	next := m.changeJob(job)
 	next.State = statepb.JobState_JOB_STATE_RUNNING
 	next.Reason = ""
-	next.Attempts = append(next.Attempts, &statepb.Attempt{
-		Number: uint32(len(job.Attempts) + 1), Vm: c.Vm, Session: c.Session,
+	next.Attempts = append(recentAttempts(next.Attempts), &statepb.Attempt{
+		Number: lastAttempt(job).GetNumber() + 1, Vm: c.Vm, Session: c.Session,
 		StartedUnixMs: m.nowMS, LeaseUntilUnixMs: c.LeaseUntilUnixMs,
 	})
 	m.putJob(next)
@@ -135,6 +125,36 @@
 	return outcome
 }
 
+// recentAttempts drops the oldest attempts of a long history.
+func recentAttempts(attempts []*statepb.Attempt) []*statepb.Attempt {
+	if len(attempts) < maxKeptAttempts {
+		return attempts
+	}
+	return attempts[len(attempts)-maxKeptAttempts+1:]
+}
+
+func lastAttempt(job *statepb.Job) *statepb.Attempt {
+	if len(job.GetAttempts()) == 0 {
+		return nil
+	}
+	return job.Attempts[len(job.Attempts)-1]
+}
+
+// AttemptFailed is the outcome of an attempt that counts against max_attempts;
+// lost and preempted attempts do not.
+const AttemptFailed = "failed"
+
+// FailedAttempts counts the attempts that count against max_attempts.
+func FailedAttempts(job *statepb.Job) uint32 {
+	failed := uint32(0)
+	for _, a := range job.GetAttempts() {
+		if a.Outcome == AttemptFailed {
+			failed++
+		}
+	}
+	return failed
+}
+
 // runningAttempt returns the job when the numbered attempt is the running one.
 func (m *Machine) runningAttempt(id string, attempt uint32) (*statepb.Job, *statepb.Outcome) {
 	job := m.jobs[id]
@@ -160,6 +180,9 @@
 	}
 	next := proto.CloneOf(job)
 	current := CurrentAttempt(next)
+	if current.Session != c.Session {
+		current.Takeovers++
+	}
 	current.Session = c.Session
 	current.LeaseUntilUnixMs = max(current.LeaseUntilUnixMs, c.LeaseUntilUnixMs)
 	m.putJob(next)
@@ -182,6 +205,9 @@
 	next.PreemptRequested = false
 	if c.State == statepb.JobState_JOB_STATE_QUEUED && job.CancelRequested {
 		next.State = statepb.JobState_JOB_STATE_CANCELLED
+	} else if c.State == statepb.JobState_JOB_STATE_QUEUED && !job.Repeatable {
+		// A second run is ruled out whatever the driver reports.
+		next.State = statepb.JobState_JOB_STATE_UNKNOWN
 	}
 	if c.Checkpoint != "" {
 		next.Checkpoint = c.Checkpoint
@@ -222,6 +248,9 @@
 	if CurrentAttempt(job) == nil {
 		return m.refused("job %q is not running", c.Job)
 	}
+	if !job.Repeatable {
+		return m.refused("job %q is not repeatable: it would never run to its end", c.Job)
+	}
 	next := m.changeJob(job)
 	next.PreemptRequested = true
 	next.Reason = c.Reason
@@ -229,6 +258,25 @@
 	return m.ok(m.index)
 }
 
+// parkJob takes a queued job that can never run out of the queue.
+func (m *Machine) parkJob(c *statepb.ParkJob) *statepb.Outcome {
+	job := m.jobs[c.Job]
+	if job == nil {
+		return m.notFound("job", c.Job)
+	}
+	if job.Revision != c.BaseRevision {
+		return m.conflict("job", c.Job, c.BaseRevision, job.Revision)
+	}
+	if job.State != statepb.JobState_JOB_STATE_QUEUED {
+		return m.refused("job %q is %s, only a queued job is parked", c.Job, job.State)
+	}
+	next := m.changeJob(job)
+	next.State = statepb.JobState_JOB_STATE_PARKED
+	next.Reason = c.Reason
+	m.putJob(next)
+	return m.ok(m.index)
+}
+
 // retryJob queues a parked job again with fresh attempts.
 func (m *Machine) retryJob(c *statepb.RetryJob) *statepb.Outcome {
 	job := m.jobs[c.Job]
@@ -241,7 +289,7 @@
 	next := m.changeJob(job)
 	next.State = statepb.JobState_JOB_STATE_QUEUED
 	next.Reason = "retried by an operator"
-	next.MaxAttempts = uint32(len(job.Attempts)) + max(1, job.MaxAttempts)
+	next.MaxAttempts = FailedAttempts(job) + max(1, job.MaxAttempts)
 	m.putJob(next)
 	return m.ok(m.index)
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -32,7 +32,7 @@
 	vms        map[string]*statepb.VM
 	waves      map[string]*statepb.Wave
 	sessions   map[string]*statepb.Session
-	kept       map[keptID]uint32
+	kept       map[keptID]*statepb.KeptReservation
 	claims     map[string]*statepb.Claim
 	jobs       map[string]*statepb.Job
 	operations map[string]*statepb.Operation
@@ -40,8 +40,13 @@
 	// Derived from the above.
 	queues      map[string]queueRef
 	keyByHash   map[[sha256.Size]byte]string
-	openJobs    map[string]struct{}
+	openJobs    sortedIDs
 	runningJobs map[string]uint32
+	queuedJobs  map[string]uint32
+	// Running attempts by the session that drives them.
+	driven map[string]map[string]struct{}
+	// Raised by each change of a job.
+	jobChanges uint64
 }
 
 type keptID struct {
@@ -69,14 +74,17 @@
 	m.vms = make(map[string]*statepb.VM)
 	m.waves = make(map[string]*statepb.Wave)
 	m.sessions = make(map[string]*statepb.Session)
-	m.kept = make(map[keptID]uint32)
+	m.kept = make(map[keptID]*statepb.KeptReservation)
 	m.claims = make(map[string]*statepb.Claim)
 	m.jobs = make(map[string]*statepb.Job)
 	m.operations = make(map[string]*statepb.Operation)
 	m.queues = make(map[string]queueRef)
 	m.keyByHash = make(map[[sha256.Size]byte]string)
-	m.openJobs = make(map[string]struct{})
+	m.openJobs = nil
 	m.runningJobs = make(map[string]uint32)
+	m.queuedJobs = make(map[string]uint32)
+	m.driven = make(map[string]map[string]struct{})
+	m.jobChanges++
 }
 
 // Apply applies one marshalled command and returns its *statepb.Outcome.
@@ -167,6 +175,8 @@
 		return m.expireSession(body.ExpireSession)
 	case *statepb.Command_ReclaimSession:
 		return m.reclaimSession(body.ReclaimSession)
+	case *statepb.Command_CloseSession:
+		return m.closeSession(body.CloseSession)
 	case *statepb.Command_SetReservations:
 		return m.setReservations(body.SetReservations)
 	case *statepb.Command_SetKeptReservations:
@@ -189,6 +199,8 @@
 		return m.preemptJob(body.PreemptJob)
 	case *statepb.Command_RetryJob:
 		return m.retryJob(body.RetryJob)
+	case *statepb.Command_ParkJob:
+		return m.parkJob(body.ParkJob)
 	case *statepb.Command_Prune:
 		return m.prune(body.Prune)
 	}
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -131,6 +131,13 @@
 
 // Kept returns the units of a team that the named VM may use while cut off.
 func (m *Machine) Kept(memberName, team string) uint32 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.kept[keptID{memberName, team}].GetUnits()
+}
+
+// KeptReservation returns the kept part of a team at the named VM, or nil.
+func (m *Machine) KeptReservation(memberName, team string) *statepb.KeptReservation {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.kept[keptID{memberName, team}]
@@ -178,17 +185,6 @@
 	return sorted(m.jobs)
 }
 
-// OpenJobs returns the jobs that have not ended, by id: the order of submission.
-func (m *Machine) OpenJobs() []*statepb.Job {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	open := make(map[string]*statepb.Job, len(m.openJobs))
-	for id := range m.openJobs {
-		open[id] = m.jobs[id]
-	}
-	return sorted(open)
-}
-
 // Budget returns the availability budget of a pool and how many VMs are available.
 func (m *Machine) Budget(pool string) (least, available uint32) {
 	m.mu.RLock()
--- a/internal/state/sessions.go
+++ b/internal/state/sessions.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"maps"
+
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/state/statepb"
@@ -19,7 +21,7 @@
 	}
 	stored := &statepb.Session{
 		Id: session.Id, Member: session.Member, Zone: session.Zone,
-		OpenedUnixMs: m.nowMS, Revision: m.index,
+		OpenedUnixMs: m.nowMS, Revision: m.index, OpenedIndex: m.index, MemberName: session.MemberName,
 	}
 	m.sessions[session.Id] = stored
 	return m.ok(m.index)
@@ -55,6 +57,27 @@
 	if m.nowMS-session.ExpiredUnixMs < MaxRequestDeadlineMS && len(session.Reservations) > 0 {
 		return m.refused("session %q: requests that it started may still run", session.Id)
 	}
+	m.forgetSession(session)
+	return m.ok(m.index)
+}
+
+// closeSession forgets a session whose holder asserts that nothing runs under
+// it. Running attempts must be handed to another session first, since their
+// tasks go on at the targets.
+func (m *Machine) closeSession(c *statepb.CloseSession) *statepb.Outcome {
+	session := m.sessions[c.Session]
+	if session == nil {
+		return m.ok(m.index)
+	}
+	if driven := len(m.driven[c.Session]); driven > 0 {
+		return m.refused("session %q: drives %d running attempts", c.Session, driven)
+	}
+	m.forgetSession(session)
+	return m.ok(m.index)
+}
+
+// forgetSession drops a session; claims that it left open have an unknown outcome.
+func (m *Machine) forgetSession(session *statepb.Session) {
 	delete(m.sessions, session.Id)
 	for id, claim := range m.claims {
 		if claim.Session == session.Id && claim.State == statepb.ClaimState_CLAIM_STATE_RUNNING {
@@ -63,7 +86,6 @@
 			m.claims[id] = next
 		}
 	}
-	return m.ok(m.index)
 }
 
 // liveSession returns the session when it has not expired.
@@ -76,19 +98,29 @@
 }
 
 func reserved(session *statepb.Session, team string) uint32 {
+	return reservation(session, team).GetUnits()
+}
+
+// reservation returns what a session holds of a team, or nil.
+func reservation(session *statepb.Session, team string) *statepb.Reservation {
 	for _, r := range session.GetReservations() {
 		if r.Team == team {
-			return r.Units
+			return r
 		}
 	}
-	return 0
+	return nil
+}
+
+// superseded reports whether a change is based on units that have changed since.
+func superseded(held, change *statepb.Reservation) bool {
+	return change.Revision != 0 && change.Revision != held.GetRevision()
 }
 
 func (m *Machine) keptUnits(team string) uint32 {
 	units := uint32(0)
 	for id, kept := range m.kept {
 		if id.team == team {
-			units += kept
+			units += kept.Units
 		}
 	}
 	return units
@@ -103,71 +135,92 @@
 	return units
 }
 
-// setReservations replaces what a session holds. The sum handed out never
-// rises above the upper limit; coming down is always allowed.
+// setReservations changes what a session holds. The sum handed out never
+// rises above the upper limit; coming down is always allowed. Changes based on
+// superseded units are skipped.
 func (m *Machine) setReservations(c *statepb.SetReservations) *statepb.Outcome {
 	session := m.liveSession(c.Session)
 	if session == nil {
 		return m.notFound("live session", c.Session)
 	}
+	next := proto.CloneOf(session)
 	for _, r := range c.Reservations {
 		doc := m.documents[r.Team]
-		if doc == nil {
-			return m.notFound("document", r.Team)
-		}
-		held := reserved(session, r.Team)
-		if r.Units <= held {
+		held := reservation(next, r.Team)
+		if superseded(held, r) {
 			continue
 		}
-		if sum := m.handedOut(r.Team) - held + r.Units; sum > doc.UpperLimitUnits {
-			return m.refused("team %q: %d units would be handed out, the upper limit is %d",
-				r.Team, sum, doc.UpperLimitUnits)
+		if doc == nil && r.Units > held.GetUnits() {
+			return m.notFound("document", r.Team)
 		}
-	}
-	next := proto.CloneOf(session)
-	for _, r := range c.Reservations {
-		setReservation(next, r)
+		if r.Units > held.GetUnits() {
+			others := m.handedOut(r.Team) - reserved(session, r.Team)
+			if sum := others + r.Units; sum > doc.UpperLimitUnits {
+				return m.refused("team %q: %d units would be handed out, the upper limit is %d",
+					r.Team, sum, doc.UpperLimitUnits)
+			}
+		}
+		setReservation(next, r.Team, r.Units, m.index)
 	}
 	next.Revision = m.index
 	m.sessions[session.Id] = next
 	return m.ok(m.index)
 }
 
-func setReservation(session *statepb.Session, r *statepb.Reservation) {
+func setReservation(session *statepb.Session, team string, units uint32, index uint64) {
 	kept := session.Reservations[:0]
 	for _, other := range session.Reservations {
-		if other.Team != r.Team {
+		if other.Team != team {
 			kept = append(kept, other)
 		}
 	}
-	if r.Units > 0 {
-		kept = append(kept, proto.CloneOf(r))
+	if units > 0 {
+		kept = append(kept, &statepb.Reservation{Team: team, Units: units, Revision: index})
 	}
 	session.Reservations = kept
 }
 
-// setKeptReservations sets parts that VMs may use while cut off.
+// setKeptReservations sets parts that VMs may use while cut off. Each one is
+// checked with those before it, and all are undone when one is refused.
 func (m *Machine) setKeptReservations(c *statepb.SetKeptReservations) *statepb.Outcome {
+	before := maps.Clone(m.kept)
 	for _, k := range c.Kept {
-		doc := m.documents[k.Team]
-		if doc == nil {
-			return m.notFound("document", k.Team)
-		}
 		held := m.kept[keptID{k.MemberName, k.Team}]
-		if k.Units <= held {
+		if k.Revision != 0 && k.Revision != held.GetRevision() {
 			continue
 		}
-		if sum := m.handedOut(k.Team) - held + k.Units; sum > doc.UpperLimitUnits {
-			return m.refused("team %q: %d units would be handed out, the upper limit is %d",
-				k.Team, sum, doc.UpperLimitUnits)
-		}
-	}
-	for _, k := range c.Kept {
-		id := keptID{k.MemberName, k.Team}
-		m.kept[id] = k.Units
-		if k.Units == 0 {
-			delete(m.kept, id)
+		if outcome := m.checkKept(held, k); outcome != nil {
+			m.kept = before
+			return outcome
 		}
+		m.putKept(k)
 	}
 	return m.ok(m.index)
 }
+
+// checkKept refuses a kept part that would take the team past its upper limit.
+func (m *Machine) checkKept(held, k *statepb.KeptReservation) *statepb.Outcome {
+	if k.Units <= held.GetUnits() {
+		return nil
+	}
+	doc := m.documents[k.Team]
+	if doc == nil {
+		return m.notFound("document", k.Team)
+	}
+	if sum := m.handedOut(k.Team) - held.GetUnits() + k.Units; sum > doc.UpperLimitUnits {
+		return m.refused("team %q: %d units would be handed out, the upper limit is %d",
+			k.Team, sum, doc.UpperLimitUnits)
+	}
+	return nil
+}
+
+func (m *Machine) putKept(k *statepb.KeptReservation) {
+	id := keptID{k.MemberName, k.Team}
+	if k.Units == 0 {
+		delete(m.kept, id)
+		return
+	}
+	m.kept[id] = &statepb.KeptReservation{
+		MemberName: k.MemberName, Team: k.Team, Units: k.Units, Revision: m.index,
+	}
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -42,8 +42,8 @@
 
 func (m *Machine) keptList() []*statepb.KeptReservation {
 	var list []*statepb.KeptReservation
-	for id, units := range m.kept {
-		list = append(list, &statepb.KeptReservation{MemberName: id.memberName, Team: id.team, Units: units})
+	for _, kept := range m.kept {
+		list = append(list, kept)
 	}
 	slices.SortFunc(list, func(a, b *statepb.KeptReservation) int {
 		return cmp.Or(cmp.Compare(a.MemberName, b.MemberName), cmp.Compare(a.Team, b.Team))
@@ -94,7 +94,7 @@
 		m.sessions[session.Id] = session
 	}
 	for _, kept := range snapshot.Kept {
-		m.kept[keptID{kept.MemberName, kept.Team}] = kept.Units
+		m.kept[keptID{kept.MemberName, kept.Team}] = kept
 	}
 	for _, claim := range snapshot.Claims {
 		m.claims[claim.RequestId] = claim
