--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -48,6 +48,8 @@
 	Status(ctx context.Context) (*wirepb.StatusResponse, error)
 	// Local describes this daemon without asking the leader.
 	Local() LocalStatus
+	// Explain returns the reasons that the leader keeps about an object.
+	Explain(ctx context.Context, kind, id string) ([]string, error)
 }
 
 // LocalStatus is what one daemon knows of itself.
@@ -137,6 +139,7 @@
 	v1.HandleFunc("/pools", s.listPools).Methods(http.MethodGet)
 	v1.HandleFunc("/pools/{pool}", s.putPool).Methods(http.MethodPut)
 	v1.HandleFunc("/vms", s.listVMs).Methods(http.MethodGet)
+	v1.HandleFunc("/explain/{kind}/{id}", s.getExplanation).Methods(http.MethodGet)
 }
 
 func (s *Server) routeJobs(v1 *mux.Router) {
