Drains, waves and moves run in the leader; silence counts only when heard

Faults found in the code taken over: - a new leader marked every VM as down at its first step, before any entry VM had renewed with it: reports of unheard sessions counted as silence. Silence now counts only while this leader hears the zone. - a target that leaves by itself counted as available for ever. - the loops of a former leadership could run beside those of the next one.

Reboots are committed before the platform is asked; the operation id is wave, VM and drain revision, so every leader asks for the same operation.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"sapphirering/internal/event"
@@ -34,25 +35,35 @@
 	Log     Log
 	Lease   time.Duration
 	Now     func() time.Time
+	// Members lists the daemons of the cluster, with or without a session.
+	Members func() []*wirepb.Member
+	// Platform reboots VMs; nil when none is set.
+	Platform Platform
 }
 
 // Manager runs the loops while this daemon leads.
 type Manager struct {
 	cfg      Config
 	sessions *sessions
+	fleet    *fleet
+	// running is held by Run, so that a new leadership waits for the end of the former.
+	running sync.Mutex
 }
 
 // NewManager returns a manager.
 func NewManager(cfg Config) *Manager {
-	return &Manager{cfg: cfg, sessions: newSessions(cfg.Lease, cfg.Now)}
+	return &Manager{cfg: cfg, sessions: newSessions(cfg.Lease, cfg.Now), fleet: newFleet()}
 }
 
 // Run carries out the loops until ctx ends with the leadership.
 func (m *Manager) Run(ctx context.Context) {
+	m.running.Lock()
+	defer m.running.Unlock()
 	if err := m.cfg.Log.ConfirmLeadership(ctx); err != nil {
 		return
 	}
 	m.sessions.start(m.cfg.Machine.Sessions())
+	m.fleet = newFleet()
 	event.ControlStarted.Emit()
 	defer event.ControlStopped.Emit()
 	ticker := time.NewTicker(stepInterval)
@@ -80,6 +91,9 @@
 		{"split reservations", m.splitReservations},
 		{"place jobs", m.placeJobs},
 		{"watch VMs", m.watchVMs},
+		{"drain VMs", m.drainVMs},
+		{"run waves", m.runWaves},
+		{"move VMs", m.moveVMs},
 	}
 	for _, loop := range loops {
 		if err := loop.run(ctx); err != nil && ctx.Err() == nil {
--- /dev/null
+++ b/internal/control/moves.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/policy/capacity"
+	"sapphirering/internal/state"
+	"sapphirering/internal/state/statepb"
+)
+
+// planMovesEvery is how often moves are planned.
+const planMovesEvery = time.Second
+
+// moveVMs finishes moves of drained VMs and plans new ones.
+func (m *Manager) moveVMs(ctx context.Context) error {
+	var errs []error
+	for _, vm := range m.cfg.Machine.VMs() {
+		if vm.Phase == statepb.VMPhase_VM_PHASE_DRAINED && vm.MoveToPool != "" {
+			errs = append(errs, m.moveVM(ctx, vm))
+		}
+	}
+	if now := m.cfg.Now(); !now.Before(m.fleet.nextMoves) {
+		m.fleet.nextMoves = now.Add(planMovesEvery)
+		errs = append(errs, m.planMoves(ctx, now))
+	}
+	return errors.Join(errs...)
+}
+
+// moveVM commits the one transition between two pools. The revision of the
+// drain fences it: another leader's resend finds the VM moved and is refused.
+func (m *Manager) moveVM(ctx context.Context, vm *statepb.VM) error {
+	refusal, err := m.try(ctx, &statepb.Command{Body: &statepb.Command_MoveVm{
+		MoveVm: &statepb.MoveVM{Vm: vm.Name, BaseRevision: vm.Revision, ToPool: vm.MoveToPool},
+	}})
+	if err != nil {
+		return fmt.Errorf("move vm %s to pool %s: %w", vm.Name, vm.MoveToPool, err)
+	}
+	if refusal != "" {
+		m.fleet.reasons.note("vm", vm.Name, "move to pool %s is refused: %s", vm.MoveToPool, refusal)
+		return nil
+	}
+	m.fleet.reasons.note("vm", vm.Name, "moved from pool %s to pool %s: %s", vm.Pool, vm.MoveToPool, vm.DrainReason)
+	event.VMMoved.Emit(event.F("vm", vm.Name), event.F("from", vm.Pool), event.F("to", vm.MoveToPool), event.F("reason", vm.DrainReason))
+	return nil
+}
+
+func (m *Manager) planMoves(ctx context.Context, now time.Time) error {
+	for pool, units := range m.poolDemand() {
+		m.fleet.history.Observe(pool, now, units)
+	}
+	plan := capacity.Next(CapacitySnapshot(m.cfg.Machine, now, m.extras()), m.fleet.history)
+	for _, wait := range plan.Waits {
+		m.fleet.reasons.note("pool", wait.Pool, "%s", wait.Reason)
+	}
+	var errs []error
+	for _, move := range plan.Moves {
+		if h := m.fleet.holds[move.VM]; now.Before(h.until) {
+			m.fleet.reasons.note("vm", move.VM, "is not moved: %s", h.reason)
+			continue
+		}
+		_, err := m.startDrain(ctx, &statepb.StartDrain{
+			Vm: move.VM, BaseRevision: m.cfg.Machine.VM(move.VM).GetRevision(), Owner: state.MoveOwner,
+			Reason: move.Reason, MoveToPool: move.To, ToPoolEpoch: move.ToEpoch,
+		})
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// extras are the VMs that waves ask for, by pool.
+func (m *Manager) extras() map[string]capacity.Pool {
+	extras := make(map[string]capacity.Pool)
+	for _, need := range m.fleet.needs {
+		extras[need.Pool] = capacity.Pool{Extra: need.VMs, ExtraReason: need.Reason}
+	}
+	return extras
+}
+
+// CapacitySnapshot is what the policy plans moves from. extras holds what
+// maintenance asks for, by pool.
+func CapacitySnapshot(machine *state.Machine, now time.Time, extras map[string]capacity.Pool) capacity.Snapshot {
+	s := capacity.Snapshot{Now: now}
+	slots, count := make(map[string]int), make(map[string]int)
+	for _, vm := range machine.VMs() {
+		slots[vm.Pool] += int(vm.Slots)
+		count[vm.Pool]++
+		s.VMs = append(s.VMs, capacity.VM{
+			Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack,
+			Available: vm.Phase == statepb.VMPhase_VM_PHASE_ACTIVE,
+			MovingTo:  vm.MoveToPool, LentFrom: vm.LentFrom, Since: time.UnixMilli(vm.PhaseSinceUnixMs),
+		})
+	}
+	for _, pool := range machine.Pools() {
+		least, _ := machine.Budget(pool.Name)
+		s.Pools = append(s.Pools, capacity.Pool{
+			Name: pool.Name, Spare: pool.Spare, Budget: int(least), Epoch: pool.Epoch,
+			UnitsPerVM: slots[pool.Name] / max(1, count[pool.Name]),
+			Extra:      extras[pool.Name].Extra, ExtraReason: extras[pool.Name].ExtraReason,
+		})
+	}
+	return s
+}
+
+// poolDemand is how many units each pool is asked for: jobs by their pool, and
+// requests by their team, spread evenly over the pools of its queues.
+func (m *Manager) poolDemand() map[string]float64 {
+	demand := make(map[string]float64)
+	for _, pool := range m.cfg.Machine.Pools() {
+		demand[pool.Name] = 0
+	}
+	for _, job := range m.cfg.Machine.OpenJobs() {
+		if job.State != statepb.JobState_JOB_STATE_PARKED {
+			demand[job.Pool]++
+		}
+	}
+	for _, r := range m.sessions.reports(m.cfg.Machine.Sessions()) {
+		for _, d := range r.demands {
+			pools := m.teamPools(d.Team)
+			for _, pool := range pools {
+				demand[pool] += float64(d.RunningUnits+d.WaitingUnits) / float64(len(pools))
+			}
+		}
+	}
+	return demand
+}
+
+// teamPools returns the pools that the queues of a team use.
+func (m *Manager) teamPools(team string) []string {
+	var pools []string
+	seen := make(map[string]bool)
+	for _, queue := range m.cfg.Machine.Document(team).GetQueues() {
+		if !seen[queue.Pool] {
+			seen[queue.Pool] = true
+			pools = append(pools, queue.Pool)
+		}
+	}
+	return pools
+}
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -156,7 +156,10 @@
 // report is what one live session reported last.
 type report struct {
 	session string
+	member  string
 	zone    string
+	// heard is false until the session has renewed with this leader.
+	heard   bool
 	age     time.Duration
 	demands []*wirepb.TeamDemand
 	vms     []*wirepb.VMReport
@@ -174,7 +177,7 @@
 			continue
 		}
 		out = append(out, report{
-			session: session.Id, zone: session.Zone, age: s.now().Sub(l.renewed),
+			session: session.Id, member: session.Member, zone: session.Zone, heard: l.applied > 0, age: s.now().Sub(l.renewed),
 			demands: l.demands, vms: l.vms, leaving: l.leaving,
 		})
 	}
--- /dev/null
+++ b/internal/control/waves.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/policy/maintenance"
+	"sapphirering/internal/state"
+	"sapphirering/internal/state/statepb"
+)
+
+const (
+	// rebootTimeout is how long a VM may be away before its reboot counts as failed.
+	rebootTimeout = 15 * time.Minute
+	defaultAction = "reboot"
+	noPlatform    = "no platform is set (platform_url)"
+)
+
+// runWaves plans the running waves, reboots drained VMs and takes them back.
+func (m *Manager) runWaves(ctx context.Context) error {
+	v := m.observe()
+	snapshot := m.maintenanceSnapshot(v)
+	plan := maintenance.Next(snapshot)
+	m.fleet.needs = plan.Needs
+	var errs []error
+	for _, end := range plan.Ends {
+		errs = append(errs, m.endWave(ctx, end))
+	}
+	for _, start := range plan.Starts {
+		errs = append(errs, m.startMaintenance(ctx, start))
+	}
+	for _, wait := range plan.Waits {
+		m.fleet.reasons.note("vm", wait.VM, "waits in wave %s: %s", wait.Wave, wait.Reason)
+		m.fleet.reasons.note("wave", wait.Wave, "VM %s waits: %s", wait.VM, wait.Reason)
+	}
+	for _, vm := range m.cfg.Machine.VMs() {
+		switch vm.Phase {
+		case statepb.VMPhase_VM_PHASE_DRAINED:
+			errs = append(errs, m.startReboot(ctx, v, vm))
+		case statepb.VMPhase_VM_PHASE_REBOOTING:
+			errs = append(errs, m.followReboot(ctx, v, vm))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// maintenanceSnapshot is what the policy plans from.
+func (m *Manager) maintenanceSnapshot(v *view) maintenance.Snapshot {
+	now := m.cfg.Now()
+	s := MaintenanceSnapshot(m.cfg.Machine, now)
+	for _, vm := range s.VMs {
+		if reason := v.blindReason(vm.Zone); reason != "" {
+			s.Blind[vm.Zone] = reason
+		}
+		if h := m.fleet.holds[vm.Name]; now.Before(h.until) {
+			s.Held[vm.Name] = h.reason
+		}
+		if m.cfg.Platform == nil {
+			s.Held[vm.Name] = noPlatform
+		}
+	}
+	return s
+}
+
+// MaintenanceSnapshot is the part of the policy's snapshot that the committed
+// state holds.
+func MaintenanceSnapshot(machine *state.Machine, now time.Time) maintenance.Snapshot {
+	s := maintenance.Snapshot{
+		Now: now, Budgets: make(map[string]int), Blind: make(map[string]string), Held: make(map[string]string),
+	}
+	for _, pool := range machine.Pools() {
+		least, _ := machine.Budget(pool.Name)
+		s.Budgets[pool.Name] = int(least)
+	}
+	for _, vm := range machine.VMs() {
+		s.VMs = append(s.VMs, maintenance.VM{
+			Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Condition: condition(vm.Phase),
+			Wave: state.OwnerWave(vm.DrainOwner), Maintained: time.UnixMilli(vm.LastMaintainedUnixMs),
+			Since: time.UnixMilli(vm.PhaseSinceUnixMs),
+		})
+	}
+	for _, wave := range machine.Waves() {
+		if wave.Phase == statepb.WavePhase_WAVE_PHASE_RUNNING {
+			s.Waves = append(s.Waves, PolicyWave(wave))
+		}
+	}
+	return s
+}
+
+// PolicyWave converts a wave for the policy.
+func PolicyWave(wave *statepb.Wave) maintenance.Wave {
+	w := maintenance.Wave{
+		ID: wave.Id, VMs: wave.Vms, Done: wave.DoneVms, Failed: wave.FailedVms,
+		Canary: int(wave.CanaryVms), MaxParallel: int(wave.MaxParallelVms), Declared: time.UnixMilli(wave.DeclaredUnixMs),
+	}
+	if wave.DeadlineUnixMs != 0 {
+		w.Deadline = time.UnixMilli(wave.DeadlineUnixMs)
+	}
+	return w
+}
+
+func condition(phase statepb.VMPhase) maintenance.Condition {
+	switch phase {
+	case statepb.VMPhase_VM_PHASE_ACTIVE:
+		return maintenance.Available
+	case statepb.VMPhase_VM_PHASE_DOWN:
+		return maintenance.Lost
+	}
+	return maintenance.Out
+}
+
+func (m *Manager) endWave(ctx context.Context, end maintenance.End) error {
+	phase := statepb.WavePhase_WAVE_PHASE_STOPPED
+	if end.Done {
+		phase = statepb.WavePhase_WAVE_PHASE_DONE
+	}
+	refusal, err := m.try(ctx, &statepb.Command{Body: &statepb.Command_EndWave{
+		EndWave: &statepb.EndWave{Wave: end.Wave, Phase: phase, Reason: end.Reason},
+	}})
+	if err != nil {
+		return fmt.Errorf("end wave %s: %w", end.Wave, err)
+	}
+	if refusal == "" {
+		event.WaveEnded.Emit(event.F("wave", end.Wave), event.F("phase", phase.String()), event.F("reason", end.Reason))
+		m.fleet.reasons.note("wave", end.Wave, "ended: %s", end.Reason)
+	}
+	return nil
+}
+
+func (m *Manager) startMaintenance(ctx context.Context, start maintenance.Start) error {
+	vm := m.cfg.Machine.VM(start.VM)
+	if vm == nil {
+		return nil
+	}
+	ok, err := m.startDrain(ctx, &statepb.StartDrain{
+		Vm: vm.Name, BaseRevision: vm.Revision, Owner: state.WaveOwner(start.Wave), Reason: start.Reason,
+	})
+	if ok {
+		m.fleet.reasons.note("wave", start.Wave, "drains VM %s: %s", start.VM, start.Reason)
+	}
+	return err
+}
+
+// startReboot commits that a drained VM is about to be rebooted. The platform
+// is asked only afterwards, so a leader that takes over knows of the reboot.
+func (m *Manager) startReboot(ctx context.Context, v *view, vm *statepb.VM) error {
+	id := state.OwnerWave(vm.DrainOwner)
+	if id == "" || vm.MoveToPool != "" || m.ownerGone(vm) != "" || m.cfg.Platform == nil {
+		return nil
+	}
+	if reason := v.blindReason(vm.Zone); reason != "" {
+		m.fleet.reasons.note("vm", vm.Name, "reboot waits: availability zone %s cannot be seen whole: %s", vm.Zone, reason)
+		return nil
+	}
+	ok, err := m.advanceVM(ctx, &statepb.AdvanceVM{
+		Vm: vm.Name, BaseRevision: vm.Revision, Phase: statepb.VMPhase_VM_PHASE_REBOOTING, Reason: "wave " + id,
+	})
+	if ok {
+		event.RebootStarted.Emit(event.F("vm", vm.Name), event.F("wave", id))
+	}
+	return err
+}
+
+// followReboot asks the platform under the operation id of this drain until
+// the VM is back or the reboot has failed.
+func (m *Manager) followReboot(ctx context.Context, v *view, vm *statepb.VM) error {
+	wave := m.cfg.Machine.Wave(state.OwnerWave(vm.DrainOwner))
+	operation := m.askPlatform(ctx, vm, wave)
+	away := time.Duration(m.cfg.Now().UnixMilli()-vm.PhaseSinceUnixMs) * time.Millisecond
+	switch {
+	case operation.failed:
+		return m.failReboot(ctx, vm, "the platform reports: "+operation.reason)
+	case operation.done && m.isBack(v, vm):
+		return m.finishReboot(ctx, vm)
+	case away > rebootTimeout:
+		return m.failReboot(ctx, vm, fmt.Sprintf("did not return within %s", rebootTimeout))
+	}
+	return nil
+}
+
+// isBack reports whether another incarnation than before the reboot announces itself.
+func (m *Manager) isBack(v *view, vm *statepb.VM) bool {
+	return vm.Incarnation != vm.RebootIncarnation && v.announces(vm)
+}
+
+func (m *Manager) finishReboot(ctx context.Context, vm *statepb.VM) error {
+	ok, err := m.advanceVM(ctx, &statepb.AdvanceVM{
+		Vm: vm.Name, BaseRevision: vm.Revision, Phase: statepb.VMPhase_VM_PHASE_ACTIVE,
+		Reason: "back from its reboot", Maintained: true,
+	})
+	if ok {
+		event.VMReturned.Emit(event.F("vm", vm.Name), event.F("pool", vm.Pool))
+	}
+	return err
+}
+
+func (m *Manager) failReboot(ctx context.Context, vm *statepb.VM, reason string) error {
+	ok, err := m.advanceVM(ctx, &statepb.AdvanceVM{
+		Vm: vm.Name, BaseRevision: vm.Revision, Phase: statepb.VMPhase_VM_PHASE_DOWN, Reason: reason, Failed: true,
+	})
+	if ok {
+		event.RebootFailed.Emit(event.F("vm", vm.Name), event.F("reason", reason))
+	}
+	return err
+}
--- a/internal/policy/maintenance/forecast.go
+++ b/internal/policy/maintenance/forecast.go
@@ -29,6 +29,9 @@
 func Predict(s Snapshot, wave Wave, cycle time.Duration, lendable int) Forecast {
 	s.VMs = append([]VM(nil), s.VMs...)
 	s.Waves = append(append([]Wave(nil), s.Waves...), wave)
+	for i := range s.Waves {
+		s.Waves[i].Deadline = time.Time{} // how long it would take, also past the deadline
+	}
 	end := s.Now
 	for round := range maxForecastRounds {
 		s.Now = end
--- a/internal/policy/maintenance/maintenance.go
+++ b/internal/policy/maintenance/maintenance.go
@@ -29,6 +29,9 @@
 	// than one in correlatedShare of those that ended.
 	minCorrelated   = 2
 	correlatedShare = 4
+	// lostGrace is how long a wave without a deadline waits for lost VMs when
+	// nothing else is left to do.
+	lostGrace = 10 * time.Minute
 )
 
 // VM is a VM as the leader knows it.
@@ -41,6 +44,8 @@
 	// Wave is the wave that has the VM out, or "".
 	Wave       string
 	Maintained time.Time
+	// Since is when the VM entered its condition.
+	Since time.Time
 }
 
 // Wave is a running wave.
@@ -53,7 +58,8 @@
 	Canary int
 	// MaxParallel bounds the VMs out at once; zero leaves it to the budgets.
 	MaxParallel int
-	// Deadline is zero when there is none.
+	Declared    time.Time
+	// Deadline is zero when there is none. Nothing is taken out after it.
 	Deadline time.Time
 }
 
@@ -112,6 +118,8 @@
 	Snapshot
 	byName map[string]*VM
 	rooms  map[string]int
+	// out counts the VMs that were taken out on purpose, by pool.
+	out map[string]int
 	// zone is the only availability zone where VMs may go out; "" for any.
 	zone  string
 	racks map[string]bool
@@ -123,11 +131,14 @@
 func Next(s Snapshot) Plan {
 	p := &planner{
 		Snapshot: s, byName: make(map[string]*VM, len(s.VMs)), rooms: Rooms(s.VMs, s.Budgets),
-		racks: make(map[string]bool), needs: make(map[string]bool),
+		out: make(map[string]int), racks: make(map[string]bool), needs: make(map[string]bool),
 	}
 	for i := range s.VMs {
 		vm := &s.VMs[i]
 		p.byName[vm.Name] = vm
+		if vm.Condition == Out {
+			p.out[vm.Pool]++
+		}
 		if vm.Wave != "" && vm.Condition == Out {
 			p.zone = vm.Zone
 			p.racks[vm.Rack] = true
@@ -219,14 +230,35 @@
 		return &End{Wave: w.ID, Reason: fmt.Sprintf("%d of the first %d VMs failed", at.failed, w.Canary)}
 	case at.failed >= minCorrelated && at.failed*correlatedShare > ended:
 		return &End{Wave: w.ID, Reason: fmt.Sprintf("%d of %d reboots failed together", at.failed, ended)}
-	case len(at.waiting) > 0 || at.out > 0:
+	case at.out > 0:
 		return nil
+	case len(at.waiting) > 0:
+		return p.giveUp(w, at)
 	case at.failed > 0:
 		return &End{Wave: w.ID, Reason: fmt.Sprintf("%d VMs are done, %d failed", at.done, at.failed)}
 	}
 	return &End{Wave: w.ID, Done: true, Reason: fmt.Sprintf("%d VMs are done", at.done)}
 }
 
+// giveUp ends a wave with VMs left: after its deadline, or without one when
+// only lost VMs are left and they stay away.
+func (p *planner) giveUp(w *Wave, at progress) *End {
+	lost := 0
+	for _, vm := range at.waiting {
+		if vm.Condition == Lost && p.Now.Sub(vm.Since) > lostGrace {
+			lost++
+		}
+	}
+	count := fmt.Sprintf("%d VMs are done, %d failed, %d were not reached", at.done, at.failed, len(at.waiting))
+	switch {
+	case !w.Deadline.IsZero() && p.Now.After(w.Deadline):
+		return &End{Wave: w.ID, Reason: "the deadline has passed: " + count}
+	case w.Deadline.IsZero() && lost == len(at.waiting):
+		return &End{Wave: w.ID, Reason: fmt.Sprintf("only lost VMs are left, such as %s: %s", at.waiting[0].Name, count)}
+	}
+	return nil
+}
+
 // parallelLimit lets a wave grow with what it has done well: the canary
 // first, then as many as are done already, halved by each failure.
 func parallelLimit(w *Wave, at progress) int {
@@ -292,6 +324,9 @@
 	if p.zone != "" && p.zone != vm.Zone {
 		return fmt.Sprintf("availability zone %s is worked on first", p.zone)
 	}
+	if !w.Deadline.IsZero() && p.Now.After(w.Deadline) {
+		return "the deadline of the wave has passed"
+	}
 	if out >= limit {
 		return fmt.Sprintf("%d VMs of the wave are out, %d may be at this stage", out, limit)
 	}
@@ -305,7 +340,7 @@
 
 // need asks once for one spare VM; the wave goes on as soon as it has arrived.
 func (p *planner) need(w *Wave, pool string) {
-	if p.needs[pool] {
+	if p.needs[pool] || p.out[pool] > 0 {
 		return
 	}
 	p.needs[pool] = true
@@ -318,6 +353,7 @@
 
 func (p *planner) start(w *Wave, vm *VM, at progress, limit int) {
 	p.rooms[vm.Pool]--
+	p.out[vm.Pool]++
 	p.zone = vm.Zone
 	p.racks[vm.Rack] = true
 	stage := fmt.Sprintf("VM %d of at most %d out at this stage", at.out, limit)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -119,6 +119,8 @@
 	d.client = target.NewClient()
 	d.manager = control.NewManager(control.Config{
 		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
+		Members:  func() []*wirepb.Member { return d.leader.membership.Load().GetMembers() },
+		Platform: newPlatform(d.settings.PlatformURL),
 	})
 	d.holder = session.NewHolder(session.Config{
 		MemberID: d.identity.MemberID, Incarnation: incarnation, MemberName: d.settings.Name,
