--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -85,7 +85,7 @@
 	if err := m.preemptOverLimit(ctx, open, reports); err != nil {
 		return err
 	}
-	for _, pool := range m.fleet(open, reports).pools() {
+	for _, pool := range m.jobFleet(open, reports).pools() {
 		if err := m.placePool(ctx, pool); err != nil {
 			return err
 		}
