--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -107,12 +107,13 @@
 // Handler returns the operators' HTTP interface.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.NotFoundHandler = http.HandlerFunc(notFound)
-	r.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
+	r.NotFoundHandler = unrouted{r}
+	r.MethodNotAllowedHandler = unrouted{r}
 	r.HandleFunc("/healthz", serveAlive).Methods(http.MethodGet, http.MethodHead)
 	r.HandleFunc("/readyz", s.serveReady).Methods(http.MethodGet, http.MethodHead)
 	r.HandleFunc("/metrics", s.serveMetrics).Methods(http.MethodGet)
 	v1 := r.PathPrefix("/v1").Subrouter()
+	v1.NotFoundHandler, v1.MethodNotAllowedHandler = unrouted{r}, unrouted{r}
 	v1.Use(s.authenticate)
 	s.routeDocuments(v1)
 	s.routeFleet(v1)
@@ -146,15 +147,36 @@
 	v1.HandleFunc("/jobs/{job}/retry", s.retryJob).Methods(http.MethodPost)
 }
 
-func notFound(w http.ResponseWriter, r *http.Request) {
-	write(w, http.StatusNotFound, Result{Code: codeNotFound, Message: fmt.Sprintf("no such path: %.200s", r.URL.Path)})
-}
+// unrouted answers requests that no route takes. It finds the allowed methods
+// itself: inside a subrouter, mux forgets a method mismatch as soon as a later
+// route shares the prefix, and would answer 404.
+type unrouted struct{ router *mux.Router }
 
-func methodNotAllowed(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP answers 405 when another method is routed, else 404.
+func (u unrouted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	allowed := u.allowed(r)
+	if len(allowed) == 0 {
+		write(w, http.StatusNotFound, Result{Code: codeNotFound, Message: fmt.Sprintf("no such path: %.200s", r.URL.Path)})
+		return
+	}
+	w.Header().Set("Allow", strings.Join(allowed, ", "))
 	message := fmt.Sprintf("%.20s is not allowed on %.200s", r.Method, r.URL.Path)
 	write(w, http.StatusMethodNotAllowed, Result{Code: codeInvalid, Message: message})
 }
 
+func (u unrouted) allowed(r *http.Request) []string {
+	var methods []string
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodPost, http.MethodDelete} {
+		probe := r.Clone(r.Context())
+		probe.Method = method
+		var match mux.RouteMatch
+		if u.router.Match(probe, &match) && match.MatchErr == nil {
+			methods = append(methods, method)
+		}
+	}
+	return methods
+}
+
 func serveAlive(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok\n")) }
 
 // serveReady turns first when a shutdown begins, so that the balancer leaves.
