Capacity: a command that measures cost per role and fits slopes

Ruled out: sizes that grow all factors together, which cannot tell the slopes of workers, teams and pools apart.

--- /dev/null
+++ b/test/capacity/main.go
@@ -0,0 +1,99 @@
+// Command capacity measures what the system costs as it grows: it starts
+// daemons as processes on loopback, announces stand-in workers, adds pools and
+// teams one factor at a time, reads processor time, memory and bytes of each
+// daemon from /proc, fits slopes, and prints Markdown tables with the budgets.
+//
+// Usage, from the root of the module: go run ./test/capacity [-short]
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+)
+
+// size is one point of the measurement.
+type size struct {
+	targets, teams, pools int
+}
+
+// options are the choices of one run.
+type options struct {
+	daemons, zones int
+	announce       time.Duration
+	settle, window time.Duration
+	sizes          []size
+	check          bool
+}
+
+// fullSizes raise one factor at a time, so that each has its own slope. The
+// last one is the target size.
+var fullSizes = []size{{50, 5, 5}, {290, 5, 5}, {530, 5, 5}, {530, 5, 83}, {530, 170, 83}, {530, 340, 83}}
+
+var shortSizes = []size{{50, 5, 5}, {150, 5, 5}, {150, 5, 20}, {150, 50, 20}}
+
+func main() {
+	log.SetHandler(discard.New())
+	var o options
+	short := flag.Bool("short", false, "measure small sizes in about 20 s")
+	flag.IntVar(&o.daemons, "daemons", 7, "number of entry VMs")
+	flag.IntVar(&o.zones, "zones", 7, "number of availability zones")
+	flag.DurationVar(&o.announce, "announce", 0, "time between announcements of a worker; 0 for the protocol's own")
+	flag.BoolVar(&o.check, "check", false, "exit with 1 when a budget is missed at the last size")
+	flag.Parse()
+	o.settle, o.window, o.sizes = 3*time.Second, 10*time.Second, fullSizes
+	if *short {
+		o.settle, o.window, o.sizes = time.Second, 3*time.Second, shortSizes
+	}
+	missed, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+	if o.check && missed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run measures every size on one growing cluster and prints the report.
+func run(o options) (missed int, err error) {
+	folder, err := os.MkdirTemp("", "sapphirering-capacity")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(folder)
+	c, err := startCluster(folder, o.daemons, o.zones)
+	if err != nil {
+		return 0, err
+	}
+	defer c.stop()
+	fleet := newFleet(c, o.announce)
+	defer fleet.stop()
+	var samples []sample
+	for _, s := range o.sizes {
+		if err := c.grow(s); err != nil {
+			return 0, err
+		}
+		if err := fleet.grow(s.targets, s.pools); err != nil {
+			return 0, err
+		}
+		sampled, err := measure(c, fleet, s, o)
+		if err != nil {
+			return 0, err
+		}
+		samples = append(samples, sampled)
+	}
+	changes, err := measureChanges(c)
+	if err != nil {
+		return 0, err
+	}
+	tool, err := measureTool(c)
+	if err != nil {
+		return 0, err
+	}
+	return report(os.Stdout, o, samples, changes, tool), nil
+}
