--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -136,10 +136,11 @@
 	return jobs
 }
 
-// preemptAll asks the running jobs to checkpoint and stop.
+// preemptAll asks the running jobs to checkpoint and stop. One that is not
+// repeatable would be lost by that: the drain waits for its end.
 func (m *Manager) preemptAll(ctx context.Context, vm *statepb.VM, jobs []*statepb.Job) error {
 	for _, job := range jobs {
-		if job.PreemptRequested {
+		if job.PreemptRequested || !job.Repeatable {
 			continue
 		}
 		if err := m.preempt(ctx, job.Id, fmt.Sprintf("vm %s drains for %s", vm.Name, vm.DrainOwner)); err != nil {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -251,3 +251,8 @@
 		f.is.True(strings.Contains(text, line+"\n")) // the line is written
 	}
 }
+
+// Explain names the object that it was asked about.
+func (f *fakeCluster) Explain(_ context.Context, kind, id string) ([]string, error) {
+	return []string{kind + " " + id}, nil
+}
