--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -253,6 +253,6 @@
 }
 
 // Explain names the object that it was asked about.
-func (f *fakeCluster) Explain(_ context.Context, kind, id string) ([]string, error) {
+func (c *fakeCluster) Explain(_ context.Context, kind, id string) ([]string, error) {
 	return []string{kind + " " + id}, nil
 }
