Target client: provable not run, whole answers, silent connections; fence on task starts

Causes: the old client believed a refusal (Sapphirering-Not-Run) that belonged to another request, took an answer whose end is only the end of the connection as whole, followed redirects, and sat on a silent connection to the deadline.

Now each connection counts the writes it began and is sealed before an error is classed, so 'not run' means that no write was begun; the transport itself sends the request once (no GetBody, no redirects). Targets send 102 while they work; a connection that moves no byte for 3 s is silent and closed with the kept ones of that target. Task starts carry the announcement, refused when stale.

Ruled out: GotConn alone (says unknown for a request that was never written), WroteHeaders (runs before the flush, so it proves nothing), TCP keepalive alone (a middle box that acknowledges and forgets is not seen).

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -103,7 +104,7 @@
 	for ctx.Err() == nil && r.current(job.Id, attempt.Number) {
 		status, err := r.call(ctx, job, attempt, start)
 		if err != nil {
-			if !job.Repeatable {
+			if !job.Repeatable && !errors.Is(err, target.ErrNotRun) {
 				// The first call may have started the task; a second start could run it twice.
 				start = false
 			}
@@ -139,7 +140,8 @@
 	if latest.GetCancelRequested() || latest.GetPreemptRequested() {
 		return r.Client.StopTask(ctx, vm.Address, job.Id, attempt.Number)
 	}
-	return r.Client.Task(ctx, vm.Address, job.Id, attempt.Number, target.TaskRequest{
+	announcement, _ := r.Registry.Get(vm.Name)
+	return r.Client.Task(ctx, vm.Address, announcement.Token(), job.Id, attempt.Number, target.TaskRequest{
 		Team: job.Team, Queue: job.Queue, Payload: job.Payload, Checkpoint: job.Checkpoint,
 		LeaseMS: uint32(TaskLease.Milliseconds()), Start: start,
 	})
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,8 +10,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"sapphirering/internal/event"
 )
 
 // MaxAnswerBytes bounds an answer that is buffered and checked.
@@ -21,14 +24,26 @@
 const (
 	connectTimeout  = 1 * time.Second
 	idleConnTimeout = 30 * time.Second
-	maxConnsPerHost = 64
+	// maxConnsPerTarget is the number of connections that one target takes.
+	maxConnsPerTarget = 64
+	// maxTransports bounds the targets whose connections are kept.
+	maxTransports  = 1024
+	maxHeaderBytes = 32 << 10
 )
 
-// ErrNotRun marks failures after which the work provably did not run.
-var ErrNotRun = errors.New("not run")
-
-// ErrAnswerTooLarge is returned for an answer above MaxAnswerBytes.
-var ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
+// Errors of a run.
+var (
+	// ErrNotRun marks failures after which the work provably did not run.
+	ErrNotRun = errors.New("not run")
+	// ErrSilent marks a connection without progress for ProgressTimeout.
+	ErrSilent = errors.New("no progress on the connection")
+	// ErrAnswerTooLarge is returned for an answer above MaxAnswerBytes.
+	ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
+	// ErrForeignAnswer is returned for an answer that names another request.
+	ErrForeignAnswer = errors.New("answer is for another request")
+	// ErrUnframedAnswer is returned for an answer whose end cannot be told from a cut connection.
+	ErrUnframedAnswer = errors.New("answer has neither a length nor chunks")
+)
 
 // BusyError is a target's refusal; the work did not run.
 type BusyError struct {
@@ -50,6 +65,9 @@
 	Class       string
 	ContentType string
 	Body        []byte
+	// Fresh sends the request on a connection of its own. A kept connection
+	// may have gone silent since its last use; a new one has just answered.
+	Fresh bool
 }
 
 // Answer is a target's whole answer.
@@ -61,115 +79,176 @@
 
 // Client sends requests and tasks to targets.
 type Client struct {
-	http *http.Client
+	fresh   *http.Transport
+	dropped gometrics.Counter
+
+	mu    sync.Mutex
+	hosts map[string]*http.Transport
 }
 
 // NewClient returns a client that keeps connections to each target.
 func NewClient() *Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxConnsPerHost:     maxConnsPerHost,
-		MaxIdleConnsPerHost: maxConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-	return &Client{http: &http.Client{Transport: transport}}
+	fresh := newTransport()
+	fresh.DisableKeepAlives = true
+	return &Client{
+		fresh: fresh, hosts: make(map[string]*http.Transport),
+		dropped: gometrics.GetOrRegisterCounter("answers_dropped", nil),
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:            trackedDialer(&net.Dialer{Timeout: connectTimeout}),
+		MaxConnsPerHost:        maxConnsPerTarget,
+		MaxIdleConnsPerHost:    maxConnsPerTarget,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// transport returns the kept connections of one target, so that the
+// connections of a suspect target can be closed without touching others.
+func (c *Client) transport(address string, fresh bool) *http.Transport {
+	if fresh {
+		return c.fresh
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	transport := c.hosts[address]
+	if transport != nil {
+		return transport
+	}
+	if len(c.hosts) >= maxTransports {
+		for other, kept := range c.hosts {
+			kept.CloseIdleConnections()
+			delete(c.hosts, other)
+		}
+	}
+	transport = newTransport()
+	c.hosts[address] = transport
+	return transport
+}
+
+// closeKept closes the idle connections to one target.
+func (c *Client) closeKept(address string) {
+	c.mu.Lock()
+	transport := c.hosts[address]
+	c.mu.Unlock()
+	if transport != nil {
+		transport.CloseIdleConnections()
+	}
 }
 
 // CloseIdle closes connections that carry no request.
-func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, transport := range c.hosts {
+		transport.CloseIdleConnections()
+	}
+}
 
 // Run sends the request to the slot's target and returns the whole answer.
-// An error matches ErrNotRun when nothing was written to a connection or the
+// An error matches ErrNotRun when no write to a connection was begun or the
 // target refused; after any other error the work may have run.
+//
+// The request goes out through the transport itself: an http.Client would
+// follow redirects and send the work to another address.
 func (c *Client) Run(ctx context.Context, slot *Slot, r Request) (*Answer, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return nil, fmt.Errorf("run on %s: context has no deadline: %w", slot.VM, ErrNotRun)
 	}
-	var connected atomic.Bool
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newProgress(func() { cancel(ErrSilent) })
+	defer watch.stop()
+	trace := &sendTrace{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn:        trace.gotConn,
+		Got1xxResponse: watch.got1xx,
 	})
-	url := slot.Address + "/v1/run/" + r.Queue
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
+	request, err := newRunRequest(ctx, slot, r, deadline, watch)
 	if err != nil {
 		return nil, fmt.Errorf("run on %s: %w: %w", slot.VM, err, ErrNotRun)
 	}
-	// Without GetBody the transport never sends the request a second time.
-	request.GetBody = nil
+	answer, err := c.exchange(request, slot, r, watch)
+	if err == nil || errors.As(err, new(*BusyError)) {
+		return answer, err
+	}
+	return nil, c.runError(ctx, slot, trace, err)
+}
+
+func (c *Client) exchange(request *http.Request, slot *Slot, r Request, watch *progress) (*Answer, error) {
+	response, err := c.transport(slot.Address, r.Fresh).RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	return c.readAnswer(slot.VM, r.ID, response, watch)
+}
+
+// runError tells whether the work may have run, and closes what is suspect.
+func (c *Client) runError(ctx context.Context, slot *Slot, trace *sendTrace, err error) error {
+	wrote := trace.abandon()
+	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
+		err = cause
+		c.closeKept(slot.Address)
+	}
+	if !wrote {
+		return fmt.Errorf("connect to %s: %w: %w", slot.VM, err, ErrNotRun)
+	}
+	return fmt.Errorf("run on %s: %w", slot.VM, err)
+}
+
+func newRunRequest(ctx context.Context, slot *Slot, r Request, deadline time.Time, watch *progress) (*http.Request, error) {
+	url := slot.Address + "/v1/run/" + r.Queue
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, watch.reader(bytes.NewReader(r.Body)))
+	if err != nil {
+		return nil, err
+	}
+	// A body of unknown type has no GetBody: the transport never sends it a second time.
+	request.ContentLength = int64(len(r.Body))
+	if len(r.Body) == 0 {
+		request.Body = http.NoBody
+	}
 	request.Header.Set("Content-Type", r.ContentType)
 	request.Header.Set(HeaderRequestID, r.ID)
 	request.Header.Set(HeaderTeam, r.Team)
 	request.Header.Set(HeaderClass, r.Class)
 	request.Header.Set(HeaderAnnouncement, slot.Announcement)
 	request.Header.Set(HeaderDeadlineMS, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
-	response, err := c.http.Do(request)
-	if err != nil {
-		if !connected.Load() {
-			return nil, fmt.Errorf("connect to %s: %w: %w", slot.VM, err, ErrNotRun)
-		}
-		return nil, fmt.Errorf("run on %s: %w", slot.VM, err)
-	}
-	defer response.Body.Close()
-	return readAnswer(slot.VM, r.ID, response)
+	return request, nil
 }
 
-// readAnswer checks that the answer is whole and belongs to the request.
-func readAnswer(vm, id string, response *http.Response) (*Answer, error) {
+// readAnswer checks that the answer is whole and belongs to the request. The
+// id comes first: a foreign answer must not pass for a refusal either.
+func (c *Client) readAnswer(vm, id string, response *http.Response, watch *progress) (*Answer, error) {
+	if got := response.Header.Get(HeaderRequestID); got != id {
+		return nil, c.drop(vm, id, fmt.Errorf("%w: %q", ErrForeignAnswer, got))
+	}
 	if reason := response.Header.Get(HeaderNotRun); reason != "" {
 		return nil, &BusyError{VM: vm, Reason: reason}
 	}
-	if got := response.Header.Get(HeaderRequestID); got != id {
-		return nil, fmt.Errorf("answer of %s is for request %q, want %q", vm, got, id)
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return nil, c.drop(vm, id, ErrUnframedAnswer)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(watch.reader(response.Body), MaxAnswerBytes+1))
 	if err != nil {
-		return nil, fmt.Errorf("read answer of %s: %w", vm, err)
+		return nil, c.drop(vm, id, fmt.Errorf("read answer: %w", err))
 	}
 	if len(body) > MaxAnswerBytes {
-		return nil, fmt.Errorf("answer of %s: %w", vm, ErrAnswerTooLarge)
+		return nil, c.drop(vm, id, ErrAnswerTooLarge)
 	}
 	return &Answer{
 		StatusCode: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
 	}, nil
 }
 
-// Task starts or renews an attempt of a job and returns its status.
-func (c *Client) Task(ctx context.Context, address, job string, attempt uint32, t TaskRequest) (*TaskStatus, error) {
-	return c.task(ctx, http.MethodPut, address, job, attempt, t)
-}
-
-// StopTask asks the target to checkpoint and stop an attempt.
-func (c *Client) StopTask(ctx context.Context, address, job string, attempt uint32) (*TaskStatus, error) {
-	return c.task(ctx, http.MethodDelete, address, job, attempt, TaskRequest{})
-}
-
-func (c *Client) task(ctx context.Context, method, address, job string, attempt uint32, t TaskRequest) (*TaskStatus, error) {
-	data, err := json.Marshal(t)
-	if err != nil {
-		return nil, fmt.Errorf("marshal task %s: %w", job, err)
-	}
-	url := fmt.Sprintf("%s/v1/tasks/%s/%d", address, job, attempt)
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
-	if err != nil {
-		return nil, fmt.Errorf("task %s at %s: %w", job, address, err)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("task %s at %s: %w", job, address, err)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read status of task %s at %s: %w", job, address, err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("task %s at %s: status %d: %.200s", job, address, response.StatusCode, body)
-	}
-	status := new(TaskStatus)
-	if err := json.Unmarshal(body, status); err != nil {
-		return nil, fmt.Errorf("decode status of task %s at %s: %w", job, address, err)
-	}
-	return status, nil
+// drop counts an answer that is not passed on.
+func (c *Client) drop(vm, id string, err error) error {
+	c.dropped.Inc(1)
+	event.AnswerDropped.Emit(event.F("vm", vm), event.F("request", id), event.Err(err))
+	return err
 }
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -2,6 +2,20 @@
 // announcements, whether they may be given work, and how to reach them.
 package target
 
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// ProgressInterval is how often a target sends an informational response
+	// (102) while it works on a request.
+	ProgressInterval = 1 * time.Second
+	// ProgressTimeout is how long a connection to a target may move no byte
+	// before it counts as silent.
+	ProgressTimeout = 3 * time.Second
+)
+
 // Headers between daemons and targets.
 const (
 	HeaderRequestID = "Sapphirering-Request-Id"
@@ -45,6 +59,9 @@
 	UsedMemoryMB   uint32 `json:"used_memory_mb"`
 }
 
+// Token is the value of HeaderAnnouncement for work that relies on a.
+func (a Announcement) Token() string { return fmt.Sprintf("%s/%d", a.Incarnation, a.Sequence) }
+
 // AnnouncementAnswer tells a target what the daemon knows of it.
 type AnnouncementAnswer struct {
 	Pool  string `json:"pool"`
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -145,7 +145,7 @@
 	a := best.Announcement
 	return &Slot{
 		registry: r, target: best, VM: a.VM, Address: a.Address,
-		Announcement: fmt.Sprintf("%s/%d", a.Incarnation, a.Sequence),
+		Announcement: a.Token(),
 	}
 }
 
--- a/test/standin/target.go
+++ b/test/standin/target.go
@@ -267,10 +267,10 @@
 		return
 	}
 	id := r.Header.Get(target.HeaderRequestID)
+	w.Header().Set(target.HeaderRequestID, id)
 	run := &Run{RequestID: id, Team: r.Header.Get(target.HeaderTeam)}
 	if reason := t.begin(r, run); reason != "" {
-		w.Header().Set(target.HeaderNotRun, reason)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, reason)
 		return
 	}
 	defer t.finish(run)
@@ -279,8 +279,7 @@
 	if json.Unmarshal(body, &asked) == nil && asked.WorkMS > 0 {
 		work = time.Duration(asked.WorkMS) * time.Millisecond
 	}
-	time.Sleep(work)
-	w.Header().Set(target.HeaderRequestID, id)
+	t.work(w, work)
 	if t.cfg.FailAll {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -288,6 +287,22 @@
 	fmt.Fprint(w, Digest(id, body))
 }
 
+// refuse answers that the work was not started.
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(target.HeaderNotRun, reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// work takes the time of a request, with informational responses as progress.
+func (t *Target) work(w http.ResponseWriter, left time.Duration) {
+	for left > target.ProgressInterval {
+		time.Sleep(target.ProgressInterval)
+		left -= target.ProgressInterval
+		w.WriteHeader(http.StatusProcessing)
+	}
+	time.Sleep(left)
+}
+
 // Digest is the answer that a caller expects for its request.
 func Digest(id string, body []byte) string {
 	sum := sha256.Sum256(append([]byte(id+"\n"), body...))
@@ -309,6 +324,10 @@
 			json.NewEncoder(w).Encode(target.TaskStatus{State: target.TaskAbsent})
 			return
 		}
+		if reason := t.refusal(r); reason != "" {
+			refuse(w, reason)
+			return
+		}
 		known = t.startTask(r.PathValue("job"), request)
 		t.tasks[key] = known
 	}
