Registry: outlier ejection with probes, stale incarnations, checked announcements

Causes: a delayed announcement of the process before a reboot brought its address back; workers that fail at once were always the least loaded and drew the work; an announcement could name any URL and any number of slots.

Ejection compares a target's faded failure rate with the rest of its pool: at least 8 results, over one half and twice the peers', never more than a third of the pool, never when the peers fail too; one probe at a time brings it back after three good ones. Equal targets are no longer taken in the order of their names, by which all entry VMs chose the same one.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -188,7 +188,7 @@
 func (s *Server) dispatch(ctx context.Context, req *request) (*target.Answer, *Refusal) {
 	avoid := make(map[string]bool)
 	for tries := 0; ; {
-		slot := s.cfg.Registry.Take(req.queue.Pool, avoid)
+		slot := s.cfg.Registry.Take(target.Need{Pool: req.queue.Pool, Avoid: avoid, Probe: req.repeatable})
 		if slot == nil {
 			answer, refusal := s.spill(ctx, req)
 			if answer != nil || refusal != nil {
@@ -291,7 +291,7 @@
 		out.Reason = fmt.Sprintf("queue %q does not exist here yet", f.Queue)
 		return out
 	}
-	slot := s.cfg.Registry.Take(queue.Pool, nil)
+	slot := s.cfg.Registry.Take(target.Need{Pool: queue.Pool, Probe: f.Idempotent})
 	if slot == nil {
 		out.Reason = "no free slot"
 		return out
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -4,7 +4,11 @@
 
 import (
 	"fmt"
+	"net/url"
+	"strings"
 	"time"
+
+	"sapphirering/internal/state"
 )
 
 const (
@@ -62,6 +66,26 @@
 // Token is the value of HeaderAnnouncement for work that relies on a.
 func (a Announcement) Token() string { return fmt.Sprintf("%s/%d", a.Incarnation, a.Sequence) }
 
+const maxAnnouncedSlots = 1 << 16
+
+// validate names the first field that is wrong.
+func (a Announcement) validate() error {
+	if !state.ValidName(a.VM) {
+		return fmt.Errorf("announcement: vm: %q is not a name", a.VM)
+	}
+	if a.Incarnation == "" || strings.Contains(a.Incarnation, "/") {
+		return fmt.Errorf("announcement of %s: incarnation: %q is empty or has a slash", a.VM, a.Incarnation)
+	}
+	if a.Slots > maxAnnouncedSlots {
+		return fmt.Errorf("announcement of %s: slots: %d is above %d", a.VM, a.Slots, maxAnnouncedSlots)
+	}
+	address, err := url.Parse(a.Address)
+	if err != nil || address.Scheme != "http" || address.Host == "" || address.Path != "" {
+		return fmt.Errorf("announcement of %s: address: %q is not http://host:port", a.VM, a.Address)
+	}
+	return nil
+}
+
 // AnnouncementAnswer tells a target what the daemon knows of it.
 type AnnouncementAnswer struct {
 	Pool  string `json:"pool"`
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -1,7 +1,7 @@
 package target
 
 import (
-	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -19,6 +19,8 @@
 	MaxAnnouncementAge = 3 * time.Second
 	// forgetAfter is how long a silent target stays in the registry.
 	forgetAfter = 60 * time.Second
+	// maxRetired bounds the earlier incarnations that are kept per VM.
+	maxRetired = 4
 )
 
 // Target is one announced target as this daemon sees it.
@@ -29,8 +31,12 @@
 	InFlight uint32
 	// BusyUntil holds dispatch back after the target refused as busy.
 	BusyUntil time.Time
-	// suspectUntil holds dispatch back after fresh connections failed too.
+	// SuspectUntil holds dispatch back after fresh connections failed too.
 	SuspectUntil time.Time
+
+	health health
+	// retired holds incarnations that a newer one replaced.
+	retired []string
 }
 
 // Registry holds the announced targets of this zone.
@@ -40,20 +46,21 @@
 
 	mu      sync.Mutex
 	targets map[string]*Target
+	// changed is closed at the next change; nil while nobody waits for it.
 	changed chan struct{}
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(machine *state.Machine, now func() time.Time) *Registry {
-	return &Registry{machine: machine, now: now, targets: make(map[string]*Target), changed: make(chan struct{})}
+	return &Registry{machine: machine, now: now, targets: make(map[string]*Target)}
 }
 
 // Announce records an announcement. Older sequence numbers of the same
 // incarnation are ignored. registered is false when the committed state does
 // not know the VM as announced yet.
 func (r *Registry) Announce(a Announcement) (answer AnnouncementAnswer, registered bool, err error) {
-	if !state.ValidName(a.VM) || a.Incarnation == "" || a.Address == "" {
-		return AnnouncementAnswer{}, false, fmt.Errorf("announcement: vm, incarnation and address are required")
+	if err := a.validate(); err != nil {
+		return AnnouncementAnswer{}, false, err
 	}
 	r.record(a)
 	vm := r.machine.VM(a.VM)
@@ -69,13 +76,19 @@
 	return answer, registered, nil
 }
 
+// record keeps the announcement. A delayed announcement of an earlier
+// incarnation must not bring back the address and slots from before a reboot.
 func (r *Registry) record(a Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.targets[a.VM]
+	if known != nil && slices.Contains(known.retired, a.Incarnation) {
+		event.StaleIncarnation.Emit(event.F("vm", a.VM), event.F("incarnation", a.Incarnation))
+		return
+	}
 	if known == nil || known.Announcement.Incarnation != a.Incarnation {
 		event.TargetSeen.Emit(event.F("vm", a.VM), event.F("incarnation", a.Incarnation))
-		known = &Target{}
+		known = successor(known)
 		r.targets[a.VM] = known
 	} else if a.Sequence <= known.Announcement.Sequence {
 		return
@@ -88,16 +101,34 @@
 	r.signal()
 }
 
+// successor returns the entry of a new incarnation. Slots of the earlier one
+// stay with the earlier entry.
+func successor(earlier *Target) *Target {
+	if earlier == nil {
+		return &Target{}
+	}
+	retired := append(slices.Clone(earlier.retired), earlier.Announcement.Incarnation)
+	if len(retired) > maxRetired {
+		retired = retired[len(retired)-maxRetired:]
+	}
+	return &Target{retired: retired}
+}
+
 // signal wakes waiters for a free slot.
 func (r *Registry) signal() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
 }
 
 // Changed returns a channel that is closed when a slot may have become free.
 func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
 	return r.changed
 }
 
@@ -112,51 +143,73 @@
 	once         sync.Once
 }
 
-// dispatchable reports whether the target may be given work now.
-func (r *Registry) dispatchable(t *Target, pool string) bool {
-	now := r.now()
+// Need says what kind of slot is looked for.
+type Need struct {
+	Pool string
+	// Avoid names VMs that this request must not go to again.
+	Avoid map[string]bool
+	// Probe allows an ejected target that is due for a probe.
+	Probe bool
+}
+
+// ready reports whether the target takes work, whatever its pool.
+func (t *Target) ready(now time.Time) bool {
 	if t.Announcement.Leaving || now.Sub(t.Seen) > MaxAnnouncementAge {
 		return false
 	}
-	if now.Before(t.BusyUntil) || now.Before(t.SuspectUntil) || t.InFlight >= t.Announcement.Slots {
+	return !now.Before(t.BusyUntil) && !now.Before(t.SuspectUntil) && t.InFlight < t.Announcement.Slots
+}
+
+// probeDue reports whether an ejected target may get one probe.
+func (t *Target) probeDue(now time.Time) bool {
+	return t.InFlight == 0 && !now.Before(t.health.probeAfter)
+}
+
+// dispatchable reports whether the target may be given work of the pool now.
+func (r *Registry) dispatchable(t *Target, need Need, now time.Time) bool {
+	if !t.ready(now) || need.Avoid[t.Announcement.VM] {
+		return false
+	}
+	if t.health.ejected && !(need.Probe && t.probeDue(now)) {
 		return false
 	}
 	vm := r.machine.VM(t.Announcement.VM)
-	return vm != nil && vm.Pool == pool && vm.Phase == statepb.VMPhase_VM_PHASE_ACTIVE
+	return vm != nil && vm.Pool == need.Pool && vm.Phase == statepb.VMPhase_VM_PHASE_ACTIVE
 }
 
-// Take reserves a slot on the least loaded target of the pool, or returns nil.
-func (r *Registry) Take(pool string, avoid map[string]bool) *Slot {
+// Take reserves a slot on the least loaded target, or returns nil. A target
+// that is due for a probe goes first.
+func (r *Registry) Take(need Need) *Slot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.now()
 	var best *Target
 	for _, t := range r.targets {
-		if avoid[t.Announcement.VM] || !r.dispatchable(t, pool) {
+		if best != nil && !better(t, best) || !r.dispatchable(t, need, now) {
 			continue
 		}
-		if best == nil || lessLoaded(t, best) {
-			best = t
-		}
+		best = t
 	}
 	if best == nil {
 		return nil
 	}
 	best.InFlight++
 	a := best.Announcement
-	return &Slot{
-		registry: r, target: best, VM: a.VM, Address: a.Address,
-		Announcement: a.Token(),
+	return &Slot{registry: r, target: best, VM: a.VM, Address: a.Address, Announcement: a.Token()}
+}
+
+// better prefers a probe, then the less loaded target.
+func better(a, b *Target) bool {
+	if a.health.ejected != b.health.ejected {
+		return a.health.ejected
 	}
+	return lessLoaded(a, b)
 }
 
-// lessLoaded compares by the share of slots in use, then by name.
+// lessLoaded compares by the share of slots in use. Equal targets keep the
+// order of the map, so that entry VMs do not all choose the same one.
 func lessLoaded(a, b *Target) bool {
-	left := a.InFlight * b.Announcement.Slots
-	right := b.InFlight * a.Announcement.Slots
-	if left != right {
-		return left < right
-	}
-	return a.Announcement.VM < b.Announcement.VM
+	return a.InFlight*b.Announcement.Slots < b.InFlight*a.Announcement.Slots
 }
 
 // Release gives the slot back.
@@ -183,13 +236,21 @@
 	s.target.SuspectUntil = s.registry.now().Add(d)
 }
 
+// Observe records what became of the work that the slot's target started.
+func (s *Slot) Observe(failed bool) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	s.registry.observe(s.target, failed)
+}
+
 // FreeSlots counts the free slots of a pool in this zone.
 func (r *Registry) FreeSlots(pool string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	free := 0
+	now := r.now()
 	for _, t := range r.targets {
-		if r.dispatchable(t, pool) {
+		if r.dispatchable(t, Need{Pool: pool}, now) {
 			free += int(t.Announcement.Slots - t.InFlight)
 		}
 	}
@@ -222,7 +283,7 @@
 		reports = append(reports, &wirepb.VMReport{
 			Vm: name, Incarnation: t.Announcement.Incarnation, AgeMs: uint32(age.Milliseconds()),
 			Leaving: t.Announcement.Leaving, GateClosed: t.Announcement.Leaving,
-			InFlight: t.InFlight + t.Announcement.InFlight,
+			InFlight: max(t.InFlight, t.Announcement.InFlight), Ejected: t.health.ejected,
 			Usage: &statepb.Resources{
 				Millicores: t.Announcement.UsedMillicores, MemoryMb: t.Announcement.UsedMemoryMB,
 			},
