--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -25,11 +25,14 @@
 	index uint64
 	// Newest time seen in any command, in Unix milliseconds.
 	nowMS int64
+	// changed is closed at the next command; nil while nobody waits for it.
+	changed chan struct{}
 
 	documents  map[string]*statepb.TeamDocument
 	keys       map[string]*statepb.Key
 	pools      map[string]*statepb.Pool
 	vms        map[string]*statepb.VM
+	removedVMs map[string]*statepb.RemovedVM
 	waves      map[string]*statepb.Wave
 	sessions   map[string]*statepb.Session
 	kept       map[keptID]uint32
@@ -67,6 +70,7 @@
 	m.keys = make(map[string]*statepb.Key)
 	m.pools = make(map[string]*statepb.Pool)
 	m.vms = make(map[string]*statepb.VM)
+	m.removedVMs = make(map[string]*statepb.RemovedVM)
 	m.waves = make(map[string]*statepb.Wave)
 	m.sessions = make(map[string]*statepb.Session)
 	m.kept = make(map[keptID]uint32)
@@ -83,6 +87,7 @@
 func (m *Machine) Apply(index uint64, data []byte) any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.signal()
 	m.index = index
 	command := new(statepb.Command)
 	if err := proto.Unmarshal(data, command); err != nil {
