Requests: fair queue in place of polling, retry budget, forwards in turn

waitUnit and waitSlot polled every 20 ms in no order; a request held its unit while it waited for a slot.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -67,13 +67,3 @@
 	}
 	w.ledger.SetWaiting(team, count.all, count.urgent)
 }
-
-// of returns how many requests of the team wait.
-func (w *waitCounts) of(team string) uint32 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if count := w.teams[team]; count != nil {
-		return count.all
-	}
-	return 0
-}
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -170,7 +170,10 @@
 
 // PushAgain adds an item that was granted before and needs another slot. It
 // goes before all others and counts for no bound: its work was admitted.
-func (q *Queue) PushAgain(item *Item, now time.Time) { q.add(item, q.again, now) }
+func (q *Queue) PushAgain(item *Item, now time.Time) {
+	q.team(item)
+	q.add(item, q.again, now)
+}
 
 func (q *Queue) add(item *Item, lane *list.List, now time.Time) {
 	item.enqueued = now
@@ -248,8 +251,10 @@
 	for e := q.again.Front(); e != nil; {
 		item := e.Value.(*Item)
 		e = e.Next()
-		if now.After(item.Deadline) || item.Grant() == Granted {
+		if now.After(item.Deadline) {
 			q.Remove(item)
+		} else if item.Grant() == Granted {
+			q.granted(q.teams[item.Team], item)
 		}
 	}
 }
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -71,7 +72,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, r.Outcome)
 	if r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(int(r.retryAfter.Seconds()+0.5)))
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(r.retryAfter.Seconds())))))
 	}
 	w.WriteHeader(r.status)
 	json.NewEncoder(w).Encode(r)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,10 +24,13 @@
 	Propose(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error)
 }
 
-// Forwarder hands a request to an entry VM of another zone. sent is false when
-// nothing was sent, so that the work provably did not run.
+// Forwarder hands requests to entry VMs of other zones.
 type Forwarder interface {
-	Forward(ctx context.Context, request *wirepb.ForwardRequest) (response *wirepb.ForwardResponse, sent bool, err error)
+	// Room reports whether another zone may have a free slot of the pool.
+	Room(pool string) bool
+	// Forward tries other zones in turn. The response is nil when none took
+	// the request; an error means that the work may have run.
+	Forward(ctx context.Context, pool string, request *wirepb.ForwardRequest) (*wirepb.ForwardResponse, error)
 }
 
 // Config holds what a Server needs.
@@ -46,6 +49,10 @@
 	cfg     Config
 	metrics *metrics
 	waiting *waitCounts
+	lines   *lines
+	budget  *retryBudget
+
+	forwards forwardLog
 
 	mu       sync.Mutex
 	draining bool
@@ -54,7 +61,11 @@
 
 // NewServer returns a server.
 func NewServer(cfg Config) *Server {
-	return &Server{cfg: cfg, metrics: newMetrics(), waiting: newWaitCounts(cfg.Holder.Ledger())}
+	s := &Server{
+		cfg: cfg, metrics: newMetrics(), waiting: newWaitCounts(cfg.Holder.Ledger()), budget: newRetryBudget(),
+	}
+	s.lines = newLines(s)
+	return s
 }
 
 // Handler returns the callers' HTTP interface.
@@ -71,19 +82,26 @@
 // track refuses new work during a shutdown and counts what is in flight.
 func (s *Server) track(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		if s.draining {
-			s.mu.Unlock()
+		if !s.begin() {
 			refuse(http.StatusServiceUnavailable, ReasonShutdown, "this entry VM is shutting down").write(w, "")
 			return
 		}
-		s.inFlight.Add(1)
-		s.mu.Unlock()
 		defer s.inFlight.Done()
 		next(w, r)
 	}
 }
 
+// begin counts one piece of work in flight; false during a shutdown.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.inFlight.Add(1)
+	return true
+}
+
 // Ready reports whether the balancer may send callers here.
 func (s *Server) Ready() bool {
 	s.mu.Lock()
--- a/test/standin/target.go
+++ b/test/standin/target.go
@@ -266,8 +266,18 @@
 	WorkMS int `json:"work_ms"`
 }
 
+// runDeadline is when a request must have stopped, counted from its arrival.
+func runDeadline(r *http.Request) time.Time {
+	ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadlineMS), 10, 64)
+	if err != nil {
+		return time.Now()
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
 // serveRun answers with the digest of the request's id and body.
 func (t *Target) serveRun(w http.ResponseWriter, r *http.Request) {
+	deadline := runDeadline(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -285,7 +295,9 @@
 	if json.Unmarshal(body, &asked) == nil && asked.WorkMS > 0 {
 		work = time.Duration(asked.WorkMS) * time.Millisecond
 	}
-	t.work(w, work)
+	if !t.work(w, work, deadline) {
+		panic(http.ErrAbortHandler)
+	}
 	if t.cfg.FailAll {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -300,13 +312,19 @@
 }
 
 // work takes the time of a request, with informational responses as progress.
-func (t *Target) work(w http.ResponseWriter, left time.Duration) {
-	for left > target.ProgressInterval {
-		time.Sleep(target.ProgressInterval)
-		left -= target.ProgressInterval
-		w.WriteHeader(http.StatusProcessing)
+// It stops at the deadline and returns false when the work is not finished.
+func (t *Target) work(w http.ResponseWriter, left time.Duration, deadline time.Time) bool {
+	for left > 0 {
+		step := min(left, target.ProgressInterval, time.Until(deadline))
+		if step <= 0 {
+			return false
+		}
+		time.Sleep(step)
+		if left -= step; left > 0 {
+			w.WriteHeader(http.StatusProcessing)
+		}
 	}
-	time.Sleep(left)
+	return true
 }
 
 // Digest is the answer that a caller expects for its request.
