Claims: ends are final per try, one spelling of an id, whole recorded answers

Holes found in the claims, each with a test: - the content type of a recorded answer was lost, its bound was kept only by the entry VM (TestRecordedAnswer); - other spellings of one UUID were claimed beside it (TestClaimIDHasOneSpelling); - an id dated ahead could run again after its claim was pruned (TestPrunedClaimCannotRunAgain); - an end after the session was reclaimed was ignored (TestEndAfterReclaimIsRecorded); - an end that overtook its claim, or a late copy of a claim, left the claim running for as long as the session lived.

So the first end of a try is final.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,8 @@
 // MaxBodyBytes bounds a request body.
 const MaxBodyBytes = 8 << 20
 
+const sweepInterval = 10 * time.Second
+
 // Proposer commits commands through the leader.
 type Proposer interface {
 	Propose(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error)
@@ -53,6 +55,8 @@
 	budget  *retryBudget
 
 	forwards forwardLog
+	// claims are the tries that may run, ending the ends on their way.
+	claims, ending claimTries
 
 	mu       sync.Mutex
 	draining bool
@@ -68,6 +72,20 @@
 	return s
 }
 
+// Run does the background work until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sweepClaims()
+		}
+	}
+}
+
 // Handler returns the callers' HTTP interface.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -248,6 +248,7 @@
 	}
 	d.running.Go(func() { d.holder.Run(d.background) })
 	d.running.Go(func() { jobs.Run(d.background) })
+	d.running.Go(func() { d.entry.Run(d.background) })
 	select {
 	case <-ctx.Done():
 		d.shutdown()
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -2,29 +2,44 @@
 
 import (
 	"bytes"
+	"fmt"
+	"slices"
 
+	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/state/statepb"
 )
 
-// claimRequest gives the only run of a request id to a session. A claim that
-// ended as provably not run may be taken again.
+const (
+	// MaxKeptAnswerBytes bounds an answer that is kept for resends.
+	MaxKeptAnswerBytes = 16 << 10
+	// maxClaimTries bounds how often one request id may be claimed after tries
+	// that ended as not run; each leaves its token.
+	maxClaimTries = 64
+)
+
+// claimRequest gives the only run of a request id to a try of a session. A
+// claim that ended as provably not run may be taken by another try.
 func (m *Machine) claimRequest(c *statepb.ClaimRequest) *statepb.Outcome {
 	claim := c.GetClaim()
 	known := m.claims[claim.GetRequestId()]
-	if known != nil && !bytes.Equal(known.BodyHash, claim.BodyHash) {
-		return m.invalid("request id %q was used for another body", claim.RequestId)
-	}
-	if known != nil && (known.Team != claim.Team || known.Queue != claim.Queue) {
-		return m.invalid("request id %q was used by another team or queue", claim.RequestId)
+	if refusal := m.checkSameRequest(known, claim); refusal != nil {
+		return refusal
 	}
 	if known != nil && known.State != statepb.ClaimState_CLAIM_STATE_NOT_RUN {
 		outcome := m.outcome(statepb.Code_CODE_EXISTS, "request %q is %s", claim.RequestId, known.State)
 		outcome.Claim = known
 		return outcome
 	}
-	if err := checkAge(claim.GetRequestId(), m.nowMS, ClaimWindow); err != nil {
+	if slices.Contains(known.GetEndedTokens(), claim.GetToken()) {
+		// A late copy of the command, or a claim that its own end overtook.
+		return m.refused("the try to run request %q has ended", claim.RequestId)
+	}
+	if len(known.GetEndedTokens()) >= maxClaimTries {
+		return m.refused("request %q was tried %d times; send it under a new id", claim.RequestId, maxClaimTries)
+	}
+	if err := checkClaimID(claim.GetRequestId(), m.nowMS); err != nil {
 		return m.invalid("request id: %v", err)
 	}
 	if m.liveSession(claim.Session) == nil {
@@ -33,29 +48,129 @@
 	stored := proto.CloneOf(claim)
 	stored.ClaimedUnixMs = m.nowMS
 	stored.State = statepb.ClaimState_CLAIM_STATE_RUNNING
+	stored.EndedTokens = known.GetEndedTokens()
 	m.claims[claim.RequestId] = stored
 	return m.ok(m.index)
 }
 
-// endClaim records the outcome. Only the try that holds the claim may end
-// it; a resent end finds the recorded one.
+// checkSameRequest refuses an id that was used for something else. The answer
+// of the other request is not shown.
+func (m *Machine) checkSameRequest(known, claim *statepb.Claim) *statepb.Outcome {
+	if known == nil {
+		return nil
+	}
+	if known.Team != claim.GetTeam() || known.Queue != claim.GetQueue() {
+		return m.invalid("request id %q was used by another team or queue", claim.GetRequestId())
+	}
+	if !bytes.Equal(known.BodyHash, claim.GetBodyHash()) {
+		return m.invalid("request id %q was used for another body", claim.GetRequestId())
+	}
+	return nil
+}
+
+// checkClaimID wants the one canonical form of a UUIDv7: other spellings of
+// the same id would be claimed beside it.
+func checkClaimID(id string, nowMS int64) error {
+	parsed, err := uuid.Parse(id)
+	if err == nil && parsed.String() != id {
+		return fmt.Errorf("%q is not in the canonical form %q", id, parsed)
+	}
+	return checkAge(id, nowMS, ClaimWindow)
+}
+
+// endClaim records the outcome. Only the try that holds the claim may end it;
+// its first
+// end is final. It also replaces the state unknown that the reclaiming of a
+// session sets.
 func (m *Machine) endClaim(c *statepb.EndClaim) *statepb.Outcome {
 	claim := m.claims[c.RequestId]
 	if claim == nil {
-		return m.notFound("claim", c.RequestId)
+		return m.endBeforeClaim(c)
 	}
-	if claim.Session != c.Session || claim.Token != c.Token {
-		return m.refused("claim %q is held by another session or try", c.RequestId)
-	}
-	if claim.State != statepb.ClaimState_CLAIM_STATE_RUNNING {
+	if slices.Contains(claim.EndedTokens, c.Token) {
 		return m.ok(m.index)
 	}
-	if c.State == statepb.ClaimState_CLAIM_STATE_RUNNING || c.State == statepb.ClaimState_CLAIM_STATE_UNSPECIFIED {
+	if claim.Token != c.Token {
+		return m.endOtherTry(claim, c)
+	}
+	if claim.Session != c.Session {
+		return m.refused("claim %q is held by another session", c.RequestId)
+	}
+	if !endsClaim(c.State) {
 		return m.invalid("state: %s does not end a claim", c.State)
 	}
+	if claim.State != statepb.ClaimState_CLAIM_STATE_RUNNING && claim.State != statepb.ClaimState_CLAIM_STATE_UNKNOWN {
+		return m.ok(m.index)
+	}
+	m.claims[c.RequestId] = endedClaim(claim, c)
+	return m.ok(m.index)
+}
+
+func endsClaim(state statepb.ClaimState) bool {
+	return state == statepb.ClaimState_CLAIM_STATE_DONE || state == statepb.ClaimState_CLAIM_STATE_NOT_RUN ||
+		state == statepb.ClaimState_CLAIM_STATE_UNKNOWN
+}
+
+func endedClaim(claim *statepb.Claim, c *statepb.EndClaim) *statepb.Claim {
 	next := proto.CloneOf(claim)
 	next.State, next.StatusCode = c.State, c.StatusCode
-	next.Answer, next.AnswerKept = c.Answer, c.AnswerKept
+	if c.AnswerKept && len(c.Answer) <= MaxKeptAnswerBytes {
+		next.Answer, next.AnswerKept, next.ContentType = c.Answer, true, c.ContentType
+	}
+	// The first end of a try is final, so that no later one turns work that
+	// may have run into work that may run again.
+	next.EndedTokens = append(next.EndedTokens, c.Token)
+	return next
+}
+
+// endBeforeClaim records a try that ended as not run before its claim was
+// committed, so that the claim, should it still come, is refused.
+func (m *Machine) endBeforeClaim(c *statepb.EndClaim) *statepb.Outcome {
+	if c.State != statepb.ClaimState_CLAIM_STATE_NOT_RUN || c.Claim.GetRequestId() != c.RequestId {
+		return m.notFound("claim", c.RequestId)
+	}
+	if err := checkClaimID(c.RequestId, m.nowMS); err != nil {
+		return m.invalid("request id: %v", err)
+	}
+	stored := proto.CloneOf(c.Claim)
+	stored.ClaimedUnixMs = m.nowMS
+	stored.State = statepb.ClaimState_CLAIM_STATE_NOT_RUN
+	stored.EndedTokens = []string{c.Token}
+	m.claims[c.RequestId] = stored
+	return m.ok(m.index)
+}
+
+// endOtherTry records the end of a try that does not hold the claim: another
+// one does, and the end only makes sure that this one never will.
+func (m *Machine) endOtherTry(claim *statepb.Claim, c *statepb.EndClaim) *statepb.Outcome {
+	if c.State != statepb.ClaimState_CLAIM_STATE_NOT_RUN || len(claim.EndedTokens) >= maxClaimTries {
+		return m.refused("claim %q is held by another try", c.RequestId)
+	}
+	next := proto.CloneOf(claim)
+	next.EndedTokens = append(next.EndedTokens, c.Token)
 	m.claims[c.RequestId] = next
 	return m.ok(m.index)
 }
+
+// prunableClaim reports whether a claim may be forgotten: an id may be dated
+// ahead, and must be too old to be claimed again.
+func (m *Machine) prunableClaim(claim *statepb.Claim, beforeMS int64) bool {
+	if claim.State == statepb.ClaimState_CLAIM_STATE_RUNNING || claim.ClaimedUnixMs >= beforeMS {
+		return false
+	}
+	at, err := IDTime(claim.RequestId)
+	return err != nil || m.nowMS-at > ClaimWindow.Milliseconds()
+}
+
+// RunningClaims returns the claims that a session holds, by request id.
+func (m *Machine) RunningClaims(session string) []*statepb.Claim {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	running := make(map[string]*statepb.Claim)
+	for id, claim := range m.claims {
+		if claim.Session == session && claim.State == statepb.ClaimState_CLAIM_STATE_RUNNING {
+			running[id] = claim
+		}
+	}
+	return sorted(running)
+}
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -249,7 +249,7 @@
 // prune forgets what is older than the stated times. Open claims and jobs stay.
 func (m *Machine) prune(c *statepb.Prune) *statepb.Outcome {
 	for id, claim := range m.claims {
-		if claim.State != statepb.ClaimState_CLAIM_STATE_RUNNING && claim.ClaimedUnixMs < c.ClaimsBeforeUnixMs {
+		if m.prunableClaim(claim, c.ClaimsBeforeUnixMs) {
 			delete(m.claims, id)
 		}
 	}
