--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -104,7 +104,7 @@
 func (s *Server) startEnd(claim *statepb.Claim, end *statepb.EndClaim) <-chan struct{} {
 	recorded := make(chan struct{})
 	done := s.ending.begin(claim.Token)
-	s.inFlight.Add(1)
+	s.inFlight.Add()
 	go func() {
 		defer s.inFlight.Done()
 		defer close(recorded)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -18,7 +18,11 @@
 	"sapphirering/internal/target"
 )
 
-const defaultDeadline = 10 * time.Second
+const (
+	defaultDeadline = 10 * time.Second
+	// answerTimeout bounds how long a caller may take to read its answer.
+	answerTimeout = 30 * time.Second
+)
 
 // request is one admitted request.
 type request struct {
@@ -59,6 +63,9 @@
 	w.Header().Set(HeaderOutcome, OutcomeAnswered)
 	w.Header().Set("Content-Type", answer.ContentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	// The slot and the unit are given back by now: a caller that reads slowly
+	// holds nothing but this connection, and that only for a bounded time.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 	w.WriteHeader(answer.StatusCode)
 	w.Write(answer.Body)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -19,7 +20,11 @@
 // MaxBodyBytes bounds a request body.
 const MaxBodyBytes = 8 << 20
 
-const sweepInterval = 10 * time.Second
+const (
+	sweepInterval = 10 * time.Second
+	// bodyTimeout bounds how long a caller may take to send its body.
+	bodyTimeout = 30 * time.Second
+)
 
 // Proposer commits commands through the leader.
 type Proposer interface {
@@ -58,9 +63,11 @@
 	// claims are the tries that may run, ending the ends on their way.
 	claims, ending claimTries
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// leaving turns readiness off; draining refuses new work.
+	leaving  bool
 	draining bool
-	inFlight sync.WaitGroup
+	inFlight flight
 }
 
 // NewServer returns a server.
@@ -100,15 +107,42 @@
 // track refuses new work during a shutdown and counts what is in flight.
 func (s *Server) track(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.Ready() {
+			// Callers that keep the connection open come back through the balancer.
+			w.Header().Set("Connection", "close")
+		}
 		if !s.begin() {
 			refuse(http.StatusServiceUnavailable, ReasonShutdown, "this entry VM is shutting down").write(w, "")
 			return
 		}
 		defer s.inFlight.Done()
+		limitBody(w, r)
 		next(w, r)
 	}
 }
 
+// limitBody bounds how long the caller takes to send its body. The bound ends
+// with the body: the server would cancel the request when it runs out later.
+func limitBody(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	r.Body = &timedBody{ReadCloser: r.Body, control: control}
+}
+
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read ends the bound with the end of the body.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // begin counts one piece of work in flight; false during a shutdown.
 func (s *Server) begin() bool {
 	s.mu.Lock()
@@ -116,7 +150,7 @@
 	if s.draining {
 		return false
 	}
-	s.inFlight.Add(1)
+	s.inFlight.Add()
 	return true
 }
 
@@ -124,9 +158,19 @@
 func (s *Server) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.draining
+	return !s.leaving
+}
+
+// Leave turns readiness off; requests are still taken.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
 }
 
+// InFlight returns how many pieces of work are in flight.
+func (s *Server) InFlight() int { return s.inFlight.count() }
+
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.Ready() {
 		http.Error(w, "shutting down", http.StatusServiceUnavailable)
@@ -139,21 +183,60 @@
 // when ctx ends first.
 func (s *Server) Drain(ctx context.Context) bool {
 	s.mu.Lock()
-	s.draining = true
+	s.leaving, s.draining = true, true
 	s.mu.Unlock()
-	finished := make(chan struct{})
-	go func() {
-		s.inFlight.Wait()
-		close(finished)
-	}()
 	select {
-	case <-finished:
+	case <-s.inFlight.idle():
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// flight counts work in flight.
+type flight struct {
+	mu      sync.Mutex
+	n       int
+	waiting chan struct{}
+}
+
+// Add counts one piece of work in.
+func (f *flight) Add() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n++
+}
+
+// Done counts one piece of work out.
+func (f *flight) Done() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n--
+	if f.n == 0 && f.waiting != nil {
+		close(f.waiting)
+		f.waiting = nil
+	}
+}
+
+func (f *flight) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.n
+}
+
+// idle returns a channel that is closed once nothing is in flight.
+func (f *flight) idle() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	done := make(chan struct{})
+	if f.n == 0 {
+		close(done)
+		return done
+	}
+	f.waiting = done
+	return done
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -35,7 +35,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 32 << 10
-	handOverTimeout   = 2 * time.Second
+	// closeSessionTimeout covers the hand-over of running attempts to another entry VM.
+	closeSessionTimeout = 5 * time.Second
 )
 
 // Daemon is one running process of the system.
@@ -119,6 +120,9 @@
 	d.client = target.NewClient()
 	d.manager = control.NewManager(control.Config{
 		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
+		AskRelease: d.leader.AskRelease, MemberNames: d.leader.MemberNames,
+		Members:  func() []*wirepb.Member { return d.leader.membership.Load().GetMembers() },
+		Platform: newPlatform(d.settings.PlatformURL),
 	})
 	d.holder = session.NewHolder(session.Config{
 		MemberID: d.identity.MemberID, Incarnation: incarnation, MemberName: d.settings.Name,
@@ -225,6 +229,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
+	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -259,34 +264,6 @@
 	}
 }
 
-// shutdown finishes requests in flight before anything that they need ends.
-func (d *Daemon) shutdown() {
-	event.DaemonStopping.Emit()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout.Duration)
-	defer cancel()
-	if !d.entry.Drain(ctx) {
-		event.ShutdownCut.Emit()
-	}
-	for _, server := range d.servers {
-		server.Shutdown(ctx)
-	}
-	d.handOverLeadership()
-	d.stop()
-	event.DaemonStopped.Emit()
-}
-
-// handOverLeadership lets another voter lead at once instead of after a timeout.
-func (d *Daemon) handOverLeadership() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	for d.leader.isLocal() && ctx.Err() == nil {
-		if started, err := d.node.TransferLeadership(ctx); err != nil || !started {
-			return
-		}
-		time.Sleep(retryDelay)
-	}
-}
-
 func (d *Daemon) stop() {
 	d.cancelBackground()
 	d.running.Wait()
--- a/internal/state/vms.go
+++ b/internal/state/vms.go
@@ -329,7 +329,7 @@
 
 // checkIdle refuses while a job attempt runs on the VM.
 func (m *Machine) checkIdle(vm *statepb.VM) *statepb.Outcome {
-	for id := range m.openJobs {
+	for _, id := range m.openJobs {
 		if CurrentAttempt(m.jobs[id]).GetVm() == vm.Name {
 			return m.refused("vm %q: a job attempt still runs on it", vm.Name)
 		}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -194,6 +194,7 @@
 	wrote := trace.abandon()
 	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
 		err = cause
+		event.ConnectionSilent.Emit(event.F("vm", slot.VM))
 		c.closeKept(slot.Address)
 	}
 	if !wrote {
