--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/event"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/target"
 )
@@ -16,6 +17,8 @@
 const (
 	maxAnnouncementBytes = 64 << 10
 	registerTimeout      = 3 * time.Second
+	// registerPause is how long a VM waits after a failed registration.
+	registerPause = 3 * time.Second
 )
 
 // announcer takes announcements and registers VMs that the state does not know.
@@ -24,12 +27,15 @@
 	leader   *leaderClient
 
 	mu          sync.Mutex
+	// registering holds the VMs whose registration is on its way or has just
+	// failed; a pool that does not exist must not fill the log with refusals.
 	registering map[string]bool
 }
 
 // ServeHTTP takes one announcement.
 func (a *announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncementBytes))
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(registerTimeout))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 	if err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
@@ -65,7 +71,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 		defer cancel()
-		a.propose(ctx, announcement)
+		if err := a.propose(ctx, announcement); err != nil {
+			event.RegisterFailed.Emit(event.Err(err))
+			time.Sleep(registerPause)
+		}
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.registering, announcement.VM)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -37,7 +37,8 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 32 << 10
-	handOverTimeout   = 2 * time.Second
+	// closeSessionTimeout covers the hand-over of running attempts to another entry VM.
+	closeSessionTimeout = 5 * time.Second
 )
 
 // Daemon is one running process of the system.
@@ -72,8 +73,8 @@
 type Options struct {
 	// Bootstrap creates a new cluster when the data folder is empty.
 	Bootstrap bool
-	// OperatorKeys are the secrets that operators may use.
-	OperatorKeys []string
+	// OperatorKeys admit operators.
+	OperatorKeys []config.OperatorKey
 }
 
 // New opens the data folder, joins or creates the cluster, and returns a
@@ -121,6 +122,9 @@
 	d.client = target.NewClient()
 	d.manager = control.NewManager(control.Config{
 		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
+		AskRelease: d.leader.AskRelease, MemberNames: d.leader.MemberNames,
+		Members:  func() []*wirepb.Member { return d.leader.membership.Load().GetMembers() },
+		Platform: newPlatform(d.settings.PlatformURL),
 	})
 	d.holder = session.NewHolder(session.Config{
 		MemberID: d.identity.MemberID, Incarnation: incarnation, MemberName: d.settings.Name,
@@ -144,7 +148,7 @@
 		Core: replica.Config{
 			ID: d.identity.MemberID, Incarnation: incarnation, Durable: d.store != nil,
 			ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-			Rand: rand.New(rand.NewSource(int64(incarnation))),
+			Rand: newRand(int64(incarnation)),
 		},
 		Machine: d.machine, Storage: storage, Sender: memberSender{d}, TickInterval: d.settings.Tick.Duration,
 		SnapshotEntries: snapshotEntries, SnapshotTail: snapshotTail, OnLeaderChange: d.onLeaderChange,
@@ -160,12 +164,15 @@
 	return nil
 }
 
+func newRand(seed int64) *rand.Rand { return rand.New(rand.NewSource(seed)) }
+
 // memberSender sends replica messages and keeps the member list for calls.
 type memberSender struct{ d *Daemon }
 
 func (s memberSender) Send(messages []*wirepb.ReplicaMessage) { s.d.peers.Send(messages) }
 
 func (s memberSender) SetMembership(m *wirepb.Membership) {
+	event.MembershipApplied.Emit(event.F("members", len(m.GetMembers())))
 	s.d.leader.membership.Store(m)
 	s.d.peers.SetMembership(m)
 }
@@ -224,6 +231,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
+	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -247,6 +255,7 @@
 	}
 	d.running.Go(func() { d.holder.Run(d.background) })
 	d.running.Go(func() { jobs.Run(d.background) })
+	d.running.Go(func() { d.entry.Run(d.background) })
 	select {
 	case <-ctx.Done():
 		d.shutdown()
@@ -257,34 +266,6 @@
 	}
 }
 
-// shutdown finishes requests in flight before anything that they need ends.
-func (d *Daemon) shutdown() {
-	event.DaemonStopping.Emit()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout.Duration)
-	defer cancel()
-	if !d.entry.Drain(ctx) {
-		event.ShutdownCut.Emit()
-	}
-	for _, server := range d.servers {
-		server.Shutdown(ctx)
-	}
-	d.handOverLeadership()
-	d.stop()
-	event.DaemonStopped.Emit()
-}
-
-// handOverLeadership lets another voter lead at once instead of after a timeout.
-func (d *Daemon) handOverLeadership() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	for d.leader.isLocal() && ctx.Err() == nil {
-		if started, err := d.node.TransferLeadership(ctx); err != nil || !started {
-			return
-		}
-		time.Sleep(retryDelay)
-	}
-}
-
 func (d *Daemon) stop() {
 	d.cancelBackground()
 	d.running.Wait()
--- a/internal/server/operations.go
+++ b/internal/server/operations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"sapphirering/internal/operator"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/wire/wirepb"
 )
@@ -44,3 +45,23 @@
 	}
 	return response.GetStatus(), nil
 }
+
+// Local describes this daemon without asking the leader.
+func (d *Daemon) Local() operator.LocalStatus {
+	age, _ := d.holder.RenewedAge()
+	return operator.LocalStatus{
+		ClusterID: d.identity.ClusterID, Name: d.settings.Name, Zone: d.settings.Zone,
+		Live: d.holder.Live(), RenewedAge: age, AppliedIndex: d.machine.Index(), Leading: d.leader.isLocal(),
+	}
+}
+
+// Explain asks the leader for the reasons kept about an object.
+func (d *Daemon) Explain(ctx context.Context, kind, id string) ([]string, error) {
+	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Explain{
+		Explain: &wirepb.ExplainRequest{Kind: kind, Id: id},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetExplain().GetLines(), nil
+}
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -123,7 +123,7 @@
 		fmt.Fprintf(&b, "data_folder: %s\n", n.folder)
 	}
 	fmt.Fprintf(&b, "listen: {callers: %q, targets: %q, operators: %q, peers: %q}\n", n.callers, n.targets, n.operator, n.peers)
-	fmt.Fprintf(&b, "session_lease: 2s\nseeds: [%q]\n", c.nodes[0].peers)
+	fmt.Fprintf(&b, "session_lease: 2s\nseeds: [%s]\n", c.seeds())
 	if c.links != nil {
 		b.WriteString("peer_addresses:\n")
 		for _, other := range c.nodes {
@@ -137,6 +137,15 @@
 	}
 }
 
+// seeds lists the peer addresses of all daemons.
+func (c *cluster) seeds() string {
+	var addresses []string
+	for _, n := range c.nodes {
+		addresses = append(addresses, fmt.Sprintf("%q", n.peers))
+	}
+	return strings.Join(addresses, ", ")
+}
+
 func (n *node) start(bootstrap bool) {
 	n.t.Helper()
 	args := []string{"-settings", n.settings}
@@ -253,6 +262,22 @@
 	return json.Unmarshal([]byte(out), into)
 }
 
+// jsonRequest makes a request with a JSON body.
+func jsonRequest(method, url string, body any) (*http.Request, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequest(method, url, bytes.NewReader(data))
+}
+
+func decodeJSON(t *testing.T, r io.Reader, into any) {
+	t.Helper()
+	if err := json.NewDecoder(r).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // containsName reports whether JSON output names an object.
 func containsName(out, name string) bool { return strings.Contains(out, fmt.Sprintf("%q", name)) }
 
--- a/test/standin/target.go
+++ b/test/standin/target.go
@@ -64,10 +64,12 @@
 	leaving   bool
 	leftAt    time.Time
 	drain     uint64
-	inFlight  uint32
-	peak      uint32
-	runs      []*Run
-	tasks     map[string]*task
+	// revision is the newest of any answer; answers of daemons that lag are ignored.
+	revision uint64
+	inFlight uint32
+	peak     uint32
+	runs     []*Run
+	tasks    map[string]*task
 }
 
 type task struct {
@@ -202,6 +204,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if answer.Revision < t.revision {
+		return
+	}
+	t.revision = answer.Revision
 	if answer.Drain && answer.DrainRevision > t.drain {
 		t.drain = answer.DrainRevision
 		t.leaving, t.leftAt = true, time.Now()
@@ -260,17 +266,27 @@
 	WorkMS int `json:"work_ms"`
 }
 
+// runDeadline is when a request must have stopped, counted from its arrival.
+func runDeadline(r *http.Request) time.Time {
+	ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadlineMS), 10, 64)
+	if err != nil {
+		return time.Now()
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
 // serveRun answers with the digest of the request's id and body.
 func (t *Target) serveRun(w http.ResponseWriter, r *http.Request) {
+	deadline := runDeadline(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	id := r.Header.Get(target.HeaderRequestID)
+	w.Header().Set(target.HeaderRequestID, id)
 	run := &Run{RequestID: id, Team: r.Header.Get(target.HeaderTeam)}
 	if reason := t.begin(r, run); reason != "" {
-		w.Header().Set(target.HeaderNotRun, reason)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w, reason)
 		return
 	}
 	defer t.finish(run)
@@ -279,8 +295,9 @@
 	if json.Unmarshal(body, &asked) == nil && asked.WorkMS > 0 {
 		work = time.Duration(asked.WorkMS) * time.Millisecond
 	}
-	time.Sleep(work)
-	w.Header().Set(target.HeaderRequestID, id)
+	if !t.work(w, work, deadline) {
+		panic(http.ErrAbortHandler)
+	}
 	if t.cfg.FailAll {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -288,6 +305,28 @@
 	fmt.Fprint(w, Digest(id, body))
 }
 
+// refuse answers that the work was not started.
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(target.HeaderNotRun, reason)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// work takes the time of a request, with informational responses as progress.
+// It stops at the deadline and returns false when the work is not finished.
+func (t *Target) work(w http.ResponseWriter, left time.Duration, deadline time.Time) bool {
+	for left > 0 {
+		step := min(left, target.ProgressInterval, time.Until(deadline))
+		if step <= 0 {
+			return false
+		}
+		time.Sleep(step)
+		if left -= step; left > 0 {
+			w.WriteHeader(http.StatusProcessing)
+		}
+	}
+	return true
+}
+
 // Digest is the answer that a caller expects for its request.
 func Digest(id string, body []byte) string {
 	sum := sha256.Sum256(append([]byte(id+"\n"), body...))
@@ -309,6 +348,10 @@
 			json.NewEncoder(w).Encode(target.TaskStatus{State: target.TaskAbsent})
 			return
 		}
+		if reason := t.refusal(r); reason != "" {
+			refuse(w, reason)
+			return
+		}
 		known = t.startTask(r.PathValue("job"), request)
 		t.tasks[key] = known
 	}
