--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -9,6 +9,13 @@
 	"sapphirering/internal/wire/wirepb"
 )
 
+const (
+	// maxCallBytes bounds one request or response; a caller's body is a part of it.
+	maxCallBytes = 16 << 20
+	// requestTimeout bounds how long a peer may take to send its request.
+	requestTimeout = 10 * time.Second
+)
+
 // CallError is an error answered by the called daemon.
 type CallError struct {
 	Code          wirepb.ErrorCode
@@ -37,7 +44,7 @@
 		return nil, true, fmt.Errorf("send request to %s: %w", address, err)
 	}
 	response = new(wirepb.CallResponse)
-	if err := ReadFrame(stream, response, MaxFrameBytes); err != nil {
+	if err := ReadFrame(stream, response, maxCallBytes); err != nil {
 		return nil, true, fmt.Errorf("read response of %s: %w", address, err)
 	}
 	if response.ErrorCode != wirepb.ErrorCode_ERROR_CODE_NONE {
@@ -52,7 +59,14 @@
 // ServeCall reads the request of a call stream and writes the handler's response.
 func ServeCall(stream net.Conn, handle func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse) {
 	request := new(wirepb.CallRequest)
-	if ReadFrame(stream, request, MaxFrameBytes) != nil {
+	if stream.SetReadDeadline(time.Now().Add(requestTimeout)) != nil {
+		return
+	}
+	if err := ReadFrame(stream, request, maxCallBytes); err != nil {
+		noteFrameError("call", stream, err)
+		return
+	}
+	if stream.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -17,6 +18,11 @@
 // ErrFrameTooLarge is returned for a length above MaxFrameBytes.
 var ErrFrameTooLarge = errors.New("frame exceeds the size limit")
 
+// ErrMalformed is returned for a frame that is not the message it should be.
+var ErrMalformed = errors.New("malformed frame")
+
+const bodyChunkBytes = 64 << 10
+
 // WriteFrame writes one message.
 func WriteFrame(w io.Writer, m proto.Message) error {
 	data := make([]byte, 4, 4+proto.Size(m))
@@ -45,12 +51,35 @@
 	if size > int64(maxBytes) {
 		return fmt.Errorf("read frame of %d bytes: %w", size, ErrFrameTooLarge)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	release, err := reserve(r, size)
+	if err != nil {
+		return fmt.Errorf("read frame of %d bytes: %w", size, err)
+	}
+	defer release()
+	data, err := readBody(r, size)
+	if err != nil {
 		return fmt.Errorf("read frame body of %d bytes: %w", size, err)
 	}
 	if err := proto.Unmarshal(data, m); err != nil {
-		return fmt.Errorf("unmarshal frame: %w", err)
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return nil
 }
+
+// readBody reads size bytes. Memory grows with what arrives: a length alone,
+// without the bytes, costs the receiver one chunk.
+func readBody(r io.Reader, size int64) ([]byte, error) {
+	var body bytes.Buffer
+	body.Grow(int(min(size, bodyChunkBytes)))
+	n, err := io.Copy(&body, io.LimitReader(r, size))
+	if err == nil && n < size {
+		err = io.ErrUnexpectedEOF
+	}
+	return body.Bytes(), err
+}
+
+// refused reports whether the peer broke the protocol, in contrast to a link
+// that ended.
+func refused(err error) bool {
+	return errors.Is(err, ErrFrameTooLarge) || errors.Is(err, ErrMalformed) || errors.Is(err, ErrOverBudget)
+}
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"sapphirering/internal/event"
 	"sapphirering/internal/wire/wirepb"
 )
 
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	session, err = yamux.Client(conn, yamuxConfig())
+	session, err = yamux.Client(&silenceConn{Conn: conn}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("start session to %s: %w", address, err)
@@ -163,7 +164,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	session, err := yamux.Server(conn, yamuxConfig())
+	session, err := yamux.Server(&silenceConn{Conn: conn}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -173,13 +174,22 @@
 		return
 	}
 	defer s.untrack(session)
+	limit := new(budget)
 	for {
-		stream, err := session.AcceptStream()
+		accepted, err := session.AcceptStream()
 		if err != nil {
 			session.Close()
 			return
 		}
-		go s.serveStream(stream)
+		if !limit.open() {
+			event.StreamsRefused.Emit(event.F("peer", conn.RemoteAddr().String()))
+			accepted.Close()
+			continue
+		}
+		go func() {
+			defer limit.close()
+			s.serveStream(&stream{Conn: accepted, budget: limit})
+		}()
 	}
 }
 
@@ -190,7 +200,12 @@
 	if stream.SetReadDeadline(time.Now().Add(helloTimeout)) != nil {
 		return
 	}
-	if ReadFrame(stream, hello, maxHelloBytes) != nil || hello.Version != protocolVersion {
+	if err := ReadFrame(stream, hello, maxHelloBytes); err != nil {
+		noteFrameError("hello", stream, err)
+		return
+	}
+	if hello.Version != protocolVersion {
+		noteFrameError("hello", stream, fmt.Errorf("%w: version %d, this daemon speaks %d", ErrMalformed, hello.Version, protocolVersion))
 		return
 	}
 	if stream.SetReadDeadline(time.Time{}) != nil {
--- a/internal/wire/peers.go
+++ b/internal/wire/peers.go
@@ -10,12 +10,17 @@
 )
 
 const (
-	peerQueue       = 4096
-	redialDelay     = 100 * time.Millisecond
-	replicaDeadline = 3 * time.Second
+	peerQueue     = 4096
+	snapshotQueue = 1
+	redialDelay   = 100 * time.Millisecond
+	// replicaDeadline bounds the write of one message, snapshotDeadline that of a snapshot.
+	replicaDeadline  = 3 * time.Second
+	snapshotDeadline = 30 * time.Second
 )
 
-// Peers sends replica messages, one stream and one goroutine per member.
+// Peers sends replica messages. Each member has a stream for snapshots and one
+// for all else, each with its own goroutine, so that neither a slow member nor
+// a large snapshot delays heartbeats.
 type Peers struct {
 	dialer    *Dialer
 	clusterID string
@@ -26,9 +31,19 @@
 }
 
 type peer struct {
-	address string
-	queue   chan *wirepb.ReplicaMessage
-	cancel  context.CancelFunc
+	id        string
+	address   string
+	queue     chan *wirepb.ReplicaMessage
+	snapshots chan *wirepb.ReplicaMessage
+	cancel    context.CancelFunc
+}
+
+// queueFor returns the queue that carries the message.
+func (p *peer) queueFor(m *wirepb.ReplicaMessage) chan *wirepb.ReplicaMessage {
+	if m.Type == wirepb.MessageType_MESSAGE_TYPE_SNAPSHOT {
+		return p.snapshots
+	}
+	return p.queue
 }
 
 // NewPeers makes a sender for the member self.
@@ -46,7 +61,7 @@
 			continue
 		}
 		select {
-		case peer.queue <- m:
+		case peer.queueFor(m) <- m:
 		default:
 		}
 	}
@@ -77,13 +92,18 @@
 
 func (p *Peers) start(id, address string) {
 	ctx, cancel := context.WithCancel(context.Background())
-	peer := &peer{address: address, queue: make(chan *wirepb.ReplicaMessage, peerQueue), cancel: cancel}
+	peer := &peer{
+		id: id, address: address, cancel: cancel,
+		queue:     make(chan *wirepb.ReplicaMessage, peerQueue),
+		snapshots: make(chan *wirepb.ReplicaMessage, snapshotQueue),
+	}
 	p.peers[id] = peer
-	go p.run(ctx, id, peer)
+	go p.run(ctx, peer, peer.queue, replicaDeadline)
+	go p.run(ctx, peer, peer.snapshots, snapshotDeadline)
 }
 
-// run sends the queue; after a failure it drops what is queued and dials again.
-func (p *Peers) run(ctx context.Context, id string, peer *peer) {
+// run sends a queue; after a failure it drops what is queued and dials again.
+func (p *Peers) run(ctx context.Context, peer *peer, queue chan *wirepb.ReplicaMessage, deadline time.Duration) {
 	var stream net.Conn
 	defer func() {
 		if stream != nil {
@@ -94,15 +114,14 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-peer.queue:
+		case m := <-queue:
 			if stream == nil {
-				stream = p.open(ctx, id, peer)
+				stream = p.open(ctx, peer, queue)
 			}
 			if stream == nil {
 				continue
 			}
-			stream.SetWriteDeadline(time.Now().Add(replicaDeadline))
-			if WriteFrame(stream, m) != nil {
+			if err := send(stream, m, deadline); err != nil {
 				stream.Close()
 				stream = nil
 			}
@@ -110,20 +129,40 @@
 	}
 }
 
-func (p *Peers) open(ctx context.Context, id string, peer *peer) net.Conn {
+func send(stream net.Conn, m *wirepb.ReplicaMessage, deadline time.Duration) error {
+	if err := stream.SetWriteDeadline(time.Now().Add(deadline)); err != nil {
+		return err
+	}
+	return WriteFrame(stream, m)
+}
+
+// open dials; after a failure it waits and drops what was queued meanwhile.
+func (p *Peers) open(ctx context.Context, peer *peer, queue chan *wirepb.ReplicaMessage) net.Conn {
 	stream, err := p.dialer.Open(ctx, peer.address, &wirepb.Hello{
-		ClusterId: p.clusterID, FromMember: p.self, ToMember: id, Kind: wirepb.StreamKind_STREAM_KIND_REPLICA,
+		ClusterId: p.clusterID, FromMember: p.self, ToMember: peer.id, Kind: wirepb.StreamKind_STREAM_KIND_REPLICA,
 	})
 	if err == nil {
+		go closeWithPeer(stream)
 		return stream
 	}
-	time.Sleep(redialDelay)
-	for range len(peer.queue) {
-		<-peer.queue
+	select {
+	case <-time.After(redialDelay):
+	case <-ctx.Done():
+	}
+	for range len(queue) {
+		<-queue
 	}
 	return nil
 }
 
+// closeWithPeer closes a stream that the receiver closed. It sends nothing, so
+// that a read ends only then; writes would go on unseen until the window is full.
+func closeWithPeer(stream net.Conn) {
+	var b [1]byte
+	stream.Read(b[:])
+	stream.Close()
+}
+
 // Close ends every sender.
 func (p *Peers) Close() { p.SetMembership(nil) }
 
@@ -131,7 +170,8 @@
 func ServeReplica(stream net.Conn, deliver func(*wirepb.ReplicaMessage)) {
 	for {
 		m := new(wirepb.ReplicaMessage)
-		if ReadFrame(stream, m, MaxFrameBytes) != nil {
+		if err := ReadFrame(stream, m, MaxFrameBytes); err != nil {
+			noteFrameError("replica message", stream, err)
 			return
 		}
 		deliver(m)
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,349 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/wire/wirepb"
+)
+
+const waitBound = 10 * time.Second
+
+// serve runs a server whose calls answer with the status of nobody.
+func serve(t *testing.T, listener net.Listener, handler StreamHandler) *Server {
+	t.Helper()
+	if handler == nil {
+		handler = func(_ *wirepb.Hello, stream net.Conn) {
+			ServeCall(stream, func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse {
+				return &wirepb.CallResponse{Body: &wirepb.CallResponse_Status{Status: &wirepb.StatusResponse{Leader: "n1"}}}
+			})
+		}
+	}
+	server := &Server{Listener: listener, Handler: handler}
+	go server.Serve()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+func callStatus(d *Dialer, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, _, err := d.Call(ctx, address, &wirepb.Hello{}, &wirepb.CallRequest{
+		Body: &wirepb.CallRequest_Status{Status: &wirepb.StatusRequest{}},
+	})
+	return err
+}
+
+// silentProxy forwards until it is told to swallow everything on the
+// connections that are open by then; it never closes them itself.
+type silentProxy struct {
+	listener net.Listener
+	target   string
+	epoch    atomic.Int64
+}
+
+func startSilentProxy(t *testing.T, target string) *silentProxy {
+	p := &silentProxy{listener: listen(t), target: target}
+	t.Cleanup(func() { p.listener.Close() })
+	go func() {
+		for {
+			conn, err := p.listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.relay(conn)
+		}
+	}()
+	return p
+}
+
+func (p *silentProxy) relay(conn net.Conn) {
+	other, err := net.Dial("tcp", p.target)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	epoch := p.epoch.Load()
+	for _, pair := range [][2]net.Conn{{conn, other}, {other, conn}} {
+		go func() {
+			defer pair[0].Close()
+			defer pair[1].Close()
+			b := make([]byte, 32<<10)
+			for {
+				n, err := pair[0].Read(b)
+				if err != nil {
+					return
+				}
+				if p.epoch.Load() == epoch {
+					pair[1].Write(b[:n])
+				}
+			}
+		}()
+	}
+}
+
+// TestSilentLink lets an open link go silent while new ones work: it is closed
+// within seconds, and calls to another peer are never held up.
+func TestSilentLink(t *testing.T) {
+	is := is.New(t)
+	near, far := listen(t), listen(t)
+	serve(t, near, nil)
+	serve(t, far, nil)
+	proxy := startSilentProxy(t, far.Addr().String())
+	d := new(Dialer)
+	defer d.Close()
+	address := proxy.listener.Addr().String()
+	is.NoErr(callStatus(d, address))
+	proxy.epoch.Add(1)
+	silent := time.Now()
+	for callStatus(d, address) != nil {
+		started := time.Now()
+		is.NoErr(callStatus(d, near.Addr().String()))
+		is.True(time.Since(started) < time.Second)
+		is.True(time.Since(silent) < 2*silenceTimeout)
+	}
+	t.Logf("recovered after %s", time.Since(silent).Round(time.Millisecond))
+}
+
+// TestSnapshotDoesNotDelayHeartbeats sends a large snapshot to a receiver that
+// reads it slowly: heartbeats pass it.
+func TestSnapshotDoesNotDelayHeartbeats(t *testing.T) {
+	is := is.New(t)
+	listener := listen(t)
+	heartbeats := make(chan time.Time, 100)
+	serve(t, listener, func(_ *wirepb.Hello, stream net.Conn) {
+		var header [8]byte
+		if _, err := io.ReadFull(stream, header[:4]); err != nil {
+			return
+		}
+		if header[0] != 0 || header[1] != 0 {
+			time.Sleep(waitBound) // a long frame: the snapshot
+			return
+		}
+		ServeReplica(&prefixed{stream, bytes.NewReader(header[:4])}, func(*wirepb.ReplicaMessage) { heartbeats <- time.Now() })
+	})
+	d := new(Dialer)
+	defer d.Close()
+	peers := NewPeers(d, "c", "n1")
+	defer peers.Close()
+	peers.SetMembership(&wirepb.Membership{Members: []*wirepb.Member{{Id: "n2", Address: listener.Addr().String()}}})
+	peers.Send([]*wirepb.ReplicaMessage{{
+		Type: wirepb.MessageType_MESSAGE_TYPE_SNAPSHOT, To: "n2",
+		Snapshot: &wirepb.ReplicaSnapshot{State: make([]byte, 20<<20)},
+	}})
+	time.Sleep(100 * time.Millisecond)
+	for range 5 {
+		sent := time.Now()
+		peers.Send([]*wirepb.ReplicaMessage{{Type: wirepb.MessageType_MESSAGE_TYPE_HEARTBEAT, To: "n2"}})
+		select {
+		case got := <-heartbeats:
+			is.True(got.Sub(sent) < time.Second)
+		case <-time.After(waitBound / 2):
+			t.Fatal("the heartbeat waits for the snapshot")
+		}
+	}
+}
+
+// prefixed reads a few bytes again before the rest of a stream.
+type prefixed struct {
+	net.Conn
+	head *bytes.Reader
+}
+
+func (p *prefixed) Read(b []byte) (int, error) {
+	if p.head.Len() > 0 {
+		return p.head.Read(b)
+	}
+	return p.Conn.Read(b)
+}
+
+// TestMalformedStreams sends frames that break the protocol: each ends its own
+// stream, and others of the same session go on.
+func TestMalformedStreams(t *testing.T) {
+	is := is.New(t)
+	listener := listen(t)
+	serve(t, listener, nil)
+	d := new(Dialer)
+	defer d.Close()
+	address := listener.Addr().String()
+	is.NoErr(callStatus(d, address))
+	session := d.sessions[address]
+	for _, frame := range [][]byte{
+		{0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 3, 0xff, 0xff, 0xff}, {0, 0, 0}, {},
+	} {
+		for _, hello := range []bool{false, true} {
+			opened, err := session.OpenStream()
+			is.NoErr(err)
+			if hello {
+				is.NoErr(WriteFrame(opened, &wirepb.Hello{Version: protocolVersion, Kind: wirepb.StreamKind_STREAM_KIND_CALL}))
+			}
+			opened.Write(frame)
+			opened.Close()
+			is.NoErr(opened.SetReadDeadline(time.Now().Add(waitBound)))
+			_, err = opened.Read(make([]byte, 1))
+			is.True(err != nil)
+			is.NoErr(callStatus(d, address))
+		}
+	}
+	is.True(d.sessions[address] == session)
+}
+
+// TestStreamLimit opens more streams than a session may have.
+func TestStreamLimit(t *testing.T) {
+	is := is.New(t)
+	limit := new(budget)
+	for range maxStreams {
+		is.True(limit.open())
+	}
+	is.True(!limit.open())
+	limit.close()
+	is.True(limit.open())
+}
+
+// TestByteLimit reads frames from a session whose bytes are used up.
+func TestByteLimit(t *testing.T) {
+	is := is.New(t)
+	limit := new(budget)
+	limit.bytes.Store(sessionBytes - 10)
+	client, server := net.Pipe()
+	defer client.Close()
+	go WriteFrame(client, &wirepb.Hello{ClusterId: "a cluster with a long name"})
+	err := ReadFrame(&stream{Conn: server, budget: limit}, new(wirepb.Hello), maxHelloBytes)
+	is.True(errors.Is(err, ErrOverBudget))
+	is.Equal(limit.bytes.Load(), int64(sessionBytes-10)) // nothing stays reserved
+}
+
+// authority signs certificates for 127.0.0.1.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &authority{certificate, key}
+}
+
+// config returns a configuration with a certificate of a that trusts trusted.
+func (a *authority) config(t *testing.T, trusted *authority) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(trusted.certificate)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+}
+
+// TestMutualTLS admits only peers whose certificate the own authority signed.
+func TestMutualTLS(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	listener := listen(t)
+	serve(t, tls.NewListener(listener, ours.config(t, ours)), nil)
+	address := listener.Addr().String()
+	for name, c := range map[string]struct {
+		config *tls.Config
+		admits bool
+	}{
+		"own authority":        {ours.config(t, ours), true},
+		"foreign certificate":  {theirs.config(t, ours), false},
+		"distrusts the server": {ours.config(t, theirs), false},
+		"no certificate":       {&tls.Config{RootCAs: ours.config(t, ours).RootCAs}, false},
+		"no TLS":               {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := &Dialer{TLS: c.config}
+			defer d.Close()
+			is.Equal(callStatus(d, address) == nil, c.admits)
+		})
+	}
+}
+
+// FuzzReadFrame reads arbitrary bytes as each message that opens a stream or
+// travels on one; what is accepted is written and read back unchanged.
+func FuzzReadFrame(f *testing.F) {
+	for _, m := range []proto.Message{
+		&wirepb.Hello{Version: 1, ClusterId: "c", FromMember: "n1"},
+		&wirepb.CallRequest{Body: &wirepb.CallRequest_Member{Member: &wirepb.MemberRequest{Member: "n1"}}},
+		&wirepb.CallResponse{ErrorCode: wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, ErrorMessage: "not the leader"},
+		&wirepb.ReplicaMessage{From: "n1", To: "n2", Term: 3, Entries: []*wirepb.Entry{{Index: 1, Term: 1}}},
+	} {
+		var b bytes.Buffer
+		if err := WriteFrame(&b, m); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b.Bytes())
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Add([]byte{0, 0, 0, 9, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, m := range []proto.Message{
+			new(wirepb.Hello), new(wirepb.CallRequest), new(wirepb.CallResponse), new(wirepb.ReplicaMessage),
+		} {
+			if ReadFrame(bytes.NewReader(data), m, maxHelloBytes) != nil {
+				continue
+			}
+			var b bytes.Buffer
+			if err := WriteFrame(&b, m); err != nil {
+				t.Fatal(err)
+			}
+			again := m.ProtoReflect().New().Interface()
+			if err := ReadFrame(&b, again, MaxFrameBytes); err != nil || !proto.Equal(m, again) {
+				t.Fatalf("read back: %v", err)
+			}
+		}
+	})
+}
