membership: replace, removed identities, quorum check, refusal of unknown members

- A change that would leave no quorum of voters that answer is refused (422); a change while another is uncommitted is a conflict (409); both change nothing.
- Removed identities are kept in the member list (the last 64): they may not join again and their streams are refused with event 2053, at most one each 10 s a member.
The leader refuses members that its list does not name; a follower does not, since its list may lag behind that of a new leader.
- A member that had joined, voted and crashed before its first entry lost its hard state on the next start; it now goes on from it.
- A resent join was answered from an uncommitted list, which a new leader may undo; it now waits for the commit.
A learner that never answered was promoted on a young cluster (match 0 is within the lag of 16); it no longer is.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -120,7 +120,7 @@
 	s.routeDocuments(v1)
 	s.routeFleet(v1)
 	s.routeJobs(v1)
-	v1.HandleFunc("/members/{member}", s.changeMember).Methods(http.MethodPost, http.MethodDelete)
+	s.routeMembers(v1)
 	v1.HandleFunc("/status", s.getStatus).Methods(http.MethodGet)
 	v1.HandleFunc("/in-force/{index}", s.getInForce).Methods(http.MethodGet)
 	return r
@@ -306,19 +306,6 @@
 	return false
 }
 
-func (s *Server) changeMember(w http.ResponseWriter, r *http.Request) {
-	action := wirepb.MemberRequest_ACTION_PROMOTE
-	if r.Method == http.MethodDelete {
-		action = wirepb.MemberRequest_ACTION_REMOVE
-	}
-	index, err := s.cfg.Cluster.ChangeMember(r.Context(), action, mux.Vars(r)["member"])
-	if err != nil {
-		fail(w, err)
-		return
-	}
-	write(w, http.StatusOK, Result{Code: "ok", Index: index})
-}
-
 // getStatus answers with what this daemon knows when the leader is out of reach.
 func (s *Server) getStatus(w http.ResponseWriter, r *http.Request) {
 	view := viewLocal(s.cfg.Cluster.Local(), s.cfg.Machine)
--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -43,13 +43,18 @@
 	return found
 }
 
+// membershipCommitted reports whether the list in effect can no longer be undone.
+func (c *Core) membershipCommitted() bool {
+	return c.config[len(c.config)-1].index <= c.log.commit
+}
+
 // ProposeMembership appends a new member list. It is in effect at once, and
 // the next change is refused until this one is committed.
 func (c *Core) ProposeMembership(m *wirepb.Membership) (uint64, error) {
 	if c.role != leader {
 		return 0, ErrNotLeader
 	}
-	if c.config[len(c.config)-1].index > c.log.commit || !c.LeaderReady() {
+	if !c.membershipCommitted() || !c.LeaderReady() {
 		return 0, ErrMembershipBusy
 	}
 	if err := checkMembershipChange(c.Membership(), m); err != nil {
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -64,6 +64,7 @@
 		}
 	}
 	for _, p := range c.peers {
+		p.wasActive = p.active
 		p.active = false
 	}
 	if active < c.quorum() {
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/wire/wirepb"
 )
 
+// maxRemoved bounds the removed identities that a member list remembers.
+const maxRemoved = 64
+
 // membershipAt is a member list together with the log index that wrote it.
 type membershipAt struct {
 	index      uint64
@@ -44,7 +48,7 @@
 
 // WithoutMember returns a copy without the identity.
 func WithoutMember(m *wirepb.Membership, id string) *wirepb.Membership {
-	next := &wirepb.Membership{}
+	next := &wirepb.Membership{Removed: append([]string(nil), m.GetRemoved()...)}
 	for _, member := range m.GetMembers() {
 		if member.Id != id {
 			next.Members = append(next.Members, proto.CloneOf(member))
@@ -53,6 +57,22 @@
 	return next
 }
 
+// WithRemoved returns a copy without the identity that also remembers it as
+// removed for good. The oldest remembered ones are forgotten.
+func WithRemoved(m *wirepb.Membership, id string) *wirepb.Membership {
+	next := WithoutMember(m, id)
+	next.Removed = append(next.Removed, id)
+	if extra := len(next.Removed) - maxRemoved; extra > 0 {
+		next.Removed = next.Removed[extra:]
+	}
+	return next
+}
+
+// WasRemoved reports whether an operator removed the identity.
+func WasRemoved(m *wirepb.Membership, id string) bool {
+	return slices.Contains(m.GetRemoved(), id)
+}
+
 // checkMembershipChange refuses a change of more than one voter: only then do
 // all quorums of the old and the new list intersect.
 func checkMembershipChange(from, to *wirepb.Membership) error {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -76,7 +76,9 @@
 	IsLeader    bool
 	LeaderReady bool
 	Membership  *wirepb.Membership
-	Members     []*wirepb.MemberStatus
+	// MembershipCommitted is false while the newest member list may still be undone.
+	MembershipCommitted bool
+	Members             []*wirepb.MemberStatus
 }
 
 type proposal struct {
@@ -547,7 +549,7 @@
 		s = Status{
 			ID: n.cfg.Core.ID, Leader: n.core.Leader(), Term: n.core.Term(), Commit: n.core.Commit(),
 			Applied: n.core.log.applied, IsLeader: n.core.IsLeader(), LeaderReady: n.core.LeaderReady(),
-			Membership: n.core.Membership(),
+			Membership: n.core.Membership(), MembershipCommitted: n.core.membershipCommitted(),
 		}
 		for _, member := range s.Membership.GetMembers() {
 			match, active := n.core.Match(member.Id)
--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -18,8 +18,10 @@
 	snapshotTicks int
 	incarnation   uint64
 	// round is the newest heartbeat round that the member answered.
-	round  uint64
-	active bool
+	round uint64
+	// active members answered in this election timeout, wasActive in the last one.
+	active    bool
+	wasActive bool
 	// lastMatch is the match index at the last heartbeat answer.
 	lastMatch uint64
 	// stalled counts heartbeat answers in a row without progress.
@@ -35,7 +37,7 @@
 	if !ok {
 		return 0, false
 	}
-	return p.match, p.active
+	return p.match, p.active || p.wasActive
 }
 
 // syncPeers makes the progress table match the member list.
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -17,6 +17,10 @@
 		event.WrongCluster.Emit(event.F("peer", hello.FromMember), event.F("cluster", hello.ClusterId))
 		return
 	}
+	if hello.ClusterId != "" && !d.admits(hello.FromMember) {
+		d.refusals.note(hello.FromMember)
+		return
+	}
 	switch hello.Kind {
 	case wirepb.StreamKind_STREAM_KIND_REPLICA:
 		if hello.ClusterId == "" || hello.ToMember != d.identity.MemberID {
@@ -119,7 +123,7 @@
 	}
 	index, err := change(ctx, d.node, r.Member)
 	if err != nil {
-		return failure(wirepb.ErrorCode_ERROR_CODE_UNAVAILABLE, err)
+		return failure(memberErrorCode(err), err)
 	}
 	return &wirepb.CallResponse{Body: &wirepb.CallResponse_Member{Member: &wirepb.MemberResponse{Index: index}}}
 }
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -52,6 +52,7 @@
 	dialer   *wire.Dialer
 	links    *wire.Server
 	leader   *leaderClient
+	refusals refusals
 	holder   *session.Holder
 	registry *target.Registry
 	entry    *entry.Server
--- a/internal/server/identity.go
+++ b/internal/server/identity.go
@@ -81,24 +81,26 @@
 			return origin{}, err
 		}
 	} else if !found {
-		return joinWithFolder(ctx, s, newMemberID(s), dialer, st)
+		return joinWithFolder(ctx, s, newMemberID(s), dialer, st, store.Loaded{})
 	}
 	loaded, err := st.Load()
 	if err != nil {
 		return origin{}, err
 	}
 	if loaded.Snapshot == nil && len(loaded.Entries) == 0 {
-		// The process ended between its join and the first append.
-		return joinWithFolder(ctx, s, id.MemberID, dialer, st)
+		// The process ended between its join and the first append. It may have
+		// voted meanwhile, so it goes on from its hard state.
+		return joinWithFolder(ctx, s, id.MemberID, dialer, st, loaded)
 	}
 	return origin{identity: id, loaded: loaded}, nil
 }
 
-func joinWithFolder(ctx context.Context, s *config.Settings, member string, dialer *wire.Dialer, st *store.Store) (origin, error) {
+func joinWithFolder(ctx context.Context, s *config.Settings, member string, dialer *wire.Dialer, st *store.Store, loaded store.Loaded) (origin, error) {
 	o, err := join(ctx, s, member, dialer)
 	if err != nil {
 		return origin{}, err
 	}
+	o.loaded = loaded
 	return o, st.SetIdentity(o.identity)
 }
 
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -22,6 +23,11 @@
 	promoteInterval = 500 * time.Millisecond
 )
 
+var (
+	errMemberNotFound = errors.New("member does not exist")
+	errMemberRefused  = errors.New("membership change refused")
+)
+
 // addLearner adds a joining daemon. A learner without a disk replaces the
 // earlier process of the same name.
 func addLearner(ctx context.Context, node *replica.Node, joining *wirepb.Member, wantsVote bool) (*wirepb.Membership, error) {
@@ -29,7 +35,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if replica.WasRemoved(status.Membership, joining.Id) {
+		return nil, fmt.Errorf("%w: member %s was removed; empty its data folder to let it join anew", errMemberRefused, joining.Id)
+	}
 	if replica.FindMember(status.Membership, joining.Id) != nil {
+		if !status.MembershipCommitted {
+			return nil, replica.ErrMembershipBusy
+		}
 		return status.Membership, nil
 	}
 	var joined *wirepb.Membership
@@ -94,7 +106,7 @@
 	if member.Role == wirepb.Role_ROLE_VOTER || !member.Durable || !candidate.Active {
 		return false
 	}
-	if candidate.MatchIndex+promoteLag < status.Commit {
+	if candidate.MatchIndex == 0 || candidate.MatchIndex+promoteLag < status.Commit {
 		return false
 	}
 	inZone := 0
@@ -112,19 +124,28 @@
 	return inZone < maxVotersPerZone
 }
 
-// promote makes a learner a voter and returns the log index of the change.
+// promote makes a learner a voter and returns the log index of the change, or
+// an index behind it when the member votes already.
 func promote(ctx context.Context, node *replica.Node, id string) (uint64, error) {
+	status, err := node.Status(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("promote member %s: %w", id, err)
+	}
+	if member := replica.FindMember(status.Membership, id); member.GetRole() == wirepb.Role_ROLE_VOTER && status.MembershipCommitted {
+		return status.Commit, nil
+	}
 	index, err := node.ChangeMembership(ctx, func(current *wirepb.Membership) (*wirepb.Membership, error) {
 		member := replica.FindMember(current, id)
 		if member == nil {
-			return nil, fmt.Errorf("member %q does not exist", id)
+			return nil, fmt.Errorf("%w: %q", errMemberNotFound, id)
 		}
 		if !member.Durable {
-			return nil, fmt.Errorf("member %q has no data folder or did not ask to vote", id)
+			return nil, fmt.Errorf("%w: member %q has no data folder or did not ask to vote", errMemberRefused, id)
 		}
 		promoted := proto.CloneOf(member)
 		promoted.Role = wirepb.Role_ROLE_VOTER
-		return replica.WithMember(current, promoted), nil
+		next := replica.WithMember(current, promoted)
+		return next, checkActiveQuorum(status, next)
 	})
 	if err != nil {
 		return 0, fmt.Errorf("promote member %s: %w", id, err)
@@ -133,13 +154,22 @@
 	return index, nil
 }
 
-// removeMember takes a member out and returns the log index of the change.
+// removeMember takes a member out for good and returns the log index of the
+// change, or an index behind it when the member was removed before.
 func removeMember(ctx context.Context, node *replica.Node, id string) (uint64, error) {
+	status, err := node.Status(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("remove member %s: %w", id, err)
+	}
+	if replica.WasRemoved(status.Membership, id) && status.MembershipCommitted {
+		return status.Commit, nil
+	}
 	index, err := node.ChangeMembership(ctx, func(current *wirepb.Membership) (*wirepb.Membership, error) {
 		if replica.FindMember(current, id) == nil {
-			return nil, fmt.Errorf("member %q does not exist", id)
+			return nil, fmt.Errorf("%w: %q", errMemberNotFound, id)
 		}
-		return replica.WithoutMember(current, id), nil
+		next := replica.WithRemoved(current, id)
+		return next, checkActiveQuorum(status, next)
 	})
 	if err != nil {
 		return 0, fmt.Errorf("remove member %s: %w", id, err)
@@ -147,3 +177,35 @@
 	event.MemberRemoved.Emit(event.F("member", id), event.F("index", index))
 	return index, nil
 }
+
+// checkActiveQuorum refuses a member list whose voters that answer now are no
+// quorum: the change itself could never commit, nor anything after it.
+func checkActiveQuorum(status replica.Status, next *wirepb.Membership) error {
+	active := 0
+	for _, seen := range status.Members {
+		member := replica.FindMember(next, seen.Member.Id)
+		if seen.Active && member.GetRole() == wirepb.Role_ROLE_VOTER {
+			active++
+		}
+	}
+	voters := replica.Voters(next)
+	if quorum := voters/2 + 1; active < quorum {
+		return fmt.Errorf("%w: %d of %d voters would be active, %d are needed", errMemberRefused, active, voters, quorum)
+	}
+	return nil
+}
+
+// memberErrorCode classifies a failed membership change for the caller.
+func memberErrorCode(err error) wirepb.ErrorCode {
+	switch {
+	case errors.Is(err, replica.ErrMembershipBusy):
+		return wirepb.ErrorCode_ERROR_CODE_CONFLICT
+	case errors.Is(err, errMemberRefused):
+		return wirepb.ErrorCode_ERROR_CODE_REFUSED
+	case errors.Is(err, errMemberNotFound):
+		return wirepb.ErrorCode_ERROR_CODE_NOT_FOUND
+	case errors.Is(err, replica.ErrNotLeader):
+		return wirepb.ErrorCode_ERROR_CODE_NOT_LEADER
+	}
+	return wirepb.ErrorCode_ERROR_CODE_UNKNOWN_OUTCOME
+}
