--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -49,9 +49,19 @@
 	repeatable bool
 	outcome    string
 	status     int
+	reason     string
 	whole      bool
 }
 
+// refusalReason returns the reason of a refusal, or "".
+func refusalReason(got answer) string {
+	var refusal struct{ Reason string }
+	if got.outcome == "answered" || json.Unmarshal(got.body, &refusal) != nil {
+		return ""
+	}
+	return refusal.Reason
+}
+
 func soakTeam(i int) string { return fmt.Sprintf("team%d", i+1) }
 
 // TestSoak runs 8 daemons and 50 targets under the demand of 5 teams through
@@ -237,7 +247,7 @@
 	}
 	body := []byte("order " + id)
 	got, err := s.c.call(ctx, n, http.MethodPost, "/v1/queues/"+team+"-fast/requests", team, header, body)
-	told := toldOutcome{repeatable: repeatable, outcome: got.outcome, status: got.status}
+	told := toldOutcome{repeatable: repeatable, outcome: got.outcome, status: got.status, reason: refusalReason(got)}
 	if err != nil {
 		told.outcome = "broken"
 	}
@@ -298,9 +308,12 @@
 			byTeam[run.Team] = append(byTeam[run.Team], run)
 		}
 	}
-	outcomes := make(map[string]int)
+	outcomes, reasons := make(map[string]int), make(map[string]int)
 	for id, told := range s.told {
 		outcomes[told.outcome]++
+		if told.reason != "" {
+			reasons[told.outcome+" "+told.reason]++
+		}
 		switch {
 		case told.outcome == "not-run" && runs[id] > 0:
 			t.Errorf("request %s (repeatable %v): told not run, ran %d times", id, told.repeatable, runs[id])
@@ -310,7 +323,7 @@
 			t.Errorf("request %s: not repeatable, ran %d times", id, runs[id])
 		}
 	}
-	t.Logf("requests: %d, outcomes %s", len(s.told), summary(outcomes))
+	t.Logf("requests: %d, outcomes %s, reasons %s", len(s.told), summary(outcomes), summary(reasons))
 	for team, list := range byTeam {
 		if peak := mostAtOnce(list); peak > soakLimit {
 			t.Errorf("team %s: %d ran at once, the upper limit is %d", team, peak, soakLimit)
