Reservations of a lost entry VM are reclaimed per team after its longest deadline

Cause: the soak refused 745 of 6576 requests by deadline; teams peaked at 9 to 13 of 16 units, since the sessions of two killed and two cut daemons held their units for 125 s whatever the teams' deadlines (5 s there). Ruled out: the queue's expected wait (refusals were of reason deadline with units lacking). The state notes per reservation the longest deadline of the queues that the team may use, raised when a document changes; units of an expired session are taken back after it plus the time a target may still take up a late dispatch.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -196,6 +196,9 @@
 	var failed error
 	for _, session := range open {
 		if m.sessions.expiredFor(session) < reclaimAfter {
+			if err := m.reclaimOver(ctx, session); err != nil {
+				failed = err
+			}
 			continue
 		}
 		if err := m.reclaim(ctx, session); err != nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -29,11 +29,12 @@
 
 // Events of sessions and reservations.
 var (
-	SessionOpened    = define(3001, log.InfoLevel, "session opened", "")
-	SessionLost      = define(3002, log.WarnLevel, "session lease ran out, keyed work is refused", "Check the links to the leader.")
-	SessionExpired   = define(3003, log.WarnLevel, "session expired by the leader", "")
-	SessionReclaimed = define(3004, log.InfoLevel, "expired session reclaimed", "")
-	ReserveFailed    = define(3005, log.WarnLevel, "reservation change failed", "")
+	SessionOpened         = define(3001, log.InfoLevel, "session opened", "")
+	SessionLost           = define(3002, log.WarnLevel, "session lease ran out, keyed work is refused", "Check the links to the leader.")
+	SessionExpired        = define(3003, log.WarnLevel, "session expired by the leader", "")
+	SessionReclaimed      = define(3004, log.InfoLevel, "expired session reclaimed", "")
+	ReservationsReclaimed = define(3006, log.InfoLevel, "units of an expired session taken back", "")
+	ReserveFailed         = define(3005, log.WarnLevel, "reservation change failed", "")
 )
 
 // Events of requests and targets.
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -46,6 +46,7 @@
 	stored.Revision = m.index
 	m.documents[doc.Team] = stored
 	m.indexQueues(stored)
+	m.raiseDeadlines()
 	return m.ok(m.index)
 }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -182,6 +182,8 @@
 		return m.reclaimSession(body.ReclaimSession)
 	case *statepb.Command_CloseSession:
 		return m.closeSession(body.CloseSession)
+	case *statepb.Command_ReclaimReservations:
+		return m.reclaimReservations(body.ReclaimReservations)
 	case *statepb.Command_SetReservations:
 		return m.setReservations(body.SetReservations)
 	case *statepb.Command_SetKeptReservations:
--- a/internal/state/sessions.go
+++ b/internal/state/sessions.go
@@ -139,6 +139,7 @@
 // rises above the upper limit; coming down is always allowed. Changes based on
 // superseded units are skipped.
 func (m *Machine) setReservations(c *statepb.SetReservations) *statepb.Outcome {
+	longest := m.longestDeadlines()
 	session := m.liveSession(c.Session)
 	if session == nil {
 		return m.notFound("live session", c.Session)
@@ -160,14 +161,14 @@
 					r.Team, sum, doc.UpperLimitUnits)
 			}
 		}
-		setReservation(next, r.Team, r.Units, m.index)
+		setReservation(next, r.Team, r.Units, m.index, max(longest[r.Team], held.GetLongestDeadlineMs()))
 	}
 	next.Revision = m.index
 	m.sessions[session.Id] = next
 	return m.ok(m.index)
 }
 
-func setReservation(session *statepb.Session, team string, units uint32, index uint64) {
+func setReservation(session *statepb.Session, team string, units uint32, index uint64, longestMS uint32) {
 	kept := session.Reservations[:0]
 	for _, other := range session.Reservations {
 		if other.Team != team {
@@ -175,7 +176,9 @@
 		}
 	}
 	if units > 0 {
-		kept = append(kept, &statepb.Reservation{Team: team, Units: units, Revision: index})
+		kept = append(kept, &statepb.Reservation{
+			Team: team, Units: units, Revision: index, LongestDeadlineMs: longestMS,
+		})
 	}
 	session.Reservations = kept
 }
