--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -53,6 +53,7 @@
 	ReasonDeadline     = "deadline"
 	ReasonNoTarget     = "no-target"
 	ReasonShutdown     = "shutdown"
+	ReasonStarting     = "starting"
 	ReasonClaim        = "claim"
 	ReasonLost         = "lost"
 )
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -75,6 +75,9 @@
 // admit checks queue, key, deadline and size.
 func (s *Server) admit(r *http.Request) (*request, time.Duration, *Refusal) {
 	queue, owner := s.cfg.Machine.Queue(mux.Vars(r)["queue"])
+	if queue == nil && !s.Ready() {
+		return nil, 0, refuse(http.StatusServiceUnavailable, ReasonStarting, "this entry VM has not caught up yet")
+	}
 	if queue == nil {
 		return nil, 0, refuse(http.StatusNotFound, ReasonUnknownQueue, fmt.Sprintf("queue %q does not exist", mux.Vars(r)["queue"]))
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,6 +22,8 @@
 
 const (
 	sweepInterval = 10 * time.Second
+	// catchUpTime is how long a start waits for its first session at most.
+	catchUpTime = 10 * time.Second
 	// bodyTimeout bounds how long a caller may take to send its body.
 	bodyTimeout = 30 * time.Second
 )
@@ -67,13 +69,16 @@
 	// leaving turns readiness off; draining refuses new work.
 	leaving  bool
 	draining bool
+	// caughtUp is true once the state here was as new as a session's opening.
+	caughtUp bool
+	started  time.Time
 	inFlight flight
 }
 
 // NewServer returns a server.
 func NewServer(cfg Config) *Server {
 	s := &Server{
-		cfg: cfg, metrics: newMetrics(), waiting: newWaitCounts(cfg.Holder.Ledger()), budget: newRetryBudget(),
+		cfg: cfg, started: cfg.Now(), metrics: newMetrics(), waiting: newWaitCounts(cfg.Holder.Ledger()), budget: newRetryBudget(),
 	}
 	s.lines = newLines(s)
 	return s
@@ -107,7 +112,7 @@
 // track refuses new work during a shutdown and counts what is in flight.
 func (s *Server) track(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if !s.Ready() {
+		if s.isLeaving() {
 			// Callers that keep the connection open come back through the balancer.
 			w.Header().Set("Connection", "close")
 		}
@@ -158,7 +163,20 @@
 func (s *Server) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.leaving
+	return !s.leaving && s.current()
+}
+
+// current reports whether this daemon has caught up since its start: before
+// its first live session it may not know queues that are in force. In a zone
+// that is cut off there is no session to wait for, and what is known serves.
+// The caller holds s.mu.
+func (s *Server) current() bool {
+	if s.caughtUp {
+		return true
+	}
+	late := s.cfg.Now().Sub(s.started) > catchUpTime && s.cfg.Machine.Index() > 0
+	s.caughtUp = late || s.cfg.Holder.Live()
+	return s.caughtUp
 }
 
 // Leave turns readiness off; requests are still taken.
@@ -168,12 +186,18 @@
 	s.leaving = true
 }
 
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // InFlight returns how many pieces of work are in flight.
 func (s *Server) InFlight() int { return s.inFlight.count() }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.Ready() {
-		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		http.Error(w, "not ready: starting or shutting down", http.StatusServiceUnavailable)
 		return
 	}
 	w.Write([]byte("ready\n"))
--- /dev/null
+++ b/test/process/request_failures_test.go
@@ -0,0 +1,199 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/entry"
+	"sapphirering/test/standin"
+)
+
+const requestLimit = 12
+
+const requestDocument = `team: kita
+share: 1
+upper_limit: 12
+queues:
+  - name: proofs
+    pool: renderers
+    class: urgent
+  - name: walkin
+    pool: renderers
+    class: normal
+    open: true
+`
+
+// startServing starts three zones with one target each and waits until every
+// entry VM serves.
+func startServing(t *testing.T, cuttable bool) (*cluster, []*standin.Target) {
+	t.Helper()
+	c := startCluster(t, []string{"a", "b", "c"}, cuttable)
+	c.mustTool(c.nodes[0], "pool", "create", "renderers")
+	c.team(c.nodes[0], "kita", requestDocument)
+	c.waitVoters(c.nodes[0], 3)
+	var targets []*standin.Target
+	for _, zone := range []string{"a", "b", "c"} {
+		targets = append(targets, c.target(standin.Config{VM: "renderer-" + zone, Pool: "renderers", Zone: zone, Slots: 6}))
+	}
+	for _, n := range c.nodes {
+		c.eventuallyServes(n, "proofs", "kita", inForceBound)
+	}
+	return c, targets
+}
+
+// waitOne waits until a request runs, so that a failure hits it.
+func (l *load) waitAnswers(count int) {
+	l.c.t.Helper()
+	eventually(l.c.t, inForceBound, fmt.Sprintf("%d answers", count), func() error {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if got := totals(l.told).answers; got < count {
+			return fmt.Errorf("%d answers", got)
+		}
+		return nil
+	})
+}
+
+// answers returns how many answers there are so far.
+func (l *load) answers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return totals(l.told).answers
+}
+
+// TestRequestShutdownCutsNothing terminates every daemon in turn under load.
+func TestRequestShutdownCutsNothing(t *testing.T) {
+	is := is.New(t)
+	c, targets := startServing(t, false)
+	load := newLoad(c, "proofs", "kita")
+	load.workMS = 100
+	stop := load.run(8)
+	for _, n := range c.nodes {
+		load.waitAnswers(load.answers() + 20)
+		n.signal(syscall.SIGTERM)
+		select {
+		case <-n.exited:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s did not exit", n.name)
+		}
+		is.Equal(n.cmd.ProcessState.ExitCode(), 0)
+		n.start(false)
+		n.waitReady()
+		c.eventuallyServes(n, "proofs", "kita", inForceBound)
+	}
+	sum := totals(stop())
+	load.audit(t, targets, requestLimit)
+	is.Equal(sum.broken, 0) // no request in flight is cut
+	is.Equal(sum.other, 0)
+	is.Equal(sum.notRun, 0) // the balancer had left before requests were refused
+}
+
+// TestRequestOnceThroughKills resends requests that may run once through all
+// entry VMs while an entry VM and a target are killed.
+func TestRequestOnceThroughKills(t *testing.T) {
+	is := is.New(t)
+	c, targets := startServing(t, false)
+	load := newLoad(c, "proofs", "kita")
+	load.repeatable, load.resend, load.workMS = false, true, 50
+	stop := load.run(8)
+	load.waitAnswers(20)
+	leader := c.leader(c.nodes[0])
+	leader.kill()
+	load.waitAnswers(load.answers() + 20)
+	targets[2].Close()
+	load.waitAnswers(load.answers() + 20)
+	leader.start(false)
+	leader.waitReady()
+	load.waitAnswers(load.answers() + 20)
+	stop()
+	load.audit(t, targets, requestLimit)
+	is.True(totals(load.told).answers > 60)
+}
+
+// TestRequestLeavingTarget makes a target leave under load while one entry VM
+// of its zone is frozen: after seconds no new work arrives.
+func TestRequestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, []string{"a", "a", "b"}, false)
+	c.mustTool(c.nodes[0], "pool", "create", "renderers")
+	c.team(c.nodes[0], "kita", requestDocument)
+	c.waitVoters(c.nodes[0], 3)
+	leaving := c.target(standin.Config{VM: "renderer-a", Pool: "renderers", Zone: "a", Slots: 6})
+	other := c.target(standin.Config{VM: "renderer-b", Pool: "renderers", Zone: "b", Slots: 6})
+	for _, n := range c.nodes {
+		c.eventuallyServes(n, "proofs", "kita", inForceBound)
+	}
+	load := newLoad(c, "proofs", "kita")
+	stop := load.run(6)
+	load.waitAnswers(20)
+	frozen := c.nodes[1]
+	frozen.signal(syscall.SIGSTOP)
+	leaving.Leave()
+	time.Sleep(5 * time.Second)
+	frozen.signal(syscall.SIGCONT)
+	load.waitAnswers(load.answers() + 20)
+	stop()
+	load.audit(t, []*standin.Target{leaving, other}, requestLimit)
+	record := leaving.Record()
+	last := int64(0)
+	for _, run := range record.Runs {
+		last = max(last, run.Started)
+	}
+	t.Logf("last start %d ms after leaving", (last-record.LeftAt)/1000)
+	is.True(time.Duration(last-record.LeftAt)*time.Microsecond < 4*time.Second)
+}
+
+// TestRequestTargetFailures kills targets before, during and after the body of
+// requests that may be repeated: they are answered by others, and what is
+// refused as not run did not run.
+func TestRequestTargetFailures(t *testing.T) {
+	is := is.New(t)
+	c, targets := startServing(t, false)
+	load := newLoad(c, "proofs", "kita")
+	load.workMS = 200
+	stop := load.run(16)
+	load.waitAnswers(20)
+	for _, target := range targets[:2] {
+		target.Close()
+		load.waitAnswers(load.answers() + 20)
+	}
+	stop()
+	load.audit(t, targets, requestLimit)
+	is.Equal(totals(load.told).broken, 0)
+	got, err := c.call(context.Background(), c.nodes[0], http.MethodPost, "/v1/queues/proofs/requests", "kita",
+		map[string]string{"Sapphirering-Deadline-Ms": "300"}, []byte(`{"work_ms":3000}`))
+	is.NoErr(err)
+	is.True(got.outcome != entry.OutcomeAnswered) // cannot be answered by its deadline
+	is.True(got.outcome != entry.OutcomeNotRun)   // and it did run
+}
+
+// TestRequestKeyedWorkInCutZone cuts one zone off: keyed work is refused as
+// not run there, and the zone serves again after healing.
+func TestRequestKeyedWorkInCutZone(t *testing.T) {
+	is := is.New(t)
+	c, targets := startServing(t, true)
+	cut := c.nodes[2]
+	c.links.setCut(cut.name, true)
+	eventually(t, inForceBound, "keyed work is refused in the cut zone", func() error {
+		got, err := c.call(context.Background(), cut, http.MethodPost, "/v1/queues/proofs/requests", "kita", nil, []byte("cut"))
+		if err == nil && (got.status != http.StatusServiceUnavailable || got.outcome != entry.OutcomeNotRun) {
+			err = fmt.Errorf("status %d, outcome %s", got.status, got.outcome)
+		}
+		return err
+	})
+	before := len(targets[2].Record().Runs)
+	for range 20 {
+		got, err := c.call(context.Background(), cut, http.MethodPost, "/v1/queues/proofs/requests", "kita", nil, []byte("cut"))
+		is.NoErr(err)
+		is.Equal(got.outcome, entry.OutcomeNotRun)
+	}
+	is.Equal(len(targets[2].Record().Runs), before) // what was refused did not run
+	c.links.setCut(cut.name, false)
+	c.eventuallyServes(cut, "proofs", "kita", inForceBound)
+}
