Harness: listen ports outside the range of outgoing connections; logs also of failed starts

Seen: TestSoak failed once since entry-c3 could not listen; a connection of another process had taken the port that was free a moment before.

--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -71,15 +72,29 @@
 	links   *links
 }
 
-// freePort returns a loopback address that was free a moment ago.
+// Listeners use ports below the range from which the system picks ports of
+// outgoing connections, so that no connection takes one in between.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+var nextPort atomic.Uint32
+
+// freePort returns a loopback address that nothing listens on.
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		offset := (uint32(os.Getpid())*64 + nextPort.Add(1)) % portCount
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // startCluster starts one daemon per zone given, the first one bootstrapped.
@@ -100,6 +115,7 @@
 	if cuttable {
 		c.links = newLinks(t, c.nodes)
 	}
+	t.Cleanup(c.stop)
 	for i, n := range c.nodes {
 		c.writeSettings(n, i < 5)
 		n.start(i == 0)
@@ -110,7 +126,6 @@
 	for _, n := range c.nodes {
 		n.waitReady()
 	}
-	t.Cleanup(c.stop)
 	return c
 }
 
@@ -197,6 +212,9 @@
 
 func (c *cluster) stop() {
 	for _, n := range c.nodes {
+		if n.cmd == nil {
+			continue
+		}
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
 		<-n.exited
