--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -72,8 +72,8 @@
 type Options struct {
 	// Bootstrap creates a new cluster when the data folder is empty.
 	Bootstrap bool
-	// OperatorKeys are the secrets that operators may use.
-	OperatorKeys []string
+	// OperatorKeys admit operators.
+	OperatorKeys []config.OperatorKey
 }
 
 // New opens the data folder, joins or creates the cluster, and returns a
@@ -145,7 +145,7 @@
 		Core: replica.Config{
 			ID: d.identity.MemberID, Incarnation: incarnation, Durable: d.store != nil,
 			ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-			Rand: rand.New(rand.NewSource(int64(incarnation))),
+			Rand: newRand(int64(incarnation)),
 		},
 		Machine: d.machine, Storage: storage, Sender: memberSender{d}, TickInterval: d.settings.Tick.Duration,
 		SnapshotEntries: snapshotEntries, OnLeaderChange: d.onLeaderChange,
@@ -161,12 +161,15 @@
 	return nil
 }
 
+func newRand(seed int64) *rand.Rand { return rand.New(rand.NewSource(seed)) }
+
 // memberSender sends replica messages and keeps the member list for calls.
 type memberSender struct{ d *Daemon }
 
 func (s memberSender) Send(messages []*wirepb.ReplicaMessage) { s.d.peers.Send(messages) }
 
 func (s memberSender) SetMembership(m *wirepb.Membership) {
+	event.MembershipApplied.Emit(event.F("members", len(m.GetMembers())))
 	s.d.leader.membership.Store(m)
 	s.d.peers.SetMembership(m)
 }
