--- a/internal/control/jobview.go
+++ b/internal/control/jobview.go
@@ -118,11 +118,15 @@
 		used[current.Vm] = used[current.Vm].Add(needs)
 		teams[job.Team] = teams[job.Team].Add(needs)
 		freeIn[current.Vm] = max(freeIn[current.Vm], m.expectedEnd(job, current)-m.cfg.Machine.NowMS())
-		if job.Repeatable && !job.PreemptRequested && !job.CancelRequested {
-			s.Running = append(s.Running, share.Running{
-				ID: job.Id, Team: job.Team, Worker: current.Vm, Class: class(job.Class),
-				Needs: needs, StartedMS: current.StartedUnixMs,
-			})
+		view := share.Running{
+			ID: job.Id, Team: job.Team, Worker: current.Vm, Class: class(job.Class),
+			Needs: needs, StartedMS: current.StartedUnixMs,
+		}
+		switch {
+		case job.PreemptRequested || job.CancelRequested:
+			s.Stopping = append(s.Stopping, view)
+		case job.Repeatable:
+			s.Running = append(s.Running, view)
 		}
 	}
 	for _, vm := range p.workers {
--- a/internal/control/kept.go
+++ b/internal/control/kept.go
@@ -49,6 +49,9 @@
 // VM itself; those of a VM that was removed for good come back once it has
 // been gone for as long as its last work can run.
 func (m *Manager) keepParts(ctx context.Context) error {
+	if !m.keptGate.due(m.sessions.demandChanges(), m.cfg.Machine.UnitChanges(), m.cfg.Now()) {
+		return nil
+	}
 	reports := m.sessions.reports(m.cfg.Machine.Sessions())
 	names := liveNames(reports)
 	m.kept.lower = make(map[string][]*statepb.Reservation)
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -44,13 +44,15 @@
 
 // Manager runs the loops while this daemon leads.
 type Manager struct {
-	cfg      Config
-	sessions *sessions
-	asked    *releaseAsker
-	kept     *keptKeeper
-	jobs     *jobLoop
-	reasons  *Reasons
-	pruner   *pruner
+	cfg       Config
+	sessions  *sessions
+	asked     *releaseAsker
+	kept      *keptKeeper
+	jobs      *jobLoop
+	reasons   *Reasons
+	pruner    *pruner
+	splitGate splitGate
+	keptGate  splitGate
 	// running makes an older Run end before the next one starts.
 	running sync.Mutex
 }
--- a/internal/control/reservations.go
+++ b/internal/control/reservations.go
@@ -19,13 +19,32 @@
 	// askInterval spaces repeated requests for the same release.
 	askInterval = 400 * time.Millisecond
 	askTimeout  = time.Second
+	// idleSplitAfter is how long an unchanged demand is not looked at again.
+	idleSplitAfter = time.Second
 )
 
+// splitGate tells whether anything changed since the last split.
+type splitGate struct {
+	demand, units uint64
+	last          time.Time
+}
+
+func (g *splitGate) due(demand, units uint64, now time.Time) bool {
+	if demand == g.demand && units == g.units && now.Sub(g.last) < idleSplitAfter {
+		return false
+	}
+	g.demand, g.units, g.last = demand, units, now
+	return true
+}
+
 // splitReservations divides each team's upper limit over the live sessions by
 // reported demand. A grant uses only what is free; where a session holds more
 // than its part, it is asked to release first. All teams of one session go in
 // one command, so a step costs at most one commit per session.
 func (m *Manager) splitReservations(ctx context.Context) error {
+	if !m.splitGate.due(m.sessions.demandChanges(), m.cfg.Machine.UnitChanges(), m.cfg.Now()) {
+		return nil
+	}
 	reports := m.sessions.reports(m.cfg.Machine.Sessions())
 	if len(reports) == 0 {
 		return nil
--- a/internal/control/reservations_test.go
+++ b/internal/control/reservations_test.go
@@ -181,6 +181,7 @@
 	b.step(b.manager.keepParts)
 	is.Equal(b.machine.Kept("n-s1", "open"), uint32(2)) // cut off, not removed
 	members = []string{"n-s2"}
+	b.clock.advance(time.Second)
 	b.step(b.manager.keepParts)
 	b.clock.advance(reclaimAfter - time.Second)
 	b.step(b.manager.keepParts)
@@ -220,6 +221,7 @@
 			b.step(b.manager.splitReservations)
 			bench.ResetTimer()
 			for range bench.N {
+				b.clock.advance(idleSplitAfter)
 				b.step(b.manager.splitReservations)
 				b.step(b.manager.keepParts)
 			}
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	wanted  wanted
 	// expired holds when this leader first saw each session as expired.
 	expired map[string]time.Time
+	// changes rises when a demand or the set of live sessions changes.
+	changes uint64
 }
 
 // wanted is what sessions are to come down to, by session.
@@ -123,12 +126,27 @@
 	if r.AppliedIndex < max(s.lagIndex(), committed.OpenedIndex) {
 		return renewLagging
 	}
+	if !l.reported || l.leaving != r.Leaving || !slices.EqualFunc(l.demands, r.Demands, sameDemand) {
+		s.changes++
+	}
 	l.renewed = s.now()
 	l.applied, l.reported = r.AppliedIndex, true
 	l.demands, l.vms, l.leaving = r.Demands, r.Vms, r.Leaving
 	return renewed
 }
 
+func sameDemand(a, b *wirepb.TeamDemand) bool {
+	return a.Team == b.Team && a.RunningUnits == b.RunningUnits &&
+		a.WaitingUnits == b.WaitingUnits && a.UrgentWaitingUnits == b.UrgentWaitingUnits
+}
+
+// demandChanges returns a number that rises with each change of reported demand.
+func (s *sessions) demandChanges() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
 // wantedOf returns what the session is to come down to.
 func (s *sessions) wantedOf(session string) (units, kept []*statepb.Reservation) {
 	s.mu.Lock()
@@ -153,6 +171,7 @@
 		}
 		if l.expiring || s.now().Sub(l.renewed) > s.length+s.drift() {
 			l.expiring = true
+			s.changes++
 			ids = append(ids, session.Id)
 		}
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -8,6 +8,8 @@
 	"github.com/gorilla/mux"
 
 	"sapphirering/internal/config"
+	"sapphirering/internal/policy/placement"
+	"sapphirering/internal/policy/share"
 	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
 )
@@ -19,7 +21,16 @@
 // HeaderDeclaredMS is the run time that the caller expects, in milliseconds.
 const HeaderDeclaredMS = "Sapphirering-Declared-Ms"
 
-const defaultMaxAttempts = 3
+const (
+	defaultMaxAttempts = 3
+	// maxListedJobs bounds one answer of the job list.
+	maxListedJobs = 500
+	// maxCancelledJobs bounds one cancellation of many jobs.
+	maxCancelledJobs = 1000
+)
+
+// ReasonNeverRuns refuses a job that no worker of its pool could run.
+const ReasonNeverRuns = "never-runs"
 
 // JobView is the JSON form of a job.
 type JobView struct {
@@ -146,9 +157,30 @@
 		}
 		job.DeclaredMs = uint32(ms)
 	}
+	if reason := s.neverRuns(queue); reason != "" {
+		return nil, refuse(http.StatusUnprocessableEntity, ReasonNeverRuns, reason)
+	}
 	return job, nil
 }
 
+// neverRuns returns why no VM of the queue's pool could run a job of it, or "".
+func (s *Server) neverRuns(queue *statepb.Queue) string {
+	var workers []placement.Worker
+	for _, vm := range s.cfg.Machine.VMs() {
+		if vm.Pool == queue.Pool {
+			workers = append(workers, placement.Worker{Name: vm.Name, Capacity: resources(vm.Capacity, uint64(vm.Slots))})
+		}
+	}
+	return placement.Never(resources(queue.Needs, 1), workers)
+}
+
+func resources(r *statepb.Resources, slots uint64) share.Resources {
+	return share.Resources{
+		Millicores: uint64(r.GetMillicores()), MemoryMB: uint64(r.GetMemoryMb()),
+		Accelerators: uint64(r.GetAccelerators()), Slots: slots,
+	}
+}
+
 // authorizeJob returns the job when the caller may see it.
 func (s *Server) authorizeJob(r *http.Request) (*statepb.Job, *Refusal) {
 	id := mux.Vars(r)["job"]
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -62,6 +62,8 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/queues/{queue}/requests", s.track(s.serveRequest)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/queues/{queue}/jobs", s.track(s.submitJob)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/jobs", s.listJobs).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/cancel", s.track(s.cancelJobs)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/jobs/{job}", s.getJob).Methods(http.MethodGet)
 	r.HandleFunc("/v1/jobs/{job}", s.track(s.cancelJob)).Methods(http.MethodDelete)
 	r.HandleFunc("/readyz", s.serveReady).Methods(http.MethodGet)
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -74,6 +74,8 @@
 	Teams   []share.Team
 	Jobs    []Job
 	Running []share.Running
+	// Stopping holds running jobs that were asked to stop already.
+	Stopping []share.Running
 	// Absent holds the capacity of workers of the pool that take no job now, so
 	// that a job only they could run waits for them.
 	Absent []Worker
@@ -309,9 +311,14 @@
 	return fmt.Sprintf("worker %s is kept free for its accelerators", p.held.Name)
 }
 
-// preempt asks one running job to stop when that makes room for the urgent one.
+// preempt asks one running job to stop when that makes room for the urgent
+// one, unless one that was asked before does.
 func (p *planner) preempt(job Job) bool {
 	usable := func(r share.Running) bool { return !p.freed[r.ID] && p.serves(job, r) }
+	if at := slices.IndexFunc(p.snapshot.Stopping, usable); at >= 0 {
+		p.freed[p.snapshot.Stopping[at].ID] = true
+		return true
+	}
 	victim, reason, ok := share.Victim(total(p.snapshot.Workers), p.snapshot.Teams, p.snapshot.Running, job.Job, usable)
 	if !ok {
 		return false
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -45,6 +45,7 @@
 	stored := proto.CloneOf(doc)
 	stored.Revision = m.index
 	m.documents[doc.Team] = stored
+	m.unitChanges++
 	m.indexQueues(stored)
 	return m.ok(m.index)
 }
@@ -100,6 +101,7 @@
 	}
 	m.dropQueues(c.Team)
 	delete(m.documents, c.Team)
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
--- a/internal/state/holdings.go
+++ b/internal/state/holdings.go
@@ -72,3 +72,10 @@
 	}
 	return all
 }
+
+// UnitChanges returns a number that rises with each change of what Holdings returns.
+func (m *Machine) UnitChanges() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.unitChanges
+}
--- a/internal/state/jobindex.go
+++ b/internal/state/jobindex.go
@@ -39,6 +39,7 @@
 
 // countJob adds a job to the derived counts, or takes it out when by is negative.
 func (m *Machine) countJob(job *statepb.Job, by int32) {
+	m.unitChanges++
 	switch job.GetState() {
 	case statepb.JobState_JOB_STATE_QUEUED:
 		m.queuedJobs[job.Team] += uint32(by)
@@ -104,3 +105,16 @@
 	defer m.mu.RUnlock()
 	return reservation(m.liveSession(session), team)
 }
+
+// TeamJobs returns the team's jobs with an id after the given one, by id.
+func (m *Machine) TeamJobs(team, after string) []*statepb.Job {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	jobs := make(map[string]*statepb.Job)
+	for id, job := range m.jobs {
+		if job.Team == team && id > after {
+			jobs[id] = job
+		}
+	}
+	return sorted(jobs)
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -48,6 +48,8 @@
 	driven map[string]map[string]struct{}
 	// Raised by each change of a job.
 	jobChanges uint64
+	// Raised by each change of documents, sessions, units or counts of jobs.
+	unitChanges uint64
 }
 
 type keptID struct {
@@ -87,6 +89,7 @@
 	m.queuedJobs = make(map[string]uint32)
 	m.driven = make(map[string]map[string]struct{})
 	m.jobChanges++
+	m.unitChanges++
 }
 
 // Apply applies one marshalled command and returns its *statepb.Outcome.
--- a/internal/state/sessions.go
+++ b/internal/state/sessions.go
@@ -24,6 +24,7 @@
 		OpenedUnixMs: m.nowMS, Revision: m.index, OpenedIndex: m.index, MemberName: session.MemberName,
 	}
 	m.sessions[session.Id] = stored
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
@@ -41,6 +42,7 @@
 	next.ExpiredUnixMs = m.nowMS
 	next.Revision = m.index
 	m.sessions[session.Id] = next
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
@@ -79,6 +81,7 @@
 // forgetSession drops a session; claims that it left open have an unknown outcome.
 func (m *Machine) forgetSession(session *statepb.Session) {
 	delete(m.sessions, session.Id)
+	m.unitChanges++
 	for id, claim := range m.claims {
 		if claim.Session == session.Id && claim.State == statepb.ClaimState_CLAIM_STATE_RUNNING {
 			next := proto.CloneOf(claim)
@@ -164,6 +167,7 @@
 	}
 	next.Revision = m.index
 	m.sessions[session.Id] = next
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
@@ -216,6 +220,7 @@
 
 func (m *Machine) putKept(k *statepb.KeptReservation) {
 	id := keptID{k.MemberName, k.Team}
+	m.unitChanges++
 	if k.Units == 0 {
 		delete(m.kept, id)
 		return
