--- /dev/null
+++ b/test/process/work_test.go
@@ -0,0 +1,347 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/test/standin"
+)
+
+// urgentStartBound is the users' bound for the start of urgent work.
+const urgentStartBound = 1600 * time.Millisecond
+
+const workDocument = `team: kita
+share: 1
+upper_limit: 6
+queues:
+  - name: proofs
+    pool: renderers
+    class: urgent
+    max_queued: 500
+  - name: plates
+    pool: renderers
+    class: long
+`
+
+// workCluster starts daemons in the zones, one target of 8 slots in each zone,
+// and a team with an upper limit of 6.
+func workCluster(t *testing.T, zones []string) (*cluster, []*standin.Target) {
+	t.Helper()
+	c := startCluster(t, zones, false)
+	c.mustTool(c.nodes[0], "pool", "create", "renderers")
+	c.team(c.nodes[0], "kita", workDocument)
+	var targets []*standin.Target
+	seen := make(map[string]bool)
+	for _, zone := range zones {
+		if !seen[zone] {
+			seen[zone] = true
+			targets = append(targets, c.target(standin.Config{VM: "renderer-" + zone, Pool: "renderers", Zone: zone, Slots: 8}))
+		}
+	}
+	for _, n := range c.nodes {
+		c.eventuallyServes(n, "proofs", "kita", inForceBound)
+	}
+	return c, targets
+}
+
+// peakRunning counts the most runs at once over all targets.
+func peakRunning(targets []*standin.Target) int {
+	type change struct {
+		at int64
+		by int
+	}
+	var changes []change
+	for _, target := range targets {
+		for _, run := range target.Record().Runs {
+			changes = append(changes, change{run.Started, 1})
+			if run.Ended != 0 {
+				changes = append(changes, change{run.Ended, -1})
+			}
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return a.by - b.by
+	})
+	now, peak := 0, 0
+	for _, c := range changes {
+		now += c.by
+		peak = max(peak, now)
+	}
+	return peak
+}
+
+// flood sends requests to a node until ctx ends and counts the answered ones.
+func (c *cluster) flood(ctx context.Context, n *node, callers int, answered *atomic.Int64) *sync.WaitGroup {
+	var done sync.WaitGroup
+	for range callers {
+		done.Go(func() {
+			for ctx.Err() == nil {
+				call, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				got, err := c.call(call, n, http.MethodPost, "/v1/queues/proofs/requests", "kita",
+					map[string]string{"Sapphirering-Deadline-Ms": "2000"}, []byte(`{"work_ms":60}`))
+				cancel()
+				if err == nil && got.status == http.StatusOK {
+					answered.Add(1)
+				} else {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	return &done
+}
+
+// TestWorkUpperLimit floods every entry VM for one team, with jobs beside, while
+// an entry VM is killed and restarted and the leader is killed: the targets
+// never see more at once than the upper limit.
+func TestWorkUpperLimit(t *testing.T) {
+	is := is.New(t)
+	c, targets := workCluster(t, []string{"a", "a", "b", "b", "c"})
+	c.waitVoters(c.nodes[0], 5)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	counts := make([]atomic.Int64, len(c.nodes))
+	var floods []*sync.WaitGroup
+	for i, n := range c.nodes {
+		floods = append(floods, c.flood(ctx, n, 8, &counts[i]))
+	}
+	for range 10 {
+		c.call(ctx, c.nodes[0], http.MethodPost, "/v1/queues/plates/jobs", "kita", nil, []byte(`{"work_ms":300}`))
+	}
+	time.Sleep(2 * time.Second)
+	leader := c.leader(c.nodes[4])
+	entry := c.nodes[1]
+	if entry == leader {
+		entry = c.nodes[2]
+	}
+	entry.kill()
+	entry.start(false)
+	time.Sleep(time.Second)
+	leader.kill()
+	leader.start(false)
+	time.Sleep(5 * time.Second)
+	before := int64(0)
+	for i := range counts {
+		before += counts[i].Load()
+	}
+	time.Sleep(2 * time.Second)
+	cancel()
+	after := int64(0)
+	for i := range counts {
+		floods[i].Wait()
+		after += counts[i].Load()
+	}
+	t.Logf("answered %d, peak at the targets %d of 6", after, peakRunning(targets))
+	is.True(peakRunning(targets) <= 6)
+	is.True(peakRunning(targets) >= 4) // the flood really pressed against the limit
+	is.True(after > before)            // work went on after the failures
+}
+
+// TestWorkJobsSurvive kills two voters at once, the leader among them, after
+// jobs were acknowledged: each one ends, those not repeatable at most once.
+func TestWorkJobsSurvive(t *testing.T) {
+	is := is.New(t)
+	c, targets := workCluster(t, []string{"a", "a", "b", "b", "c"})
+	c.waitVoters(c.nodes[0], 5)
+	var jobs []string
+	once := make(map[string]bool)
+	for i := range 40 {
+		repeatable := "yes"
+		if i%4 == 0 {
+			repeatable = "no"
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		got, err := c.call(ctx, c.nodes[i%5], http.MethodPost, "/v1/queues/plates/jobs", "kita",
+			map[string]string{"Sapphirering-Repeatable": repeatable}, []byte(`{"work_ms":150}`))
+		cancel()
+		if err != nil || got.status != http.StatusCreated {
+			continue
+		}
+		var job struct{ ID string }
+		is.NoErr(json.Unmarshal(got.body, &job))
+		jobs = append(jobs, job.ID)
+		once[job.ID] = repeatable == "no"
+	}
+	is.True(len(jobs) >= 30)
+	leader := c.leader(c.nodes[4])
+	other := c.nodes[0]
+	if leader.zone == "a" {
+		other = c.nodes[2]
+	}
+	if leader == c.nodes[4] {
+		// The only entry VM of zone c stays: nobody else could drive its tasks.
+		leader = c.nodes[2]
+	}
+	leader.kill()
+	other.kill()
+	states := make(map[string]int)
+	eventually(t, 25*time.Second, "every acknowledged job ends", func() error {
+		clear(states)
+		for _, id := range jobs {
+			got, err := c.call(context.Background(), c.nodes[4], http.MethodGet, "/v1/jobs/"+id, "kita", nil, nil)
+			if err != nil {
+				return err
+			}
+			var job struct{ State, Reason string }
+			if err := json.Unmarshal(got.body, &job); err != nil {
+				return err
+			}
+			states[job.State]++
+			if job.State == "queued" || job.State == "running" || job.State == "" {
+				return fmt.Errorf("job %s is %q: %s", id, job.State, job.Reason)
+			}
+		}
+		return nil
+	})
+	runs := make(map[string]int)
+	for _, target := range targets {
+		for _, run := range target.Record().Runs {
+			runs[run.RequestID]++
+		}
+	}
+	for _, id := range jobs {
+		if once[id] {
+			is.True(runs[id] <= 1) // not repeatable
+		}
+	}
+	t.Logf("%d jobs acknowledged: %v", len(jobs), states)
+	is.True(peakRunning(targets) <= 6)
+}
+
+// jobState reads a job through a node.
+func (c *cluster) jobState(n *node, id string) (state string, vms []string, err error) {
+	got, err := c.call(context.Background(), n, http.MethodGet, "/v1/jobs/"+id, "kita", nil, nil)
+	if err != nil {
+		return "", nil, err
+	}
+	var job struct {
+		State    string
+		Attempts []struct{ VM string }
+	}
+	if err := json.Unmarshal(got.body, &job); err != nil {
+		return "", nil, err
+	}
+	for _, a := range job.Attempts {
+		vms = append(vms, a.VM)
+	}
+	return job.State, vms, nil
+}
+
+func (c *cluster) submitJob(n *node, body string) string {
+	c.t.Helper()
+	got, err := c.call(context.Background(), n, http.MethodPost, "/v1/queues/plates/jobs", "kita", nil, []byte(body))
+	if err != nil || got.status != http.StatusCreated {
+		c.t.Fatalf("submit job: status %d: %s: %v", got.status, got.body, err)
+	}
+	var job struct{ ID string }
+	if err := json.Unmarshal(got.body, &job); err != nil {
+		c.t.Fatal(err)
+	}
+	return job.ID
+}
+
+func (c *cluster) waitJob(n *node, id, state string, within time.Duration) []string {
+	c.t.Helper()
+	var vms []string
+	eventually(c.t, within, "job is "+state, func() error {
+		got, on, err := c.jobState(n, id)
+		vms = on
+		if err == nil && got != state {
+			err = fmt.Errorf("job is %s", got)
+		}
+		return err
+	})
+	return vms
+}
+
+// TestWorkCancelAndUrgent cancels a wave of jobs, then fills the limit with long
+// jobs and measures when urgent work starts, then fails a job everywhere.
+func TestWorkCancelAndUrgent(t *testing.T) {
+	is := is.New(t)
+	c, targets := workCluster(t, []string{"a", "b", "c"})
+
+	var wave []string
+	for range 100 {
+		wave = append(wave, c.submitJob(c.nodes[0], `{"work_ms":400}`))
+	}
+	body, err := json.Marshal(map[string][]string{"jobs": wave})
+	is.NoErr(err)
+	got, err := c.call(context.Background(), c.nodes[1], http.MethodPost, "/v1/jobs/cancel", "kita", nil, body)
+	is.NoErr(err)
+	is.Equal(got.status, http.StatusAccepted)
+	eventually(t, 10*time.Second, "the wave is over", func() error {
+		for _, id := range wave {
+			state, _, err := c.jobState(c.nodes[2], id)
+			if err != nil || state != "cancelled" && state != "done" {
+				return fmt.Errorf("job %s is %s: %v", id, state, err)
+			}
+		}
+		return nil
+	})
+
+	for range 12 {
+		c.submitJob(c.nodes[0], `{"work_ms":20000}`)
+	}
+	eventually(t, 10*time.Second, "long jobs fill their part", func() error {
+		if running := tasksRunning(targets); running < 4 {
+			return fmt.Errorf("%d run", running)
+		}
+		return nil
+	})
+	worst := time.Duration(0)
+	for i := range 9 {
+		started := time.Now()
+		got, err := c.call(context.Background(), c.nodes[i%3], http.MethodPost, "/v1/queues/proofs/requests", "kita", nil, []byte(`{"work_ms":1}`))
+		is.NoErr(err)
+		is.Equal(got.status, http.StatusOK)
+		worst = max(worst, time.Since(started))
+	}
+	t.Logf("worst of 9 urgent starts under a full limit: %s", worst)
+	is.True(worst < urgentStartBound)
+	is.True(peakRunning(targets) <= 6)
+	out := c.mustTool(c.nodes[1], "explain", "team", "kita")
+	is.True(len(out) > 0)
+}
+
+func tasksRunning(targets []*standin.Target) int {
+	running := 0
+	for _, target := range targets {
+		for _, run := range target.Record().Runs {
+			if run.Task && run.Ended == 0 {
+				running++
+			}
+		}
+	}
+	return running
+}
+
+// TestWorkFailingWorkers parks a job that fails on every worker after attempts
+// on different ones, and explains it.
+func TestWorkFailingWorkers(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, []string{"a"}, false)
+	c.mustTool(c.nodes[0], "pool", "create", "renderers")
+	c.team(c.nodes[0], "kita", workDocument)
+	for i := range 3 {
+		c.target(standin.Config{VM: fmt.Sprintf("broken-%d", i), Pool: "renderers", Zone: "a", Slots: 4, FailAll: true})
+	}
+	id := c.submitJob(c.nodes[0], `{"work_ms":5}`)
+	vms := c.waitJob(c.nodes[0], id, "parked", 15*time.Second)
+	slices.Sort(vms)
+	is.Equal(vms, []string{"broken-0", "broken-1", "broken-2"})
+	out := c.mustTool(c.nodes[0], "explain", "job", id)
+	t.Log(out)
+	is.True(len(out) > 0)
+}
