--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -24,8 +24,6 @@
 	maxQueuedPerTeam = 64
 	// maxPreemptsPerStep bounds the preemptions that one step proposes.
 	maxPreemptsPerStep = 16
-	// slotsPerReserved is how many slots of a worker keep one free for urgent work.
-	slotsPerReserved = 8
 	// idleRoundAfter is how long unchanged jobs are not looked at again.
 	idleRoundAfter = 500 * time.Millisecond
 	// attemptOverAfter is when an attempt whose driver's session expired is
--- a/internal/control/jobview.go
+++ b/internal/control/jobview.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -133,10 +134,11 @@
 		excluded, probe := m.jobs.health.State(vm.Name, m.cfg.Now())
 		s.Workers = append(s.Workers, placement.Worker{
 			Name: vm.Name, Rack: vm.Rack, Zone: vm.Zone, Capacity: capacity(vm), Used: used[vm.Name],
-			ReservedSlots: uint64(vm.Slots / slotsPerReserved), FreeInMS: freeIn[vm.Name],
-			Excluded: excluded, Probe: probe,
+			FreeInMS: freeIn[vm.Name], Excluded: excluded, Probe: probe,
 		})
 	}
+	slices.SortFunc(s.Workers, func(a, b placement.Worker) int { return cmp.Compare(a.Name, b.Name) })
+	placement.Reserve(s.Workers)
 	for _, job := range p.queued {
 		if _, ok := teams[job.Team]; !ok {
 			teams[job.Team] = share.Resources{}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -98,7 +98,10 @@
 	freed     map[string]bool
 	// waits counts the jobs of each team that found no room.
 	waits map[string]int
-	plan  Plan
+	// full holds the shapes of jobs that found no room: workers only fill up
+	// during a round, so an equal job finds none either.
+	full map[shape]bool
+	plan Plan
 }
 
 // Make plans one round: jobs in the order of the teams' shares, each on the
@@ -130,6 +133,7 @@
 	p := &planner{
 		snapshot: s, jobs: make(map[string]Job, len(s.Jobs)),
 		racks: make(map[[2]string]int), freed: make(map[string]bool), waits: make(map[string]int),
+		full: make(map[shape]bool),
 	}
 	for _, worker := range s.Workers {
 		p.workers = append(p.workers, &worker)
@@ -163,6 +167,21 @@
 	return jobs
 }
 
+// workersPerReserved is how many workers keep one slot for urgent work between
+// them: few enough not to move the teams off their shares, while preemption
+// makes the room that a burst of urgent work needs beyond.
+const workersPerReserved = 4
+
+// Reserve leaves one slot of every fourth worker to urgent work. Workers with a
+// single slot reserve none.
+func Reserve(workers []Worker) {
+	for i := range workers {
+		if i%workersPerReserved == 0 && workers[i].Capacity.Slots > 1 {
+			workers[i].ReservedSlots = 1
+		}
+	}
+}
+
 // Never returns why no worker could run the needs even when empty, or "".
 // Without any worker nothing is known.
 func Never(needs share.Resources, workers []Worker) string {
@@ -226,8 +245,25 @@
 	})
 }
 
+// shape is what decides whether any worker has room for a job.
+type shape struct {
+	needs share.Resources
+	class share.Class
+}
+
 // choose returns the worker with the best score, or nil.
 func (p *planner) choose(job Job) *Worker {
+	if p.full[shape{job.Needs, job.Class}] {
+		return nil
+	}
+	best := p.best(job)
+	if best == nil && len(job.FailedOn) == 0 && p.held == nil {
+		p.full[shape{job.Needs, job.Class}] = true
+	}
+	return best
+}
+
+func (p *planner) best(job Job) *Worker {
 	var best *Worker
 	var bestScore score
 	for _, w := range p.workers {
--- a/test/process/work_test.go
+++ b/test/process/work_test.go
@@ -164,7 +164,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		got, err := c.call(ctx, c.nodes[i%5], http.MethodPost, "/v1/queues/plates/jobs", "kita",
-			map[string]string{"Sapphirering-Repeatable": repeatable}, []byte(`{"work_ms":150}`))
+			map[string]string{"Sapphirering-Repeatable": repeatable}, []byte(`{"work_ms":1000}`))
 		cancel()
 		if err != nil || got.status != http.StatusCreated {
 			continue
