--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -16,7 +16,7 @@
 // fakeLog applies each proposal at once.
 type fakeLog struct {
 	machine *state.Machine
-	clock   *fakeClock
+	wall    func() time.Time
 	index   uint64
 	commits int
 	deposed bool
@@ -29,7 +29,7 @@
 		return nil, errors.New("not leader")
 	}
 	stamped := proto.CloneOf(command)
-	stamped.TimeUnixMs = l.clock.wall.UnixMilli()
+	stamped.TimeUnixMs = l.wall().UnixMilli()
 	data, err := proto.Marshal(stamped)
 	if err != nil {
 		return nil, err
@@ -73,7 +73,7 @@
 	start := time.UnixMilli(1_700_000_000_000)
 	clock := &fakeClock{mono: start, wall: start}
 	machine := state.New()
-	log := &fakeLog{machine: machine, clock: clock}
+	log := &fakeLog{machine: machine, wall: func() time.Time { return clock.wall }}
 	b := &bench{t: t, clock: clock, log: log, machine: machine}
 	b.elect()
 	return b
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -83,10 +83,14 @@
 	if err := m.preemptOverLimit(ctx, open, reports); err != nil {
 		return err
 	}
+<<<<<<< HEAD
 	if err := m.preemptDraining(ctx, open); err != nil {
 		return err
 	}
 	for _, pool := range m.fleet(open, reports).pools() {
+=======
+	for _, pool := range m.jobFleet(open, reports).pools() {
+>>>>>>> main
 		if err := m.placePool(ctx, pool); err != nil {
 			return err
 		}
--- a/internal/control/jobview.go
+++ b/internal/control/jobview.go
@@ -53,9 +53,9 @@
 	return names
 }
 
-// fleet sorts jobs and workers by pool. Of a long queue only the first jobs of
+// jobFleet sorts jobs and workers by pool. Of a long queue only the first jobs of
 // each team and class are looked at.
-func (m *Manager) fleet(open []*statepb.Job, reports []report) *fleetView {
+func (m *Manager) jobFleet(open []*statepb.Job, reports []report) *fleetView {
 	f := &fleetView{byName: make(map[string]*poolView)}
 	type queueKey struct {
 		pool, team string
@@ -133,8 +133,14 @@
 	for _, vm := range p.workers {
 		excluded, probe := m.jobs.health.State(vm.Name, m.cfg.Now())
 		s.Workers = append(s.Workers, placement.Worker{
+<<<<<<< HEAD
 			Name: vm.Name, Rack: vm.Rack, Zone: vm.Zone, Capacity: capacity(vm), Used: used[vm.Name],
 			FreeInMS: freeIn[vm.Name], Excluded: excluded, Probe: probe,
+=======
+			Name: vm.Name, Rack: vm.Rack, Zone: vm.Zone, Capacity: resourcesOf(vm), Used: used[vm.Name],
+			ReservedSlots: uint64(vm.Slots / slotsPerReserved), FreeInMS: freeIn[vm.Name],
+			Excluded: excluded, Probe: probe,
+>>>>>>> main
 		})
 	}
 	slices.SortFunc(s.Workers, func(a, b placement.Worker) int { return cmp.Compare(a.Name, b.Name) })
@@ -160,7 +166,7 @@
 	var absent []placement.Worker
 	for _, vm := range m.cfg.Machine.VMs() {
 		if _, present := p.drivers[vm.Name]; vm.Pool == p.name && !present {
-			absent = append(absent, placement.Worker{Name: vm.Name, Capacity: capacity(vm)})
+			absent = append(absent, placement.Worker{Name: vm.Name, Capacity: resourcesOf(vm)})
 		}
 	}
 	return absent
@@ -182,7 +188,7 @@
 	return views
 }
 
-func capacity(vm *statepb.VM) share.Resources {
+func resourcesOf(vm *statepb.VM) share.Resources {
 	return share.Resources{
 		Millicores: uint64(vm.Capacity.GetMillicores()), MemoryMB: uint64(vm.Capacity.GetMemoryMb()),
 		Accelerators: uint64(vm.Capacity.GetAccelerators()), Slots: uint64(vm.Slots),
@@ -192,7 +198,7 @@
 func largestWorker(workers []*statepb.VM) share.Resources {
 	var largest share.Resources
 	for _, vm := range workers {
-		c := capacity(vm)
+		c := resourcesOf(vm)
 		largest.Millicores = max(largest.Millicores, c.Millicores)
 		largest.MemoryMB = max(largest.MemoryMB, c.MemoryMB)
 	}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -40,10 +40,15 @@
 	AskRelease func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
 	// MemberNames returns the names of the cluster's members; it may be nil.
 	MemberNames func() []string
+	// Members lists the daemons of the cluster, with or without a session.
+	Members func() []*wirepb.Member
+	// Platform reboots VMs; nil when none is set.
+	Platform Platform
 }
 
 // Manager runs the loops while this daemon leads.
 type Manager struct {
+<<<<<<< HEAD
 	cfg       Config
 	sessions  *sessions
 	asked     *releaseAsker
@@ -53,6 +58,16 @@
 	pruner    *pruner
 	splitGate splitGate
 	keptGate  splitGate
+=======
+	cfg      Config
+	sessions *sessions
+	asked    *releaseAsker
+	kept     *keptKeeper
+	jobs     *jobLoop
+	reasons  *Reasons
+	pruner   *pruner
+	fleet    *fleet
+>>>>>>> main
 	// running makes an older Run end before the next one starts.
 	running sync.Mutex
 }
@@ -61,7 +76,7 @@
 func NewManager(cfg Config) *Manager {
 	return &Manager{
 		cfg: cfg, sessions: newSessions(cfg.Lease, cfg.Now), asked: newReleaseAsker(cfg),
-		kept: newKeptKeeper(cfg.Now), jobs: newJobLoop(), reasons: NewReasons(cfg.Now), pruner: &pruner{},
+		kept: newKeptKeeper(cfg.Now), jobs: newJobLoop(), reasons: NewReasons(cfg.Now), pruner: &pruner{}, fleet: newFleet(),
 	}
 }
 
@@ -75,6 +90,7 @@
 	m.sessions.start(m.cfg.Machine.Sessions())
 	m.kept.reset()
 	m.jobs.reset()
+	m.fleet = newFleet()
 	event.ControlStarted.Emit()
 	defer event.ControlStopped.Emit()
 	ticker := time.NewTicker(stepInterval)
@@ -104,6 +120,9 @@
 		{"place jobs", m.placeJobs},
 		{"prune", m.prune},
 		{"watch VMs", m.watchVMs},
+		{"drain VMs", m.drainVMs},
+		{"run waves", m.runWaves},
+		{"move VMs", m.moveVMs},
 	}
 	for _, loop := range loops {
 		if err := loop.run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/server/operations.go
+++ b/internal/server/operations.go
@@ -46,6 +46,18 @@
 	return response.GetStatus(), nil
 }
 
+<<<<<<< HEAD
+=======
+// Local describes this daemon without asking the leader.
+func (d *Daemon) Local() operator.LocalStatus {
+	age, _ := d.holder.RenewedAge()
+	return operator.LocalStatus{
+		ClusterID: d.identity.ClusterID, Name: d.settings.Name, Zone: d.settings.Zone,
+		Live: d.holder.Live(), RenewedAge: age, AppliedIndex: d.machine.Index(), Leading: d.leader.isLocal(),
+	}
+}
+
+>>>>>>> main
 // Explain asks the leader for the reasons kept about an object.
 func (d *Daemon) Explain(ctx context.Context, kind, id string) ([]string, error) {
 	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Explain{
@@ -55,6 +67,7 @@
 		return nil, err
 	}
 	return response.GetExplain().GetLines(), nil
+<<<<<<< HEAD
 }
 
 // Local describes this daemon without asking the leader.
@@ -64,4 +77,6 @@
 		ClusterID: d.identity.ClusterID, Name: d.settings.Name, Zone: d.settings.Zone,
 		Live: d.holder.Live(), RenewedAge: age, AppliedIndex: d.machine.Index(), Leading: d.leader.isLocal(),
 	}
+=======
+>>>>>>> main
 }
