Mend the merge before: conflict markers had been committed

This one resolves them: both sides' fields of the manager, the explain route once. Preemption on draining VMs is dropped here, since the drains of the fleet loop do it.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -83,14 +83,7 @@
 	if err := m.preemptOverLimit(ctx, open, reports); err != nil {
 		return err
 	}
-<<<<<<< HEAD
-	if err := m.preemptDraining(ctx, open); err != nil {
-		return err
-	}
-	for _, pool := range m.fleet(open, reports).pools() {
-=======
 	for _, pool := range m.jobFleet(open, reports).pools() {
->>>>>>> main
 		if err := m.placePool(ctx, pool); err != nil {
 			return err
 		}
@@ -234,27 +227,6 @@
 	return nil
 }
 
-// preemptDraining asks the jobs on draining VMs to checkpoint and go on
-// elsewhere. One that is not repeatable runs to its end.
-func (m *Manager) preemptDraining(ctx context.Context, open []*statepb.Job) error {
-	left := maxPreemptsPerStep
-	for _, job := range open {
-		current := state.CurrentAttempt(job)
-		if current == nil || job.PreemptRequested || job.CancelRequested || !job.Repeatable {
-			continue
-		}
-		vm := m.cfg.Machine.VM(current.Vm)
-		if vm.GetPhase() != statepb.VMPhase_VM_PHASE_DRAINING || left == 0 {
-			continue
-		}
-		if err := m.preempt(ctx, job.Id, "VM "+vm.Name+" drains: "+vm.DrainReason); err != nil {
-			return err
-		}
-		left--
-	}
-	return nil
-}
-
 // excessJobs returns how many of the team's running jobs are to stop, those
 // asked already included.
 func (m *Manager) excessJobs(doc *statepb.TeamDocument, holding *state.Holding, s *split) (int, string) {
--- a/internal/control/jobview.go
+++ b/internal/control/jobview.go
@@ -133,14 +133,8 @@
 	for _, vm := range p.workers {
 		excluded, probe := m.jobs.health.State(vm.Name, m.cfg.Now())
 		s.Workers = append(s.Workers, placement.Worker{
-<<<<<<< HEAD
-			Name: vm.Name, Rack: vm.Rack, Zone: vm.Zone, Capacity: capacity(vm), Used: used[vm.Name],
-			FreeInMS: freeIn[vm.Name], Excluded: excluded, Probe: probe,
-=======
 			Name: vm.Name, Rack: vm.Rack, Zone: vm.Zone, Capacity: resourcesOf(vm), Used: used[vm.Name],
-			ReservedSlots: uint64(vm.Slots / slotsPerReserved), FreeInMS: freeIn[vm.Name],
-			Excluded: excluded, Probe: probe,
->>>>>>> main
+			FreeInMS: freeIn[vm.Name], Excluded: excluded, Probe: probe,
 		})
 	}
 	slices.SortFunc(s.Workers, func(a, b placement.Worker) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -48,7 +48,6 @@
 
 // Manager runs the loops while this daemon leads.
 type Manager struct {
-<<<<<<< HEAD
 	cfg       Config
 	sessions  *sessions
 	asked     *releaseAsker
@@ -58,16 +57,7 @@
 	pruner    *pruner
 	splitGate splitGate
 	keptGate  splitGate
-=======
-	cfg      Config
-	sessions *sessions
-	asked    *releaseAsker
-	kept     *keptKeeper
-	jobs     *jobLoop
-	reasons  *Reasons
-	pruner   *pruner
-	fleet    *fleet
->>>>>>> main
+	fleet     *fleet
 	// running makes an older Run end before the next one starts.
 	running sync.Mutex
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -46,10 +46,6 @@
 	InForce(ctx context.Context, index uint64) (*wirepb.InForceResponse, error)
 	ChangeMember(ctx context.Context, action wirepb.MemberRequest_Action, member string) (uint64, error)
 	Status(ctx context.Context) (*wirepb.StatusResponse, error)
-<<<<<<< HEAD
-	Explain(ctx context.Context, kind, id string) ([]string, error)
-=======
->>>>>>> main
 	// Local describes this daemon without asking the leader.
 	Local() LocalStatus
 	// Explain returns the reasons that the leader keeps about an object.
@@ -145,10 +141,6 @@
 	v1.HandleFunc("/pools", s.listPools).Methods(http.MethodGet)
 	v1.HandleFunc("/pools/{pool}", s.putPool).Methods(http.MethodPut)
 	v1.HandleFunc("/vms", s.listVMs).Methods(http.MethodGet)
-<<<<<<< HEAD
-=======
-	v1.HandleFunc("/explain/{kind}/{id}", s.getExplanation).Methods(http.MethodGet)
->>>>>>> main
 }
 
 func (s *Server) routeJobs(v1 *mux.Router) {
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -26,7 +26,7 @@
 	registry *target.Registry
 	leader   *leaderClient
 
-	mu          sync.Mutex
+	mu sync.Mutex
 	// registering holds the VMs whose registration is on its way or has just
 	// failed; a pool that does not exist must not fill the log with refusals.
 	registering map[string]bool
--- a/internal/server/operations.go
+++ b/internal/server/operations.go
@@ -46,8 +46,6 @@
 	return response.GetStatus(), nil
 }
 
-<<<<<<< HEAD
-=======
 // Local describes this daemon without asking the leader.
 func (d *Daemon) Local() operator.LocalStatus {
 	age, _ := d.holder.RenewedAge()
@@ -57,7 +55,6 @@
 	}
 }
 
->>>>>>> main
 // Explain asks the leader for the reasons kept about an object.
 func (d *Daemon) Explain(ctx context.Context, kind, id string) ([]string, error) {
 	response, err := d.leader.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Explain{
@@ -67,16 +64,4 @@
 		return nil, err
 	}
 	return response.GetExplain().GetLines(), nil
-<<<<<<< HEAD
-}
-
-// Local describes this daemon without asking the leader.
-func (d *Daemon) Local() operator.LocalStatus {
-	age, _ := d.holder.RenewedAge()
-	return operator.LocalStatus{
-		ClusterID: d.identity.ClusterID, Name: d.settings.Name, Zone: d.settings.Zone,
-		Live: d.holder.Live(), RenewedAge: age, AppliedIndex: d.machine.Index(), Leading: d.leader.isLocal(),
-	}
-=======
->>>>>>> main
 }
