--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -47,6 +47,7 @@
 	m.documents[doc.Team] = stored
 	m.unitChanges++
 	m.indexQueues(stored)
+	m.raiseDeadlines()
 	return m.ok(m.index)
 }
 
