--- a/internal/control/jobview.go
+++ b/internal/control/jobview.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -118,21 +119,26 @@
 		used[current.Vm] = used[current.Vm].Add(needs)
 		teams[job.Team] = teams[job.Team].Add(needs)
 		freeIn[current.Vm] = max(freeIn[current.Vm], m.expectedEnd(job, current)-m.cfg.Machine.NowMS())
-		if job.Repeatable && !job.PreemptRequested && !job.CancelRequested {
-			s.Running = append(s.Running, share.Running{
-				ID: job.Id, Team: job.Team, Worker: current.Vm, Class: class(job.Class),
-				Needs: needs, StartedMS: current.StartedUnixMs,
-			})
+		view := share.Running{
+			ID: job.Id, Team: job.Team, Worker: current.Vm, Class: class(job.Class),
+			Needs: needs, StartedMS: current.StartedUnixMs,
+		}
+		switch {
+		case job.PreemptRequested || job.CancelRequested:
+			s.Stopping = append(s.Stopping, view)
+		case job.Repeatable:
+			s.Running = append(s.Running, view)
 		}
 	}
 	for _, vm := range p.workers {
 		excluded, probe := m.jobs.health.State(vm.Name, m.cfg.Now())
 		s.Workers = append(s.Workers, placement.Worker{
 			Name: vm.Name, Rack: vm.Rack, Zone: vm.Zone, Capacity: resourcesOf(vm), Used: used[vm.Name],
-			ReservedSlots: uint64(vm.Slots / slotsPerReserved), FreeInMS: freeIn[vm.Name],
-			Excluded: excluded, Probe: probe,
+			FreeInMS: freeIn[vm.Name], Excluded: excluded, Probe: probe,
 		})
 	}
+	slices.SortFunc(s.Workers, func(a, b placement.Worker) int { return cmp.Compare(a.Name, b.Name) })
+	placement.Reserve(s.Workers)
 	for _, job := range p.queued {
 		if _, ok := teams[job.Team]; !ok {
 			teams[job.Team] = share.Resources{}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -48,14 +48,16 @@
 
 // Manager runs the loops while this daemon leads.
 type Manager struct {
-	cfg      Config
-	sessions *sessions
-	asked    *releaseAsker
-	kept     *keptKeeper
-	jobs     *jobLoop
-	reasons  *Reasons
-	pruner   *pruner
-	fleet    *fleet
+	cfg       Config
+	sessions  *sessions
+	asked     *releaseAsker
+	kept      *keptKeeper
+	jobs      *jobLoop
+	reasons   *Reasons
+	pruner    *pruner
+	splitGate splitGate
+	keptGate  splitGate
+	fleet     *fleet
 	// running makes an older Run end before the next one starts.
 	running sync.Mutex
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -122,6 +122,7 @@
 	s.routeJobs(v1)
 	v1.HandleFunc("/members/{member}", s.changeMember).Methods(http.MethodPost, http.MethodDelete)
 	v1.HandleFunc("/status", s.getStatus).Methods(http.MethodGet)
+	v1.HandleFunc("/explain/{kind}/{id}", s.getExplanation).Methods(http.MethodGet)
 	v1.HandleFunc("/in-force/{index}", s.getInForce).Methods(http.MethodGet)
 	return r
 }
@@ -140,7 +141,6 @@
 	v1.HandleFunc("/pools", s.listPools).Methods(http.MethodGet)
 	v1.HandleFunc("/pools/{pool}", s.putPool).Methods(http.MethodPut)
 	v1.HandleFunc("/vms", s.listVMs).Methods(http.MethodGet)
-	v1.HandleFunc("/explain/{kind}/{id}", s.getExplanation).Methods(http.MethodGet)
 }
 
 func (s *Server) routeJobs(v1 *mux.Router) {
