--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -51,6 +51,7 @@
 	json     bool
 	wait     bool
 	opID     string
+	fleet    fleetFlags
 }
 
 // subcommand is one verb of the tool.
@@ -61,6 +62,8 @@
 	// examples are whole command lines without the program's name.
 	examples []string
 	run      func(env *Env, args []string) error
+	// flags adds the flags of commands about VMs, pools and waves.
+	flags func(set *flag.FlagSet, f *fleetFlags)
 	// local commands need no running system.
 	local bool
 }
@@ -68,7 +71,7 @@
 func subcommands() []subcommand {
 	all := []subcommand{
 		applyCommand, deleteCommand, diffCommand, getCommand, keyCommand, poolCommand, vmCommand, jobCommand,
-		memberCommand, statusCommand, checkCommand,
+		memberCommand, statusCommand, checkCommand, waveCommand,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
 	return all
@@ -131,6 +134,7 @@
 	address, keyFile, output, opID string
 	wait                           bool
 	timeout                        time.Duration
+	fleet                          fleetFlags
 }
 
 func newFlags(sub subcommand, out io.Writer) (*flag.FlagSet, *options) {
@@ -154,6 +158,9 @@
 	flags.BoolVar(&o.wait, "wait", false, "wait until the change is in force everywhere")
 	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "longest time for the whole command")
 	flags.StringVar(&o.opID, "operation-id", "", "`id` of an earlier try, to finish a command whose answer was lost")
+	if sub.flags != nil {
+		sub.flags(flags, &o.fleet)
+	}
 	return flags, o
 }
 
@@ -166,7 +173,7 @@
 	if err != nil {
 		return ExitUsage
 	}
-	env := &Env{Out: out, Err: errOut, json: o.output == "json", wait: o.wait, opID: o.opID}
+	env := &Env{Out: out, Err: errOut, json: o.output == "json", wait: o.wait, opID: o.opID, fleet: o.fleet}
 	if o.output != "table" && o.output != "json" {
 		fmt.Fprintf(errOut, "sapphirering %s: -o: %q is not table or json\n", sub.name, o.output)
 		return ExitUsage
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -133,12 +133,6 @@
 	v1.HandleFunc("/keys/{key}", s.deleteKey).Methods(http.MethodDelete)
 }
 
-func (s *Server) routeFleet(v1 *mux.Router) {
-	v1.HandleFunc("/pools", s.listPools).Methods(http.MethodGet)
-	v1.HandleFunc("/pools/{pool}", s.putPool).Methods(http.MethodPut)
-	v1.HandleFunc("/vms", s.listVMs).Methods(http.MethodGet)
-}
-
 func (s *Server) routeJobs(v1 *mux.Router) {
 	v1.HandleFunc("/jobs", s.listJobs).Methods(http.MethodGet)
 	v1.HandleFunc("/jobs/{job}", s.getJob).Methods(http.MethodGet)
--- a/internal/operator/views.go
+++ b/internal/operator/views.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/gorilla/mux"
 
@@ -26,28 +25,6 @@
 	Granted int64  `json:"granted_unix_ms"`
 }
 
-// PoolView is the JSON form of a pool; Revision is what a change is based on.
-type PoolView struct {
-	Name            string `json:"name"`
-	Spare           bool   `json:"spare"`
-	Revision        uint64 `json:"revision"`
-	MinAvailableVMs uint32 `json:"min_available_vms,omitempty"`
-	AvailableVMs    uint32 `json:"available_vms,omitempty"`
-}
-
-// VMView is the JSON form of a VM.
-type VMView struct {
-	Name       string `json:"name"`
-	Pool       string `json:"pool"`
-	Zone       string `json:"zone"`
-	Rack       string `json:"rack"`
-	Phase      string `json:"phase"`
-	Reason     string `json:"reason,omitempty"`
-	Slots      uint32 `json:"slots"`
-	Revision   uint64 `json:"revision"`
-	Maintained int64  `json:"last_maintained_unix_ms"`
-}
-
 // DocumentView is a document with the keys that may hand in its work.
 type DocumentView struct {
 	Document *config.Document `json:"document"`
@@ -149,40 +126,3 @@
 		WithdrawKey: &statepb.WithdrawKey{KeyId: mux.Vars(r)["key"]},
 	}})
 }
-
-func (s *Server) listPools(w http.ResponseWriter, _ *http.Request) {
-	views := []PoolView{}
-	for _, pool := range s.cfg.Machine.Pools() {
-		least, available := s.cfg.Machine.Budget(pool.Name)
-		views = append(views, PoolView{
-			Name: pool.Name, Spare: pool.Spare, Revision: pool.Revision, MinAvailableVMs: least, AvailableVMs: available,
-		})
-	}
-	write(w, http.StatusOK, views)
-}
-
-func (s *Server) putPool(w http.ResponseWriter, r *http.Request) {
-	var view PoolView
-	if !readBody(w, r, &view) {
-		return
-	}
-	s.propose(w, r, &statepb.Command{Body: &statepb.Command_PutPool{PutPool: &statepb.PutPool{
-		Pool: &statepb.Pool{Name: mux.Vars(r)["pool"], Spare: view.Spare}, BaseRevision: view.Revision,
-	}}})
-}
-
-func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
-	views := []VMView{}
-	for _, vm := range s.cfg.Machine.VMs() {
-		views = append(views, VMView{
-			Name: vm.Name, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, Phase: PhaseName(vm.Phase),
-			Reason: vm.DrainReason, Slots: vm.Slots, Revision: vm.Revision, Maintained: vm.LastMaintainedUnixMs,
-		})
-	}
-	write(w, http.StatusOK, views)
-}
-
-// PhaseName returns the word for a phase.
-func PhaseName(phase statepb.VMPhase) string {
-	return strings.ToLower(strings.TrimPrefix(phase.String(), "VM_PHASE_"))
-}
