--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -71,7 +71,7 @@
 func subcommands() []subcommand {
 	all := []subcommand{
 		applyCommand, deleteCommand, diffCommand, getCommand, keyCommand, poolCommand, vmCommand, jobCommand,
-		memberCommand, statusCommand, checkCommand, waveCommand,
+		memberCommand, statusCommand, checkCommand, explainCommand, waveCommand,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
 	return all
--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -62,15 +62,15 @@
 		return m.timeOutDrain(ctx, vm)
 	}
 	jobs := m.jobsOn(vm.Name)
-	if err := m.preempt(ctx, vm, jobs); err != nil {
+	if err := m.preemptAll(ctx, vm, jobs); err != nil {
 		return err
 	}
 	if reason := m.gateOpen(v, vm); reason != "" {
-		m.fleet.reasons.note("vm", vm.Name, "drain waits: %s", reason)
+		m.reasons.Record("vm", vm.Name, "drain waits: %s", reason)
 		return nil
 	}
 	if len(jobs) > 0 {
-		m.fleet.reasons.note("vm", vm.Name, "drain waits: job %s still runs", jobs[0].Id)
+		m.reasons.Record("vm", vm.Name, "drain waits: job %s still runs", jobs[0].Id)
 		return nil
 	}
 	_, err := m.advanceVM(ctx, &statepb.AdvanceVM{
@@ -136,17 +136,14 @@
 	return jobs
 }
 
-// preempt asks the running jobs to checkpoint and stop.
-func (m *Manager) preempt(ctx context.Context, vm *statepb.VM, jobs []*statepb.Job) error {
+// preemptAll asks the running jobs to checkpoint and stop.
+func (m *Manager) preemptAll(ctx context.Context, vm *statepb.VM, jobs []*statepb.Job) error {
 	for _, job := range jobs {
 		if job.PreemptRequested {
 			continue
 		}
-		_, err := m.try(ctx, &statepb.Command{Body: &statepb.Command_PreemptJob{PreemptJob: &statepb.PreemptJob{
-			Job: job.Id, Reason: fmt.Sprintf("vm %s drains for %s", vm.Name, vm.DrainOwner),
-		}}})
-		if err != nil {
-			return fmt.Errorf("preempt job %s on vm %s: %w", job.Id, vm.Name, err)
+		if err := m.preempt(ctx, job.Id, fmt.Sprintf("vm %s drains for %s", vm.Name, vm.DrainOwner)); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -18,27 +18,7 @@
 	"sapphirering/internal/wire/wirepb"
 )
 
-const testLease = 2 * time.Second
-
-// fakeLog applies every command at once.
-type fakeLog struct {
-	machine *state.Machine
-	index   uint64
-	now     func() time.Time
-}
-
-func (l *fakeLog) ProposeLocal(_ context.Context, command *statepb.Command) (*statepb.Outcome, error) {
-	l.index++
-	command.TimeUnixMs = l.now().UnixMilli()
-	data, err := proto.Marshal(command)
-	if err != nil {
-		return nil, err
-	}
-	return l.machine.Apply(l.index, data).(*statepb.Outcome), nil
-}
-
-func (l *fakeLog) ConfirmLeadership(context.Context) error { return nil }
-func (l *fakeLog) CommitIndex() uint64                     { return l.index }
+const fleetLease = 2 * time.Second
 
 // fakePlatform reboots at once unless told to fail or to lose answers.
 type fakePlatform struct {
@@ -104,7 +84,7 @@
 		silent: make(map[string]bool), targets: make(map[string]*fakeTarget),
 		platform: &fakePlatform{fail: make(map[string]bool), started: make(map[string]int), ids: make(map[string]bool)},
 	}
-	r.log = &fakeLog{machine: r.machine, now: func() time.Time { return r.now }}
+	r.log = &fakeLog{machine: r.machine, wall: func() time.Time { return r.now }}
 	for _, zone := range zones {
 		for i := range 2 {
 			id := fmt.Sprintf("entry-%s%d", zone, i)
@@ -121,7 +101,7 @@
 // elect gives the cluster a new leader, which remembers nothing.
 func (r *rig) elect() {
 	r.manager = NewManager(Config{
-		Machine: r.machine, Log: r.log, Lease: testLease, Now: func() time.Time { return r.now },
+		Machine: r.machine, Log: r.log, Lease: fleetLease, Now: func() time.Time { return r.now },
 		Members: func() []*wirepb.Member { return r.entries }, Platform: r.platform,
 	})
 	r.manager.sessions.start(r.machine.Sessions())
@@ -249,7 +229,7 @@
 func (r *rig) phases() string {
 	var out []string
 	for _, vm := range r.machine.VMs() {
-		out = append(out, fmt.Sprintf("%s=%s %v", vm.Name, vm.Phase, r.manager.fleet.reasons.get("vm", vm.Name)))
+		out = append(out, fmt.Sprintf("%s=%s %v", vm.Name, vm.Phase, r.manager.reasons.Lines("vm", vm.Name)))
 	}
 	return strings.Join(out, "\n")
 }
@@ -437,7 +417,7 @@
 	r.wave("w", "vm1")
 	r.run(time.Minute)
 	is.Equal(r.phase("vm1"), statepb.VMPhase_VM_PHASE_ACTIVE)
-	is.True(strings.Contains(strings.Join(r.manager.fleet.reasons.get("vm", "vm1"), "\n"), "entry-a1"))
+	is.True(strings.Contains(strings.Join(r.manager.reasons.Lines("vm", "vm1"), "\n"), "entry-a1"))
 	is.Equal(r.platform.starts("vm1"), 0)
 }
 
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sort"
+	"strings"
 	"time"
 
 	"sapphirering/internal/event"
@@ -32,10 +34,7 @@
 	for _, start := range plan.Starts {
 		errs = append(errs, m.startMaintenance(ctx, start))
 	}
-	for _, wait := range plan.Waits {
-		m.fleet.reasons.note("vm", wait.VM, "waits in wave %s: %s", wait.Wave, wait.Reason)
-		m.fleet.reasons.note("wave", wait.Wave, "VM %s waits: %s", wait.VM, wait.Reason)
-	}
+	m.recordWaits(plan.Waits)
 	for _, vm := range m.cfg.Machine.VMs() {
 		switch vm.Phase {
 		case statepb.VMPhase_VM_PHASE_DRAINED:
@@ -47,6 +46,55 @@
 	return errors.Join(errs...)
 }
 
+// recordWaits keeps why each VM waits, and one line for each wave.
+func (m *Manager) recordWaits(waits []maintenance.Wait) {
+	counts := make(map[string]map[string]int)
+	for _, wait := range waits {
+		m.reasons.Record("vm", wait.VM, "waits in wave %s: %s", wait.Wave, wait.Reason)
+		if counts[wait.Wave] == nil {
+			counts[wait.Wave] = make(map[string]int)
+		}
+		counts[wait.Wave][wait.Reason]++
+	}
+	for wave, reasons := range counts {
+		var parts []string
+		for reason, n := range reasons {
+			parts = append(parts, fmt.Sprintf("%d VMs wait: %s", n, reason))
+		}
+		sort.Strings(parts)
+		m.reasons.Record("wave", wave, "%s", strings.Join(parts, "; "))
+	}
+}
+
+// explainVM describes a VM from the committed state.
+func (m *Manager) explainVM(id string) ([]string, bool) {
+	vm := m.cfg.Machine.VM(id)
+	if vm == nil {
+		return nil, false
+	}
+	line := fmt.Sprintf("VM of pool %s in availability zone %s, rack %s: %s", vm.Pool, vm.Zone, vm.Rack, vm.Phase)
+	if vm.DrainOwner != "" {
+		line += fmt.Sprintf(", taken out by %s: %s", vm.DrainOwner, vm.DrainReason)
+	}
+	if vm.MoveToPool != "" {
+		line += ", moves to pool " + vm.MoveToPool
+	}
+	if vm.LentFrom != "" {
+		line += ", lent by pool " + vm.LentFrom
+	}
+	return []string{line}, true
+}
+
+// explainWave describes a wave from the committed state.
+func (m *Manager) explainWave(id string) ([]string, bool) {
+	wave := m.cfg.Machine.Wave(id)
+	if wave == nil {
+		return nil, false
+	}
+	return []string{fmt.Sprintf("wave over %d VMs: %s %s, %d done, %d failed",
+		len(wave.Vms), wave.Phase, wave.Reason, len(wave.DoneVms), len(wave.FailedVms))}, true
+}
+
 // maintenanceSnapshot is what the policy plans from.
 func (m *Manager) maintenanceSnapshot(v *view) maintenance.Snapshot {
 	now := m.cfg.Now()
@@ -125,7 +173,7 @@
 	}
 	if refusal == "" {
 		event.WaveEnded.Emit(event.F("wave", end.Wave), event.F("phase", phase.String()), event.F("reason", end.Reason))
-		m.fleet.reasons.note("wave", end.Wave, "ended: %s", end.Reason)
+		m.reasons.Record("wave", end.Wave, "ended: %s", end.Reason)
 	}
 	return nil
 }
@@ -139,7 +187,7 @@
 		Vm: vm.Name, BaseRevision: vm.Revision, Owner: state.WaveOwner(start.Wave), Reason: start.Reason,
 	})
 	if ok {
-		m.fleet.reasons.note("wave", start.Wave, "drains VM %s: %s", start.VM, start.Reason)
+		m.reasons.Record("wave", start.Wave, "drains VM %s: %s", start.VM, start.Reason)
 	}
 	return err
 }
@@ -152,7 +200,7 @@
 		return nil
 	}
 	if reason := v.blindReason(vm.Zone); reason != "" {
-		m.fleet.reasons.note("vm", vm.Name, "reboot waits: availability zone %s cannot be seen whole: %s", vm.Zone, reason)
+		m.reasons.Record("vm", vm.Name, "reboot waits: availability zone %s cannot be seen whole: %s", vm.Zone, reason)
 		return nil
 	}
 	ok, err := m.advanceVM(ctx, &statepb.AdvanceVM{
