--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -70,6 +70,8 @@
 	nodes   []*node
 	secrets map[string]string
 	links   *links
+	// extra lines end the settings of every daemon.
+	extra string
 }
 
 // Listeners use ports below the range from which the system picks ports of
@@ -101,7 +103,13 @@
 // The first five vote. Links run through proxies when cuttable.
 func startCluster(t *testing.T, zones []string, cuttable bool) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), secrets: make(map[string]string)}
+	return startClusterWith(t, zones, cuttable, "")
+}
+
+// startClusterWith also ends the settings of every daemon with the extra lines.
+func startClusterWith(t *testing.T, zones []string, cuttable bool, extra string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir(), secrets: make(map[string]string), extra: extra}
 	c.keyFile = filepath.Join(c.folder, "operator.key")
 	if err := os.WriteFile(c.keyFile, []byte(operatorKey), 0o600); err != nil {
 		t.Fatal(err)
@@ -147,6 +155,7 @@
 			}
 		}
 	}
+	b.WriteString(c.extra)
 	if err := os.WriteFile(n.settings, []byte(b.String()), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
