--- a/test/capacity/fit_test.go
+++ b/test/capacity/fit_test.go
@@ -34,3 +34,13 @@
 	is.True(c.memoryKB > 0)
 	is.True(c.read > 0)
 }
+
+func TestSizesAreParsed(t *testing.T) {
+	is := is.New(t)
+	var sizes []size
+	is.NoErr(parseSizes("50/5/5,530/340/83", &sizes))
+	is.Equal(sizes[1], size{530, 340, 83})
+	for _, text := range []string{"50/5", "x", "50/5/5,40/5/5", "0/1/1"} {
+		is.True(parseSizes(text, &sizes) != nil)
+	}
+}
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -10,6 +10,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -39,7 +40,8 @@
 func main() {
 	log.SetHandler(discard.New())
 	var o options
-	short := flag.Bool("short", false, "measure small sizes in about 20 s")
+	short := flag.Bool("short", false, "measure small sizes in about 30 s")
+	sizes := flag.String("sizes", "", "`workers/teams/pools`, separated by commas, instead of the usual sizes")
 	flag.IntVar(&o.daemons, "daemons", 7, "number of entry VMs")
 	flag.IntVar(&o.zones, "zones", 7, "number of availability zones")
 	flag.DurationVar(&o.announce, "announce", 0, "time between announcements of a worker; 0 for the protocol's own")
@@ -49,7 +51,11 @@
 	if *short {
 		o.settle, o.window, o.sizes = time.Second, 3*time.Second, shortSizes
 	}
-	missed, err := run(o)
+	err := parseSizes(*sizes, &o.sizes)
+	missed := 0
+	if err == nil {
+		missed, err = run(o)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
@@ -59,6 +65,27 @@
 	}
 }
 
+// parseSizes replaces the sizes by those given. Sizes must not fall.
+func parseSizes(text string, into *[]size) error {
+	if text == "" {
+		return nil
+	}
+	*into = nil
+	last := size{}
+	for _, part := range strings.Split(text, ",") {
+		var s size
+		if _, err := fmt.Sscanf(part, "%d/%d/%d", &s.targets, &s.teams, &s.pools); err != nil {
+			return fmt.Errorf("-sizes: %q is not workers/teams/pools: %w", part, err)
+		}
+		if s.targets < max(1, last.targets) || s.teams < max(1, last.teams) || s.pools < max(1, last.pools) {
+			return fmt.Errorf("-sizes: %q falls below the size before it", part)
+		}
+		*into = append(*into, s)
+		last = s
+	}
+	return nil
+}
+
 // run measures every size on one growing cluster and prints the report.
 func run(o options) (missed int, err error) {
 	folder, err := os.MkdirTemp("", "sapphirering-capacity")
