--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -31,7 +31,7 @@
 		Documents: sorted(m.documents), Keys: sorted(m.keys), Pools: sorted(m.pools),
 		Vms: sorted(m.vms), Waves: sorted(m.waves), Sessions: sorted(m.sessions),
 		Kept: m.keptList(), Claims: sorted(m.claims), Jobs: sorted(m.jobs),
-		Operations: sorted(m.operations),
+		Operations: sorted(m.operations), RemovedVms: sorted(m.removedVMs),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -42,8 +42,8 @@
 
 func (m *Machine) keptList() []*statepb.KeptReservation {
 	var list []*statepb.KeptReservation
-	for id, units := range m.kept {
-		list = append(list, &statepb.KeptReservation{MemberName: id.memberName, Team: id.team, Units: units})
+	for _, kept := range m.kept {
+		list = append(list, kept)
 	}
 	slices.SortFunc(list, func(a, b *statepb.KeptReservation) int {
 		return cmp.Or(cmp.Compare(a.MemberName, b.MemberName), cmp.Compare(a.Team, b.Team))
@@ -84,6 +84,9 @@
 	for _, vm := range snapshot.Vms {
 		m.vms[vm.Name] = vm
 	}
+	for _, removed := range snapshot.RemovedVms {
+		m.removedVMs[removed.Name] = removed
+	}
 	for _, wave := range snapshot.Waves {
 		m.waves[wave.Id] = wave
 	}
@@ -94,7 +97,7 @@
 		m.sessions[session.Id] = session
 	}
 	for _, kept := range snapshot.Kept {
-		m.kept[keptID{kept.MemberName, kept.Team}] = kept.Units
+		m.kept[keptID{kept.MemberName, kept.Team}] = kept
 	}
 	for _, claim := range snapshot.Claims {
 		m.claims[claim.RequestId] = claim
