--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -25,6 +25,8 @@
 	index uint64
 	// Newest time seen in any command, in Unix milliseconds.
 	nowMS int64
+	// changed is closed at the next command; nil while nobody waits for it.
+	changed chan struct{}
 
 	documents  map[string]*statepb.TeamDocument
 	keys       map[string]*statepb.Key
@@ -93,6 +95,7 @@
 func (m *Machine) Apply(index uint64, data []byte) any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.signal()
 	m.index = index
 	command := new(statepb.Command)
 	if err := proto.Unmarshal(data, command); err != nil {
