Pool index in the state, longer GC cycles, heartbeats every 150 ms

Cause: profile of the leader at 530 workers, 340 teams, 83 pools, 12 s: Machine.Budget 31 % and the garbage collector 27 % of 1.46 s of samples; each pool's budget went over all VMs and documents, ten times a second.

--- a/cmd/sapphireringd/main.go
+++ b/cmd/sapphireringd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"syscall"
 
@@ -17,7 +18,14 @@
 	"sapphirering/internal/server"
 )
 
+// gcPercent lets the heap of a small daemon grow to a few times its live part
+// between collections; GOGC overrides it.
+const gcPercent = 300
+
 func main() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	settingsPath := flag.String("settings", "", "path of the settings file (required)")
 	bootstrap := flag.Bool("bootstrap", false, "create a new cluster if the data folder is empty; give it once, on one daemon")
 	recoverFolder := flag.Bool("recover", false, "make this data folder the only voter of a new cluster and exit; only for a quorum that is lost for good")
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -29,7 +29,7 @@
 
 const (
 	electionTicks   = 10
-	heartbeatTicks  = 1
+	heartbeatTicks  = 3
 	snapshotEntries = 10_000
 
 	readHeaderTimeout = 5 * time.Second
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -46,6 +46,7 @@
 	stored.Revision = m.index
 	m.documents[doc.Team] = stored
 	m.indexQueues(stored)
+	m.indexBudgets()
 	return m.ok(m.index)
 }
 
@@ -100,6 +101,7 @@
 	}
 	m.dropQueues(c.Team)
 	delete(m.documents, c.Team)
+	m.indexBudgets()
 	return m.ok(m.index)
 }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -41,7 +41,10 @@
 	operations map[string]*statepb.Operation
 
 	// Derived from the above.
-	queues      map[string]queueRef
+	queues  map[string]queueRef
+	poolVMs map[string]map[string]struct{}
+	// The largest availability budget that any document states for a pool.
+	budgets     map[string]uint32
 	keyByHash   map[[sha256.Size]byte]string
 	openJobs    sortedIDs
 	runningJobs map[string]uint32
@@ -83,6 +86,8 @@
 	m.jobs = make(map[string]*statepb.Job)
 	m.operations = make(map[string]*statepb.Operation)
 	m.queues = make(map[string]queueRef)
+	m.poolVMs = make(map[string]map[string]struct{})
+	m.budgets = make(map[string]uint32)
 	m.keyByHash = make(map[[sha256.Size]byte]string)
 	m.openJobs = nil
 	m.runningJobs = make(map[string]uint32)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -65,6 +65,7 @@
 		m.documents[doc.Team] = doc
 		m.indexQueues(doc)
 	}
+	m.indexBudgets()
 	for _, key := range snapshot.Keys {
 		if len(key.Hash) != sha256.Size {
 			return fmt.Errorf("key %q: hash of %d bytes", key.Id, len(key.Hash))
@@ -83,6 +84,7 @@
 	}
 	for _, vm := range snapshot.Vms {
 		m.vms[vm.Name] = vm
+		m.indexVM(vm.Name, vm.Pool)
 	}
 	for _, removed := range snapshot.RemovedVms {
 		m.removedVMs[removed.Name] = removed
--- a/internal/state/vms.go
+++ b/internal/state/vms.go
@@ -112,6 +112,7 @@
 		stored.LastMaintainedUnixMs = known.LastMaintainedUnixMs
 	}
 	m.vms[vm.Name] = stored
+	m.indexVM(stored.Name, stored.Pool)
 	return m.ok(m.index)
 }
 
@@ -144,29 +145,6 @@
 	return m.countVMs(pool, func(vm *statepb.VM) bool { return vm.DrainOwner != "" })
 }
 
-func (m *Machine) countVMs(pool string, counts func(*statepb.VM) bool) uint32 {
-	count := uint32(0)
-	for _, vm := range m.vms {
-		if vm.Pool == pool && counts(vm) {
-			count++
-		}
-	}
-	return count
-}
-
-// budget returns the least number of available VMs that any team asks of the pool.
-func (m *Machine) budget(pool string) uint32 {
-	least := uint32(0)
-	for _, doc := range m.documents {
-		for _, budget := range doc.Budgets {
-			if budget.Pool == pool {
-				least = max(least, budget.MinAvailableVms)
-			}
-		}
-	}
-	return least
-}
-
 // budgetOwner returns a team whose document states a budget for the pool, or "".
 func (m *Machine) budgetOwner(pool string) string {
 	for _, doc := range sorted(m.documents) {
@@ -364,7 +342,9 @@
 	next := m.changeVM(vm)
 	m.bumpEpoch(vm.Pool)
 	next.LentFrom = m.lender(vm, c.ToPool)
+	m.unindexVM(vm.Name, vm.Pool)
 	next.Pool = c.ToPool
+	m.indexVM(next.Name, next.Pool)
 	next.MoveEpoch = m.bumpEpoch(c.ToPool)
 	m.enterPhase(next, statepb.VMPhase_VM_PHASE_ACTIVE)
 	return m.ok(m.index)
@@ -399,6 +379,7 @@
 		return m.refused("vm %q: is %s, drain it first", vm.Name, vm.Phase)
 	}
 	delete(m.vms, vm.Name)
+	m.unindexVM(vm.Name, vm.Pool)
 	m.bumpEpoch(vm.Pool)
 	m.noteRemoved(vm)
 	return m.ok(m.index)
