Leader: fleet loops run twice a second, urgent ones ten times

Cause: at 530 workers and 340 teams the leader's loops took 0.57 s of 12 s, and most of them answer to reports that come once a second. Expiry, reservations and job placement keep their 100 ms. Ruled out: 500 ms for all, which would eat a third of the 1.6 s in which urgent work starts.

--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +15,10 @@
 
 const (
 	stepInterval = 100 * time.Millisecond
-	stepTimeout  = 2 * time.Second
+	// stepsPerRound is how many steps pass between two runs of all loops; the
+	// steps between run only those that urgent work waits for.
+	stepsPerRound = 5
+	stepTimeout   = 2 * time.Second
 	// reclaimAfter is when work of an expired session is surely over.
 	reclaimAfter = (state.MaxRequestDeadlineMS + 5_000) * time.Millisecond
 )
@@ -83,35 +87,56 @@
 	defer event.ControlStopped.Emit()
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		}
+		if n%stepsPerRound == 0 {
 			m.step(ctx)
+		} else {
+			m.urgentStep(ctx)
 		}
 	}
 }
 
-// step runs each loop once. A failed loop is tried again at the next step.
-func (m *Manager) step(ctx context.Context) {
+// controlLoop is one loop of the manager.
+type controlLoop struct {
+	name string
+	run  func(context.Context) error
+	// urgent loops are those that work which is about to start waits for.
+	urgent bool
+}
+
+// loops returns the loops in the order of a step.
+func (m *Manager) loops() []controlLoop {
+	return []controlLoop{
+		{"expire sessions", m.expireSessions, true},
+		{"split reservations", m.splitReservations, true},
+		{"keep parts for a cut", m.keepParts, false},
+		{"place jobs", m.placeJobs, true},
+		{"prune", m.prune, false},
+		{"watch VMs", m.watchVMs, false},
+		{"drain VMs", m.drainVMs, false},
+		{"run waves", m.runWaves, false},
+		{"move VMs", m.moveVMs, false},
+	}
+}
+
+// step runs every loop once.
+func (m *Manager) step(ctx context.Context) { m.runLoops(ctx, m.loops()) }
+
+// urgentStep runs the urgent loops once.
+func (m *Manager) urgentStep(ctx context.Context) {
+	m.runLoops(ctx, slices.DeleteFunc(m.loops(), func(l controlLoop) bool { return !l.urgent }))
+}
+
+// runLoops runs each loop once. A failed loop is tried again at the next step.
+func (m *Manager) runLoops(ctx context.Context, loops []controlLoop) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	m.sessions.noteCommit(m.cfg.Log.CommitIndex())
-	loops := []struct {
-		name string
-		run  func(context.Context) error
-	}{
-		{"expire sessions", m.expireSessions},
-		{"split reservations", m.splitReservations},
-		{"keep parts for a cut", m.keepParts},
-		{"place jobs", m.placeJobs},
-		{"prune", m.prune},
-		{"watch VMs", m.watchVMs},
-		{"drain VMs", m.drainVMs},
-		{"run waves", m.runWaves},
-		{"move VMs", m.moveVMs},
-	}
 	for _, loop := range loops {
 		if err := loop.run(ctx); err != nil && ctx.Err() == nil {
 			event.ControlFailed.Emit(event.F("step", loop.name), event.Err(err))
