--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -47,6 +47,7 @@
 	m.documents[doc.Team] = stored
 	m.unitChanges++
 	m.indexQueues(stored)
+	m.indexBudgets()
 	m.raiseDeadlines()
 	return m.ok(m.index)
 }
@@ -103,6 +104,7 @@
 	m.dropQueues(c.Team)
 	delete(m.documents, c.Team)
 	m.unitChanges++
+	m.indexBudgets()
 	return m.ok(m.index)
 }
 
