--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -66,11 +66,11 @@
 		return err
 	}
 	if reason := m.gateOpen(v, vm); reason != "" {
-		m.fleet.reasons.note("vm", vm.Name, "drain waits: %s", reason)
+		m.reasons.Record("vm", vm.Name, "drain waits: %s", reason)
 		return nil
 	}
 	if len(jobs) > 0 {
-		m.fleet.reasons.note("vm", vm.Name, "drain waits: job %s still runs", jobs[0].Id)
+		m.reasons.Record("vm", vm.Name, "drain waits: job %s still runs", jobs[0].Id)
 		return nil
 	}
 	_, err := m.advanceVM(ctx, &statepb.AdvanceVM{
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -29,7 +29,7 @@
 
 const (
 	electionTicks   = 10
-	heartbeatTicks  = 1
+	heartbeatTicks  = 3
 	snapshotEntries = 10_000
 	// snapshotTail lets a voter that was away for a while catch up without a snapshot.
 	snapshotTail = 5_000
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -45,7 +45,10 @@
 	stored := proto.CloneOf(doc)
 	stored.Revision = m.index
 	m.documents[doc.Team] = stored
+	m.unitChanges++
 	m.indexQueues(stored)
+	m.indexBudgets()
+	m.raiseDeadlines()
 	return m.ok(m.index)
 }
 
@@ -100,6 +103,8 @@
 	}
 	m.dropQueues(c.Team)
 	delete(m.documents, c.Team)
+	m.unitChanges++
+	m.indexBudgets()
 	return m.ok(m.index)
 }
 
