--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -104,8 +104,12 @@
 	if err != nil {
 		return failure(wirepb.ErrorCode_ERROR_CODE_UNAVAILABLE, err)
 	}
+	status, err := d.node.Status(ctx)
+	if err != nil {
+		return failure(wirepb.ErrorCode_ERROR_CODE_UNAVAILABLE, err)
+	}
 	return &wirepb.CallResponse{Body: &wirepb.CallResponse_Join{Join: &wirepb.JoinResponse{
-		ClusterId: d.identity.ClusterID, Membership: membership,
+		ClusterId: d.identity.ClusterID, Membership: membership, CommitIndex: status.Commit,
 	}}}
 }
 
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -33,6 +33,8 @@
 	snapshotEntries = 10_000
 	// snapshotTail lets a voter that was away for a while catch up without a snapshot.
 	snapshotTail = 5_000
+	// catchUpTimeout bounds how long a new member holds connections back.
+	catchUpTimeout = 10 * time.Second
 
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
@@ -53,11 +55,13 @@
 	links    *wire.Server
 	leader   *leaderClient
 	refusals refusals
-	holder   *session.Holder
-	registry *target.Registry
-	entry    *entry.Server
-	manager  *control.Manager
-	client   *target.Client
+	// serveIndex is the index to apply before the HTTP listeners answer.
+	serveIndex uint64
+	holder     *session.Holder
+	registry   *target.Registry
+	entry      *entry.Server
+	manager    *control.Manager
+	client     *target.Client
 
 	servers []*http.Server
 	fatal   chan error
@@ -92,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.identity, d.store = from.identity, st
+	d.identity, d.store, d.serveIndex = from.identity, st, from.serveIndex
 	if err := d.assemble(from); err != nil {
 		d.Close()
 		return nil, err
@@ -238,6 +242,7 @@
 	}
 	d.servers = append(d.servers, server)
 	go func() {
+		d.waitCaughtUp()
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			event.ListenerFailed.Emit(event.F("field", field), event.Err(err))
 		}
@@ -245,6 +250,16 @@
 	return nil
 }
 
+// waitCaughtUp holds connections back until the state of a new member is as
+// new as it was when the member joined, for at most catchUpTimeout.
+func (d *Daemon) waitCaughtUp() {
+	ctx, cancel := context.WithTimeout(d.background, catchUpTimeout)
+	defer cancel()
+	if err := d.node.WaitApplied(ctx, d.serveIndex); err != nil {
+		event.CatchUpSlow.Emit(event.Err(err))
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully. It returns the
 // storage error that stopped the daemon, if any.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/server/identity.go
+++ b/internal/server/identity.go
@@ -43,6 +43,9 @@
 	// members is the member list that the leader answered to a join; it gives
 	// the addresses to answer to until the log brings the list itself.
 	members *wirepb.Membership
+	// serveIndex is the index to apply before serving, so that a daemon which
+	// starts from nothing never shows less than was acknowledged before.
+	serveIndex uint64
 }
 
 // identify opens the data folder and returns this daemon's identity. An empty
@@ -139,6 +142,7 @@
 		if err == nil {
 			return origin{
 				identity: store.Identity{ClusterID: joined.ClusterId, MemberID: member}, members: joined.Membership,
+				serveIndex: joined.CommitIndex,
 			}, nil
 		}
 		if leader != "" {
--- a/test/process/replica_failures_test.go
+++ b/test/process/replica_failures_test.go
@@ -286,3 +286,24 @@
 		t.Fatalf("recovered after %s, bound is %s", took, settleBound)
 	}
 }
+
+// TestReplicaRestartWithoutDisk restarts a daemon that keeps nothing: its first
+// answer already shows every change that was acknowledged before.
+func TestReplicaRestartWithoutDisk(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, []string{"a", "a", "b", "b", "c", "c"}, false)
+	c.waitVoters(c.nodes[0], len(fiveVoters))
+	keepsNothing := c.nodes[5]
+	for i := range 5 {
+		name := fmt.Sprintf("pool-%d", i)
+		c.commitPool(c.nodes[:5], name)
+		keepsNothing.kill()
+		keepsNothing.start(false)
+		var pools []operator.PoolView
+		eventually(t, startTimeout, "the first answer", func() error {
+			_, err := c.operateOnce(context.Background(), keepsNothing, http.MethodGet, "/v1/pools", "", nil, &pools)
+			return err
+		})
+		is.Equal(len(pools), i+1)
+	}
+}
