--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -320,3 +320,27 @@
 		is.Equal(len(next.core.needSnapshot), 0)
 	}
 }
+
+// TestConfirmationsShareRounds asks for many confirmations at once: they share
+// a heartbeat round that begins after them.
+func TestConfirmationsShareRounds(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, "n1", "n2", "n3")
+	leader := n.elect("n1")
+	leader.core.cfg.HeartbeatTicks = 3
+	leader.core.Heartbeat()
+	n.process(leader, noCrash)
+	n.settle()
+	before := leader.core.round
+	for range 20 {
+		is.Equal(leader.core.NextRound(), before+1)
+	}
+	is.Equal(leader.core.round, before) // not begun yet
+	is.Equal(leader.core.ConfirmedRound(), before)
+	n.run(3)
+	is.Equal(leader.core.ConfirmedRound(), before+1)
+	leader.core.Tick()
+	leader.core.Tick()
+	is.Equal(leader.core.NextRound(), before+2) // begins at once after a pause
+	is.Equal(leader.core.round, before+2)
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -530,7 +530,7 @@
 			reply <- ErrNotLeader
 			return
 		}
-		n.confirmations = append(n.confirmations, confirmation{n.core.Heartbeat(), reply})
+		n.confirmations = append(n.confirmations, confirmation{n.core.NextRound(), reply})
 	})
 	if err != nil {
 		return err
--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -62,6 +62,7 @@
 		return 0
 	}
 	c.round++
+	c.hbElapsed = 0
 	for _, id := range c.peerIDs() {
 		p := c.peers[id]
 		c.send(&wirepb.ReplicaMessage{
@@ -83,6 +84,16 @@
 	return answered
 }
 
+// NextRound returns a round that begins after the call. It begins at once,
+// unless one began within the last ticks: renewals of many sessions then share
+// the next regular round instead of a round for each.
+func (c *Core) NextRound() uint64 {
+	if c.hbElapsed+1 >= c.cfg.HeartbeatTicks {
+		return c.Heartbeat()
+	}
+	return c.round + 1
+}
+
 // ConfirmedRound returns the newest heartbeat round that a quorum of voters answered.
 func (c *Core) ConfirmedRound() uint64 {
 	if c.role != leader {
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -176,6 +176,9 @@
 		return 0, fmt.Errorf("remove member %s: %w", id, err)
 	}
 	index, err := node.ChangeMembership(ctx, func(current *wirepb.Membership) (*wirepb.Membership, error) {
+		if replica.WasRemoved(current, id) {
+			return nil, replica.ErrMembershipBusy
+		}
 		if replica.FindMember(current, id) == nil {
 			return nil, fmt.Errorf("%w: %q", errMemberNotFound, id)
 		}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"sapphirering/internal/event"
 )
 
@@ -23,6 +25,12 @@
 // ErrOverBudget is returned when a session has too many bytes in flight.
 var ErrOverBudget = errors.New("session exceeds its limit of bytes in flight")
 
+// Bytes of all links to other daemons, before TLS and TCP add theirs.
+var (
+	bytesSent     = gometrics.GetOrRegisterCounter("link_sent_bytes", nil)
+	bytesReceived = gometrics.GetOrRegisterCounter("link_received_bytes", nil)
+)
+
 // budget counts the streams and bytes of one session.
 type budget struct {
 	streams atomic.Int64
@@ -72,6 +80,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b)
+	bytesReceived.Inc(int64(n))
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() && !c.closed.Swap(true) {
 		event.SessionSilent.Emit(event.F("peer", c.RemoteAddr().String()))
@@ -79,6 +88,13 @@
 	return n, err
 }
 
+// Write counts what it writes.
+func (c *silenceConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	bytesSent.Inc(int64(n))
+	return n, err
+}
+
 // noteFrameError reports a peer that broke the protocol.
 func noteFrameError(step string, s net.Conn, err error) {
 	if refused(err) {
--- a/test/process/replica_failures_test.go
+++ b/test/process/replica_failures_test.go
@@ -307,3 +307,52 @@
 		is.Equal(len(pools), i+1)
 	}
 }
+
+// TestReplicaOperatorsRaceForMembers lets two operators change members at once:
+// removals that would lose the quorum are both refused, and a removal sent twice
+// happens once. The removed member is refused and disturbs nobody.
+func TestReplicaOperatorsRaceForMembers(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, []string{"a", "b", "c"}, false)
+	c.waitVoters(c.nodes[0], 3)
+	leader := c.leader(c.nodes[0])
+	others := c.except(leader)
+	others[0].kill()
+	time.Sleep(time.Second)
+	ids := []string{c.memberNamed(leader, leader.name), c.memberNamed(leader, others[1].name)}
+	errs := make([]error, 2)
+	var both sync.WaitGroup
+	for i, id := range ids {
+		both.Go(func() { _, errs[i] = c.tool(leader, "member", "-timeout", "6s", "remove", id) })
+	}
+	both.Wait()
+	t.Log(errs)
+	for _, err := range errs {
+		is.True(err != nil && strings.Contains(err.Error(), "refused")) // 1 of 2 voters would be active
+	}
+	dead := c.memberNamed(leader, others[0].name)
+	for i := range errs {
+		both.Go(func() { _, errs[i] = c.tool(c.except(others[0])[i], "member", "remove", dead) })
+	}
+	both.Wait()
+	for _, err := range errs {
+		is.True(err == nil || strings.Contains(err.Error(), "conflict")) // one removal, told to both or refused
+	}
+	is.True(errs[0] == nil || errs[1] == nil)
+	view, err := c.leaderView(leader)
+	is.NoErr(err)
+	is.Equal(len(view.Members), 2)
+	others[0].start(false)
+	eventually(t, settleBound, "the removed member is refused", func() error {
+		log, err := os.ReadFile(leader.settings + ".log")
+		if err == nil && !strings.Contains(string(log), "event=2053") {
+			err = fmt.Errorf("no refusal was logged")
+		}
+		return err
+	})
+	c.commitPool([]*node{leader}, "after")
+	after, err := c.leaderView(leader)
+	is.NoErr(err)
+	is.Equal(after.Term, view.Term) // it disturbs nobody
+	is.Equal(len(after.Members), 2)
+}
