--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -149,6 +149,10 @@
 	if p == nil {
 		return
 	}
+	if !m.Reject && m.Index > c.log.lastIndex() {
+		// No entry of this term was sent there: the answer is not about this log.
+		return
+	}
 	if p.inflight > 0 {
 		p.inflight--
 	}
