replica: focused tests of own-term commit, own sync and votes over a restart

Each fails under its mutation (counting an older term, counting the leader before its sync, not keeping the vote on disk), which the random schedules did not find.

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -344,3 +344,79 @@
 	is.Equal(leader.core.NextRound(), before+2) // begins at once after a pause
 	is.Equal(leader.core.round, before+2)
 }
+
+// TestOlderTermIsNotCommittedByCount lets a quorum hold an entry of an older
+// term: it may still be overwritten until an entry of the own term follows.
+func TestOlderTermIsNotCommittedByCount(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, "n1", "n2", "n3")
+	old := n.elect("n1")
+	n.settle()
+	committed := old.core.Commit()
+	n.blocked[[2]string{"n1", "n3"}] = true
+	n.blocked[[2]string{"n2", "n1"}] = true
+	is.NoErr(n.propose(old))
+	n.settle()
+	n.crash(old)
+	next := n.members["n2"]
+	older := next.core.LastIndex()
+	is.True(older > committed)
+	for !next.core.IsLeader() {
+		next.core.lead, n.members["n3"].core.lead = "", ""
+		next.core.Tick()
+		n.process(next, noCrash)
+		for len(n.queue) > 0 && !next.core.IsLeader() {
+			n.deliver(0, noCrash)
+		}
+	}
+	answer := &wirepb.ReplicaMessage{
+		Type: wirepb.MessageType_MESSAGE_TYPE_APPEND_ANSWER, From: "n3", To: "n2", Term: next.core.Term(),
+		Index: older, Incarnation: n.members["n3"].incarnation,
+	}
+	next.core.Step(proto.CloneOf(answer))
+	n.process(next, noCrash)
+	is.Equal(next.core.Commit(), committed)
+	answer.Index = next.core.LastIndex()
+	next.core.Step(answer)
+	n.process(next, noCrash)
+	is.Equal(next.core.Commit(), next.core.LastIndex())
+}
+
+// TestLeaderCountsItselfAfterItsSync lets one of two followers answer before
+// the leader has synced the entry.
+func TestLeaderCountsItselfAfterItsSync(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, "n1", "n2", "n3")
+	leader := n.elect("n1")
+	n.settle()
+	committed := leader.core.Commit()
+	_, err := leader.core.Propose([]byte("command"))
+	is.NoErr(err)
+	leader.core.Step(&wirepb.ReplicaMessage{
+		Type: wirepb.MessageType_MESSAGE_TYPE_APPEND_ANSWER, From: "n2", To: "n1", Term: leader.core.Term(),
+		Index: leader.core.LastIndex(), Incarnation: n.members["n2"].incarnation,
+	})
+	is.Equal(leader.core.Commit(), committed)
+	n.process(leader, noCrash)
+	is.Equal(leader.core.Commit(), leader.core.LastIndex())
+}
+
+// TestVoteSurvivesRestart asks a voter twice for one term, with a restart in between.
+func TestVoteSurvivesRestart(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, "n1", "n2", "n3")
+	voter := n.members["n2"]
+	ask := func(from string) bool {
+		voter.core.Step(&wirepb.ReplicaMessage{
+			Type: wirepb.MessageType_MESSAGE_TYPE_VOTE, From: from, To: "n2", Term: 5, Index: 9, LogTerm: 4,
+		})
+		n.process(voter, noCrash)
+		answer := n.queue[len(n.queue)-1]
+		return answer.Type == wirepb.MessageType_MESSAGE_TYPE_VOTE_ANSWER && !answer.Reject
+	}
+	is.True(ask("n1"))
+	n.crash(voter)
+	n.start(voter)
+	is.True(!ask("n3"))
+	is.True(ask("n1")) // a resend gets the same vote
+}
