--- a/internal/replica/store/store_test.go
+++ b/internal/replica/store/store_test.go
@@ -260,3 +260,18 @@
 		})
 	}
 }
+
+// FuzzValue loads a file in which one value is arbitrary: it is read back or
+// refused, and never ends the process.
+func FuzzValue(f *testing.F) {
+	f.Add([]byte(nil))
+	f.Add([]byte{1, 2, 3})
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0, 0, 0, 0, 8, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := new(wirepb.Entry)
+		if err := getMessage(data, m); err != nil && !errors.Is(err, ErrDamaged) {
+			t.Fatal(err)
+		}
+	})
+}
