test: one silent proxy and one certificate authority for all tests of links

Both stood twice, in the wire tests and the process tests. Checks are unchanged; wire tests and TestReplicaSilentLinks, TestReplicaTLS pass with -race.

--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,16 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"io"
-	"math/big"
 	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/wire/wirepb"
+	"sapphirering/test/linktest"
 )
 
 const waitBound = 10 * time.Second
@@ -58,54 +53,6 @@
 	return err
 }
 
-// silentProxy forwards until it is told to swallow everything on the
-// connections that are open by then; it never closes them itself.
-type silentProxy struct {
-	listener net.Listener
-	target   string
-	epoch    atomic.Int64
-}
-
-func startSilentProxy(t *testing.T, target string) *silentProxy {
-	p := &silentProxy{listener: listen(t), target: target}
-	t.Cleanup(func() { p.listener.Close() })
-	go func() {
-		for {
-			conn, err := p.listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.relay(conn)
-		}
-	}()
-	return p
-}
-
-func (p *silentProxy) relay(conn net.Conn) {
-	other, err := net.Dial("tcp", p.target)
-	if err != nil {
-		conn.Close()
-		return
-	}
-	epoch := p.epoch.Load()
-	for _, pair := range [][2]net.Conn{{conn, other}, {other, conn}} {
-		go func() {
-			defer pair[0].Close()
-			defer pair[1].Close()
-			b := make([]byte, 32<<10)
-			for {
-				n, err := pair[0].Read(b)
-				if err != nil {
-					return
-				}
-				if p.epoch.Load() == epoch {
-					pair[1].Write(b[:n])
-				}
-			}
-		}()
-	}
-}
-
 // TestSilentLink lets an open link go silent while new ones work: it is closed
 // within seconds, and calls to another peer are never held up.
 func TestSilentLink(t *testing.T) {
@@ -113,12 +60,12 @@
 	near, far := listen(t), listen(t)
 	serve(t, near, nil)
 	serve(t, far, nil)
-	proxy := startSilentProxy(t, far.Addr().String())
+	proxy := linktest.NewSilencer(t, far.Addr().String())
 	d := new(Dialer)
 	defer d.Close()
-	address := proxy.listener.Addr().String()
+	address := proxy.Address()
 	is.NoErr(callStatus(d, address))
-	proxy.epoch.Add(1)
+	proxy.Silence()
 	silent := time.Now()
 	for callStatus(d, address) != nil {
 		started := time.Now()
@@ -237,70 +184,20 @@
 	is.Equal(limit.bytes.Load(), int64(sessionBytes-10)) // nothing stays reserved
 }
 
-// authority signs certificates for 127.0.0.1.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &authority{certificate, key}
-}
-
-// config returns a configuration with a certificate of a that trusts trusted.
-func (a *authority) config(t *testing.T, trusted *authority) *tls.Config {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(trusted.certificate)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}
-}
-
 // TestMutualTLS admits only peers whose certificate the own authority signed.
 func TestMutualTLS(t *testing.T) {
-	ours, theirs := newAuthority(t), newAuthority(t)
+	ours, theirs := linktest.NewAuthority(t), linktest.NewAuthority(t)
 	listener := listen(t)
-	serve(t, tls.NewListener(listener, ours.config(t, ours)), nil)
+	serve(t, tls.NewListener(listener, ours.Config(ours)), nil)
 	address := listener.Addr().String()
 	for name, c := range map[string]struct {
 		config *tls.Config
 		admits bool
 	}{
-		"own authority":        {ours.config(t, ours), true},
-		"foreign certificate":  {theirs.config(t, ours), false},
-		"distrusts the server": {ours.config(t, theirs), false},
-		"no certificate":       {&tls.Config{RootCAs: ours.config(t, ours).RootCAs}, false},
+		"own authority":        {ours.Config(ours), true},
+		"foreign certificate":  {theirs.Config(ours), false},
+		"distrusts the server": {ours.Config(theirs), false},
+		"no certificate":       {&tls.Config{RootCAs: ours.Config(ours).RootCAs}, false},
 		"no TLS":               {nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/test/process/replica_helpers_test.go
+++ b/test/process/replica_helpers_test.go
@@ -6,15 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
-	"testing"
 	"time"
 
 	"sapphirering/internal/operator"
 	"sapphirering/internal/state"
+	"sapphirering/test/linktest"
 )
 
 const (
@@ -128,78 +125,23 @@
 	return rest
 }
 
-// linkSilencer forwards connections until it is told to swallow everything on
-// those that are open by then; it closes none of them.
-type linkSilencer struct {
-	listener net.Listener
-	target   string
-	epoch    atomic.Int64
-}
-
-func startLinkSilencer(t *testing.T, target string) *linkSilencer {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	s := &linkSilencer{listener: listener, target: target}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.relay(conn)
-		}
-	}()
-	return s
-}
-
-func (s *linkSilencer) relay(conn net.Conn) {
-	defer conn.Close()
-	other, err := net.Dial("tcp", s.target)
-	if err != nil {
-		return
-	}
-	defer other.Close()
-	epoch := s.epoch.Load()
-	var both sync.WaitGroup
-	forward := func(from, to net.Conn) {
-		b := make([]byte, 32<<10)
-		for {
-			n, err := from.Read(b)
-			if err != nil {
-				to.Close()
-				return
-			}
-			if s.epoch.Load() == epoch {
-				to.Write(b[:n])
-			}
-		}
-	}
-	both.Go(func() { forward(conn, other) })
-	both.Go(func() { forward(other, conn) })
-	both.Wait()
-}
-
 // silence puts a linkSilencer into every link and lets new connections run
 // through it; it returns a function that makes all open ones silent.
 func (c *cluster) silence() func() {
-	var all []*linkSilencer
+	var all []*linktest.Silencer
 	c.links.mu.Lock()
 	defer c.links.mu.Unlock()
 	for _, p := range c.links.proxies {
-		s := startLinkSilencer(c.t, p.target)
+		s := linktest.NewSilencer(c.t, p.target)
 		p.mu.Lock()
-		p.target = s.listener.Addr().String()
+		p.target = s.Address()
 		p.mu.Unlock()
 		all = append(all, s)
 		p.setCut(false) // closes what is open, so that it is dialed again
 	}
 	return func() {
 		for _, s := range all {
-			s.epoch.Add(1)
+			s.Silence()
 		}
 	}
 }
--- a/test/process/replica_tls_test.go
+++ b/test/process/replica_tls_test.go
@@ -1,94 +1,22 @@
 package process
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"encoding/pem"
 	"fmt"
-	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-)
-
-// linkAuthority signs certificates of daemons.
-type linkAuthority struct {
-	t           *testing.T
-	folder      string
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
-
-func newLinkAuthority(t *testing.T) *linkAuthority {
-	t.Helper()
-	a := &linkAuthority{t: t, folder: t.TempDir()}
-	a.key = a.newKey()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
-		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if a.certificate, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
-	a.write("authority.pem", "CERTIFICATE", der)
-	return a
-}
 
-func (a *linkAuthority) newKey() *ecdsa.PrivateKey {
-	a.t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return key
-}
-
-func (a *linkAuthority) write(name, kind string, der []byte) string {
-	a.t.Helper()
-	path := filepath.Join(a.folder, name)
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		a.t.Fatal(err)
-	}
-	return path
-}
-
-// settings returns the tls settings of a daemon that trusts trusted.
-func (a *linkAuthority) settings(name string, trusted *linkAuthority) string {
-	a.t.Helper()
-	key := a.newKey()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	return fmt.Sprintf("tls: {certificate: %q, key: %q, authority: %q}\n",
-		a.write(name+".pem", "CERTIFICATE", der), a.write(name+".key", "PRIVATE KEY", private),
-		filepath.Join(trusted.folder, "authority.pem"))
-}
+	"sapphirering/test/linktest"
+)
 
 // TestReplicaTLS forms a cluster over mutual TLS; a daemon whose certificate
 // another authority signed cannot join.
 func TestReplicaTLS(t *testing.T) {
 	is := is.New(t)
-	ours, theirs := newLinkAuthority(t), newLinkAuthority(t)
+	ours, theirs := linktest.NewAuthority(t), linktest.NewAuthority(t)
 	c := &cluster{t: t, folder: t.TempDir(), secrets: make(map[string]string)}
 	c.keyFile = filepath.Join(c.folder, "operator.key")
 	is.NoErr(os.WriteFile(c.keyFile, []byte(operatorKey), 0o600))
@@ -107,7 +35,9 @@
 		}
 		settings, err := os.ReadFile(n.settings)
 		is.NoErr(err)
-		is.NoErr(os.WriteFile(n.settings, append(settings, signer.settings(n.name, ours)...), 0o600))
+		files := signer.Files(c.folder, n.name, ours)
+		settings = fmt.Appendf(settings, "tls: {certificate: %q, key: %q, authority: %q}\n", files.Certificate, files.Key, files.Authority)
+		is.NoErr(os.WriteFile(n.settings, settings, 0o600))
 		n.start(i == 0)
 		if i == 0 {
 			n.waitReady()
