Idle units return to the leader; half of an idle team's units are not handed out

HandOut now asks back what lies idle above a part of an eighth, and spreads only half of what nobody asks for. TestIdleUnitsReturn fails without it (holder 0 keeps 12).

--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -150,6 +150,10 @@
 	for _, r := range holding.Reserved {
 		lines = append(lines, fmt.Sprintf("session %s holds %d", r.Session, r.Reservation.Units))
 	}
+	for _, r := range holding.Expired {
+		lines = append(lines, fmt.Sprintf("expired session %s holds %d until its requests are past %d ms",
+			r.Session, r.Reservation.Units, r.Reservation.LongestDeadlineMs))
+	}
 	for _, k := range holding.Kept {
 		lines = append(lines, fmt.Sprintf("VM %s keeps %d for a cut", k.MemberName, k.Units))
 	}
--- a/internal/policy/share/share.go
+++ b/internal/policy/share/share.go
@@ -123,9 +123,15 @@
 	Shrink bool
 }
 
+// idleDivisor bounds what a holder keeps above its part: one unit in
+// idleDivisor of the team's, and at least one.
+const idleDivisor = 8
+
 // HandOut divides a team's units over holders. Grants use only free units;
 // units that others need are asked back first. Holders whose demand is met
-// keep what they hold, so that steady or idle teams cause no change.
+// keep what they hold, so that steady or idle teams cause no change. Only what
+// lies idle beyond a small part is asked back unneeded: units of a holder that
+// is lost stay out until its requests are past their deadlines.
 func HandOut(units, free uint32, holders []Holder) []Handout {
 	out := make([]Handout, len(holders))
 	fair := fairParts(units, holders)
@@ -146,7 +152,7 @@
 		out[i] = Handout{Target: holders[i].Held + add, Grant: true}
 	}
 	if !unmet && !idleUnmet && held <= units && !anyLeaving(holders) {
-		return out
+		return shrinkIdle(units, fair, holders, out)
 	}
 	for i, h := range holders {
 		if h.Held > fair[i] {
@@ -156,6 +162,17 @@
 	return out
 }
 
+// shrinkIdle asks back what a holder has far above its part.
+func shrinkIdle(units uint32, fair []uint32, holders []Holder, out []Handout) []Handout {
+	slack := max(1, units/idleDivisor)
+	for i, h := range holders {
+		if h.Held > fair[i]+slack {
+			out[i] = Handout{Target: fair[i], Shrink: true}
+		}
+	}
+	return out
+}
+
 func anyLeaving(holders []Holder) bool {
 	return slices.ContainsFunc(holders, func(h Holder) bool { return h.Leaving && h.Held > 0 })
 }
@@ -173,7 +190,8 @@
 }
 
 // fairParts gives urgent demand first, then the other demand, then spreads
-// what is left evenly so that new demand starts without waiting.
+// half of what is left evenly so that new demand starts without waiting. The
+// other half stays with the leader, which grants it where demand rises.
 func fairParts(units uint32, holders []Holder) []uint32 {
 	urgent := make([]Claim, len(holders))
 	for i, h := range holders {
@@ -188,7 +206,8 @@
 	for i, part := range MaxMin(left, rest) {
 		parts[i] += part
 	}
-	return spreadEvenly(units-sum(parts), parts, holders)
+	left = units - sum(parts)
+	return spreadEvenly(left-left/2, parts, holders)
 }
 
 func spreadEvenly(left uint32, parts []uint32, holders []Holder) []uint32 {
--- a/internal/policy/share/share_test.go
+++ b/internal/policy/share/share_test.go
@@ -82,6 +82,9 @@
 			}
 		}
 		for i, h := range holders {
+			if most := h.Demand + (units+1)/2 + max(1, units/8); h.Held > most {
+				t.Fatalf("holder %d keeps %d, more than %d: %+v", i, h.Held, most, holders)
+			}
 			if h.Urgent > 0 && h.Held == 0 && !h.Leaving && units >= uint32(len(holders))*30 {
 				t.Fatalf("holder %d has urgent work and nothing: %+v", i, holders)
 			}
@@ -178,3 +181,21 @@
 		MaxMin(4000, claims)
 	}
 }
+
+// TestIdleUnitsReturn: what a burst left at one of eight holders goes back, so
+// that its loss takes a small part of the team's units along.
+func TestIdleUnitsReturn(t *testing.T) {
+	const units = 16
+	holders := make([]Holder, 8)
+	holders[0].Held = 12
+	for range 4 {
+		for i, h := range HandOut(units, units-heldUnits(holders), holders) {
+			holders[i].Held = h.Target
+		}
+	}
+	for i, h := range holders {
+		if h.Held > 2 {
+			t.Errorf("idle holder %d keeps %d of %d units", i, h.Held, units)
+		}
+	}
+}
--- a/internal/state/holdings.go
+++ b/internal/state/holdings.go
@@ -6,6 +6,9 @@
 type Holding struct {
 	// Reserved holds what live sessions hold, by session.
 	Reserved []SessionHolding
+	// Expired holds what expired sessions still hold, by session, until the
+	// requests that may run under it are past their deadlines.
+	Expired []SessionHolding
 	// Kept holds the parts that VMs keep for a cut.
 	Kept []*statepb.KeptReservation
 	// Units sums all that may run anywhere, jobs and expired sessions included.
@@ -65,9 +68,11 @@
 				continue
 			}
 			h.Units += r.Units
-			if session.ExpiredUnixMs == 0 {
-				h.Reserved = append(h.Reserved, SessionHolding{session.Id, r})
+			if session.ExpiredUnixMs != 0 {
+				h.Expired = append(h.Expired, SessionHolding{session.Id, r})
+				continue
 			}
+			h.Reserved = append(h.Reserved, SessionHolding{session.Id, r})
 		}
 	}
 	return all
