Tests of requests and forwards inside one entry VM

With the mechanisms taken out on a scratch copy (unit given back at once after lost work, no memory of forwards, forwards not counted in flight, no retry, no refusal of late requests) TestLostWorkIsRetriedElsewhere, UnitOfLostWorkIsKept, QueueRefusesLateAtOnce and DuplicateForwardRunsOnce fail, and ForwardsInShutdown hangs.

--- /dev/null
+++ b/internal/entry/request_test.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/state"
+	"sapphirering/internal/wire/wirepb"
+)
+
+func counted(count *atomic.Int32, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		next(w, r)
+	}
+}
+
+// TestLostWorkIsRetriedElsewhere loses the answers of one target: requests
+// that may be repeated are answered by the other.
+func TestLostWorkIsRetriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	f.addTarget("broken", 8, breakAfterRun)
+	f.addTarget("works", 1, echo)
+	for range 5 {
+		got := f.call(state.NewID(), true, 3000)
+		is.Equal(got.outcome, OutcomeAnswered)
+	}
+}
+
+func TestLostWorkThatMayRunOnceIsUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	var runs atomic.Int32
+	f.addTarget("broken", 8, counted(&runs, breakAfterRun))
+	id := state.NewID()
+	is.Equal(f.call(id, false, 3000).outcome, OutcomeUnknown)
+	f.addTarget("works", 8, counted(&runs, echo))
+	is.Equal(f.call(id, false, 3000).outcome, OutcomeUnknown) // a resend never runs a second time
+	is.Equal(runs.Load(), int32(1))
+}
+
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	b := newRetryBudget()
+	retries := 0
+	for range 1000 {
+		if b.spend("kita") {
+			retries++
+		}
+	}
+	is.Equal(retries, int(maxRetryTokens))
+	is.True(b.spend("other")) // one team's failures spend no other's budget
+	for range 100 {
+		b.earn("kita")
+	}
+	for range 1000 {
+		if b.spend("kita") {
+			retries++
+		}
+	}
+	is.Equal(retries, int(maxRetryTokens)+19) // a fifth of the successes
+}
+
+// TestBusyIsNotRun lets every target refuse: the request waits and is refused
+// at its deadline as not run; a claim of it is free again.
+func TestBusyIsNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	var tried atomic.Int32
+	f.addTarget("busy", 8, counted(&tried, busy))
+	id := state.NewID()
+	got := f.call(id, false, 300)
+	is.Equal(got.outcome, OutcomeNotRun)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.retry != "")
+	is.True(tried.Load() < 20) // refusals hold dispatch back
+	f.addTarget("works", 8, echo)
+	is.Equal(f.call(id, false, 3000).outcome, OutcomeAnswered)
+}
+
+func TestResendGetsRecordedAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	var runs atomic.Int32
+	f.addTarget("works", 8, counted(&runs, echo))
+	id := state.NewID()
+	first := f.call(id, false, 3000)
+	second := f.call(id, false, 3000)
+	is.Equal(first.outcome, OutcomeAnswered)
+	is.Equal(second.body, first.body)
+	is.Equal(second.media, "application/x-proof")
+	is.Equal(runs.Load(), int32(1))
+	is.Equal(f.call(strings.ToUpper(id), false, 3000).status, http.StatusBadRequest)
+	is.Equal(runs.Load(), int32(1))
+}
+
+// TestResendsAtOnceRunOnce sends one id many times at the same moment.
+func TestResendsAtOnceRunOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	var runs atomic.Int32
+	f.addTarget("works", 8, counted(&runs, echo))
+	id := state.NewID()
+	var calls sync.WaitGroup
+	for range 20 {
+		calls.Go(func() { f.call(id, false, 3000) })
+	}
+	calls.Wait()
+	is.Equal(runs.Load(), int32(1))
+}
+
+// TestUnitOfLostWorkIsKept gives the team one unit and loses work that may
+// still run: nothing else of the team may start before it is surely over.
+func TestUnitOfLostWorkIsKept(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1)
+	var runs atomic.Int32
+	f.addTarget("broken", 8, counted(&runs, breakAfterRun))
+	is.Equal(f.call(state.NewID(), false, 500).outcome, OutcomeUnknown)
+	f.addTarget("works", 8, counted(&runs, echo))
+	got := f.call(state.NewID(), true, 1000)
+	is.Equal(got.outcome, OutcomeNotRun)
+	is.Equal(runs.Load(), int32(1))
+}
+
+// TestQueueRefusesLateAtOnce fills a pool of one slot: a request that cannot
+// be answered by its deadline is refused long before it.
+func TestQueueRefusesLateAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	f.addTarget("slow", 1, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		echo(w, r)
+	})
+	is.Equal(f.call(state.NewID(), true, 5000).outcome, OutcomeAnswered) // the time of a run is known now
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() { f.call(state.NewID(), true, 5000) })
+	}
+	time.Sleep(50 * time.Millisecond)
+	got := f.call(state.NewID(), true, 1000)
+	is.Equal(got.outcome, OutcomeNotRun)
+	is.True(got.duration < 500*time.Millisecond)
+	is.True(got.retry != "")
+	calls.Wait()
+}
+
+// TestDuplicateForwardRunsOnce delivers the frame of a request that may run
+// once twice: the second is unknown, never a second run.
+func TestDuplicateForwardRunsOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	var runs atomic.Int32
+	f.addTarget("works", 8, counted(&runs, echo))
+	frame := &wirepb.ForwardRequest{RequestId: state.NewID(), Queue: "q", Team: "kita", DeadlineMs: 3000, Body: []byte("b")}
+	first := f.server.ServeForward(context.Background(), frame)
+	is.True(first.Answered)
+	second := f.server.ServeForward(context.Background(), frame)
+	is.True(!second.Answered)
+	is.True(!second.NotRun)
+	is.Equal(runs.Load(), int32(1))
+}
+
+func TestForwardsInShutdown(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	entered, release := make(chan struct{}), make(chan struct{})
+	f.addTarget("works", 8, func(w http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-release
+		echo(w, r)
+	})
+	answers := make(chan *wirepb.ForwardResponse, 1)
+	go func() {
+		answers <- f.server.ServeForward(context.Background(), &wirepb.ForwardRequest{RequestId: "f1", Queue: "q", DeadlineMs: 10_000, Idempotent: true})
+	}()
+	<-entered
+	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.True(!f.server.Drain(short)) // a forward in flight is waited for
+	refused := f.server.ServeForward(context.Background(), &wirepb.ForwardRequest{RequestId: "f2", Queue: "q", DeadlineMs: 10_000})
+	is.True(refused.NotRun)
+	close(release)
+	is.True(f.server.Drain(context.Background()))
+	is.True((<-answers).Answered)
+}
+
+// TestSlowReaderHoldsNoSlot lets a caller not read its answer: the slot and
+// the unit are free for the next one.
+func TestSlowReaderHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1)
+	large := strings.Repeat("x", 4<<20)
+	f.addTarget("works", 1, func(w http.ResponseWriter, r *http.Request) {
+		echo(w, r)
+		w.Write([]byte(large))
+	})
+	request, err := http.NewRequest(http.MethodPost, f.callers.URL+"/v1/queues/q/requests", nil)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+secret)
+	slow, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer slow.Body.Close()
+	is.Equal(f.call(state.NewID(), true, 2000).outcome, OutcomeAnswered)
+}
