--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -107,6 +107,8 @@
 var explainers = map[string]func(m *Manager, id string) ([]string, bool){
 	"job":  (*Manager).explainJob,
 	"team": (*Manager).explainTeam,
+	"vm":   (*Manager).explainVM,
+	"wave": (*Manager).explainWave,
 }
 
 // Explain returns what is committed about an object and the leader's newest
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"sapphirering/internal/event"
@@ -14,9 +13,6 @@
 	"sapphirering/internal/wire/wirepb"
 )
 
-// maxReasons bounds the reasons kept per object.
-const maxReasons = 16
-
 // fleet is what the leader remembers about VMs beside the committed state. A
 // new leader starts with nothing: each rule here waits, it never acts, on what
 // is not known.
@@ -35,7 +31,6 @@
 	needs     []maintenance.Need
 	nextMoves time.Time
 	calls     *platformCalls
-	reasons   *reasons
 }
 
 // hold keeps a VM in service until a time.
@@ -48,39 +43,10 @@
 	return &fleet{
 		seen: make(map[string]time.Time), left: make(map[string]time.Time), gates: make(map[string]gate),
 		holds: make(map[string]hold), aborts: make(map[string]int), history: capacity.NewHistory(),
-		calls: newPlatformCalls(), reasons: newReasons(),
+		calls: newPlatformCalls(),
 	}
 }
 
-// reasons keeps the last reasons noted for each object.
-type reasons struct {
-	mu    sync.Mutex
-	lines map[string][]string
-}
-
-func newReasons() *reasons { return &reasons{lines: make(map[string][]string)} }
-
-// note adds a reason unless it repeats the last one.
-func (r *reasons) note(kind, id, format string, args ...any) {
-	line := fmt.Sprintf(format, args...)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	key := kind + "/" + id
-	lines := r.lines[key]
-	if len(lines) > 0 && lines[len(lines)-1] == line {
-		return
-	}
-	lines = append(lines, line)
-	r.lines[key] = lines[max(0, len(lines)-maxReasons):]
-}
-
-// get returns the reasons noted for an object, the newest last.
-func (r *reasons) get(kind, id string) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]string(nil), r.lines[kind+"/"+id]...)
-}
-
 // sighting is the last report of one entry VM about one VM.
 type sighting struct {
 	member string
@@ -185,10 +151,10 @@
 		return false, fmt.Errorf("vm %s to %s: %w", c.Vm, c.Phase, err)
 	}
 	if refusal != "" {
-		m.fleet.reasons.note("vm", c.Vm, "%s is refused: %s", c.Phase, refusal)
+		m.reasons.Record("vm", c.Vm, "%s is refused: %s", c.Phase, refusal)
 		return false, nil
 	}
-	m.fleet.reasons.note("vm", c.Vm, "%s: %s", c.Phase, c.Reason)
+	m.reasons.Record("vm", c.Vm, "%s: %s", c.Phase, c.Reason)
 	return true, nil
 }
 
@@ -199,10 +165,10 @@
 		return false, fmt.Errorf("drain vm %s for %s: %w", c.Vm, c.Owner, err)
 	}
 	if refusal != "" {
-		m.fleet.reasons.note("vm", c.Vm, "drain is refused: %s", refusal)
+		m.reasons.Record("vm", c.Vm, "drain is refused: %s", refusal)
 		return false, nil
 	}
-	m.fleet.reasons.note("vm", c.Vm, "drains for %s: %s", c.Owner, c.Reason)
+	m.reasons.Record("vm", c.Vm, "drains for %s: %s", c.Owner, c.Reason)
 	event.DrainStarted.Emit(event.F("vm", c.Vm), event.F("owner", c.Owner), event.F("reason", c.Reason))
 	return true, nil
 }
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -229,7 +229,7 @@
 func (r *rig) phases() string {
 	var out []string
 	for _, vm := range r.machine.VMs() {
-		out = append(out, fmt.Sprintf("%s=%s %v", vm.Name, vm.Phase, r.manager.fleet.reasons.get("vm", vm.Name)))
+		out = append(out, fmt.Sprintf("%s=%s %v", vm.Name, vm.Phase, r.manager.reasons.Lines("vm", vm.Name)))
 	}
 	return strings.Join(out, "\n")
 }
@@ -417,7 +417,7 @@
 	r.wave("w", "vm1")
 	r.run(time.Minute)
 	is.Equal(r.phase("vm1"), statepb.VMPhase_VM_PHASE_ACTIVE)
-	is.True(strings.Contains(strings.Join(r.manager.fleet.reasons.get("vm", "vm1"), "\n"), "entry-a1"))
+	is.True(strings.Contains(strings.Join(r.manager.reasons.Lines("vm", "vm1"), "\n"), "entry-a1"))
 	is.Equal(r.platform.starts("vm1"), 0)
 }
 
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -40,10 +40,10 @@
 		return fmt.Errorf("move vm %s to pool %s: %w", vm.Name, vm.MoveToPool, err)
 	}
 	if refusal != "" {
-		m.fleet.reasons.note("vm", vm.Name, "move to pool %s is refused: %s", vm.MoveToPool, refusal)
+		m.reasons.Record("vm", vm.Name, "move to pool %s is refused: %s", vm.MoveToPool, refusal)
 		return nil
 	}
-	m.fleet.reasons.note("vm", vm.Name, "moved from pool %s to pool %s: %s", vm.Pool, vm.MoveToPool, vm.DrainReason)
+	m.reasons.Record("vm", vm.Name, "moved from pool %s to pool %s: %s", vm.Pool, vm.MoveToPool, vm.DrainReason)
 	event.VMMoved.Emit(event.F("vm", vm.Name), event.F("from", vm.Pool), event.F("to", vm.MoveToPool), event.F("reason", vm.DrainReason))
 	return nil
 }
@@ -54,12 +54,12 @@
 	}
 	plan := capacity.Next(CapacitySnapshot(m.cfg.Machine, now, m.extras()), m.fleet.history)
 	for _, wait := range plan.Waits {
-		m.fleet.reasons.note("pool", wait.Pool, "%s", wait.Reason)
+		m.reasons.Record("pool", wait.Pool, "%s", wait.Reason)
 	}
 	var errs []error
 	for _, move := range plan.Moves {
 		if h := m.fleet.holds[move.VM]; now.Before(h.until) {
-			m.fleet.reasons.note("vm", move.VM, "is not moved: %s", h.reason)
+			m.reasons.Record("vm", move.VM, "is not moved: %s", h.reason)
 			continue
 		}
 		_, err := m.startDrain(ctx, &statepb.StartDrain{
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -41,7 +41,10 @@
 	operations map[string]*statepb.Operation
 
 	// Derived from the above.
-	queues      map[string]queueRef
+	queues  map[string]queueRef
+	poolVMs map[string]map[string]struct{}
+	// The largest availability budget that any document states for a pool.
+	budgets     map[string]uint32
 	keyByHash   map[[sha256.Size]byte]string
 	openJobs    sortedIDs
 	runningJobs map[string]uint32
@@ -50,6 +53,8 @@
 	driven map[string]map[string]struct{}
 	// Raised by each change of a job.
 	jobChanges uint64
+	// Raised by each change of documents, sessions, units or counts of jobs.
+	unitChanges uint64
 }
 
 type keptID struct {
@@ -83,12 +88,15 @@
 	m.jobs = make(map[string]*statepb.Job)
 	m.operations = make(map[string]*statepb.Operation)
 	m.queues = make(map[string]queueRef)
+	m.poolVMs = make(map[string]map[string]struct{})
+	m.budgets = make(map[string]uint32)
 	m.keyByHash = make(map[[sha256.Size]byte]string)
 	m.openJobs = nil
 	m.runningJobs = make(map[string]uint32)
 	m.queuedJobs = make(map[string]uint32)
 	m.driven = make(map[string]map[string]struct{})
 	m.jobChanges++
+	m.unitChanges++
 }
 
 // Apply applies one marshalled command and returns its *statepb.Outcome.
@@ -182,6 +190,8 @@
 		return m.reclaimSession(body.ReclaimSession)
 	case *statepb.Command_CloseSession:
 		return m.closeSession(body.CloseSession)
+	case *statepb.Command_ReclaimReservations:
+		return m.reclaimReservations(body.ReclaimReservations)
 	case *statepb.Command_SetReservations:
 		return m.setReservations(body.SetReservations)
 	case *statepb.Command_SetKeptReservations:
