--- a/test/standin/target.go
+++ b/test/standin/target.go
@@ -107,6 +107,13 @@
 // Address returns the base URL of the target.
 func (t *Target) Address() string { return "http://" + t.listener.Addr().String() }
 
+// Token returns the token of the newest announcement.
+func (t *Target) Token() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return target.Announcement{Incarnation: t.incarnation, Sequence: t.sequence}.Token()
+}
+
 // Close stops the target at once.
 func (t *Target) Close() {
 	t.cancel()
