--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -196,14 +196,13 @@
 // unplanned losses have taken under their budget, the youngest drains first.
 func (m *Manager) abortForBudgets(ctx context.Context) error {
 	var errs []error
-	for _, pool := range m.cfg.Machine.Pools() {
-		least, available := m.cfg.Machine.Budget(pool.Name)
-		if available >= least {
+	for pool, budget := range m.cfg.Machine.Budgets() {
+		if budget.Available >= budget.Least {
 			continue
 		}
-		drains := m.drainsOf(pool.Name)
-		for _, vm := range drains[:min(len(drains), int(least-available))] {
-			reason := fmt.Sprintf("pool %s has %d available VMs, its budget is %d", pool.Name, available, least)
+		drains := m.drainsOf(pool)
+		for _, vm := range drains[:min(len(drains), int(budget.Least-budget.Available))] {
+			reason := fmt.Sprintf("pool %s has %d available VMs, its budget is %d", pool, budget.Available, budget.Least)
 			errs = append(errs, m.abortDrain(ctx, vm, reason, false))
 		}
 	}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -13,6 +14,9 @@
 	"sapphirering/internal/wire/wirepb"
 )
 
+// fleetInterval is how often the loops about VMs run.
+const fleetInterval = 500 * time.Millisecond
+
 // fleet is what the leader remembers about VMs beside the committed state. A
 // new leader starts with nothing: each rule here waits, it never acts, on what
 // is not known.
@@ -28,9 +32,21 @@
 	aborts  map[string]int
 	history *capacity.History
 	// needs are the pools where the last plan of the waves found no room.
-	needs     []maintenance.Need
-	nextMoves time.Time
-	calls     *platformCalls
+	needs []maintenance.Need
+	// next is when the loops about VMs run again.
+	next  time.Time
+	calls *platformCalls
+}
+
+// runFleet runs the loops about VMs every fleetInterval: their timeouts are
+// seconds, and at 530 VMs a round costs too much for every step.
+func (m *Manager) runFleet(ctx context.Context) error {
+	now := m.cfg.Now()
+	if now.Before(m.fleet.next) {
+		return nil
+	}
+	m.fleet.next = now.Add(fleetInterval)
+	return errors.Join(m.watchVMs(ctx), m.drainVMs(ctx), m.runWaves(ctx), m.moveVMs(ctx))
 }
 
 // hold keeps a VM in service until a time.
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -107,10 +107,7 @@
 		{"keep parts for a cut", m.keepParts},
 		{"place jobs", m.placeJobs},
 		{"prune", m.prune},
-		{"watch VMs", m.watchVMs},
-		{"drain VMs", m.drainVMs},
-		{"run waves", m.runWaves},
-		{"move VMs", m.moveVMs},
+		{"run the fleet", m.runFleet},
 	}
 	for _, loop := range loops {
 		if err := loop.run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -12,9 +12,6 @@
 	"sapphirering/internal/state/statepb"
 )
 
-// planMovesEvery is how often moves are planned.
-const planMovesEvery = time.Second
-
 // moveVMs finishes moves of drained VMs and plans new ones.
 func (m *Manager) moveVMs(ctx context.Context) error {
 	var errs []error
@@ -23,10 +20,7 @@
 			errs = append(errs, m.moveVM(ctx, vm))
 		}
 	}
-	if now := m.cfg.Now(); !now.Before(m.fleet.nextMoves) {
-		m.fleet.nextMoves = now.Add(planMovesEvery)
-		errs = append(errs, m.planMoves(ctx, now))
-	}
+	errs = append(errs, m.planMoves(ctx, m.cfg.Now()))
 	return errors.Join(errs...)
 }
 
@@ -94,10 +88,10 @@
 			MovingTo:  vm.MoveToPool, LentFrom: vm.LentFrom, Since: time.UnixMilli(vm.PhaseSinceUnixMs),
 		})
 	}
+	budgets := machine.Budgets()
 	for _, pool := range machine.Pools() {
-		least, _ := machine.Budget(pool.Name)
 		s.Pools = append(s.Pools, capacity.Pool{
-			Name: pool.Name, Spare: pool.Spare, Budget: int(least), Epoch: pool.Epoch,
+			Name: pool.Name, Spare: pool.Spare, Budget: int(budgets[pool.Name].Least), Epoch: pool.Epoch,
 			UnitsPerVM: slots[pool.Name] / max(1, count[pool.Name]),
 			Extra:      extras[pool.Name].Extra, ExtraReason: extras[pool.Name].ExtraReason,
 		})
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -119,9 +119,8 @@
 	s := maintenance.Snapshot{
 		Now: now, Budgets: make(map[string]int), Blind: make(map[string]string), Held: make(map[string]string),
 	}
-	for _, pool := range machine.Pools() {
-		least, _ := machine.Budget(pool.Name)
-		s.Budgets[pool.Name] = int(least)
+	for pool, budget := range machine.Budgets() {
+		s.Budgets[pool] = int(budget.Least)
 	}
 	for _, vm := range machine.VMs() {
 		s.VMs = append(s.VMs, maintenance.VM{
--- a/internal/state/vms.go
+++ b/internal/state/vms.go
@@ -179,6 +179,38 @@
 	return ""
 }
 
+// PoolBudget is the least number of available VMs that a pool is to keep, and
+// how many are available.
+type PoolBudget struct {
+	Least     uint32
+	Available uint32
+}
+
+// Budgets returns the budget of every pool in one pass over documents and VMs.
+func (m *Machine) Budgets() map[string]PoolBudget {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	budgets := make(map[string]PoolBudget, len(m.pools))
+	for name := range m.pools {
+		budgets[name] = PoolBudget{}
+	}
+	for _, doc := range m.documents {
+		for _, b := range doc.Budgets {
+			at := budgets[b.Pool]
+			at.Least = max(at.Least, b.MinAvailableVms)
+			budgets[b.Pool] = at
+		}
+	}
+	for _, vm := range m.vms {
+		if vm.Phase == statepb.VMPhase_VM_PHASE_ACTIVE {
+			at := budgets[vm.Pool]
+			at.Available++
+			budgets[vm.Pool] = at
+		}
+	}
+	return budgets
+}
+
 // checkBudget refuses when taking out more VMs would leave the pool below its
 // availability budget. VMs lost outside of maintenance are not available.
 func (m *Machine) checkBudget(pool string, takenOut uint32) *statepb.Outcome {
--- a/internal/state/waves.go
+++ b/internal/state/waves.go
@@ -145,7 +145,8 @@
 	failed := uint32(len(next.FailedVms))
 	if next.Phase == statepb.WavePhase_WAVE_PHASE_RUNNING && failed >= next.StopAfterFailures {
 		next.Phase = statepb.WavePhase_WAVE_PHASE_STOPPED
-		next.Reason = fmt.Sprintf("%d VMs failed, the wave stops after %d: %s", failed, next.StopAfterFailures, c.Reason)
+		next.Reason = fmt.Sprintf("%d VMs failed, the wave stops after %d; the last: %s: %s",
+			failed, next.StopAfterFailures, before.Name, c.Reason)
 	}
 	m.waves[wave.Id] = next
 }
