--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -89,6 +89,9 @@
 	SessionLease Duration `yaml:"session_lease"`
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout Duration `yaml:"shutdown_timeout"`
+	// ShutdownDelay is how long a daemon that is not ready any more goes on
+	// taking requests, so that the balancer leaves first.
+	ShutdownDelay Duration `yaml:"shutdown_delay"`
 	// PlatformURL is the base URL of the platform that reboots VMs; empty for none.
 	PlatformURL string `yaml:"platform_url"`
 }
@@ -97,6 +100,9 @@
 	defaultTick            = 50 * time.Millisecond
 	defaultSessionLease    = 4 * time.Second
 	defaultShutdownTimeout = 150 * time.Second
+	defaultShutdownDelay   = 2 * time.Second
+	minShutdownDelay       = time.Millisecond
+	maxShutdownDelay       = time.Minute
 	minSessionLease        = 500 * time.Millisecond
 	maxSessionLease        = 10 * time.Second
 	minTick                = 5 * time.Millisecond
@@ -158,6 +164,9 @@
 	if s.SessionLease.Duration == 0 {
 		s.SessionLease.Duration = defaultSessionLease
 	}
+	if s.ShutdownDelay.Duration == 0 {
+		s.ShutdownDelay.Duration = defaultShutdownDelay
+	}
 	if s.ShutdownTimeout.Duration == 0 {
 		s.ShutdownTimeout.Duration = defaultShutdownTimeout
 	}
@@ -178,6 +187,7 @@
 	s.validateTLS(src)
 	requireRange(src, "tick", s.Tick, minTick, maxTick)
 	requireRange(src, "session_lease", s.SessionLease, minSessionLease, maxSessionLease)
+	requireRange(src, "shutdown_delay", s.ShutdownDelay, minShutdownDelay, maxShutdownDelay)
 	requireRange(src, "shutdown_timeout", s.ShutdownTimeout, minShutdownTimeout, maxShutdownTimeout)
 	if s.PlatformURL != "" {
 		requireURL(src, "platform_url", s.PlatformURL)
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,6 +53,7 @@
 	ReasonDeadline     = "deadline"
 	ReasonNoTarget     = "no-target"
 	ReasonShutdown     = "shutdown"
+	ReasonStarting     = "starting"
 	ReasonClaim        = "claim"
 	ReasonLost         = "lost"
 )
@@ -71,7 +73,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, r.Outcome)
 	if r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(int(r.retryAfter.Seconds()+0.5)))
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(r.retryAfter.Seconds())))))
 	}
 	w.WriteHeader(r.status)
 	json.NewEncoder(w).Encode(r)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -29,13 +29,14 @@
 
 const (
 	electionTicks   = 10
-	heartbeatTicks  = 1
+	heartbeatTicks  = 3
 	snapshotEntries = 10_000
+	// snapshotTail lets a voter that was away for a while catch up without a snapshot.
+	snapshotTail = 5_000
 
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 32 << 10
-	handOverTimeout   = 2 * time.Second
 	// closeSessionTimeout covers the hand-over of running attempts to another entry VM.
 	closeSessionTimeout = 5 * time.Second
 )
@@ -51,6 +52,7 @@
 	dialer   *wire.Dialer
 	links    *wire.Server
 	leader   *leaderClient
+	refusals refusals
 	holder   *session.Holder
 	registry *target.Registry
 	entry    *entry.Server
@@ -150,7 +152,7 @@
 			Rand: newRand(int64(incarnation)),
 		},
 		Machine: d.machine, Storage: storage, Sender: memberSender{d}, TickInterval: d.settings.Tick.Duration,
-		SnapshotEntries: snapshotEntries, OnLeaderChange: d.onLeaderChange,
+		SnapshotEntries: snapshotEntries, SnapshotTail: snapshotTail, OnLeaderChange: d.onLeaderChange,
 		OnFatal: func(err error) {
 			event.StorageFailed.Emit(event.Err(err))
 			d.fatal <- err
@@ -230,6 +232,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
+	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -253,6 +256,7 @@
 	}
 	d.running.Go(func() { d.holder.Run(d.background) })
 	d.running.Go(func() { jobs.Run(d.background) })
+	d.running.Go(func() { d.entry.Run(d.background) })
 	select {
 	case <-ctx.Done():
 		d.shutdown()
@@ -263,45 +267,6 @@
 	}
 }
 
-// shutdown finishes requests in flight before anything that they need ends.
-func (d *Daemon) shutdown() {
-	event.DaemonStopping.Emit()
-	d.holder.SetLeaving()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout.Duration)
-	defer cancel()
-	if !d.entry.Drain(ctx) {
-		event.ShutdownCut.Emit()
-	}
-	for _, server := range d.servers {
-		server.Shutdown(ctx)
-	}
-	d.closeSession()
-	d.handOverLeadership()
-	d.stop()
-	event.DaemonStopped.Emit()
-}
-
-// closeSession gives the session back, so that its reservations are free at once.
-func (d *Daemon) closeSession() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeSessionTimeout)
-	defer cancel()
-	if err := d.holder.Close(ctx); err != nil {
-		event.SessionNotBack.Emit(event.Err(err))
-	}
-}
-
-// handOverLeadership lets another voter lead at once instead of after a timeout.
-func (d *Daemon) handOverLeadership() {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	for d.leader.isLocal() && ctx.Err() == nil {
-		if started, err := d.node.TransferLeadership(ctx); err != nil || !started {
-			return
-		}
-		time.Sleep(retryDelay)
-	}
-}
-
 func (d *Daemon) stop() {
 	d.cancelBackground()
 	d.running.Wait()
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -25,6 +25,8 @@
 	index uint64
 	// Newest time seen in any command, in Unix milliseconds.
 	nowMS int64
+	// changed is closed at the next command; nil while nobody waits for it.
+	changed chan struct{}
 
 	documents  map[string]*statepb.TeamDocument
 	keys       map[string]*statepb.Key
@@ -39,7 +41,10 @@
 	operations map[string]*statepb.Operation
 
 	// Derived from the above.
-	queues      map[string]queueRef
+	queues  map[string]queueRef
+	poolVMs map[string]map[string]struct{}
+	// The largest availability budget that any document states for a pool.
+	budgets     map[string]uint32
 	keyByHash   map[[sha256.Size]byte]string
 	openJobs    sortedIDs
 	runningJobs map[string]uint32
@@ -48,6 +53,8 @@
 	driven map[string]map[string]struct{}
 	// Raised by each change of a job.
 	jobChanges uint64
+	// Raised by each change of documents, sessions, units or counts of jobs.
+	unitChanges uint64
 }
 
 type keptID struct {
@@ -81,18 +88,22 @@
 	m.jobs = make(map[string]*statepb.Job)
 	m.operations = make(map[string]*statepb.Operation)
 	m.queues = make(map[string]queueRef)
+	m.poolVMs = make(map[string]map[string]struct{})
+	m.budgets = make(map[string]uint32)
 	m.keyByHash = make(map[[sha256.Size]byte]string)
 	m.openJobs = nil
 	m.runningJobs = make(map[string]uint32)
 	m.queuedJobs = make(map[string]uint32)
 	m.driven = make(map[string]map[string]struct{})
 	m.jobChanges++
+	m.unitChanges++
 }
 
 // Apply applies one marshalled command and returns its *statepb.Outcome.
 func (m *Machine) Apply(index uint64, data []byte) any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer m.signal()
 	m.index = index
 	command := new(statepb.Command)
 	if err := proto.Unmarshal(data, command); err != nil {
@@ -179,6 +190,8 @@
 		return m.reclaimSession(body.ReclaimSession)
 	case *statepb.Command_CloseSession:
 		return m.closeSession(body.CloseSession)
+	case *statepb.Command_ReclaimReservations:
+		return m.reclaimReservations(body.ReclaimReservations)
 	case *statepb.Command_SetReservations:
 		return m.setReservations(body.SetReservations)
 	case *statepb.Command_SetKeptReservations:
--- a/internal/state/sessions.go
+++ b/internal/state/sessions.go
@@ -24,6 +24,7 @@
 		OpenedUnixMs: m.nowMS, Revision: m.index, OpenedIndex: m.index, MemberName: session.MemberName,
 	}
 	m.sessions[session.Id] = stored
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
@@ -41,6 +42,7 @@
 	next.ExpiredUnixMs = m.nowMS
 	next.Revision = m.index
 	m.sessions[session.Id] = next
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
@@ -79,6 +81,7 @@
 // forgetSession drops a session; claims that it left open have an unknown outcome.
 func (m *Machine) forgetSession(session *statepb.Session) {
 	delete(m.sessions, session.Id)
+	m.unitChanges++
 	for id, claim := range m.claims {
 		if claim.Session == session.Id && claim.State == statepb.ClaimState_CLAIM_STATE_RUNNING {
 			next := proto.CloneOf(claim)
@@ -139,6 +142,7 @@
 // rises above the upper limit; coming down is always allowed. Changes based on
 // superseded units are skipped.
 func (m *Machine) setReservations(c *statepb.SetReservations) *statepb.Outcome {
+	longest := m.longestDeadlines()
 	session := m.liveSession(c.Session)
 	if session == nil {
 		return m.notFound("live session", c.Session)
@@ -160,14 +164,15 @@
 					r.Team, sum, doc.UpperLimitUnits)
 			}
 		}
-		setReservation(next, r.Team, r.Units, m.index)
+		setReservation(next, r.Team, r.Units, m.index, max(longest[r.Team], held.GetLongestDeadlineMs()))
 	}
 	next.Revision = m.index
 	m.sessions[session.Id] = next
+	m.unitChanges++
 	return m.ok(m.index)
 }
 
-func setReservation(session *statepb.Session, team string, units uint32, index uint64) {
+func setReservation(session *statepb.Session, team string, units uint32, index uint64, longestMS uint32) {
 	kept := session.Reservations[:0]
 	for _, other := range session.Reservations {
 		if other.Team != team {
@@ -175,7 +180,9 @@
 		}
 	}
 	if units > 0 {
-		kept = append(kept, &statepb.Reservation{Team: team, Units: units, Revision: index})
+		kept = append(kept, &statepb.Reservation{
+			Team: team, Units: units, Revision: index, LongestDeadlineMs: longestMS,
+		})
 	}
 	session.Reservations = kept
 }
@@ -216,6 +223,7 @@
 
 func (m *Machine) putKept(k *statepb.KeptReservation) {
 	id := keptID{k.MemberName, k.Team}
+	m.unitChanges++
 	if k.Units == 0 {
 		delete(m.kept, id)
 		return
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -2,6 +2,24 @@
 // announcements, whether they may be given work, and how to reach them.
 package target
 
+import (
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"sapphirering/internal/state"
+)
+
+const (
+	// ProgressInterval is how often a target sends an informational response
+	// (102) while it works on a request.
+	ProgressInterval = 1 * time.Second
+	// ProgressTimeout is how long a connection to a target may move no byte
+	// before it counts as silent.
+	ProgressTimeout = 3 * time.Second
+)
+
 // Headers between daemons and targets.
 const (
 	HeaderRequestID = "Sapphirering-Request-Id"
@@ -45,6 +63,29 @@
 	UsedMemoryMB   uint32 `json:"used_memory_mb"`
 }
 
+// Token is the value of HeaderAnnouncement for work that relies on a.
+func (a Announcement) Token() string { return fmt.Sprintf("%s/%d", a.Incarnation, a.Sequence) }
+
+const maxAnnouncedSlots = 1 << 16
+
+// validate names the first field that is wrong.
+func (a Announcement) validate() error {
+	if !state.ValidName(a.VM) {
+		return fmt.Errorf("announcement: vm: %q is not a name", a.VM)
+	}
+	if a.Incarnation == "" || strings.Contains(a.Incarnation, "/") {
+		return fmt.Errorf("announcement of %s: incarnation: %q is empty or has a slash", a.VM, a.Incarnation)
+	}
+	if a.Slots > maxAnnouncedSlots {
+		return fmt.Errorf("announcement of %s: slots: %d is above %d", a.VM, a.Slots, maxAnnouncedSlots)
+	}
+	address, err := url.Parse(a.Address)
+	if err != nil || address.Scheme != "http" || address.Host == "" || address.Path != "" {
+		return fmt.Errorf("announcement of %s: address: %q is not http://host:port", a.VM, a.Address)
+	}
+	return nil
+}
+
 // AnnouncementAnswer tells a target what the daemon knows of it.
 type AnnouncementAnswer struct {
 	Pool  string `json:"pool"`
