--- a/internal/policy/capacity/capacity.go
+++ b/internal/policy/capacity/capacity.go
@@ -13,10 +13,12 @@
 const (
 	// lendAt is the share of a pool's units in use above which it borrows a VM.
 	lendAt = 0.85
+	// lastingAt is the share that the slow average must be above as well.
+	lastingAt = 0.75
 	// returnAt is the share below which it gives a VM back, counted without
-	// that VM. It borrows only while the slow average is above this share, and
-	// gives back only while it is below, so that no VM goes back and forth.
-	returnAt = 0.75
+	// that VM. The gap to lastingAt is wider than the ripple that bursts leave
+	// on the slow average, so that no VM goes back and forth.
+	returnAt = 0.65
 	// lenderAt is the share that a lender may be at after it has lent a VM.
 	lenderAt = 0.70
 	// dwell is the shortest stay of a moved VM, unless a budget is at stake.
@@ -98,7 +100,7 @@
 	if p.Budget > have {
 		return p.Budget - have, fmt.Sprintf("%d VMs are available, the budget keeps %d", p.available, p.Budget)
 	}
-	want := min(vmsFor(p.demand.fast, p.UnitsPerVM, lendAt), vmsFor(p.demand.slow, p.UnitsPerVM, returnAt))
+	want := min(vmsFor(p.demand.fast, p.UnitsPerVM, lendAt), vmsFor(p.demand.slow, p.UnitsPerVM, lastingAt))
 	if p.demand.settled && want > have {
 		return want - have, fmt.Sprintf("%.0f units asked for over the last %s, %d VMs have %d",
 			p.demand.fast, fastWindow, have, have*p.UnitsPerVM)
