--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -273,6 +273,7 @@
 	f.waitActive(first, size)
 	leader := f.leader(first)
 	ask := f.otherThan(leader)
+	is.True(strings.Contains(f.mustTool(ask, "wave", "check", "kernel", "-pools", "renderers", "-deadline", "1s"), "cannot finish"))
 	stop := f.load(ask)
 	watch := watchBudget(ask, "renderers")
 	f.platform.LoseAnswers(2)
@@ -352,6 +353,7 @@
 	is.NoErr(err)
 	is.Equal(vms["r1"].Pool, "plates")
 	is.Equal(vms["r2"].Pool, "renderers")
+	is.True(strings.Contains(f.mustTool(ask, "explain", "vm", "r1"), "pool plates"))
 }
 
 // TestTwoOperatorsMoveOneVM: of two moves based on the same revision one wins
