--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -35,9 +35,8 @@
 }
 
 // drainVMs carries drains on until nothing can run on their VMs any more.
-func (m *Manager) drainVMs(ctx context.Context) error {
+func (m *Manager) drainVMs(ctx context.Context, v *view) error {
 	errs := []error{m.abortForBudgets(ctx)}
-	v := m.observe()
 	for _, vm := range m.cfg.Machine.VMs() {
 		switch vm.Phase {
 		case statepb.VMPhase_VM_PHASE_DRAINING:
@@ -196,14 +195,13 @@
 // unplanned losses have taken under their budget, the youngest drains first.
 func (m *Manager) abortForBudgets(ctx context.Context) error {
 	var errs []error
-	for _, pool := range m.cfg.Machine.Pools() {
-		least, available := m.cfg.Machine.Budget(pool.Name)
-		if available >= least {
+	for pool, budget := range m.cfg.Machine.Budgets() {
+		if budget.Available >= budget.Least {
 			continue
 		}
-		drains := m.drainsOf(pool.Name)
-		for _, vm := range drains[:min(len(drains), int(least-available))] {
-			reason := fmt.Sprintf("pool %s has %d available VMs, its budget is %d", pool.Name, available, least)
+		drains := m.drainsOf(pool)
+		for _, vm := range drains[:min(len(drains), int(budget.Least-budget.Available))] {
+			reason := fmt.Sprintf("pool %s has %d available VMs, its budget is %d", pool, budget.Available, budget.Least)
 			errs = append(errs, m.abortDrain(ctx, vm, reason, false))
 		}
 	}
