--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -85,11 +85,13 @@
 type Server struct {
 	cfg  Config
 	keys []operatorHash
+	// timeout bounds one request with its body and its answer.
+	timeout time.Duration
 }
 
 // NewServer returns a server.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, timeout: requestTimeout}
 	for _, key := range cfg.Keys {
 		s.keys = append(s.keys, operatorHash{name: key.Name, hash: sha256.Sum256([]byte(key.Secret))})
 	}
@@ -109,6 +111,7 @@
 // Handler returns the operators' HTTP interface.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
+	r.Use(s.bound)
 	r.NotFoundHandler = unrouted{r}
 	r.MethodNotAllowedHandler = unrouted{r}
 	r.HandleFunc("/healthz", serveAlive).Methods(http.MethodGet, http.MethodHead)
@@ -190,6 +193,19 @@
 	w.Write([]byte("ready\n"))
 }
 
+// bound ends connections of clients that send or read too slowly. Twice the
+// request's time leaves an answer that came at the last moment its own.
+func (s *Server) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		now := time.Now()
+		// Errors mean a writer without a connection, which needs no bound.
+		_ = control.SetReadDeadline(now.Add(s.timeout))
+		_ = control.SetWriteDeadline(now.Add(2 * s.timeout))
+		next.ServeHTTP(w, r)
+	})
+}
+
 type actorKey struct{}
 
 // actorOf returns the name of the operator key that a request came with.
@@ -208,7 +224,7 @@
 			write(w, http.StatusUnauthorized, Result{Code: codeInvalid, Message: "the operator key is not known"})
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.WithValue(r.Context(), actorKey{}, name), requestTimeout)
+		ctx, cancel := context.WithTimeout(context.WithValue(r.Context(), actorKey{}, name), s.timeout)
 		defer cancel()
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -239,6 +241,26 @@
 	f.is.True(!strings.Contains(all, fmt.Sprintf("%x", hash)))
 }
 
+// TestSlowBodyIsCutOff sends half a body and waits.
+func TestSlowBodyIsCutOff(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(Config{
+		Machine: state.New(), Cluster: &fakeCluster{}, Keys: []config.OperatorKey{{Name: "hanako", Secret: testSecret}},
+	})
+	server.timeout = 100 * time.Millisecond
+	listener := httptest.NewServer(server.Handler())
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "PUT /v1/documents/kita HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", testSecret)
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	answer, err := io.ReadAll(conn)
+	is.NoErr(err) // the server answered and closed
+	is.True(strings.Contains(string(answer), "400 Bad Request"))
+}
+
 func TestMetricsDescribeTheState(t *testing.T) {
 	f := newFixture(t)
 	f.do("PUT", "/v1/documents/kita", state.NewID(), fmt.Sprintf(kita, 0, 8))
