--- /dev/null
+++ b/test/process/operate_tls_test.go
@@ -0,0 +1,134 @@
+package process
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/operator"
+)
+
+// foreignTries is how often a foreign daemon is looked for in the member list.
+const foreignTries = 20
+
+// authority signs certificates of daemons.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	file        string
+}
+
+func newAuthority(t *testing.T, folder, name string) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &authority{certificate: certificate, key: key, file: filepath.Join(folder, name+".pem")}
+	writePEM(t, a.file, "CERTIFICATE", der)
+	return a
+}
+
+func writePEM(t *testing.T, path, kind string, der []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// settingsFor issues a certificate and returns the daemon's settings for TLS.
+func (a *authority) settingsFor(t *testing.T, folder, name string) string {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificateFile, keyFile := filepath.Join(folder, name+".crt"), filepath.Join(folder, name+".key")
+	writePEM(t, certificateFile, "CERTIFICATE", der)
+	writePEM(t, keyFile, "EC PRIVATE KEY", keyDER)
+	return fmt.Sprintf("tls: {certificate: %q, key: %q, authority: %q}\n", certificateFile, keyFile, a.file)
+}
+
+// startWithTLS starts a daemon whose settings end with the TLS lines.
+func (c *cluster) startWithTLS(n *node, lines string, bootstrap bool) {
+	c.t.Helper()
+	c.writeSettings(n, true)
+	file, err := os.OpenFile(n.settings, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer file.Close()
+	if _, err := file.WriteString(lines); err != nil {
+		c.t.Fatal(err)
+	}
+	n.start(bootstrap)
+}
+
+// TestOperateTLS runs daemons over mutual TLS. A daemon with a certificate of
+// another authority, and one without TLS, never become members.
+func TestOperateTLS(t *testing.T) {
+	is := is.New(t)
+	c := &cluster{t: t, folder: t.TempDir(), secrets: make(map[string]string)}
+	c.keyFile = filepath.Join(c.folder, "operator.key")
+	is.NoErr(os.WriteFile(c.keyFile, []byte(operatorKey), 0o600))
+	own, foreign := newAuthority(t, c.folder, "own"), newAuthority(t, c.folder, "foreign")
+	for _, name := range []string{"first", "second", "foreign", "plain"} {
+		c.nodes = append(c.nodes, &node{
+			t: t, name: name, zone: "a",
+			callers: freePort(t), targets: freePort(t), operator: freePort(t), peers: freePort(t),
+		})
+	}
+	t.Cleanup(c.stop)
+	c.startWithTLS(c.nodes[0], own.settingsFor(t, c.folder, "first"), true)
+	c.nodes[0].waitReady()
+	c.startWithTLS(c.nodes[1], own.settingsFor(t, c.folder, "second"), false)
+	c.startWithTLS(c.nodes[2], foreign.settingsFor(t, c.folder, "foreign"), false)
+	c.startWithTLS(c.nodes[3], "", false)
+	c.waitVoters(c.nodes[0], 2)
+	for range foreignTries {
+		var status operator.StatusView
+		is.NoErr(c.toolJSON(c.nodes[0], &status, "status"))
+		for _, m := range status.Members {
+			is.True(m.Name == "first" || m.Name == "second") // only daemons of the own authority
+		}
+		time.Sleep(callPause)
+	}
+}
