--- a/internal/control/moves.go
+++ b/internal/control/moves.go
@@ -94,10 +94,10 @@
 			MovingTo:  vm.MoveToPool, LentFrom: vm.LentFrom, Since: time.UnixMilli(vm.PhaseSinceUnixMs),
 		})
 	}
+	budgets := machine.Budgets()
 	for _, pool := range machine.Pools() {
-		least, _ := machine.Budget(pool.Name)
 		s.Pools = append(s.Pools, capacity.Pool{
-			Name: pool.Name, Spare: pool.Spare, Budget: int(least), Epoch: pool.Epoch,
+			Name: pool.Name, Spare: pool.Spare, Budget: int(budgets[pool.Name].Least), Epoch: pool.Epoch,
 			UnitsPerVM: slots[pool.Name] / max(1, count[pool.Name]),
 			Extra:      extras[pool.Name].Extra, ExtraReason: extras[pool.Name].ExtraReason,
 		})
