--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -112,6 +112,23 @@
 	if _, _, err := f.registry.Announce(a); err != nil {
 		f.t.Fatal(err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go f.keepAnnouncing(ctx, a)
+}
+
+func (f *fixture) keepAnnouncing(ctx context.Context, a target.Announcement) {
+	ticker := time.NewTicker(target.AnnounceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.Sequence++
+			f.registry.Announce(a)
+		}
+	}
 }
 
 // reply is what a caller got.
--- a/test/standin/target.go
+++ b/test/standin/target.go
@@ -157,20 +157,23 @@
 	json.NewEncoder(w).Encode(t.Record())
 }
 
+// announceLoop announces to each entry VM on its own: a frozen one must not
+// hold up the announcements to the others.
 func (t *Target) announceLoop(ctx context.Context) {
 	client := &http.Client{Timeout: target.AnnounceInterval * 2}
-	for ctx.Err() == nil {
-		announcement := t.nextAnnouncement()
-		var calls sync.WaitGroup
-		for _, entry := range t.cfg.Entries {
-			calls.Go(func() { t.announce(ctx, client, entry, announcement) })
-		}
-		calls.Wait()
-		select {
-		case <-ctx.Done():
-		case <-time.After(target.AnnounceInterval):
-		}
+	var loops sync.WaitGroup
+	for _, entry := range t.cfg.Entries {
+		loops.Go(func() {
+			for ctx.Err() == nil {
+				t.announce(ctx, client, entry, t.nextAnnouncement())
+				select {
+				case <-ctx.Done():
+				case <-time.After(target.AnnounceInterval):
+				}
+			}
+		})
 	}
+	loops.Wait()
 }
 
 func (t *Target) nextAnnouncement() target.Announcement {
