--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -119,10 +119,7 @@
 		{"keep parts for a cut", m.keepParts, false},
 		{"place jobs", m.placeJobs, true},
 		{"prune", m.prune, false},
-		{"watch VMs", m.watchVMs, false},
-		{"drain VMs", m.drainVMs, false},
-		{"run waves", m.runWaves, false},
-		{"move VMs", m.moveVMs, false},
+		{"run the fleet", m.runFleet, false},
 	}
 }
 
