A request of which one try may have run is never told not run

The outcome followed the last try alone. Now the first try that may have run decides, also over refusals of the queue.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,6 +35,9 @@
 	// fresh asks for a new connection after a kept one went silent.
 	fresh bool
 	tries int
+	// mayHaveRun is the failure of the first try that may have run. From then
+	// on no refusal may call the request not run, whatever later tries prove.
+	mayHaveRun error
 }
 
 // run waits for a place and tries targets of this zone and other zones until
@@ -42,11 +46,10 @@
 func (s *Server) run(ctx context.Context, req *request) (*target.Answer, *Refusal) {
 	r := &run{server: s, req: req, avoid: make(map[string]bool)}
 	defer r.release()
-	var last error
 	for {
 		p, refusal := s.lines.wait(ctx, req, r.unit, r.avoid)
 		if refusal != nil {
-			return nil, r.refusalAfter(last, refusal)
+			return nil, r.refusal(refusal)
 		}
 		r.unit = p.unit
 		answer, err := r.try(ctx, p)
@@ -54,22 +57,22 @@
 			s.budget.earn(req.team)
 			return answer, nil
 		}
-		last = err
 		if !errors.Is(err, target.ErrNotRun) {
 			r.keepUnit(ctx)
+			r.mayHaveRun = cmp.Or(r.mayHaveRun, err)
 		}
 		if ctx.Err() != nil || !r.mayRetry(err) {
-			return nil, lost(err)
+			return nil, r.refusal(lost(err))
 		}
 	}
 }
 
-// refusalAfter returns the refusal of the queue, unless an earlier try may have run.
-func (r *run) refusalAfter(last error, refusal *Refusal) *Refusal {
-	if last != nil && r.tries > 0 && !errors.Is(last, target.ErrNotRun) {
-		return lost(last)
+// refusal returns what the caller is told, over all tries.
+func (r *run) refusal(last *Refusal) *Refusal {
+	if r.mayHaveRun != nil && last.Outcome == OutcomeNotRun {
+		return lost(r.mayHaveRun)
 	}
-	return refusal
+	return last
 }
 
 // release gives the unit back.
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
@@ -211,3 +212,21 @@
 	defer slow.Body.Close()
 	is.Equal(f.call(state.NewID(), true, 2000).outcome, OutcomeAnswered)
 }
+
+// TestNotRunCoversEveryTry loses the answer of a first try, after which no
+// further one runs: the request as a whole may have run. Neither a refusal of
+// the queue nor one of a later try may call it not run.
+func TestNotRunCoversEveryTry(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 50)
+	var runs atomic.Int32
+	f.addTarget("broken", 1, counted(&runs, breakAfterRun))
+	for range 3 {
+		before := runs.Load()
+		got := f.call(state.NewID(), true, 300)
+		is.True(runs.Load() == before || got.outcome == OutcomeUnknown)
+	}
+	r := &run{mayHaveRun: errors.New("first try was lost")}
+	is.Equal(r.refusal(lost(errZoneRefused)).Outcome, OutcomeUnknown)
+	is.Equal((&run{}).refusal(lost(errZoneRefused)).Outcome, OutcomeNotRun)
+}
