A holder asked to come down starts nothing in place of what ends

Found by a process test: urgent requests at one entry VM while another one used the whole limit were refused after 10 s ("no unit of the team's upper limit or no slot"). The flooded holder was asked to come down from 6 to 5, but gave back only units that were not in use, and started new work in each that ended, so it never had one. The wanted units are now a ceiling for starts for 2 s after each ask, and each unit that ends above them goes back at once.

Before: TestWorkCancelAndUrgent "urgent request: status 503". TestWantedBelowRunning fails without the ceiling.

A stale ceiling was proposed again as a pending release after a later grant; only one whose base still stands is (TestResentReleaseAfterGrant, "0 != 5").

It follows up only after a committed release and leaves pending ones to the next ask.

--- a/internal/session/ledger.go
+++ b/internal/session/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -11,7 +12,11 @@
 	"sapphirering/internal/wire/wirepb"
 )
 
-const releaseTimeout = 2 * time.Second
+const (
+	releaseTimeout = 2 * time.Second
+	// wantedLifetime is how long wanted units hold unless the leader repeats them.
+	wantedLifetime = 2 * time.Second
+)
 
 // Ledger counts the units that this daemon runs against what it holds.
 //
@@ -39,6 +44,10 @@
 	// Requests waiting for a unit.
 	waiting       uint32
 	urgentWaiting uint32
+	// wanted is what the leader wants this session to come down to. Until then
+	// nothing starts in place of what ends.
+	wanted      uint32
+	wantedUntil time.Time
 	// cap is set while a release of the session's units may still be applied.
 	cap *releaseCap
 	// keptCap is the same for the kept part.
@@ -79,7 +88,7 @@
 // that session is reclaimed.
 func (u *teamUnits) enter(session string) {
 	if u.session != session {
-		u.session, u.running, u.cap = session, 0, nil
+		u.session, u.running, u.cap, u.wantedUntil = session, 0, nil, time.Time{}
 	}
 }
 
@@ -91,7 +100,7 @@
 	defer l.mu.Unlock()
 	units := l.team(team)
 	units.enter(session)
-	if live && units.running < l.limit(units, session, team) {
+	if live && units.running < min(l.limit(units, session, team), l.ceiling(units)) {
 		units.running++
 		return &Unit{ledger: l, team: team, session: session}
 	}
@@ -102,6 +111,14 @@
 	return nil
 }
 
+// ceiling is what the leader wants the session to run at most.
+func (l *Ledger) ceiling(units *teamUnits) uint32 {
+	if l.cfg.Now().Before(units.wantedUntil) {
+		return units.wanted
+	}
+	return math.MaxUint32
+}
+
 // limit is what the session may run of the team now.
 func (l *Ledger) limit(units *teamUnits, session, team string) uint32 {
 	held := l.cfg.Machine.Reservation(session, team)
@@ -145,8 +162,12 @@
 			units.kept--
 			return
 		}
-		if units.session == u.session {
-			units.running--
+		if units.session != u.session {
+			return
+		}
+		units.running--
+		if units.running >= l.ceiling(units) {
+			l.startReleases(u.session, []*statepb.Reservation{{Team: u.team, Units: units.wanted}})
 		}
 	})
 }
@@ -203,11 +224,26 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// Each list is whole: a team that it leaves out may run what it holds.
+	for _, units := range l.teams {
+		units.wantedUntil = time.Time{}
+	}
+	for _, w := range wanted {
+		units := l.team(w.Team)
+		units.enter(session)
+		units.wanted, units.wantedUntil = w.Units, l.cfg.Now().Add(wantedLifetime)
+	}
+	l.startReleases(session, l.withPendingReleases(session, wanted))
+}
+
+// startReleases proposes what may be given back now, unless a proposal is on
+// its way; what is left out is taken up when a unit ends or the leader asks again.
+func (l *Ledger) startReleases(session string, wanted []*statepb.Reservation) {
 	if l.releasing {
 		return
 	}
 	var releases []*statepb.Reservation
-	for _, w := range l.withPendingReleases(session, wanted) {
+	for _, w := range wanted {
 		if release := l.beginRelease(session, w); release != nil {
 			releases = append(releases, release)
 		}
@@ -245,7 +281,10 @@
 		named[w.Team] = true
 	}
 	for team, units := range l.teams {
-		if units.cap != nil && units.session == session && !named[team] {
+		if units.cap == nil || units.session != session || named[team] {
+			continue
+		}
+		if units.cap.base == l.cfg.Machine.Reservation(session, team).GetRevision() {
 			all = append(all, &statepb.Reservation{Team: team, Units: units.cap.ceiling})
 		}
 	}
@@ -266,6 +305,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.releasing = false
+	if err == nil {
+		// Units may have ended meanwhile.
+		l.startReleases(session, l.stillWanted(session))
+	}
+}
+
+// stillWanted lists the teams that run or hold more than the leader wants.
+func (l *Ledger) stillWanted(session string) []*statepb.Reservation {
+	var wanted []*statepb.Reservation
+	for team, units := range l.teams {
+		if units.session == session && units.cap == nil && l.cfg.Now().Before(units.wantedUntil) {
+			wanted = append(wanted, &statepb.Reservation{Team: team, Units: units.wanted})
+		}
+	}
+	return wanted
 }
 
 func (l *Ledger) propose(command *statepb.Command) error {
--- a/internal/session/ledger_test.go
+++ b/internal/session/ledger_test.go
@@ -36,6 +36,12 @@
 }
 
 func (l *fakeLeader) commit(command *statepb.Command) *statepb.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.apply(command)
+}
+
+func (l *fakeLeader) apply(command *statepb.Command) *statepb.Outcome {
 	data, err := proto.Marshal(command)
 	if err != nil {
 		panic(err)
@@ -52,7 +58,7 @@
 		l.held = append(l.held, command)
 		return nil, errors.New("outcome unknown")
 	}
-	return l.commit(command), nil
+	return l.apply(command), nil
 }
 
 func (l *fakeLeader) Renew(context.Context, *wirepb.RenewRequest) (*wirepb.RenewResponse, error) {
@@ -170,6 +176,7 @@
 	is.Equal(len(d.acquireAll(false)), 3) // the release may be applied at any time
 	d.leader.commit(release)
 	d.grant(8)
+	d.holder.Ledger().setWanted(nil)      // the next renewal wants nothing back
 	is.Equal(len(d.acquireAll(false)), 5) // the release is applied, the rest is a new grant
 	d.leader.commit(release)
 	is.Equal(d.leader.machine.HandedOut("team"), uint32(8)) // nothing that runs is given to others
@@ -312,3 +319,35 @@
 	is.True(d.holder.Ledger().Acquire("team", false) == nil)
 	is.True(d.holder.renew(context.Background()) == nil || !d.holder.Live()) // never live again
 }
+
+// TestWantedBelowRunning is asked to come down while every unit is in use: it
+// starts nothing in place of what ends, and gives each unit back as it ends.
+func TestWantedBelowRunning(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	running := d.acquireAll(false)
+	d.want(6)
+	running[0].Release()
+	is.True(d.holder.Ledger().Acquire("team", false) == nil)
+	d.waitHandedOut(7)
+	running[1].Release()
+	d.waitHandedOut(6)
+	running[2].Release()
+	is.Equal(len(d.acquireAll(false)), 1) // down to what was wanted
+	d.advance(wantedLifetime)
+	running[3].Release()
+	is.Equal(len(d.acquireAll(false)), 1) // the leader wants no more
+}
+
+func (d *daemon) waitHandedOut(units uint32) {
+	d.t.Helper()
+	for range 1000 {
+		if d.leader.machine.HandedOut("team") == units {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	d.t.Fatalf("%d units handed out, want %d", d.leader.machine.HandedOut("team"), units)
+}
--- a/test/process/work_test.go
+++ b/test/process/work_test.go
@@ -273,6 +273,10 @@
 	is := is.New(t)
 	c, targets := workCluster(t, []string{"a", "b", "c"})
 
+	moved := c.urgentWhileFlooded(c.nodes[0], c.nodes[1])
+	t.Logf("worst of 9 urgent starts while another entry VM uses the whole limit: %s", moved)
+	is.True(moved < urgentStartBound)
+
 	var wave []string
 	for range 100 {
 		wave = append(wave, c.submitJob(c.nodes[0], `{"work_ms":400}`))
@@ -291,6 +295,11 @@
 		}
 		return nil
 	})
+	got, err = c.call(context.Background(), c.nodes[2], http.MethodGet, "/v1/jobs?state=cancelled", "kita", nil, nil)
+	is.NoErr(err)
+	var list struct{ Jobs []struct{ ID string } }
+	is.NoErr(json.Unmarshal(got.body, &list))
+	is.True(len(list.Jobs) > 50) // the wave came before most of it ran
 
 	for range 12 {
 		c.submitJob(c.nodes[0], `{"work_ms":20000}`)
@@ -316,6 +325,32 @@
 	is.True(len(out) > 0)
 }
 
+// urgentWhileFlooded sends urgent requests to one entry VM, with pauses in which
+// its units go back, while another one uses the whole limit. It returns the
+// longest time to an answer.
+func (c *cluster) urgentWhileFlooded(flooded, other *node) time.Duration {
+	c.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var answered atomic.Int64
+	done := c.flood(ctx, flooded, 16, &answered)
+	defer func() {
+		cancel()
+		done.Wait()
+	}()
+	time.Sleep(time.Second)
+	worst := time.Duration(0)
+	for range 9 {
+		started := time.Now()
+		got, err := c.call(ctx, other, http.MethodPost, "/v1/queues/proofs/requests", "kita", nil, []byte(`{"work_ms":1}`))
+		if err != nil || got.status != http.StatusOK {
+			c.t.Fatalf("urgent request: status %d: %s: %v", got.status, got.body, err)
+		}
+		worst = max(worst, time.Since(started))
+		time.Sleep(400 * time.Millisecond)
+	}
+	return worst
+}
+
 func tasksRunning(targets []*standin.Target) int {
 	running := 0
 	for _, target := range targets {
