--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -107,6 +107,8 @@
 var explainers = map[string]func(m *Manager, id string) ([]string, bool){
 	"job":  (*Manager).explainJob,
 	"team": (*Manager).explainTeam,
+	"vm":   (*Manager).explainVM,
+	"wave": (*Manager).explainWave,
 }
 
 // Explain returns what is committed about an object and the leader's newest
@@ -148,6 +150,10 @@
 	for _, r := range holding.Reserved {
 		lines = append(lines, fmt.Sprintf("session %s holds %d", r.Session, r.Reservation.Units))
 	}
+	for _, r := range holding.Expired {
+		lines = append(lines, fmt.Sprintf("expired session %s holds %d until its requests are past %d ms",
+			r.Session, r.Reservation.Units, r.Reservation.LongestDeadlineMs))
+	}
 	for _, k := range holding.Kept {
 		lines = append(lines, fmt.Sprintf("VM %s keeps %d for a cut", k.MemberName, k.Units))
 	}
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"sort"
+	"strings"
 	"time"
 
 	"sapphirering/internal/event"
@@ -20,10 +23,26 @@
 )
 
 // runWaves plans the running waves, reboots drained VMs and takes them back.
-func (m *Manager) runWaves(ctx context.Context) error {
-	v := m.observe()
-	snapshot := m.maintenanceSnapshot(v)
-	plan := maintenance.Next(snapshot)
+func (m *Manager) runWaves(ctx context.Context, v *view) error {
+	errs := []error{m.planWaves(ctx, v)}
+	for _, vm := range m.cfg.Machine.VMs() {
+		switch vm.Phase {
+		case statepb.VMPhase_VM_PHASE_DRAINED:
+			errs = append(errs, m.startReboot(ctx, v, vm))
+		case statepb.VMPhase_VM_PHASE_REBOOTING:
+			errs = append(errs, m.followReboot(ctx, v, vm))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// planWaves plans the running waves and begins what they do next.
+func (m *Manager) planWaves(ctx context.Context, v *view) error {
+	m.fleet.needs = nil
+	if !m.wavesRun() {
+		return nil
+	}
+	plan := maintenance.Next(m.maintenanceSnapshot(v))
 	m.fleet.needs = plan.Needs
 	var errs []error
 	for _, end := range plan.Ends {
@@ -32,19 +51,63 @@
 	for _, start := range plan.Starts {
 		errs = append(errs, m.startMaintenance(ctx, start))
 	}
-	for _, wait := range plan.Waits {
-		m.fleet.reasons.note("vm", wait.VM, "waits in wave %s: %s", wait.Wave, wait.Reason)
-		m.fleet.reasons.note("wave", wait.Wave, "VM %s waits: %s", wait.VM, wait.Reason)
+	m.recordWaits(plan.Waits)
+	return errors.Join(errs...)
+}
+
+func (m *Manager) wavesRun() bool {
+	return slices.ContainsFunc(m.cfg.Machine.Waves(), func(wave *statepb.Wave) bool {
+		return wave.Phase == statepb.WavePhase_WAVE_PHASE_RUNNING
+	})
+}
+
+// recordWaits keeps why each VM waits, and one line for each wave.
+func (m *Manager) recordWaits(waits []maintenance.Wait) {
+	counts := make(map[string]map[string]int)
+	for _, wait := range waits {
+		m.reasons.Record("vm", wait.VM, "waits in wave %s: %s", wait.Wave, wait.Reason)
+		if counts[wait.Wave] == nil {
+			counts[wait.Wave] = make(map[string]int)
+		}
+		counts[wait.Wave][wait.Reason]++
 	}
-	for _, vm := range m.cfg.Machine.VMs() {
-		switch vm.Phase {
-		case statepb.VMPhase_VM_PHASE_DRAINED:
-			errs = append(errs, m.startReboot(ctx, v, vm))
-		case statepb.VMPhase_VM_PHASE_REBOOTING:
-			errs = append(errs, m.followReboot(ctx, v, vm))
+	for wave, reasons := range counts {
+		var parts []string
+		for reason, n := range reasons {
+			parts = append(parts, fmt.Sprintf("%d VMs wait: %s", n, reason))
 		}
+		sort.Strings(parts)
+		m.reasons.Record("wave", wave, "%s", strings.Join(parts, "; "))
 	}
-	return errors.Join(errs...)
+}
+
+// explainVM describes a VM from the committed state.
+func (m *Manager) explainVM(id string) ([]string, bool) {
+	vm := m.cfg.Machine.VM(id)
+	if vm == nil {
+		return nil, false
+	}
+	line := fmt.Sprintf("VM of pool %s in availability zone %s, rack %s: %s", vm.Pool, vm.Zone, vm.Rack, vm.Phase)
+	if vm.DrainOwner != "" {
+		line += fmt.Sprintf(", taken out by %s: %s", vm.DrainOwner, vm.DrainReason)
+	}
+	if vm.MoveToPool != "" {
+		line += ", moves to pool " + vm.MoveToPool
+	}
+	if vm.LentFrom != "" {
+		line += ", lent by pool " + vm.LentFrom
+	}
+	return []string{line}, true
+}
+
+// explainWave describes a wave from the committed state.
+func (m *Manager) explainWave(id string) ([]string, bool) {
+	wave := m.cfg.Machine.Wave(id)
+	if wave == nil {
+		return nil, false
+	}
+	return []string{fmt.Sprintf("wave over %d VMs: %s %s, %d done, %d failed",
+		len(wave.Vms), wave.Phase, wave.Reason, len(wave.DoneVms), len(wave.FailedVms))}, true
 }
 
 // maintenanceSnapshot is what the policy plans from.
@@ -71,9 +134,8 @@
 	s := maintenance.Snapshot{
 		Now: now, Budgets: make(map[string]int), Blind: make(map[string]string), Held: make(map[string]string),
 	}
-	for _, pool := range machine.Pools() {
-		least, _ := machine.Budget(pool.Name)
-		s.Budgets[pool.Name] = int(least)
+	for pool, budget := range machine.Budgets() {
+		s.Budgets[pool] = int(budget.Least)
 	}
 	for _, vm := range machine.VMs() {
 		s.VMs = append(s.VMs, maintenance.VM{
@@ -125,7 +187,7 @@
 	}
 	if refusal == "" {
 		event.WaveEnded.Emit(event.F("wave", end.Wave), event.F("phase", phase.String()), event.F("reason", end.Reason))
-		m.fleet.reasons.note("wave", end.Wave, "ended: %s", end.Reason)
+		m.reasons.Record("wave", end.Wave, "ended: %s", end.Reason)
 	}
 	return nil
 }
@@ -139,7 +201,7 @@
 		Vm: vm.Name, BaseRevision: vm.Revision, Owner: state.WaveOwner(start.Wave), Reason: start.Reason,
 	})
 	if ok {
-		m.fleet.reasons.note("wave", start.Wave, "drains VM %s: %s", start.VM, start.Reason)
+		m.reasons.Record("wave", start.Wave, "drains VM %s: %s", start.VM, start.Reason)
 	}
 	return err
 }
@@ -152,7 +214,7 @@
 		return nil
 	}
 	if reason := v.blindReason(vm.Zone); reason != "" {
-		m.fleet.reasons.note("vm", vm.Name, "reboot waits: availability zone %s cannot be seen whole: %s", vm.Zone, reason)
+		m.reasons.Record("vm", vm.Name, "reboot waits: availability zone %s cannot be seen whole: %s", vm.Zone, reason)
 		return nil
 	}
 	ok, err := m.advanceVM(ctx, &statepb.AdvanceVM{
@@ -175,7 +237,7 @@
 		return m.failReboot(ctx, vm, "the platform reports: "+operation.reason)
 	case operation.done && m.isBack(v, vm):
 		return m.finishReboot(ctx, vm)
-	case away > rebootTimeout:
+	case away > rebootTimeout && v.blindReason(vm.Zone) == "":
 		return m.failReboot(ctx, vm, fmt.Sprintf("did not return within %s", rebootTimeout))
 	}
 	return nil
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -21,6 +21,8 @@
 	mailboxSize = 1024
 	// Largest number of inputs taken before one sync.
 	maxBatch = 256
+	// probePause is the time between two looks at the answers to a probe.
+	probePause = 5 * time.Millisecond
 )
 
 // StateMachine takes committed commands in log order.
@@ -55,11 +57,14 @@
 	TickInterval time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
 	SnapshotEntries uint64
+	// SnapshotTail is the number of entries kept before a snapshot, so that a
+	// slow member needs no snapshot each time.
+	SnapshotTail uint64
 	// OnLeaderChange is called from the node's goroutine; it must not block.
 	OnLeaderChange func(leader string, term uint64)
 	// OnMembership is called when a member list is applied.
 	OnMembership func(m *wirepb.Membership)
-	// OnFatal is called when storage fails; the node has stopped.
+	// OnFatal is called when storage fails or the log proves unsafe; the node has stopped.
 	OnFatal func(err error)
 }
 
@@ -73,7 +78,9 @@
 	IsLeader    bool
 	LeaderReady bool
 	Membership  *wirepb.Membership
-	Members     []*wirepb.MemberStatus
+	// MembershipCommitted is false while the newest member list may still be undone.
+	MembershipCommitted bool
+	Members             []*wirepb.MemberStatus
 }
 
 type proposal struct {
@@ -148,9 +155,19 @@
 		return nil, err
 	}
 	n.core = core
+	n.replay()
 	return n, nil
 }
 
+// replay applies what was known to be committed when the last process ended.
+func (n *Node) replay() {
+	for n.core.log.applied < n.core.Commit() {
+		r := n.core.Ready()
+		n.applyAll(r.Committed)
+		n.core.Advance(r)
+	}
+}
+
 // Run drives the core until Stop; it returns the storage error that ended it, if any.
 func (n *Node) Run() {
 	defer close(n.stopped)
@@ -160,7 +177,7 @@
 	for {
 		select {
 		case <-n.done:
-			n.failAll(ErrStopped)
+			n.failAll(ErrOutcomeUnknown)
 			return
 		case <-ticker.C:
 			n.core.Tick()
@@ -173,7 +190,7 @@
 		}
 		n.drain()
 		if err := n.process(); err != nil {
-			n.failAll(ErrStopped)
+			n.failAll(ErrOutcomeUnknown)
 			n.cfg.OnFatal(err)
 			return
 		}
@@ -220,6 +237,9 @@
 		p.reply <- proposalResult{err: err}
 		return
 	}
+	if replaced, ok := n.waiters[index]; ok {
+		replaced.reply <- proposalResult{err: ErrOutcomeUnknown}
+	}
 	n.waiters[index] = waiter{term: n.core.Term(), reply: p.reply}
 }
 
@@ -237,6 +257,7 @@
 func (n *Node) process() error {
 	for n.core.HasReady() {
 		r := n.core.Ready()
+		n.cfg.Sender.Send(r.Early)
 		if err := n.persist(r); err != nil {
 			return err
 		}
@@ -253,20 +274,23 @@
 			return err
 		}
 	}
+	if err := n.core.Fault(); err != nil {
+		return err
+	}
+	n.noteChanges()
 	n.finishConfirmations()
 	return n.maybeSnapshot()
 }
 
 // persist syncs hard state, entries and a received snapshot in one
 // transaction. Nothing is sent before it returns: a crash between sending a
-// vote or an append answer and syncing it would let this member forget it.
+// vote or an append answer and syncing it would let this member forget it. A
+// commit index that moved is synced before its entries are applied: a member
+// that restarts without a leader would otherwise show an older state than before.
 func (n *Node) persist(r Ready) error {
 	if n.cfg.Storage == nil || r.HardState == nil && len(r.Entries) == 0 && r.Snapshot == nil {
 		return nil
 	}
-	if r.HardState != nil && len(r.Entries) == 0 && r.Snapshot == nil && !n.mustSync(r.HardState) {
-		return nil
-	}
 	err := n.cfg.Storage.Save(store.Batch{
 		HardState: r.HardState, Entries: r.Entries, Snapshot: r.Snapshot, Reset: r.Snapshot != nil,
 	})
@@ -276,11 +300,6 @@
 	return nil
 }
 
-// mustSync is false when only the commit index moved: it is found again from the leader.
-func (n *Node) mustSync(hs *wirepb.HardState) bool {
-	return hs.Term != n.core.savedState.Term || hs.Vote != n.core.savedState.Vote
-}
-
 func (n *Node) restore(snapshot *wirepb.ReplicaSnapshot) error {
 	if err := n.cfg.Machine.Restore(snapshot.State); err != nil {
 		return fmt.Errorf("restore snapshot %d: %w", snapshot.Meta.Index, err)
@@ -327,6 +346,10 @@
 		delete(n.waiters, index)
 		w.reply <- proposalResult{err: err}
 	}
+	n.failConfirmations(err)
+}
+
+func (n *Node) failConfirmations(err error) {
 	for _, c := range n.confirmations {
 		c.reply <- err
 	}
@@ -356,7 +379,7 @@
 		return
 	}
 	if !n.core.IsLeader() {
-		n.failAll(ErrNotLeader)
+		n.failConfirmations(ErrNotLeader)
 		return
 	}
 	confirmed := n.core.ConfirmedRound()
@@ -396,7 +419,7 @@
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	meta := n.core.Compact(applied)
+	meta := n.core.Compact(applied, n.cfg.SnapshotTail)
 	if meta == nil {
 		return nil
 	}
@@ -404,7 +427,9 @@
 	if n.cfg.Storage == nil {
 		return nil
 	}
-	err = n.cfg.Storage.Save(store.Batch{Snapshot: &wirepb.ReplicaSnapshot{Meta: meta, State: state}})
+	err = n.cfg.Storage.Save(store.Batch{
+		Snapshot: &wirepb.ReplicaSnapshot{Meta: meta, State: state}, KeepFrom: n.core.log.base,
+	})
 	if err != nil {
 		return fmt.Errorf("save snapshot %d: %w", meta.Index, err)
 	}
@@ -505,7 +530,7 @@
 			reply <- ErrNotLeader
 			return
 		}
-		n.confirmations = append(n.confirmations, confirmation{n.core.Heartbeat(), reply})
+		n.confirmations = append(n.confirmations, confirmation{n.core.NextRound(), reply})
 	})
 	if err != nil {
 		return err
@@ -520,6 +545,35 @@
 	}
 }
 
+// Probe returns the members that answer this leader now. It waits until all
+// have answered, at most for the given time.
+func (n *Node) Probe(ctx context.Context, wait time.Duration) ([]string, error) {
+	var round uint64
+	if err := n.do(ctx, func() { round = n.core.Heartbeat() }); err != nil {
+		return nil, fmt.Errorf("probe members: %w", err)
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		var answered []string
+		members, leads := 0, false
+		err := n.do(ctx, func() {
+			leads = n.core.IsLeader()
+			members = len(n.core.Membership().GetMembers())
+			answered = n.core.Answered(round)
+		})
+		if err != nil {
+			return nil, fmt.Errorf("probe members: %w", err)
+		}
+		if !leads || round == 0 {
+			return nil, ErrNotLeader
+		}
+		if len(answered) >= members || time.Now().After(deadline) {
+			return answered, nil
+		}
+		time.Sleep(probePause)
+	}
+}
+
 // TransferLeadership asks another voter to take over.
 func (n *Node) TransferLeadership(ctx context.Context) (bool, error) {
 	started := false
@@ -534,7 +588,7 @@
 		s = Status{
 			ID: n.cfg.Core.ID, Leader: n.core.Leader(), Term: n.core.Term(), Commit: n.core.Commit(),
 			Applied: n.core.log.applied, IsLeader: n.core.IsLeader(), LeaderReady: n.core.LeaderReady(),
-			Membership: n.core.Membership(),
+			Membership: n.core.Membership(), MembershipCommitted: n.core.membershipCommitted(),
 		}
 		for _, member := range s.Membership.GetMembers() {
 			match, active := n.core.Match(member.Id)
--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -10,6 +10,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -27,7 +28,9 @@
 	announce       time.Duration
 	settle, window time.Duration
 	sizes          []size
-	check          bool
+	// procs is GOMAXPROCS of the daemons; 0 leaves it to the machine.
+	procs int
+	check bool
 }
 
 // fullSizes raise one factor at a time, so that each has its own slope. The
@@ -39,17 +42,23 @@
 func main() {
 	log.SetHandler(discard.New())
 	var o options
-	short := flag.Bool("short", false, "measure small sizes in about 20 s")
+	short := flag.Bool("short", false, "measure small sizes in about 30 s")
+	sizes := flag.String("sizes", "", "`workers/teams/pools`, separated by commas, instead of the usual sizes")
 	flag.IntVar(&o.daemons, "daemons", 7, "number of entry VMs")
 	flag.IntVar(&o.zones, "zones", 7, "number of availability zones")
 	flag.DurationVar(&o.announce, "announce", 0, "time between announcements of a worker; 0 for the protocol's own")
+	flag.IntVar(&o.procs, "procs", 0, "cores that each daemon uses (GOMAXPROCS), as on a small VM; 0 for all of this machine")
 	flag.BoolVar(&o.check, "check", false, "exit with 1 when a budget is missed at the last size")
 	flag.Parse()
 	o.settle, o.window, o.sizes = 3*time.Second, 10*time.Second, fullSizes
 	if *short {
 		o.settle, o.window, o.sizes = time.Second, 3*time.Second, shortSizes
 	}
-	missed, err := run(o)
+	err := parseSizes(*sizes, &o.sizes)
+	missed := 0
+	if err == nil {
+		missed, err = run(o)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
@@ -59,6 +68,27 @@
 	}
 }
 
+// parseSizes replaces the sizes by those given. Sizes must not fall.
+func parseSizes(text string, into *[]size) error {
+	if text == "" {
+		return nil
+	}
+	*into = nil
+	last := size{}
+	for _, part := range strings.Split(text, ",") {
+		var s size
+		if _, err := fmt.Sscanf(part, "%d/%d/%d", &s.targets, &s.teams, &s.pools); err != nil {
+			return fmt.Errorf("-sizes: %q is not workers/teams/pools: %w", part, err)
+		}
+		if s.targets < max(1, last.targets) || s.teams < max(1, last.teams) || s.pools < max(1, last.pools) {
+			return fmt.Errorf("-sizes: %q falls below the size before it", part)
+		}
+		*into = append(*into, s)
+		last = s
+	}
+	return nil
+}
+
 // run measures every size on one growing cluster and prints the report.
 func run(o options) (missed int, err error) {
 	folder, err := os.MkdirTemp("", "sapphirering-capacity")
@@ -66,7 +96,7 @@
 		return 0, err
 	}
 	defer os.RemoveAll(folder)
-	c, err := startCluster(folder, o.daemons, o.zones)
+	c, err := startCluster(folder, o.daemons, o.zones, o.procs)
 	if err != nil {
 		return 0, err
 	}
