A document can be deleted while sessions hold idle units of its team

Idle units always are handed out to live sessions, so deletion was refused for ever. It is refused now while jobs of the team run or are queued. Units that sessions hold stay counted: a new document of the team starts below them, and the leader asks them and the kept parts back. TestDeletedDocument fails with the former rule, and without the asking back.

--- a/internal/control/kept.go
+++ b/internal/control/kept.go
@@ -63,6 +63,11 @@
 			raise = append(raise, m.keepTeam(doc, holding, part, names)...)
 		}
 	}
+	for _, k := range m.cfg.Machine.KeptReservations() {
+		if m.cfg.Machine.Document(k.Team) == nil {
+			m.kept.lower[k.MemberName] = append(m.kept.lower[k.MemberName], &statepb.Reservation{Team: k.Team})
+		}
+	}
 	raise = append(raise, m.returnGone(names)...)
 	if len(raise) == 0 {
 		return nil
--- a/internal/control/reservations.go
+++ b/internal/control/reservations.go
@@ -56,6 +56,7 @@
 			m.splitTeam(doc, holding, split)
 		}
 	}
+	m.takeBackDeleted(split)
 	m.sessions.setWanted(wanted{units: split.wanted, kept: m.kept.wantedByReport(reports)})
 	m.asked.ask(ctx, reports, split.wanted)
 	for _, r := range reports {
@@ -154,6 +155,17 @@
 	}
 }
 
+// takeBackDeleted asks for the units of teams whose document was deleted.
+func (m *Manager) takeBackDeleted(s *split) {
+	for _, r := range s.reports {
+		for _, held := range m.cfg.Machine.Session(r.session).GetReservations() {
+			if m.cfg.Machine.Document(held.Team) == nil {
+				s.wanted[r.session] = append(s.wanted[r.session], &statepb.Reservation{Team: held.Team})
+			}
+		}
+	}
+}
+
 // jobUnits is what the team's running and queued jobs get of its units.
 func (m *Manager) jobUnits(holding *state.Holding, team string, units uint32, s *split) uint32 {
 	jobs := holding.RunningJobs + holding.QueuedJobs
--- a/internal/control/reservations_test.go
+++ b/internal/control/reservations_test.go
@@ -192,6 +192,33 @@
 	is.Equal(b.machine.Kept("n-s1", "open"), uint32(0))
 }
 
+// TestDeletedDocument deletes a document while sessions hold idle units: they
+// are asked back, and a new document of the team starts below them.
+func TestDeletedDocument(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.pool("p")
+	b.document("team", 8, false)
+	b.open("s1")
+	b.renew("s1")
+	b.step(b.manager.splitReservations)
+	units := b.machine.HandedOut("team")
+	is.True(units > 0)
+	b.must(&statepb.Command{Body: &statepb.Command_DeleteDocument{DeleteDocument: &statepb.DeleteDocument{
+		Team: "team", BaseRevision: b.machine.Document("team").Revision,
+	}}})
+	b.step(b.manager.splitReservations)
+	wanted := b.renew("s1").GetRenew().Wanted
+	is.Equal(len(wanted), 1)
+	is.Equal(wanted[0].Units, uint32(0))
+	b.document("team", 8, false)
+	outcome := b.apply(&statepb.Command{Body: &statepb.Command_SetReservations{SetReservations: &statepb.SetReservations{
+		Session: "s1", Reservations: []*statepb.Reservation{{Team: "team", Units: 9}},
+	}}})
+	is.Equal(outcome.Code, statepb.Code_CODE_REFUSED)
+	is.Equal(b.machine.HandedOut("team"), units)
+}
+
 // TestKeptBatchRespectsLimit raises several kept parts of one team in one command.
 func TestKeptBatchRespectsLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/documents.go
+++ b/internal/state/documents.go
@@ -93,8 +93,10 @@
 	if doc.Revision != c.BaseRevision {
 		return m.conflict("document", c.Team, c.BaseRevision, doc.Revision)
 	}
-	if units := m.handedOut(c.Team); units > 0 {
-		return m.refused("document %q: %d units are still handed out", c.Team, units)
+	// Units that sessions hold don't stand against it: idle ones always are handed
+	// out. They stay counted, so that a new document of the team starts below them.
+	if jobs := m.runningJobs[c.Team] + m.queuedJobs[c.Team]; jobs > 0 {
+		return m.refused("document %q: %d jobs are running or queued", c.Team, jobs)
 	}
 	for _, key := range m.keys {
 		if key.Team == c.Team {
