--- a/internal/replica/progress.go
+++ b/internal/replica/progress.go
@@ -62,6 +62,7 @@
 		return 0
 	}
 	c.round++
+	c.hbElapsed = 0
 	for _, id := range c.peerIDs() {
 		p := c.peers[id]
 		c.send(&wirepb.ReplicaMessage{
@@ -72,6 +73,27 @@
 	return c.round
 }
 
+// Answered returns the members that answered a heartbeat round, with this one.
+func (c *Core) Answered(round uint64) []string {
+	answered := []string{c.cfg.ID}
+	for _, id := range c.peerIDs() {
+		if c.peers[id].round >= round {
+			answered = append(answered, id)
+		}
+	}
+	return answered
+}
+
+// NextRound returns a round that begins after the call. It begins at once,
+// unless one began within the last ticks: renewals of many sessions then share
+// the next regular round instead of a round for each.
+func (c *Core) NextRound() uint64 {
+	if c.hbElapsed+1 >= c.cfg.HeartbeatTicks {
+		return c.Heartbeat()
+	}
+	return c.round + 1
+}
+
 // ConfirmedRound returns the newest heartbeat round that a quorum of voters answered.
 func (c *Core) ConfirmedRound() uint64 {
 	if c.role != leader {
@@ -127,6 +149,10 @@
 	if p == nil {
 		return
 	}
+	if !m.Reject && m.Index > c.log.lastIndex() {
+		// No entry of this term was sent there: the answer is not about this log.
+		return
+	}
 	if p.inflight > 0 {
 		p.inflight--
 	}
