--- a/test/replay/maintenance_test.go
+++ b/test/replay/maintenance_test.go
@@ -1,8 +1,10 @@
 package replay
 
 import (
+	"errors"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -31,12 +33,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			got, err := RunFleet(trace, false)
-			if err != nil {
-				t.Fatal(err)
-			}
-			naive, err := RunFleet(trace, true)
-			if err != nil {
+			var runs sync.WaitGroup
+			var got, naive FleetResult
+			var gotErr, naiveErr error
+			runs.Go(func() { got, gotErr = RunFleet(trace, false) })
+			runs.Go(func() { naive, naiveErr = RunFleet(trace, true) })
+			runs.Wait()
+			if err := errors.Join(gotErr, naiveErr); err != nil {
 				t.Fatal(err)
 			}
 			t.Logf("%s\n%s\n%s", FleetHeader, FleetRow("policies", got), FleetRow("baseline", naive))
