--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -33,6 +34,13 @@
 	calls     *platformCalls
 }
 
+// runFleet runs the loops about VMs. They share one round of the manager, not
+// every step: their timeouts are seconds.
+func (m *Manager) runFleet(ctx context.Context) error {
+	v := m.observe()
+	return errors.Join(m.watchVMs(ctx, v), m.drainVMs(ctx, v), m.runWaves(ctx, v), m.moveVMs(ctx))
+}
+
 // hold keeps a VM in service until a time.
 type hold struct {
 	until  time.Time
