--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -122,6 +122,26 @@
 	is.True(err != nil)
 }
 
+// TestRunbookSettingsAreValid reads the settings that the runbook prints in full.
+func TestRunbookSettingsAreValid(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/RUNBOOK.md")
+	is.NoErr(err)
+	_, rest, ok := strings.Cut(string(page), "\n       name: entry-a1\n")
+	is.True(ok) // the runbook holds the settings
+	text := "name: entry-a1\n"
+	for _, line := range strings.Split(rest, "\n") {
+		indented, ok := strings.CutPrefix(line, "       ")
+		if !ok {
+			break
+		}
+		text += indented + "\n"
+	}
+	s, err := ParseSettings([]byte(text))
+	is.NoErr(err)
+	is.Equal(s.Listen.Peers, "10.0.1.1:8004")
+}
+
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(goodSettings))
 	f.Add([]byte("listen: {callers: 1, <<: [a]}\nseeds: [[]]\n"))
