Operators over TLS: operator_tls in the settings, -ca-file in the tool

Cause: the operator key crossed the network in clear. Ruled out: client certificates for operators, which need a revocation list to withdraw one. Shown by TestOperateTLS: the tool refuses a certificate of another authority.

--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -47,8 +50,12 @@
 }
 
 // newClient returns a client and the function that ends its context.
-func newClient(addresses, keyFile string, timeout time.Duration) (*client, context.CancelFunc, error) {
-	c := &client{http: &http.Client{Timeout: tryTimeout}}
+func newClient(addresses, keyFile, caFile string, timeout time.Duration) (*client, context.CancelFunc, error) {
+	transport, err := newTransport(caFile)
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &client{http: &http.Client{Timeout: tryTimeout, Transport: transport}}
 	for _, address := range strings.Split(addresses, ",") {
 		if address = strings.TrimSuffix(strings.TrimSpace(address), "/"); address != "" {
 			c.addresses = append(c.addresses, address)
@@ -70,6 +77,24 @@
 	return c, cancel, nil
 }
 
+// newTransport trusts the authorities in caFile, or the system's when it is empty.
+func newTransport(caFile string) (*http.Transport, error) {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if caFile == "" {
+		return transport, nil
+	}
+	data, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, fmt.Errorf("-ca-file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("-ca-file: %s holds no certificate", caFile)
+	}
+	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	return transport, nil
+}
+
 // do sends a request to each entry VM in turn until one answers it, and
 // decodes the answer into out. It returns errUnavailable when none did.
 func (c *client) do(method, path, opID string, body, out any) error {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -39,6 +39,7 @@
 	defaultTimeout = 20 * time.Second
 	addressEnv     = "SAPPHIRERING_ADDRESS"
 	keyFileEnv     = "SAPPHIRERING_KEY_FILE"
+	caFileEnv      = "SAPPHIRERING_CA_FILE"
 )
 
 // errUsage marks errors of the command line.
@@ -122,8 +123,8 @@
 		fmt.Fprintf(out, "  %-8s %s\n  %-8s   %s\n", sub.name, sub.args, "", sub.help)
 	}
 	fmt.Fprintln(out)
-	fmt.Fprintln(out, "flags: -address URL[,URL…], -key-file FILE, -o table|json, -wait, -timeout DURATION, -operation-id ID")
-	fmt.Fprintf(out, "%s and %s give the defaults of -address and -key-file.\n", addressEnv, keyFileEnv)
+	fmt.Fprintln(out, "flags: -address URL[,URL…], -key-file FILE, -ca-file FILE, -o table|json, -wait, -timeout DURATION, -operation-id ID")
+	fmt.Fprintf(out, "%s, %s and %s give the defaults of -address, -key-file and -ca-file.\n", addressEnv, keyFileEnv, caFileEnv)
 	fmt.Fprintln(out, "'sapphirering help COMMAND' prints the flags and examples of a command.")
 	fmt.Fprintln(out)
 	fmt.Fprintln(out, exitCodeHelp)
@@ -131,10 +132,10 @@
 
 // options are the flags that every subcommand takes.
 type options struct {
-	address, keyFile, output, opID string
-	wait                           bool
-	timeout                        time.Duration
-	fleet                          fleetFlags
+	address, keyFile, caFile, output, opID string
+	wait                                   bool
+	timeout                                time.Duration
+	fleet                                  fleetFlags
 }
 
 func newFlags(sub subcommand, out io.Writer) (*flag.FlagSet, *options) {
@@ -154,6 +155,7 @@
 	o := new(options)
 	flags.StringVar(&o.address, "address", os.Getenv(addressEnv), "base `URLs` of entry VMs' operators' listeners, tried in turn")
 	flags.StringVar(&o.keyFile, "key-file", os.Getenv(keyFileEnv), "`file` of mode 0600 with the operator key")
+	flags.StringVar(&o.caFile, "ca-file", os.Getenv(caFileEnv), "`file` with the authority of the entry VMs' certificates, for https addresses")
 	flags.StringVar(&o.output, "o", "table", "output `format`: table or json")
 	flags.BoolVar(&o.wait, "wait", false, "wait until the change is in force everywhere")
 	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "longest time for the whole command")
@@ -179,7 +181,7 @@
 		return ExitUsage
 	}
 	if !sub.local {
-		client, cancel, err := newClient(o.address, o.keyFile, o.timeout)
+		client, cancel, err := newClient(o.address, o.keyFile, o.caFile, o.timeout)
 		if err != nil {
 			fmt.Fprintf(errOut, "sapphirering %s: %v\n", sub.name, err)
 			return ExitUsage
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -63,6 +63,12 @@
 	Authority   string `yaml:"authority"`
 }
 
+// ServerTLS names the files of a listener that shows a certificate.
+type ServerTLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+}
+
 // Settings configure one daemon.
 type Settings struct {
 	// Name of the entry VM, unique in the cluster.
@@ -82,7 +88,9 @@
 	PeerAddresses map[string]string `yaml:"peer_addresses"`
 	// OperatorKeyFile holds the first operator key; mode 0600.
 	OperatorKeyFile string `yaml:"operator_key_file"`
-	TLS             *TLS   `yaml:"tls"`
+	// OperatorTLS serves operators over TLS, so that their keys cross no link in clear.
+	OperatorTLS *ServerTLS `yaml:"operator_tls"`
+	TLS         *TLS       `yaml:"tls"`
 	// Tick is the unit of election and heartbeat timeouts.
 	Tick Duration `yaml:"tick"`
 	// SessionLease is how long a daemon may serve keyed work after its last renewal was sent.
@@ -185,6 +193,7 @@
 	s.validateListeners(src)
 	s.validatePeers(src)
 	s.validateTLS(src)
+	s.validateOperatorTLS(src)
 	requireRange(src, "tick", s.Tick, minTick, maxTick)
 	requireRange(src, "session_lease", s.SessionLease, minSessionLease, maxSessionLease)
 	requireRange(src, "shutdown_delay", s.ShutdownDelay, minShutdownDelay, maxShutdownDelay)
@@ -247,6 +256,18 @@
 	}
 }
 
+func (s *Settings) validateOperatorTLS(src *source) {
+	if s.OperatorTLS == nil {
+		return
+	}
+	if s.OperatorTLS.Certificate == "" {
+		src.addField("operator_tls.certificate", "is required")
+	}
+	if s.OperatorTLS.Key == "" {
+		src.addField("operator_tls.key", "is required")
+	}
+}
+
 func requireName(src *source, field, value string) {
 	switch {
 	case value == "":
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -79,6 +79,7 @@
 		{"wildcard peers", "peers: 127.0.0.1:8004", "peers: 0.0.0.0:8004\ntls: {certificate: c, key: k, authority: a}", 0,
 			"advertise_peers", "is required when"},
 		{"no TLS key", "region: north", "tls: {certificate: c, authority: a}", 3, "tls.key", "is required"},
+		{"no operators' key", "region: north", "operator_tls: {certificate: c}", 3, "operator_tls.key", "is required"},
 		{"bad platform", "region: north", "platform_url: ftp://x", 3, "platform_url", "not an http"},
 		{"alias", "region: north", "region: &x north", 3, "region", "aliases"},
 		{"merge key", "region: north", "<<: {region: north}", 3, "", "plain names"},
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -214,29 +214,37 @@
 	api := operator.NewServer(operator.Config{
 		Machine: d.machine, Cluster: d, Keys: options.OperatorKeys, Ready: d.entry.Ready,
 	})
+	operatorTLS, err := loadServerTLS("operator_tls", d.settings.OperatorTLS)
+	if err != nil {
+		return err
+	}
 	targets := http.NewServeMux()
 	targets.Handle("POST /v1/announcements", &announcer{registry: d.registry, leader: d.leader})
 	for _, service := range []struct {
 		field, address string
 		handler        http.Handler
+		tls            *tls.Config
 	}{
-		{"listen.callers", d.settings.Listen.Callers, d.entry.Handler()},
-		{"listen.targets", d.settings.Listen.Targets, targets},
-		{"listen.operators", d.settings.Listen.Operators, api.Handler()},
+		{"listen.callers", d.settings.Listen.Callers, d.entry.Handler(), nil},
+		{"listen.targets", d.settings.Listen.Targets, targets, nil},
+		{"listen.operators", d.settings.Listen.Operators, api.Handler(), operatorTLS},
 	} {
-		if err := d.serveHTTP(service.field, service.address, service.handler); err != nil {
+		if err := d.serveHTTP(service.field, service.address, service.handler, service.tls); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *Daemon) serveHTTP(field, address string, handler http.Handler) error {
+func (d *Daemon) serveHTTP(field, address string, handler http.Handler, secured *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("%s: %w", field, err)
 	}
 	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
+	if secured != nil {
+		listener = tls.NewListener(listener, secured)
+	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
--- a/internal/server/tls.go
+++ b/internal/server/tls.go
@@ -9,6 +9,18 @@
 	"sapphirering/internal/config"
 )
 
+// loadServerTLS reads the files of a listener; the result is nil without settings.
+func loadServerTLS(field string, s *config.ServerTLS) (*tls.Config, error) {
+	if s == nil {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.Certificate, s.Key)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", field, err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}, nil
+}
+
 // loadTLS reads the files for mutual TLS; both results are nil without settings.
 func loadTLS(s *config.TLS) (client, server *tls.Config, err error) {
 	if s == nil {
--- a/test/process/operate_tls_test.go
+++ b/test/process/operate_tls_test.go
@@ -6,11 +6,13 @@
 	"crypto/rand"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/json"
 	"encoding/pem"
 	"fmt"
 	"math/big"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -84,7 +86,8 @@
 	certificateFile, keyFile := filepath.Join(folder, name+".crt"), filepath.Join(folder, name+".key")
 	writePEM(t, certificateFile, "CERTIFICATE", der)
 	writePEM(t, keyFile, "EC PRIVATE KEY", keyDER)
-	return fmt.Sprintf("tls: {certificate: %q, key: %q, authority: %q}\n", certificateFile, keyFile, a.file)
+	return fmt.Sprintf("tls: {certificate: %q, key: %q, authority: %q}\noperator_tls: {certificate: %q, key: %q}\n",
+		certificateFile, keyFile, a.file, certificateFile, keyFile)
 }
 
 // startWithTLS starts a daemon whose settings end with the TLS lines.
@@ -122,10 +125,28 @@
 	c.startWithTLS(c.nodes[1], own.settingsFor(t, c.folder, "second"), false)
 	c.startWithTLS(c.nodes[2], foreign.settingsFor(t, c.folder, "foreign"), false)
 	c.startWithTLS(c.nodes[3], "", false)
-	c.waitVoters(c.nodes[0], 2)
+	var status operator.StatusView
+	ask := func(caFile string) error {
+		cmd := exec.Command(toolBinary, "status", "-o", "json", "-timeout", "2s", "-ca-file", caFile,
+			"-address", "https://"+c.nodes[0].operator, "-key-file", c.keyFile)
+		out, err := cmd.Output()
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(out, &status)
+	}
+	is.True(ask(foreign.file) != nil) // the tool refuses a certificate of another authority
+	eventually(t, startTimeout, "two voters", func() error {
+		if err := ask(own.file); err != nil {
+			return err
+		}
+		if len(status.Members) != 2 || !status.Members[0].Voter || !status.Members[1].Voter {
+			return fmt.Errorf("members %v", status.Members)
+		}
+		return nil
+	})
 	for range foreignTries {
-		var status operator.StatusView
-		is.NoErr(c.toolJSON(c.nodes[0], &status, "status"))
+		is.NoErr(ask(own.file))
 		for _, m := range status.Members {
 			is.True(m.Name == "first" || m.Name == "second") // only daemons of the own authority
 		}
