--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -4,6 +4,9 @@
 var help = map[string]string{
 	"requests":               "Requests by team, class and outcome.",
 	"request_us":             "Time of requests from admission to the end of the answer, in microseconds.",
+	"answers_dropped":        "Answers of targets that were dropped as late, foreign or truncated.",
+	"link_sent_bytes":        "Bytes sent on links to other daemons.",
+	"link_received_bytes":    "Bytes received on links to other daemons.",
 	"applied_index":          "Index of the last log entry applied on this VM.",
 	"session_live":           "1 while this VM holds a session lease, 0 when it refuses keyed work.",
 	"session_renewed_age_ms": "Milliseconds since the last successful renewal of the session was sent.",
