--- a/test/bench/entry_test.go
+++ b/test/bench/entry_test.go
@@ -30,9 +30,9 @@
 
 	// maxAllocsPerRequest bounds the allocations of one request in this
 	// process: the caller, the daemon and the stand-in target together.
-	maxAllocsPerRequest = 450
+	maxAllocsPerRequest = 350
 	// maxLatencyRatio bounds the median through the entry path over a direct call.
-	maxLatencyRatio = 6.0
+	maxLatencyRatio = 5.0
 )
 
 // entryVM is one daemon with an open queue and one stand-in target.
