--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/wire/wirepb"
 )
 
@@ -133,6 +134,11 @@
 	}
 	lines := []string{fmt.Sprintf("job of team %s in queue %s, pool %s: %s %s",
 		job.Team, job.Queue, job.Pool, job.State, job.Reason)}
+	doc, holding := m.cfg.Machine.Document(job.Team), m.cfg.Machine.Holdings()[job.Team]
+	if job.State == statepb.JobState_JOB_STATE_QUEUED && holding != nil && holding.Units >= doc.GetUpperLimitUnits() {
+		lines = append(lines, fmt.Sprintf("waits: %d units of team %s are out, its upper limit is %d",
+			holding.Units, job.Team, doc.GetUpperLimitUnits()))
+	}
 	for _, a := range job.Attempts {
 		lines = append(lines, fmt.Sprintf("attempt %d on %s: %s %s", a.Number, a.Vm, a.Outcome, a.Reason))
 	}
--- a/internal/control/jobs_test.go
+++ b/internal/control/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -204,6 +205,23 @@
 	is.Equal(state.FailedAttempts(b.machine.Job(id)), uint32(3))
 }
 
+// TestExplainWaitsForLimit tells a queued job's caller that the limit is used up.
+func TestExplainWaitsForLimit(t *testing.T) {
+	is := is.New(t)
+	b := newJobBench(t, 1)
+	b.open("s1")
+	b.vm("w1", nil)
+	b.submit("team", nil)
+	second := b.submit("team", nil)
+	b.hear("s1", "w1")
+	b.step(b.manager.placeJobs)
+	explained, err := b.manager.Explain(&wirepb.ExplainRequest{Kind: "job", Id: second})
+	is.NoErr(err)
+	is.True(strings.Contains(strings.Join(explained.Lines, "\n"), "its upper limit is 1"))
+	_, err = b.manager.Explain(&wirepb.ExplainRequest{Kind: "planet", Id: second})
+	is.True(err != nil)
+}
+
 // TestCannotRunIsParked takes a job that no VM of the pool could run out of
 // the queue, with the reason.
 func TestCannotRunIsParked(t *testing.T) {
--- a/internal/control/reservations.go
+++ b/internal/control/reservations.go
@@ -149,8 +149,12 @@
 		switch {
 		case h.Shrink:
 			s.wanted[session] = append(s.wanted[session], r)
+			m.reasons.Record("team", team, "session %s is to come down from %d to %d units: others need them, or they lie idle",
+				session, held[i].GetUnits(), h.Target)
 		case h.Grant:
 			s.grants[session] = append(s.grants[session], r)
+			m.reasons.Record("team", team, "session %s is granted %d units after %d for its demand",
+				session, h.Target, held[i].GetUnits())
 		}
 	}
 }
