--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -79,6 +79,7 @@
 		{"wildcard peers", "peers: 127.0.0.1:8004", "peers: 0.0.0.0:8004\ntls: {certificate: c, key: k, authority: a}", 0,
 			"advertise_peers", "is required when"},
 		{"no TLS key", "region: north", "tls: {certificate: c, authority: a}", 3, "tls.key", "is required"},
+		{"no operators' key", "region: north", "operator_tls: {certificate: c}", 3, "operator_tls.key", "is required"},
 		{"bad platform", "region: north", "platform_url: ftp://x", 3, "platform_url", "not an http"},
 		{"alias", "region: north", "region: &x north", 3, "region", "aliases"},
 		{"merge key", "region: north", "<<: {region: north}", 3, "", "plain names"},
@@ -122,6 +123,26 @@
 	is.True(err != nil)
 }
 
+// TestRunbookSettingsAreValid reads the settings that the runbook prints in full.
+func TestRunbookSettingsAreValid(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/RUNBOOK.md")
+	is.NoErr(err)
+	_, rest, ok := strings.Cut(string(page), "\n       name: entry-a1\n")
+	is.True(ok) // the runbook holds the settings
+	text := "name: entry-a1\n"
+	for _, line := range strings.Split(rest, "\n") {
+		indented, ok := strings.CutPrefix(line, "       ")
+		if !ok {
+			break
+		}
+		text += indented + "\n"
+	}
+	s, err := ParseSettings([]byte(text))
+	is.NoErr(err)
+	is.Equal(s.Listen.Peers, "10.0.1.1:8004")
+}
+
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(goodSettings))
 	f.Add([]byte("listen: {callers: 1, <<: [a]}\nseeds: [[]]\n"))
