--- a/test/replay/share_test.go
+++ b/test/replay/share_test.go
@@ -14,7 +14,10 @@
 			t.Fatalf("no traces match %s: %v", pattern, err)
 		}
 		for _, path := range paths {
-			t.Run(filepath.Base(path), func(t *testing.T) { replayShare(t, path) })
+			t.Run(filepath.Base(path), func(t *testing.T) {
+				t.Parallel()
+				replayShare(t, path)
+			})
 		}
 	}
 }
