--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -42,7 +42,7 @@
 func main() {
 	log.SetHandler(discard.New())
 	var o options
-	short := flag.Bool("short", false, "measure small sizes in about 30 s")
+	short := flag.Bool("short", false, "measure small sizes in under a minute")
 	sizes := flag.String("sizes", "", "`workers/teams/pools`, separated by commas, instead of the usual sizes")
 	flag.IntVar(&o.daemons, "daemons", 7, "number of entry VMs")
 	flag.IntVar(&o.zones, "zones", 7, "number of availability zones")
