--- a/test/process/failover_test.go
+++ b/test/process/failover_test.go
@@ -66,6 +66,7 @@
 // TestLeaderKilled kills the leader; the others go on, and a change that was
 // accepted before is still in force when the killed daemon returns.
 func TestLeaderKilled(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	c.mustTool(c.nodes[0], "pool", "create", "renderers")
@@ -100,6 +101,7 @@
 // TestWithdrawnKeyWhileCut withdraws a key while one availability zone is cut
 // off: the cut zone must stop taking its work, and converge after healing.
 func TestWithdrawnKeyWhileCut(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, true)
 	c.mustTool(c.nodes[0], "pool", "create", "renderers")
@@ -136,6 +138,7 @@
 // TestFrozenEntry freezes an entry VM while a key is withdrawn: when it goes
 // on, it must not admit work under what it held before.
 func TestFrozenEntry(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	c.mustTool(c.nodes[0], "pool", "create", "renderers")
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -256,6 +256,7 @@
 // concerned, no VM is rebooted twice, and the wave finishes or stops with its
 // reason.
 func TestWaveUnderFaults(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startFleet(t, []string{"a", "b", "c"})
 	first := f.nodes[0]
@@ -316,6 +317,7 @@
 // TestMoveLostAnswer moves a VM with an answer that is lost and resent, the
 // leader killed in mid-move: the VM ends in exactly one pool, for every daemon.
 func TestMoveLostAnswer(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startFleet(t, []string{"a", "b", "c"})
 	first := f.nodes[0]
@@ -359,6 +361,7 @@
 // TestTwoOperatorsMoveOneVM: of two moves based on the same revision one wins
 // and the other is told what is in force.
 func TestTwoOperatorsMoveOneVM(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startFleet(t, []string{"a", "b", "c"})
 	first := f.nodes[0]
--- a/test/process/operate_race_test.go
+++ b/test/process/operate_race_test.go
@@ -56,6 +56,7 @@
 // TestOperateRacingOperators lets two operators change one document with equal
 // revisions 100 times; the leader is killed in between. Exactly one wins each time.
 func TestOperateRacingOperators(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	c.waitVoters(c.nodes[0], 3)
--- a/test/process/operate_tls_test.go
+++ b/test/process/operate_tls_test.go
@@ -108,6 +108,7 @@
 // TestOperateTLS runs daemons over mutual TLS. A daemon with a certificate of
 // another authority, and one without TLS, never become members.
 func TestOperateTLS(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := &cluster{t: t, folder: t.TempDir(), secrets: make(map[string]string)}
 	c.keyFile = filepath.Join(c.folder, "operator.key")
--- a/test/process/operate_wait_test.go
+++ b/test/process/operate_wait_test.go
@@ -17,6 +17,7 @@
 // The tool says for whom it waits, is done within the bound, and the frozen VM
 // admits nothing under the key when it wakes up.
 func TestOperateWaitNamesTheFrozenVM(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	c.waitVoters(c.nodes[0], 3)
--- a/test/process/recover_test.go
+++ b/test/process/recover_test.go
@@ -13,6 +13,7 @@
 // recovered, keeps every change, and takes new ones; a former voter that
 // returns with its old disk is refused.
 func TestLostQuorumRecovered(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	c.waitVoters(c.nodes[0], 3)
--- a/test/process/replica_failures_test.go
+++ b/test/process/replica_failures_test.go
@@ -60,6 +60,7 @@
 // entry VMs while leaders are killed and restarted: no acknowledged change is
 // missing, and no revisionObserver sees a revision fall.
 func TestReplicaChangesWhileLeadersAreKilled(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startFive(t, false)
 	done := make(chan struct{})
@@ -142,6 +143,7 @@
 // that does not vote, is put in the old one's place, and right after that two
 // further voters are killed. Nothing acknowledged is lost.
 func TestReplicaWipedDisk(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startFive(t, false)
 	var pools []string
@@ -207,6 +209,7 @@
 // TestReplicaTwoVotersKilled kills two of five voters, the leader among them,
 // freezes a third while the others return, and lets it come back stale.
 func TestReplicaTwoVotersKilled(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startFive(t, false)
 	c.commitPool(c.nodes, "first")
@@ -265,6 +268,7 @@
 // TestReplicaSilentLinks lets every open link between daemons go silent for
 // good while new ones work.
 func TestReplicaSilentLinks(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, []string{"a", "b", "c"}, true)
 	c.waitVoters(c.nodes[0], 3)
 	silence := c.silence()
@@ -290,6 +294,7 @@
 // TestReplicaRestartWithoutDisk restarts a daemon that keeps nothing: its first
 // answer already shows every change that was acknowledged before.
 func TestReplicaRestartWithoutDisk(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "a", "b", "b", "c", "c"}, false)
 	c.waitVoters(c.nodes[0], len(fiveVoters))
@@ -312,6 +317,7 @@
 // removals that would lose the quorum are both refused, and a removal sent twice
 // happens once. The removed member is refused and disturbs nobody.
 func TestReplicaOperatorsRaceForMembers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	c.waitVoters(c.nodes[0], 3)
--- a/test/process/replica_tls_test.go
+++ b/test/process/replica_tls_test.go
@@ -15,6 +15,7 @@
 // TestReplicaTLS forms a cluster over mutual TLS; a daemon whose certificate
 // another authority signed cannot join.
 func TestReplicaTLS(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	ours, theirs := linktest.NewAuthority(t), linktest.NewAuthority(t)
 	c := &cluster{t: t, folder: t.TempDir(), secrets: make(map[string]string)}
--- a/test/process/request_failures_test.go
+++ b/test/process/request_failures_test.go
@@ -69,6 +69,7 @@
 
 // TestRequestShutdownCutsNothing terminates every daemon in turn under load.
 func TestRequestShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, targets := startServing(t, false)
 	load := newLoad(c, "proofs", "kita")
@@ -97,6 +98,7 @@
 // TestRequestOnceThroughKills resends requests that may run once through all
 // entry VMs while an entry VM and a target are killed.
 func TestRequestOnceThroughKills(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, targets := startServing(t, false)
 	load := newLoad(c, "proofs", "kita")
@@ -119,6 +121,7 @@
 // TestRequestLeavingTarget makes a target leave under load while one entry VM
 // of its zone is frozen: after seconds no new work arrives.
 func TestRequestLeavingTarget(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "a", "b"}, false)
 	c.mustTool(c.nodes[0], "pool", "create", "renderers")
@@ -157,6 +160,7 @@
 // requests that may be repeated: they are answered by others, and what is
 // refused as not run did not run.
 func TestRequestTargetFailures(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, targets := startServing(t, false)
 	load := newLoad(c, "proofs", "kita")
@@ -170,16 +174,38 @@
 	stop()
 	load.audit(t, targets, requestLimit)
 	is.Equal(totals(load.told).broken, 0)
-	got, err := c.call(context.Background(), c.nodes[0], http.MethodPost, "/v1/queues/proofs/requests", "kita",
-		map[string]string{"Sapphirering-Deadline-Ms": "300"}, []byte(`{"work_ms":3000}`))
-	is.NoErr(err)
-	is.True(got.outcome != entry.OutcomeAnswered) // cannot be answered by its deadline
-	is.True(got.outcome != entry.OutcomeNotRun)   // and it did run
+	eventually(t, inForceBound, "a request runs past its deadline and is told unknown", func() error {
+		got, err := c.call(context.Background(), c.nodes[0], http.MethodPost, "/v1/queues/proofs/requests", "kita",
+			map[string]string{"Sapphirering-Deadline-Ms": "300"}, []byte(`{"work_ms":3000}`))
+		is.NoErr(err)
+		is.True(got.outcome != entry.OutcomeAnswered) // cannot be answered by its deadline
+		if ran := runsOf(targets, got.id); got.outcome == entry.OutcomeNotRun {
+			is.Equal(ran, 0) // what is told not run did not run
+			return fmt.Errorf("refused: %s", got.body)
+		} else if ran == 0 {
+			return fmt.Errorf("outcome %s without a run", got.outcome)
+		}
+		return nil
+	})
+}
+
+// runsOf counts the runs of a request at all targets.
+func runsOf(targets []*standin.Target, id string) int {
+	runs := 0
+	for _, target := range targets {
+		for _, run := range target.Record().Runs {
+			if run.RequestID == id {
+				runs++
+			}
+		}
+	}
+	return runs
 }
 
 // TestRequestKeyedWorkInCutZone cuts one zone off: keyed work is refused as
 // not run there, and the zone serves again after healing.
 func TestRequestKeyedWorkInCutZone(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, targets := startServing(t, true)
 	cut := c.nodes[2]
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -68,6 +68,7 @@
 // kill -9 of the leader and of a second voter, a wiped disk, and a cut
 // availability zone.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, []string{"a", "b", "c", "a", "b", "c", "a", "b"}, true)
 	c.waitVoters(c.nodes[0], 5)
 	for i := range soakTeams {
--- a/test/process/thin_test.go
+++ b/test/process/thin_test.go
@@ -28,6 +28,7 @@
 // TestWholePath serves one request and one job through three daemons in three
 // availability zones; the target is in one of them only.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a", "b", "c"}, false)
 	first := c.nodes[0]
--- a/test/process/work_test.go
+++ b/test/process/work_test.go
@@ -107,6 +107,7 @@
 // an entry VM is killed and restarted and the leader is killed: the targets
 // never see more at once than the upper limit.
 func TestWorkUpperLimit(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, targets := workCluster(t, []string{"a", "a", "b", "b", "c"})
 	c.waitVoters(c.nodes[0], 5)
@@ -152,6 +153,7 @@
 // TestWorkJobsSurvive kills two voters at once after jobs were acknowledged,
 // those that drive running tasks: each job ends, those not repeatable at most once.
 func TestWorkJobsSurvive(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, targets := workCluster(t, []string{"a", "a", "b", "b", "c"})
 	c.waitVoters(c.nodes[0], 5)
@@ -366,6 +368,7 @@
 // TestWorkFailingWorkers parks a job that fails on every worker after attempts
 // on different ones, and explains it.
 func TestWorkFailingWorkers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t, []string{"a"}, false)
 	c.mustTool(c.nodes[0], "pool", "create", "renderers")
