--- a/internal/control/explain.go
+++ b/internal/control/explain.go
@@ -153,8 +153,11 @@
 	}
 	lines := []string{fmt.Sprintf("share %d, upper limit %d, %d handed out, %d jobs running, %d queued",
 		doc.ShareWeight, doc.UpperLimitUnits, holding.Units, holding.RunningJobs, holding.QueuedJobs)}
+	demands := m.demandBySession(id)
 	for _, r := range holding.Reserved {
-		lines = append(lines, fmt.Sprintf("session %s holds %d", r.Session, r.Reservation.Units))
+		d := demands[r.Session]
+		lines = append(lines, fmt.Sprintf("session %s holds %d, runs %d, %d wait (%d urgent)",
+			r.Session, r.Reservation.Units, d.GetRunningUnits(), d.GetWaitingUnits(), d.GetUrgentWaitingUnits()))
 	}
 	for _, r := range holding.Expired {
 		lines = append(lines, fmt.Sprintf("expired session %s holds %d until its requests are past %d ms",
@@ -165,3 +168,16 @@
 	}
 	return lines, true
 }
+
+// demandBySession returns what each live session reported of a team.
+func (m *Manager) demandBySession(team string) map[string]*wirepb.TeamDemand {
+	demands := make(map[string]*wirepb.TeamDemand)
+	for _, r := range m.sessions.reports(m.cfg.Machine.Sessions()) {
+		for _, d := range r.demands {
+			if d.Team == team {
+				demands[r.session] = d
+			}
+		}
+	}
+	return demands
+}
