Commands are stamped with the median of the daemons' clocks

Cause: found by reading. The state takes the newest stamp as its time and refuses ids older than an hour by it. One leader whose wall clock is two hours ahead would have made every new once-only request look too old for two hours, also after it lost the leadership. Renewals now carry the sender's clock, the leader stamps with the median, and followers adopt it, so that it goes on over a leader change. Not covered: the first second after a cold start of all daemons under a leader with a wrong clock. TestLeaderWithWrongClock: two hours off before (the stamp was the own wall clock), within a second after.

--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -168,7 +168,7 @@
 	if vm.DrainOwner != state.MoveOwner && state.OwnerWave(vm.DrainOwner) == "" {
 		return false
 	}
-	return m.cfg.Now().UnixMilli()-vm.PhaseSinceUnixMs > drainTimeout.Milliseconds()
+	return m.cfg.NowMS()-vm.PhaseSinceUnixMs > drainTimeout.Milliseconds()
 }
 
 func (m *Manager) timeOutDrain(ctx context.Context, vm *statepb.VM) error {
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -81,7 +81,10 @@
 
 // elect makes a new leader over the same state.
 func (b *bench) elect() {
-	b.manager = NewManager(Config{Machine: b.machine, Log: b.log, Lease: testLease, Now: b.clock.now})
+	b.manager = NewManager(Config{
+		Machine: b.machine, Log: b.log, Lease: testLease, Now: b.clock.now,
+		NowMS: func() int64 { return b.clock.wall.UnixMilli() },
+	})
 	b.manager.sessions.start(b.machine.Sessions())
 }
 
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -38,7 +38,10 @@
 	Machine *state.Machine
 	Log     Log
 	Lease   time.Duration
-	Now     func() time.Time
+	// Now reads the own clock; leases are counted by its monotonic differences.
+	Now func() time.Time
+	// NowMS is the time that commands are stamped with, in Unix milliseconds.
+	NowMS func() int64
 	// AskRelease asks the holder of a session to come down at once; it may be
 	// nil, then holders learn it with their next renewal.
 	AskRelease func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -231,7 +231,7 @@
 func (m *Manager) followReboot(ctx context.Context, v *view, vm *statepb.VM) error {
 	wave := m.cfg.Machine.Wave(state.OwnerWave(vm.DrainOwner))
 	operation := m.askPlatform(ctx, vm, wave)
-	away := time.Duration(m.cfg.Now().UnixMilli()-vm.PhaseSinceUnixMs) * time.Millisecond
+	away := time.Duration(m.cfg.NowMS()-vm.PhaseSinceUnixMs) * time.Millisecond
 	switch {
 	case operation.failed:
 		return m.failReboot(ctx, vm, "the platform reports: "+operation.reason)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -11,6 +11,7 @@
 	StorageFailed   = define(1005, log.ErrorLevel, "storage failed, the daemon stops", "Replace the disk, then follow 'replace a voter' in the runbook.")
 	ClusterCreated  = define(1006, log.InfoLevel, "new cluster bootstrapped", "")
 	IdentityCreated = define(1007, log.InfoLevel, "empty data folder, new member identity made", "If this VM was a voter, follow 'replace a voter' in the runbook.")
+	ClockSkewed     = define(1009, log.WarnLevel, "own clock differs from the clocks of the other daemons", "Set the VM's clock; commands are stamped with the median meanwhile.")
 	ListenerFailed  = define(1008, log.ErrorLevel, "listener failed", "Check the listen addresses in the settings.")
 )
 
--- a/internal/server/calls.go
+++ b/internal/server/calls.go
@@ -76,7 +76,7 @@
 			Propose: &wirepb.ProposeResponse{Outcome: outcome},
 		}}
 	case *wirepb.CallRequest_Renew:
-		return d.manager.Renew(ctx, body.Renew)
+		return d.leader.serveRenew(ctx, body.Renew, d.manager.Renew)
 	case *wirepb.CallRequest_InForce:
 		return d.handleInForce(ctx, body.InForce)
 	case *wirepb.CallRequest_Member:
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/config"
 	"sapphirering/internal/control"
 	"sapphirering/internal/entry"
@@ -113,7 +114,7 @@
 	incarnation := uint64(time.Now().UnixNano())
 	d.peers = wire.NewPeers(d.dialer, d.identity.ClusterID, d.identity.MemberID)
 	d.leader = &leaderClient{
-		dialer: d.dialer, clusterID: d.identity.ClusterID, self: d.identity.MemberID, now: time.Now,
+		dialer: d.dialer, clusterID: d.identity.ClusterID, self: d.identity.MemberID, clock: clock.New(time.Now),
 		handle: d.handleCall,
 	}
 	if from.members != nil {
@@ -127,6 +128,7 @@
 	d.client = target.NewClient()
 	d.manager = control.NewManager(control.Config{
 		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
+		NowMS:      d.leader.clock.NowMS,
 		AskRelease: d.leader.AskRelease, MemberNames: d.leader.MemberNames,
 		Members:  func() []*wirepb.Member { return d.leader.membership.Load().GetMembers() },
 		Platform: newPlatform(d.settings.PlatformURL),
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -9,6 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/clock"
+	"sapphirering/internal/event"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/wire"
@@ -31,10 +33,12 @@
 	dialer    *wire.Dialer
 	clusterID string
 	self      string
-	now       func() time.Time
+	// clock estimates the cluster's time of day; the leader stamps commands with it.
+	clock *clock.Estimator
 	// handle serves calls of this daemon to itself.
 	handle func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse
 
+	skewed     atomic.Bool
 	leader     atomic.Pointer[string]
 	membership atomic.Pointer[wirepb.Membership]
 }
@@ -113,7 +117,7 @@
 // ProposeLocal commits a command through this daemon's own log.
 func (c *leaderClient) ProposeLocal(ctx context.Context, command *statepb.Command) (*statepb.Outcome, error) {
 	stamped := proto.CloneOf(command)
-	stamped.TimeUnixMs = c.now().UnixMilli()
+	stamped.TimeUnixMs = c.clock.NowMS()
 	data, err := proto.Marshal(stamped)
 	if err != nil {
 		return nil, fmt.Errorf("marshal command: %w", err)
@@ -137,13 +141,43 @@
 func (c *leaderClient) Renew(ctx context.Context, request *wirepb.RenewRequest) (*wirepb.RenewResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
+	request.ClockUnixMs = c.clock.OwnMS()
+	local := c.isLocal()
 	response, err := c.askLeader(ctx, &wirepb.CallRequest{Body: &wirepb.CallRequest_Renew{Renew: request}})
 	if err != nil {
 		return nil, err
 	}
+	if !local {
+		c.clock.Adopt(response.GetRenew().GetClusterUnixMs())
+	}
 	return response.GetRenew(), nil
 }
 
+// serveRenew serves a renewal at the leader: the sender's clock counts in the
+// estimate of the time, and the estimate goes back with the lease.
+func (c *leaderClient) serveRenew(ctx context.Context, request *wirepb.RenewRequest, renew renewal) *wirepb.CallResponse {
+	if request.Member != c.self && request.ClockUnixMs != 0 {
+		c.clock.Observe(request.Member, request.ClockUnixMs)
+		c.reportSkew()
+	}
+	response := renew(ctx, request)
+	if answer := response.GetRenew(); answer != nil {
+		answer.ClusterUnixMs = c.clock.NowMS()
+	}
+	return response
+}
+
+// renewal renews one session.
+type renewal func(context.Context, *wirepb.RenewRequest) *wirepb.CallResponse
+
+// reportSkew tells once that the own clock differs from the others'.
+func (c *leaderClient) reportSkew() {
+	offset := c.clock.Offset()
+	if offset.Abs() > clock.SkewLimit && c.skewed.CompareAndSwap(false, true) {
+		event.ClockSkewed.Emit(event.F("offset", offset.String()))
+	}
+}
+
 // askLeader calls the leader once, without a link when it is this daemon.
 func (c *leaderClient) askLeader(ctx context.Context, request *wirepb.CallRequest) (*wirepb.CallResponse, error) {
 	if !c.isLocal() {
