--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -105,7 +105,7 @@
 func (r *rig) elect() {
 	r.manager = NewManager(Config{
 		Machine: r.machine, Log: r.log, Lease: fleetLease, Now: func() time.Time { return r.now },
-		NowMS: func() int64 { return r.now.UnixMilli() },
+		NowMS:   func() int64 { return r.now.UnixMilli() },
 		Members: func() []*wirepb.Member { return r.entries }, Platform: r.platform,
 	})
 	r.manager.sessions.start(r.machine.Sessions())
