A cut zone's open queue goes on from a kept part that is new to its process

The state now notes since when a VM has a part; one that it got after this process opened its first session is usable at once. After a restart the wait stays.

--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -275,6 +275,7 @@
 	if err := h.waitApplied(ctx, outcome.Revision); err != nil {
 		return "", err
 	}
+	h.ledger.noteOpened(h.cfg.Machine.Session(id).GetOpenedIndex())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
--- a/internal/session/ledger.go
+++ b/internal/session/ledger.go
@@ -27,6 +27,8 @@
 	holder  *Holder
 	cfg     Config
 	started time.Time
+	// opened is the log index of this process's first session.
+	opened uint64
 
 	mu    sync.Mutex
 	teams map[string]*teamUnits
@@ -104,7 +106,7 @@
 		units.running++
 		return &Unit{ledger: l, team: team, session: session}
 	}
-	if (live || open) && l.keptUsable() && units.kept < l.keptLimit(units, team) {
+	if (live || open) && l.keptUsable(team) && units.kept < l.keptLimit(units, team) {
 		units.kept++
 		return &Unit{ledger: l, team: team, kept: true}
 	}
@@ -146,11 +148,25 @@
 }
 
 // keptUsable is false until work that an earlier process of this VM may have
-// started under the kept part is surely over.
-func (l *Ledger) keptUsable() bool {
+// started under the kept part is surely over. No earlier process has used a
+// part that the VM got after this one opened its first session.
+func (l *Ledger) keptUsable(team string) bool {
+	since := l.cfg.Machine.KeptReservation(l.cfg.MemberName, team).GetSinceIndex()
+	if l.opened != 0 && since > l.opened {
+		return true
+	}
 	return l.cfg.Now().Sub(l.started) >= state.MaxRequestDeadlineMS*time.Millisecond
 }
 
+// noteOpened keeps the log index of the first session of this process.
+func (l *Ledger) noteOpened(index uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.opened == 0 {
+		l.opened = index
+	}
+}
+
 // Release gives the unit back.
 func (u *Unit) Release() {
 	u.once.Do(func() {
@@ -345,7 +361,7 @@
 		if units.keptCap != nil && units.keptCap.base == held.GetRevision() {
 			target = min(target, units.keptCap.ceiling)
 		}
-		if target >= held.GetUnits() || !l.keptUsable() {
+		if target >= held.GetUnits() || !l.keptUsable(w.Team) {
 			continue
 		}
 		units.keptCap = &releaseCap{ceiling: target, base: held.Revision}
--- a/internal/session/ledger_test.go
+++ b/internal/session/ledger_test.go
@@ -283,6 +283,25 @@
 	is.Equal(len(d.acquireAll(true)), 2)
 }
 
+// TestNewKeptPartIsUsableAtOnce hands a kept part to a VM after its process
+// opened a session: no earlier process can have used it. A later process waits.
+func TestNewKeptPartIsUsableAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.leader.commit(&statepb.Command{Body: &statepb.Command_SetKeptReservations{SetKeptReservations: &statepb.SetKeptReservations{
+		Kept: []*statepb.KeptReservation{{MemberName: "vm", Team: "team", Units: 2}},
+	}}})
+	d.advance(2 * testLease)
+	is.Equal(len(d.acquireAll(true)), 2) // cut off a moment after the part was handed out
+	d.restart(2)
+	is.NoErr(d.renew())
+	d.advance(2 * testLease)
+	is.Equal(len(d.acquireAll(true)), 0)
+	d.advance(state.MaxRequestDeadlineMS * time.Millisecond)
+	is.Equal(len(d.acquireAll(true)), 2)
+}
+
 // TestKeptLoweredByHolder lowers the kept part only to what runs under it.
 func TestKeptLoweredByHolder(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/sessions.go
+++ b/internal/state/sessions.go
@@ -228,7 +228,11 @@
 		delete(m.kept, id)
 		return
 	}
+	since := m.kept[id].GetSinceIndex()
+	if since == 0 {
+		since = m.index
+	}
 	m.kept[id] = &statepb.KeptReservation{
-		MemberName: k.MemberName, Team: k.Team, Units: k.Units, Revision: m.index,
+		MemberName: k.MemberName, Team: k.Team, Units: k.Units, Revision: m.index, SinceIndex: since,
 	}
 }
