A process that was only cut off closes its former sessions

Units in use are counted by the session that they were taken under, and each renewal closes former sessions without any. Acquire reads the session under the lock, so that a unit is counted before its session can be closed. TestFormerSessionIsClosed: 8 != 0 without the call, passes with it.

--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -30,7 +30,11 @@
 	renewalsPerLease = 4
 	// minRenewInterval bounds renewals that new demand asks for.
 	minRenewInterval = 100 * time.Millisecond
-	// appliedPause spaces looks at the applied index.
+	// closeFormerTimeout bounds one try to close a former session, since the next
+// renewal waits for it.
+const closeFormerTimeout = 300 * time.Millisecond
+
+// appliedPause spaces looks at the applied index.
 	appliedPause = 10 * time.Millisecond
 	// closePause spaces tries to give the session back.
 	closePause = 100 * time.Millisecond
@@ -64,9 +68,11 @@
 	// kick asks for a renewal ahead of time.
 	kick chan struct{}
 
-	mu         sync.Mutex
-	session    string
-	serial     int
+	mu      sync.Mutex
+	session string
+	serial  int
+	// former holds expired sessions of this process that are not closed yet.
+	former     []string
 	validUntil time.Time
 	leaving    bool
 	closed     bool
@@ -224,6 +230,7 @@
 	h.extend(sent.Add(time.Duration(response.LeaseMs) * time.Millisecond))
 	h.ledger.setWanted(response.Wanted)
 	h.ledger.setWantedKept(response.WantedKept)
+	h.closeFormer(ctx)
 	return nil
 }
 
@@ -310,5 +317,40 @@
 	if h.session == session {
 		h.session = ""
 		h.validUntil = time.Time{}
+		h.former = append(h.former, session)
+	}
+}
+
+// closeFormer gives back what expired sessions of this process still hold. The
+// process knows that nothing runs under them any more, so nobody needs to wait
+// until the longest deadlines are past.
+func (h *Holder) closeFormer(ctx context.Context) {
+	h.mu.Lock()
+	former := h.former
+	h.former = nil
+	h.mu.Unlock()
+	var left []string
+	for _, session := range former {
+		if h.ledger.running(session) > 0 || !h.closeSession(ctx, session) {
+			left = append(left, session)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.former = append(h.former, left...)
+}
+
+// closeSession closes one session; false when it is to be tried again.
+func (h *Holder) closeSession(ctx context.Context, session string) bool {
+	ctx, cancel := context.WithTimeout(ctx, closeFormerTimeout)
+	defer cancel()
+	outcome, err := h.cfg.Leader.Propose(ctx, &statepb.Command{
+		Actor: h.cfg.MemberID,
+		Body:  &statepb.Command_CloseSession{CloseSession: &statepb.CloseSession{Session: session}},
+	})
+	if err != nil || outcome.Code != statepb.Code_CODE_OK {
+		return false
 	}
+	event.SessionClosed.Emit(event.F("session", session))
+	return true
 }
--- a/internal/session/ledger.go
+++ b/internal/session/ledger.go
@@ -32,6 +32,8 @@
 
 	mu    sync.Mutex
 	teams map[string]*teamUnits
+	// inUse counts the units in use by the session that they were taken under.
+	inUse map[string]uint32
 	// releasing is true while one proposal of releases is on its way.
 	releasing     bool
 	releasingKept bool
@@ -74,7 +76,7 @@
 }
 
 func newLedger(holder *Holder, cfg Config) *Ledger {
-	return &Ledger{holder: holder, cfg: cfg, started: cfg.Now(), teams: make(map[string]*teamUnits)}
+	return &Ledger{holder: holder, cfg: cfg, started: cfg.Now(), teams: make(map[string]*teamUnits), inUse: make(map[string]uint32)}
 }
 
 func (l *Ledger) team(name string) *teamUnits {
@@ -97,13 +99,15 @@
 // Acquire takes a unit of the team, or returns nil when none is free. Keyed
 // work needs a live session; work of open queues may use the kept part.
 func (l *Ledger) Acquire(team string, open bool) *Unit {
-	session, live := l.holder.Session()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// Read under the lock: a unit is counted before its session can be closed.
+	session, live := l.holder.Session()
 	units := l.team(team)
 	units.enter(session)
 	if live && units.running < min(l.limit(units, session, team), l.ceiling(units)) {
 		units.running++
+		l.inUse[session]++
 		return &Unit{ledger: l, team: team, session: session}
 	}
 	if (live || open) && l.keptUsable(team) && units.kept < l.keptLimit(units, team) {
@@ -178,6 +182,10 @@
 			units.kept--
 			return
 		}
+		l.inUse[u.session]--
+		if l.inUse[u.session] == 0 {
+			delete(l.inUse, u.session)
+		}
 		if units.session != u.session {
 			return
 		}
@@ -192,13 +200,7 @@
 func (l *Ledger) running(session string) uint32 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	total := uint32(0)
-	for _, units := range l.teams {
-		if units.session == session {
-			total += units.running
-		}
-	}
-	return total
+	return l.inUse[session]
 }
 
 // SetWaiting records how many requests of the team wait for a unit. Demand
--- a/internal/session/ledger_test.go
+++ b/internal/session/ledger_test.go
@@ -264,6 +264,27 @@
 	is.Equal(len(d.acquireAll(false)), 0) // the old session holds every unit until it is reclaimed
 	old[0].Release()                      // ends without touching the new session
 	is.Equal(d.holder.Ledger().running("member/1/2"), uint32(0))
+	is.Equal(d.holder.Ledger().running("member/1/1"), uint32(7))
+}
+
+// TestFormerSessionIsClosed gives the units of an expired session back once
+// nothing runs under it, without waiting for its reclaim.
+func TestFormerSessionIsClosed(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t, 8)
+	is.NoErr(d.renew())
+	d.grant(8)
+	old := d.acquireAll(false)
+	d.leader.renewed = &wire.CallError{Code: wirepb.ErrorCode_ERROR_CODE_SESSION_EXPIRED}
+	is.True(d.renew() != nil)
+	d.leader.renewed = nil
+	is.NoErr(d.renew())
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(8)) // work of the old session still runs
+	for _, unit := range old {
+		unit.Release()
+	}
+	is.NoErr(d.renew())
+	is.Equal(d.leader.machine.HandedOut("team"), uint32(0))
 }
 
 // TestSecondProcess starts another process of the VM: it uses the kept part
