--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -31,10 +31,9 @@
 	// minRenewInterval bounds renewals that new demand asks for.
 	minRenewInterval = 100 * time.Millisecond
 	// closeFormerTimeout bounds one try to close a former session, since the next
-// renewal waits for it.
-const closeFormerTimeout = 300 * time.Millisecond
-
-// appliedPause spaces looks at the applied index.
+	// renewal waits for it.
+	closeFormerTimeout = 300 * time.Millisecond
+	// appliedPause spaces looks at the applied index.
 	appliedPause = 10 * time.Millisecond
 	// closePause spaces tries to give the session back.
 	closePause = 100 * time.Millisecond
