--- a/internal/control/reservations.go
+++ b/internal/control/reservations.go
@@ -50,6 +50,7 @@
 		return nil
 	}
 	split := newSplit(reports)
+	split.staleAfter = m.cfg.Lease / 2
 	holdings := m.cfg.Machine.Holdings()
 	for _, doc := range m.cfg.Machine.Documents() {
 		if holding := holdings[doc.Team]; holding != nil {
@@ -79,8 +80,10 @@
 	reports []report
 	// demands holds the reported demand of each team, in the order of reports.
 	demands map[string][]*wirepb.TeamDemand
-	wanted  map[string][]*statepb.Reservation
-	grants  map[string][]*statepb.Reservation
+	// staleAfter is the age from which on a report is not relied on.
+	staleAfter time.Duration
+	wanted     map[string][]*statepb.Reservation
+	grants     map[string][]*statepb.Reservation
 }
 
 func newSplit(reports []report) *split {
@@ -114,8 +117,9 @@
 	for i, r := range s.reports {
 		holders[i].Held = held[i].GetUnits()
 		holders[i].Leaving = r.leaving
-		if r.silent {
-			// What it runs is not known yet: it keeps what it holds.
+		if r.silent || r.age > s.staleAfter {
+			// What it runs is not known: it keeps what it holds and gets no more.
+			holders[i].Silent = true
 			holders[i].Demand = holders[i].Held
 			continue
 		}
--- a/internal/policy/share/share.go
+++ b/internal/policy/share/share.go
@@ -113,6 +113,9 @@
 	Urgent uint32
 	// Leaving holders are to give everything back that they don't use.
 	Leaving bool
+	// Silent holders have not reported lately. They may use all that they hold,
+	// and may be gone: they are granted nothing, and nobody answers for them.
+	Silent bool
 }
 
 // Handout is the change of one holder: it is to come down to Target, or it is
@@ -144,7 +147,7 @@
 	}
 	for _, i := range byUrgency(holders) {
 		want := fair[i]
-		if want <= holders[i].Held || free == 0 || holders[i].Leaving {
+		if want <= holders[i].Held || free == 0 || holders[i].Leaving || holders[i].Silent {
 			continue
 		}
 		add := min(free, want-holders[i].Held)
@@ -213,7 +216,7 @@
 func spreadEvenly(left uint32, parts []uint32, holders []Holder) []uint32 {
 	even := make([]Claim, len(holders))
 	for i, h := range holders {
-		if !h.Leaving {
+		if !h.Leaving && !h.Silent {
 			even[i].Demand = left
 		}
 	}
--- a/internal/policy/share/share_test.go
+++ b/internal/policy/share/share_test.go
@@ -199,3 +199,20 @@
 		}
 	}
 }
+
+// TestSilentHolderGetsNothing: a holder that does not report counts as using
+// all that it holds. If that brought it more, a dead one would gather every
+// free unit.
+func TestSilentHolderGetsNothing(t *testing.T) {
+	const units = 16
+	holders := []Holder{{Held: 6, Demand: 6, Silent: true}, {Demand: 2}, {}}
+	for range 10 {
+		for i, h := range HandOut(units, units-heldUnits(holders), holders) {
+			holders[i].Held = h.Target
+		}
+		holders[0].Demand = holders[0].Held
+	}
+	if holders[0].Held != 6 || holders[1].Held < 2 {
+		t.Errorf("after 10 rounds: %+v", holders)
+	}
+}
