--- a/internal/control/kept.go
+++ b/internal/control/kept.go
@@ -133,10 +133,13 @@
 // returnGone takes back the kept parts of VMs that operators removed from the
 // cluster, after their last work is surely over by this leader's own clock.
 func (m *Manager) returnGone(live []string) []*statepb.KeptReservation {
-	if m.cfg.MemberNames == nil {
+	if m.cfg.Members == nil {
 		return nil
 	}
-	known := append(m.cfg.MemberNames(), live...)
+	known := slices.Clone(live)
+	for _, member := range m.cfg.Members() {
+		known = append(known, member.Name)
+	}
 	for _, session := range m.cfg.Machine.Sessions() {
 		known = append(known, session.MemberName)
 	}
--- a/internal/control/manager.go
+++ b/internal/control/manager.go
@@ -45,8 +45,6 @@
 	// AskRelease asks the holder of a session to come down at once; it may be
 	// nil, then holders learn it with their next renewal.
 	AskRelease func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
-	// MemberNames returns the names of the cluster's members; it may be nil.
-	MemberNames func() []string
 	// Members lists the daemons of the cluster, with or without a session.
 	Members func() []*wirepb.Member
 	// Platform reboots VMs; nil when none is set.
--- a/internal/control/reservations.go
+++ b/internal/control/reservations.go
@@ -184,20 +184,20 @@
 
 // releaseAsker asks holders to come down without waiting for their renewals.
 type releaseAsker struct {
-	ask1 func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
-	now  func() time.Time
+	askMember func(ctx context.Context, member string, request *wirepb.ReleaseRequest) error
+	now       func() time.Time
 
 	mu   sync.Mutex
 	last map[string]time.Time
 }
 
 func newReleaseAsker(cfg Config) *releaseAsker {
-	return &releaseAsker{ask1: cfg.AskRelease, now: cfg.Now, last: make(map[string]time.Time)}
+	return &releaseAsker{askMember: cfg.AskRelease, now: cfg.Now, last: make(map[string]time.Time)}
 }
 
 // ask sends each session its wanted reservations, at most once per askInterval.
 func (a *releaseAsker) ask(ctx context.Context, reports []report, wanted map[string][]*statepb.Reservation) {
-	if a.ask1 == nil {
+	if a.askMember == nil {
 		return
 	}
 	for _, r := range reports {
@@ -229,7 +229,7 @@
 func (a *releaseAsker) send(ctx context.Context, member string, request *wirepb.ReleaseRequest) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := a.ask1(ctx, member, request); err != nil {
+	if err := a.askMember(ctx, member, request); err != nil {
 		event.ReleaseAskFails.Emit(event.F("member", member), event.Err(err))
 	}
 }
--- a/internal/control/reservations_test.go
+++ b/internal/control/reservations_test.go
@@ -109,7 +109,7 @@
 	is := is.New(t)
 	b := newBench(t)
 	asked := make(chan *wirepb.ReleaseRequest, 8)
-	b.manager.asked.ask1 = func(_ context.Context, member string, r *wirepb.ReleaseRequest) error {
+	b.manager.asked.askMember = func(_ context.Context, member string, r *wirepb.ReleaseRequest) error {
 		asked <- r
 		return nil
 	}
@@ -160,8 +160,8 @@
 func TestKeptParts(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
-	members := []string{"n-s1", "n-s2"}
-	b.manager.cfg.MemberNames = func() []string { return members }
+	members := []*wirepb.Member{{Name: "n-s1"}, {Name: "n-s2"}}
+	b.manager.cfg.Members = func() []*wirepb.Member { return members }
 	b.pool("p")
 	b.document("open", 16, true)
 	b.document("keyed", 16, false)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -129,9 +129,9 @@
 	d.manager = control.NewManager(control.Config{
 		Machine: d.machine, Log: d.leader, Lease: d.settings.SessionLease.Duration, Now: time.Now,
 		NowMS:      d.leader.clock.NowMS,
-		AskRelease: d.leader.AskRelease, MemberNames: d.leader.MemberNames,
-		Members:  func() []*wirepb.Member { return d.leader.membership.Load().GetMembers() },
-		Platform: newPlatform(d.settings.PlatformURL),
+		AskRelease: d.leader.AskRelease,
+		Members:    func() []*wirepb.Member { return d.leader.membership.Load().GetMembers() },
+		Platform:   newPlatform(d.settings.PlatformURL),
 	})
 	d.holder = session.NewHolder(session.Config{
 		MemberID: d.identity.MemberID, Incarnation: incarnation, MemberName: d.settings.Name,
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -205,12 +205,3 @@
 	_, _, err := c.dialer.Call(ctx, member.Address, c.hello(member.Id), body)
 	return err
 }
-
-// MemberNames returns the names in the member list.
-func (c *leaderClient) MemberNames() []string {
-	var names []string
-	for _, member := range c.membership.Load().GetMembers() {
-		names = append(names, member.Name)
-	}
-	return names
-}
