--- a/internal/control/reservations_test.go
+++ b/internal/control/reservations_test.go
@@ -181,7 +181,7 @@
 	b.step(b.manager.expireSessions)
 	b.step(b.manager.keepParts)
 	is.Equal(b.machine.Kept("n-s1", "open"), uint32(2)) // cut off, not removed
-	members = []string{"n-s2"}
+	members = []*wirepb.Member{{Name: "n-s2"}}
 	b.clock.advance(time.Second)
 	b.step(b.manager.keepParts)
 	b.clock.advance(reclaimAfter - time.Second)
