One margin for lost work that may still run

The entry's lostWorkMargin and the leader's reclaimMargin were the same sum, each with its own reasons; both now use target.LateRunMargin. No behaviour changes.

--- a/internal/control/reclaim.go
+++ b/internal/control/reclaim.go
@@ -10,10 +10,6 @@
 	"sapphirering/internal/target"
 )
 
-// reclaimMargin is added to the longest deadline of a team's requests: a request
-// that lies in a target's socket is taken up until its announcement is stale.
-const reclaimMargin = target.MaxAnnouncementAge + target.AnnounceInterval + time.Second
-
 // reclaimOver takes back what an expired session holds, team by team, as soon
 // as its requests are past their deadlines. A team with short deadlines gets
 // the units of a lost entry VM back in seconds instead of minutes.
@@ -21,7 +17,7 @@
 	expired := m.sessions.expiredFor(session)
 	var teams []string
 	for _, r := range session.Reservations {
-		if expired >= time.Duration(r.LongestDeadlineMs)*time.Millisecond+reclaimMargin {
+		if expired >= time.Duration(r.LongestDeadlineMs)*time.Millisecond+target.LateRunMargin {
 			teams = append(teams, r.Team)
 		}
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -18,11 +18,6 @@
 	busyPause   = 50 * time.Millisecond
 	suspectTime = 2 * time.Second
 	maxTries    = 3
-	// lostWorkMargin is how long after its deadline work may still run whose
-	// outcome is unknown: a target may take up a request that lies in its
-	// socket until the announcement of the dispatch is stale, and stops it
-	// within a second of the deadline that it counts from then.
-	lostWorkMargin = target.MaxAnnouncementAge + target.AnnounceInterval + time.Second
 )
 
 // run carries one admitted request through its tries.
@@ -89,7 +84,7 @@
 	deadline, _ := ctx.Deadline()
 	unit, server := r.unit, r.server
 	r.unit = nil
-	time.AfterFunc(time.Until(deadline)+lostWorkMargin, func() {
+	time.AfterFunc(time.Until(deadline)+target.LateRunMargin, func() {
 		unit.Release()
 		server.lines.wake()
 	})
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -17,6 +17,11 @@
 	AnnounceInterval = 500 * time.Millisecond
 	// MaxAnnouncementAge is how old an announcement may be for a dispatch.
 	MaxAnnouncementAge = 3 * time.Second
+	// LateRunMargin is how long after its deadline lost work may still run: a
+	// target may take up a request that lies in its socket until the
+	// announcement of the dispatch is stale, and stops it within a second of
+	// the deadline that it counts from then.
+	LateRunMargin = MaxAnnouncementAge + AnnounceInterval + time.Second
 	// forgetAfter is how long a silent target stays in the registry.
 	forgetAfter = 60 * time.Second
 	// maxRetired bounds the earlier incarnations that are kept per VM.
