--- a/cmd/sapphireringd/main.go
+++ b/cmd/sapphireringd/main.go
@@ -27,9 +27,17 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	settingsPath := flag.String("settings", "", "path of the settings file (required)")
+	rolePath := flag.String("role", "", "path of the settings file of a core or edge role on a platform; replaces -settings")
 	bootstrap := flag.Bool("bootstrap", false, "create a new cluster if the data folder is empty; give it once, on one daemon")
 	recoverFolder := flag.Bool("recover", false, "make this data folder the only voter of a new cluster and exit; only for a quorum that is lost for good")
 	flag.Parse()
+	if *rolePath != "" {
+		if err := runRole(*rolePath); err != nil {
+			fmt.Fprintln(os.Stderr, "sapphireringd:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	log.SetHandler(logfmt.New(os.Stderr))
 	start := run
 	if *recoverFolder {
--- /dev/null
+++ b/internal/driver/driver.go
@@ -0,0 +1,250 @@
+// Package driver runs jobs of steps. The leader's driver holds the leases of
+// the targets, plans and starts tasks, collects their ends, and carries out
+// maintenance waves. All that must last is committed first; what the driver
+// remembers beside that may be lost with the leadership. A run whose fate is
+// not known counts as running until its target, or the end of its lease, says
+// otherwise.
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// Log commits commands through this leader.
+type Log interface {
+	// Commit returns the outcome of a command. After an error other than
+	// replica.ErrNotLeader it may still take effect.
+	Commit(ctx context.Context, command *pb.Command) (*workflow.Outcome, error)
+	// HoldsLease reports whether no other leader can act now.
+	HoldsLease() bool
+}
+
+// Limits are the bounds that targets and the platform state.
+type Limits struct {
+	// LeaseTTL is the longest lease that a target grants.
+	LeaseTTL time.Duration
+	// StopGrace is how long a stopped run may take to end.
+	StopGrace time.Duration
+	// LeaveWait is how long a leaving target may still get starts.
+	LeaveWait time.Duration
+	// UnavailableNotice is how long a lasting task that is away counts against
+	// its step's budget for whatever reason it is away.
+	UnavailableNotice time.Duration
+	// AnnounceInterval is how often targets announce themselves.
+	AnnounceInterval time.Duration
+	// HarmTime is how long a lasting task may be over its goal because of fillers.
+	HarmTime time.Duration
+}
+
+// Config holds what a Driver needs.
+type Config struct {
+	Machine *workflow.Machine
+	Log     Log
+	Targets TargetClient
+	VMs     VMClient
+	Limits  Limits
+	// Epoch is the fence of this leadership; a later one is higher.
+	Epoch uint64
+	// Holder names this daemon in orders to the platform.
+	Holder string
+	Now    func() time.Time
+	// NowMS is the cluster's time of day in Unix milliseconds.
+	NowMS func() int64
+}
+
+const (
+	// tickInterval bounds how late the loop notices what nobody tells it.
+	tickInterval = 50 * time.Millisecond
+	// planInterval spaces planning rounds, so that ends and submits that come
+	// together share a commit.
+	planInterval = 5 * time.Millisecond
+	// commitTimeout bounds one commit of the loop.
+	commitTimeout = 3 * time.Second
+	// lapseMargin covers delays between a grant and its arrival.
+	lapseMargin = 300 * time.Millisecond
+	// clockDrift is how much slower than true a target's clock may run.
+	clockDrift = 0.02
+)
+
+// Driver is one leadership's work.
+type Driver struct {
+	cfg  Config
+	wake chan struct{}
+	// began is when this leadership began.
+	began time.Time
+
+	mu    sync.Mutex
+	links map[string]*link
+	runs  map[workflow.TaskID]*run
+	// ended holds lives of targets that are surely over, so that late
+	// announcements do not bring them back.
+	ended map[life]bool
+	// pending holds ends that are not committed yet.
+	pending []*pb.End
+	learned *learner
+	waves   *waveLoop
+	fleet   fleetView
+	// refusals counts starts that broke a rule when applied.
+	counts counters
+
+	ctx     context.Context
+	running sync.WaitGroup
+}
+
+// life is one life of a target.
+type life struct {
+	id   string
+	born int64
+}
+
+// New returns a driver for one leadership.
+func New(cfg Config) *Driver {
+	return &Driver{
+		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
+		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run),
+		ended: make(map[life]bool), learned: newLearner(), waves: newWaveLoop(),
+	}
+}
+
+// Prepare takes over the committed state; requests may be served afterwards.
+// Calls to targets end with ctx.
+func (d *Driver) Prepare(ctx context.Context) {
+	d.ctx = ctx
+	event.DriverStarted.Emit(event.F("epoch", d.cfg.Epoch))
+	d.adopt()
+}
+
+// Run works until ctx ends and waits for all calls. Prepare comes first.
+func (d *Driver) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		d.round()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-d.wake:
+			sleep(ctx, planInterval)
+		}
+	}
+	d.running.Wait()
+	event.DriverStopped.Emit(event.F("epoch", d.cfg.Epoch))
+}
+
+// kick asks for a round soon.
+func (d *Driver) kick() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// adopt takes over the targets and runs of the committed state. Whether a
+// start was sent is not known, so that every run counts as unanswered.
+func (d *Driver) adopt() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, target := range v.Targets() {
+			l := d.addLink(target)
+			l.lapseAt = d.began.Add(d.leaseBound())
+			for _, task := range v.Placed(target.Id) {
+				d.runs[task.ID] = &run{
+					task: task.ID, attempt: task.Attempt, target: target.Id, born: target.BornUnixMs,
+					phase: runUnanswered, unanswered: true, begun: d.began, adopted: true,
+				}
+			}
+		}
+	})
+}
+
+// leaseBound is how long after a grant the lease has surely lapsed.
+func (d *Driver) leaseBound() time.Duration {
+	return time.Duration(float64(d.cfg.Limits.LeaseTTL)/(1-clockDrift)) + lapseMargin
+}
+
+// round does everything that is due, once.
+func (d *Driver) round() {
+	if !d.cfg.Log.HoldsLease() {
+		return
+	}
+	d.mu.Lock()
+	d.checkLinks()
+	d.checkRuns()
+	d.mu.Unlock()
+	d.changeTasks()
+	d.failHopeless()
+	d.runWaves()
+	d.paceFillers()
+}
+
+// changeTasks commits ends and starts in one command and carries out the starts.
+func (d *Driver) changeTasks() {
+	d.mu.Lock()
+	ends := d.pending
+	d.pending = nil
+	d.mu.Unlock()
+	if len(ends) > 0 && !d.commitEnds(ends) {
+		return
+	}
+	starts := d.plan()
+	if len(starts) == 0 {
+		return
+	}
+	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: starts}}})
+	if err != nil {
+		// Starts that take effect later are found as placed tasks without a run.
+		event.StartsUncommitted.Emit(event.F("starts", len(starts)), event.Err(err))
+		return
+	}
+	for _, refused := range out.Refused {
+		event.StartRefused.Emit(event.F("task", refused.Task.String()), event.F("reason", refused.Reason))
+	}
+	d.beginRuns(starts, out.Refused)
+}
+
+// commitEnds records ends; only then are they confirmed to the targets.
+func (d *Driver) commitEnds(ends []*pb.End) bool {
+	_, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Ends: ends}}})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil {
+		event.EndsUncommitted.Emit(event.F("ends", len(ends)), event.Err(err))
+		d.pending = append(ends, d.pending...)
+		return false
+	}
+	for _, end := range ends {
+		d.forgetRun(end)
+	}
+	for _, l := range d.links {
+		l.confirmEnds()
+	}
+	return true
+}
+
+func (d *Driver) commit(command *pb.Command) (*workflow.Outcome, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, commitTimeout)
+	defer cancel()
+	command.TimeUnixMs = d.cfg.NowMS()
+	return d.cfg.Log.Commit(ctx, command)
+}
+
+// call runs f beside the loop until the leadership ends.
+func (d *Driver) call(f func()) {
+	d.running.Go(f)
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/driver/fillers.go
@@ -0,0 +1,103 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+)
+
+const (
+	// fullPace is the pace at which every run starts, in percent.
+	fullPace = 100
+	// paceInterval spaces changes of a filler's pace, so that a listing shows
+	// the effect of the last one first.
+	paceInterval = 700 * time.Millisecond
+	// slowDownAt and speedUpAt are shares of the goal: above the one fillers
+	// beside a lasting task slow down, below the other they speed up.
+	slowDownAt = 0.8
+	speedUpAt  = 0.55
+	// paceStep is what a filler speeds up by, in percent.
+	paceStep = 20
+	// minPace is the pace below which a filler is halted, in percent.
+	minPace = 15
+)
+
+// paceFillers slows fillers beside lasting tasks whose tail nears their goal.
+func (d *Driver) paceFillers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for id, l := range d.links {
+			d.paceTarget(v, id, l)
+		}
+	})
+}
+
+func (d *Driver) paceTarget(v *workflow.View, id string, l *link) {
+	var fillers []*run
+	worst := 0.0
+	for _, task := range v.Placed(id) {
+		r := d.runs[task.ID]
+		if r == nil || r.phase != runConfirmed {
+			continue
+		}
+		spec := task.Spec()
+		switch {
+		case spec.Fills:
+			fillers = append(fillers, r)
+		case spec.TailGoalMs > 0:
+			worst = max(worst, r.gauge/float64(spec.TailGoalMs))
+		}
+	}
+	now := d.cfg.Now()
+	for _, r := range fillers {
+		if r.pacing || now.Sub(r.lastCall) < paceInterval {
+			continue
+		}
+		if pace := nextPace(r.pace, worst); pace != r.pace {
+			d.callPace(l, r, pace, worst)
+		}
+	}
+}
+
+// nextPace returns the pace of a filler beside a tail at a share of its goal.
+func nextPace(pace int, tail float64) int {
+	switch {
+	case tail >= 1:
+		return 0
+	case tail > slowDownAt:
+		pace /= 2
+		if pace < minPace {
+			pace = 0
+		}
+	case tail < speedUpAt:
+		pace = min(pace+paceStep, fullPace)
+	}
+	return pace
+}
+
+func (d *Driver) callPace(l *link, r *run, pace int, tail float64) {
+	r.pacing, r.lastCall = true, d.cfg.Now()
+	call := PaceCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, Percent: pace}
+	to := l.address()
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
+		defer cancel()
+		answer, err := d.cfg.Targets.Pace(ctx, to, call)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		r.pacing = false
+		if err != nil {
+			d.noteSilence(l, "pace", err)
+			return
+		}
+		d.noteClock(l, answer.ClockMS)
+		if answer.Refusal == Accepted {
+			event.FillerPaced.Emit(event.F("task", r.task.String()), event.F("target", to.ID),
+				event.F("from", r.pace), event.F("to", pace), event.F("tail", tail))
+			r.pace = pace
+		}
+	})
+}
--- /dev/null
+++ b/internal/driver/learn.go
@@ -0,0 +1,127 @@
+package driver
+
+import (
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// learnRate is the weight of the newest run time of a queue.
+	learnRate = 0.05
+	// slownessRate is the weight of the newest run time of a target.
+	slownessRate = 0.25
+	// minRatio and maxRatio bound one run's part in what is learned.
+	minRatio, maxRatio = 0.1, 10
+	// excludeAfter is the number of failed runs in a row after which a target
+	// gets no starts for a while.
+	excludeAfter = 3
+	excludeTime  = 2 * time.Second
+	// maxExcludeTime bounds the time, which doubles with each failed probe.
+	maxExcludeTime = 8 * time.Second
+)
+
+// learner holds learned run times. The driver's mutex guards it.
+type learner struct {
+	// ratio is the learned run time against the estimate, by queue.
+	ratio map[string]float64
+	// failed is the last target that failed a task.
+	failed map[workflow.TaskID]string
+	// checked holds open jobs that some target can run.
+	checked map[string]bool
+}
+
+func newLearner() *learner {
+	return &learner{ratio: make(map[string]float64), failed: make(map[workflow.TaskID]string), checked: make(map[string]bool)}
+}
+
+// expected returns the learned run time of a task of a step, in milliseconds.
+func (l *learner) expected(queue string, step *pb.Step) int64 {
+	ratio, ok := l.ratio[queue]
+	if !ok {
+		ratio = 1
+	}
+	return int64(ratio * float64(step.EstimateMs))
+}
+
+func (l *learner) failedOn(task workflow.TaskID) string { return l.failed[task] }
+
+// health is what a target's runs tell about it.
+type health struct {
+	slow      float64
+	runs      int
+	failures  int
+	until     time.Time
+	excludeBy time.Duration
+}
+
+// slowness returns the learned run time against the expected one; 1 is normal.
+func (h *health) slowness() float64 {
+	if h.runs == 0 {
+		return 1
+	}
+	return h.slow
+}
+
+// admits reports whether the target may get starts.
+func (h *health) admits(now time.Time) bool { return !now.Before(h.until) }
+
+func (h *health) noteGood() {
+	h.failures, h.excludeBy = 0, 0
+}
+
+// noteFailure excludes the target after several failures in a row; the first
+// start afterwards is a probe, and its failure excludes the target for longer.
+func (h *health) noteFailure(now time.Time) bool {
+	h.failures++
+	if h.failures < excludeAfter {
+		return false
+	}
+	h.excludeBy = min(max(2*h.excludeBy, excludeTime), maxExcludeTime)
+	h.until = now.Add(h.excludeBy)
+	return true
+}
+
+// learnEnd learns from the end of a run.
+func (d *Driver) learnEnd(l *link, r *run, kind pb.EndKind) {
+	now := d.cfg.Now()
+	switch kind {
+	case pb.EndKind_END_KIND_FAILED:
+		d.learned.failed[r.task] = r.target
+		if l.health.noteFailure(now) {
+			event.TargetExcluded.Emit(event.F("target", r.target), event.F("failures", l.health.failures), event.F("for", l.health.excludeBy.String()))
+		}
+	case pb.EndKind_END_KIND_DONE:
+		l.health.noteGood()
+		delete(d.learned.failed, r.task)
+		d.learnTime(l, r, now)
+	}
+}
+
+func (d *Driver) learnTime(l *link, r *run, now time.Time) {
+	if r.working.IsZero() || r.adopted || r.attempt > 1 {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		task := v.Task(r.task)
+		if task == nil || task.Spec().EstimateMs <= 0 || task.Spec().Lasting || task.Checkpoint != "" {
+			return
+		}
+		queue := task.Job.Spec.Queue
+		took := float64(now.Sub(r.working).Milliseconds())
+		ratio := min(max(took/float64(task.Spec().EstimateMs), minRatio), maxRatio)
+		known, ok := d.learned.ratio[queue]
+		if !ok {
+			known = 1
+		}
+		d.learned.ratio[queue] = known + learnRate*(ratio-known)
+		against := ratio / known
+		if l.health.runs == 0 {
+			l.health.slow = 1
+		}
+		l.health.runs++
+		l.health.slow += slownessRate * (against - l.health.slow)
+	})
+}
--- /dev/null
+++ b/internal/driver/link.go
@@ -0,0 +1,319 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// lookWait is how long a target may hold a listing back while nothing ends.
+	lookWait = 1500 * time.Millisecond
+	// lookMargin is what a listing may take beyond its wait.
+	lookMargin = 700 * time.Millisecond
+	// lookPause spaces listings, so that ends that come together share one.
+	lookPause = 25 * time.Millisecond
+	// retryPause spaces calls to a target that does not answer.
+	retryPause = 250 * time.Millisecond
+	// maxEndsListed is the number of ends that a target lists at once.
+	maxEndsListed = 500
+	// silentIntervals is the number of announcements that a target may miss.
+	silentIntervals = 3
+)
+
+// link is what the leader knows of one target. The driver's mutex guards it.
+type link struct {
+	target *pb.Target
+	kick   chan struct{}
+	cancel context.CancelFunc
+
+	// clockMS is the target's clock at clockAt.
+	clockMS int64
+	clockAt time.Time
+	// lapseAt is when every lease granted so far has surely lapsed.
+	lapseAt time.Time
+
+	lastAnnounced time.Time
+	sequence      uint64
+	// leaving targets get no starts.
+	leaving bool
+
+	// failures counts calls without an answer since the last one with.
+	failures  int
+	failedAt  time.Time
+	unhealthy time.Time
+
+	listing Listing
+	// listedAt is when the last listing was asked for.
+	listedAt time.Time
+	looked   bool
+	// taken is the number of the last end that was read, seen the last one
+	// that is committed, told the last one that the target was told of.
+	taken, seen, told uint64
+
+	health health
+}
+
+func (l *link) address() Address { return Address{ID: l.target.Id, HostPort: l.target.Address} }
+
+func (l *link) life() life { return life{l.target.Id, l.target.BornUnixMs} }
+
+// addLink begins to look after a target.
+func (d *Driver) addLink(target *pb.Target) *link {
+	ctx, cancel := context.WithCancel(d.ctx)
+	l := &link{target: target, kick: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving}
+	d.links[target.Id] = l
+	d.call(func() { d.look(ctx, l) })
+	return l
+}
+
+func (d *Driver) dropLink(l *link) {
+	l.cancel()
+	if d.links[l.target.Id] == l {
+		delete(d.links, l.target.Id)
+	}
+}
+
+// wakeLook ends the pause of the link's look loop.
+func (l *link) wakeLook() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// confirmEnds lets the target forget the ends that were read: they are committed.
+func (l *link) confirmEnds() {
+	if l.seen != l.taken {
+		l.seen = l.taken
+		l.wakeLook()
+	}
+}
+
+// grant returns the end of a lease that begins now, on the target's clock; 0
+// while that clock is not known.
+func (d *Driver) grant(l *link) int64 {
+	if l.clockAt.IsZero() {
+		return 0
+	}
+	now := d.cfg.Now()
+	l.lapseAt = now.Add(d.leaseBound())
+	return l.clockMS + now.Sub(l.clockAt).Milliseconds() + d.cfg.Limits.LeaseTTL.Milliseconds()
+}
+
+// noteClock takes the target's clock from an answer that was just received.
+func (d *Driver) noteClock(l *link, clockMS int64) {
+	if clockMS > 0 {
+		l.clockMS, l.clockAt = clockMS, d.cfg.Now()
+	}
+}
+
+// look renews the target's lease and lists its runs while it has any.
+func (d *Driver) look(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		call, due := d.nextLook(l)
+		if !due || !d.cfg.Log.HoldsLease() {
+			select {
+			case <-ctx.Done():
+			case <-l.kick:
+			case <-time.After(retryPause):
+			}
+			continue
+		}
+		step, cancel := context.WithTimeout(ctx, call.Wait+lookMargin)
+		asked := d.cfg.Now()
+		listing, err := d.cfg.Targets.Renew(step, l.address(), call)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		d.takeLook(l, asked, call, listing, err)
+		pause := lookPause
+		if err != nil || listing.Refusal != Accepted {
+			pause = retryPause
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// nextLook returns the call that is due, if any: nothing is asked of a target
+// that runs nothing, and ends are confirmed before more are asked for.
+func (d *Driver) nextLook(l *link) (RenewCall, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.taken != l.seen {
+		return RenewCall{}, false
+	}
+	if l.told == l.seen && !d.hasRuns(l.target.Id) && (l.looked || d.cfg.Now().Sub(l.lastAnnounced) > 2*d.cfg.Limits.AnnounceInterval) {
+		return RenewCall{}, false
+	}
+	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.seen, Wait: lookWait, LeaseUntilMS: d.grant(l)}
+	if l.clockAt.IsZero() || !l.looked {
+		call.Wait = 0
+	}
+	return call, true
+}
+
+func (d *Driver) hasRuns(target string) bool {
+	any := false
+	d.cfg.Machine.View(func(v *workflow.View) { any = len(v.Placed(target)) > 0 })
+	return any
+}
+
+// takeLook takes in the answer to one look.
+func (d *Driver) takeLook(l *link, asked time.Time, call RenewCall, listing Listing, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.links[l.target.Id] != l {
+		return
+	}
+	if err != nil {
+		d.noteSilence(l, "list", err)
+		return
+	}
+	switch listing.Refusal {
+	case Accepted:
+	case OtherLife:
+		d.endLife(l, "another target answers at its address")
+		return
+	default:
+		d.noteClock(l, listing.ClockMS)
+		event.LookRefused.Emit(event.F("target", l.target.Id), event.F("reason", listing.Refusal.String()))
+		return
+	}
+	if listing.BornUnixMS != 0 && listing.BornUnixMS != l.target.BornUnixMs {
+		// The new life announces itself; until then nothing is started there.
+		d.noteRebirth(l, listing.BornUnixMS)
+		return
+	}
+	d.noteClock(l, listing.ClockMS)
+	d.noteAnswer(l)
+	l.listing, l.listedAt, l.looked = listing, asked, true
+	l.told = max(l.told, call.SeenEnd)
+	d.takeEnds(l, listing.Ended)
+	d.takeRunning(l)
+	d.kick()
+}
+
+// takeEnds queues the ends that were not read before.
+func (d *Driver) takeEnds(l *link, ended []Ended) {
+	for _, end := range ended {
+		if end.Number <= l.taken {
+			continue
+		}
+		l.taken = end.Number
+		d.noteEnd(l, end.Task, end.Attempt, end.Kind)
+		d.pending = append(d.pending, &pb.End{
+			Task: end.Task.Ref(end.Attempt), Target: l.target.Id, Kind: end.Kind, Checkpoint: end.Checkpoint,
+		})
+	}
+}
+
+// noteSilence counts a call without an answer. The target gets no starts until
+// it answers again.
+func (d *Driver) noteSilence(l *link, step string, err error) {
+	if l.failures == 0 {
+		event.TargetSilent.Emit(event.F("target", l.target.Id), event.F("step", step), event.Err(err))
+	}
+	l.failures++
+	l.failedAt = d.cfg.Now()
+}
+
+func (d *Driver) noteAnswer(l *link) {
+	if l.failures > 0 {
+		event.TargetAnswers.Emit(event.F("target", l.target.Id), event.F("failures", l.failures))
+		l.failures = 0
+	}
+}
+
+// silent reports whether a target has stopped announcing itself.
+func (d *Driver) silent(l *link) bool {
+	return d.cfg.Now().Sub(l.lastAnnounced) > silentIntervals*d.cfg.Limits.AnnounceInterval
+}
+
+// startable reports whether the target may get starts.
+func (d *Driver) startable(l *link) bool {
+	now := d.cfg.Now()
+	return !l.leaving && l.failures == 0 && !d.silent(l) && now.After(l.unhealthy) && !l.clockAt.IsZero()
+}
+
+// noteRebirth handles a new life under the same id before it has announced itself.
+func (d *Driver) noteRebirth(l *link, born int64) {
+	if born < l.target.BornUnixMs {
+		return
+	}
+	target := pbCloneTarget(l.target)
+	target.BornUnixMs, target.Leaving = born, false
+	d.beginLife(l, target)
+}
+
+// beginLife replaces the link by one of a new life. Runs of the former life
+// are over; a start that is still under way is kept out by a stop there.
+func (d *Driver) beginLife(old *link, target *pb.Target) *link {
+	event.TargetReborn.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs), event.F("former", old.target.BornUnixMs))
+	d.ended[old.life()] = true
+	d.dropLink(old)
+	l := d.addLink(target)
+	l.lastAnnounced = d.cfg.Now()
+	for _, r := range d.runs {
+		if r.target == target.Id && r.born != target.BornUnixMs {
+			d.loseToRebirth(l, r)
+		}
+	}
+	d.call(func() { d.register(target) })
+	return l
+}
+
+// register commits a target; the next announcement tries again after a failure.
+func (d *Driver) register(target *pb.Target) {
+	if _, err := d.commit(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}}); err != nil {
+		event.RegisterUncommitted.Emit(event.F("target", target.Id), event.Err(err))
+	}
+	d.kick()
+}
+
+// endLife handles a life that is surely over: nothing runs there any more.
+func (d *Driver) endLife(l *link, reason string) {
+	event.TargetGone.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason))
+	d.ended[l.life()] = true
+	d.dropLink(l)
+	for _, r := range d.runs {
+		if r.target == l.target.Id && r.born == l.target.BornUnixMs {
+			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
+		}
+	}
+	target := l.target
+	d.call(func() {
+		// The runs' ends go first; what still stands keeps the target.
+		sleep(d.ctx, time.Second)
+		_, err := d.commit(&pb.Command{Body: &pb.Command_RemoveTargets{RemoveTargets: &pb.RemoveTargets{Targets: []*pb.Target{target}}}})
+		if err != nil {
+			event.RegisterUncommitted.Emit(event.F("target", target.Id), event.Err(err))
+		}
+	})
+	d.kick()
+}
+
+// checkLinks ends the runs of targets whose leases have surely lapsed while
+// they gave no answer.
+func (d *Driver) checkLinks() {
+	now := d.cfg.Now()
+	for _, l := range d.links {
+		if now.Before(l.lapseAt) || l.failures == 0 && !d.silent(l) {
+			continue
+		}
+		lost := 0
+		for _, r := range d.runs {
+			if r.target == l.target.Id && r.born == l.target.BornUnixMs && r.phase != runEnded {
+				d.endRun(r, pb.EndKind_END_KIND_LOST, "the lease has lapsed without an answer")
+				lost++
+			}
+		}
+		if lost > 0 {
+			event.LeaseLapsed.Emit(event.F("target", l.target.Id), event.F("runs", lost), event.F("failures", l.failures))
+		}
+	}
+}
--- /dev/null
+++ b/internal/driver/plan.go
@@ -0,0 +1,255 @@
+package driver
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/policy/assign"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// lateFactor is how many objectives after its submission a job still earns.
+	lateFactor = 3
+	// maxStartsPerRound bounds one command, so that its commit does not hold up others.
+	maxStartsPerRound = 256
+	// knownAfter is how long after its beginning a leader has heard from all
+	// targets that announce themselves.
+	knownAfter = 5 * time.Second
+)
+
+// plan returns the starts of one round over all pools.
+func (d *Driver) plan() []*pb.Start {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var starts []*pb.Start
+	d.cfg.Machine.View(func(v *workflow.View) {
+		workspaces := workspacesOf(v)
+		for pool, snapshot := range d.snapshots(v) {
+			if len(snapshot.Jobs) == 0 {
+				continue
+			}
+			snapshot.Targets = d.planTargets(v, pool)
+			snapshot.Workspaces = workspaces
+			for _, start := range assign.Plan(snapshot) {
+				starts = append(starts, d.startOf(v, start))
+			}
+			if len(starts) >= maxStartsPerRound {
+				return
+			}
+		}
+	})
+	return starts
+}
+
+func (d *Driver) startOf(v *workflow.View, s assign.Start) *pb.Start {
+	task := v.Task(s.Task)
+	return &pb.Start{
+		Task: s.Task.Ref(task.Attempt + 1), Target: s.Target,
+		TargetBornUnixMs: v.Target(s.Target).BornUnixMs,
+	}
+}
+
+func workspacesOf(v *workflow.View) map[string]*assign.Workspace {
+	out := make(map[string]*assign.Workspace)
+	for _, w := range v.Catalogue().GetWorkspaces() {
+		out[w.Name] = &assign.Workspace{Used: v.Used(w.Name), Limit: workflow.ResourcesOf(w.Limit)}
+	}
+	return out
+}
+
+// planTargets returns the targets of a pool that may get starts.
+func (d *Driver) planTargets(v *workflow.View, pool string) []assign.Target {
+	var out []assign.Target
+	now := d.cfg.Now()
+	for id, l := range d.links {
+		known := v.Target(id)
+		if known == nil || known.Pool != pool || known.Leaving || known.BornUnixMs != l.target.BornUnixMs {
+			continue
+		}
+		if !d.startable(l) || d.waves.cordoned[known.Vm] || d.fleet.cordoned[known.Vm] || !l.health.admits(now) {
+			continue
+		}
+		free := workflow.ResourcesOf(known.Capacity)
+		for _, task := range v.Placed(id) {
+			free = free.Sub(workflow.StepRoom(task.Spec()))
+		}
+		out = append(out, assign.Target{
+			ID: id, Rack: rackOf(known), Labels: known.Labels, Free: free, Slowness: l.health.slowness(),
+		})
+	}
+	slices.SortFunc(out, func(a, b assign.Target) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// rackOf returns the last label of a target: the labels are its kind and its rack.
+func rackOf(t *pb.Target) string {
+	if len(t.Labels) == 0 {
+		return ""
+	}
+	return t.Labels[len(t.Labels)-1]
+}
+
+// snapshots returns the jobs that have tasks to start, by pool.
+func (d *Driver) snapshots(v *workflow.View) map[string]*assign.Snapshot {
+	out := make(map[string]*assign.Snapshot)
+	nowMS := d.cfg.NowMS()
+	for _, job := range v.OpenJobs() {
+		if workflow.Ended(job.State) {
+			continue
+		}
+		queue := v.Queue(job.Spec.Queue)
+		if queue == nil {
+			continue
+		}
+		planned := d.planJob(v, job, queue, nowMS)
+		if len(planned.Steps) == 0 {
+			continue
+		}
+		s := out[queue.Pool]
+		if s == nil {
+			s = &assign.Snapshot{NowMS: nowMS}
+			out[queue.Pool] = s
+		}
+		s.Jobs = append(s.Jobs, planned)
+	}
+	return out
+}
+
+// planJob returns what of a job may start now.
+func (d *Driver) planJob(v *workflow.View, job *workflow.Job, queue *pb.Queue, nowMS int64) assign.Job {
+	planned := assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs}
+	for k := range job.Tasks {
+		if due := job.DueMS(k); due > nowMS {
+			continue
+		}
+		for s := range job.Tasks[k] {
+			if job.StepLeft(k, s) == 0 || !job.Ready(k, s) {
+				continue
+			}
+			if step := d.planStep(v, job, k, s); len(step.Tasks) > 0 {
+				planned.Steps = append(planned.Steps, step)
+			}
+		}
+	}
+	if len(planned.Steps) == 0 {
+		return planned
+	}
+	planned.Lasting = job.Spec.Steps[0].Lasting
+	total, left := d.chain(job)
+	objective := int64(queue.SlackFactor*float64(total)) + queue.ObjectiveMs
+	planned.RemainingMS = left
+	planned.DeadlineMS = job.Spec.SubmittedUnixMs + objective
+	planned.LateDeadlineMS = job.Spec.SubmittedUnixMs + lateFactor*objective
+	return planned
+}
+
+// planStep returns the waiting tasks of one step.
+func (d *Driver) planStep(v *workflow.View, job *workflow.Job, occurrence, number int) assign.Step {
+	spec := job.Spec.Steps[number]
+	step := assign.Step{
+		Room: workflow.StepRoom(spec), Needs: workflow.ResourcesOf(spec.Needs), Gang: spec.Gang, SameRack: spec.SameRack,
+		Label: spec.Label, DataRack: spec.DataRack, MaxPerTarget: int(spec.MaxPerTarget), Spread: spec.Lasting,
+		OnTarget: make(map[string]int),
+	}
+	tasks := job.Tasks[occurrence][number]
+	for _, task := range tasks {
+		switch task.State {
+		case pb.TaskState_TASK_STATE_WAITING:
+			step.Tasks = append(step.Tasks, task.ID)
+			if failed := d.learned.failedOn(task.ID); failed != "" {
+				if step.Avoid == nil {
+					step.Avoid = make(map[string]bool)
+				}
+				step.Avoid[failed] = true
+			}
+		case pb.TaskState_TASK_STATE_PLACED:
+			step.OnTarget[task.Target]++
+		}
+	}
+	if spec.Gang && len(step.Tasks) < len(tasks) {
+		// A gang starts whole, once all members of its former run have ended.
+		step.Tasks = nil
+	}
+	return step
+}
+
+// chain returns the longest chain of the job's steps and of what is left of
+// them, in learned milliseconds.
+func (d *Driver) chain(job *workflow.Job) (total, left int64) {
+	steps := job.Spec.Steps
+	whole, rest := make([]int64, len(steps)), make([]int64, len(steps))
+	for i, step := range steps {
+		length := d.learned.expected(job.Spec.Queue, step)
+		whole[i] = length
+		if len(job.Tasks) > 0 && job.StepLeft(len(job.Tasks)-1, i) > 0 {
+			rest[i] = length
+		}
+		for _, before := range step.After {
+			whole[i] = max(whole[i], whole[before]+length)
+			rest[i] = max(rest[i], rest[before]+map[bool]int64{true: length}[job.StepLeft(len(job.Tasks)-1, i) > 0])
+		}
+		total, left = max(total, whole[i]), max(left, rest[i])
+	}
+	return total, left
+}
+
+// failHopeless ends jobs with a task that no known target could run even when
+// empty. VMs move between pools, so that targets of all pools count.
+func (d *Driver) failHopeless() {
+	if d.cfg.Now().Sub(d.began) < knownAfter {
+		return
+	}
+	type hopeless struct{ job, reason string }
+	var found []hopeless
+	d.mu.Lock()
+	checked := d.learned.checked
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if len(v.Targets()) == 0 {
+			return
+		}
+		for id, job := range v.OpenJobs() {
+			if checked[id] || job.State != pb.JobState_JOB_STATE_QUEUED {
+				continue
+			}
+			if reason := neverFits(v, job); reason != "" {
+				found = append(found, hopeless{id, reason})
+				continue
+			}
+			checked[id] = true
+		}
+		for id := range checked {
+			if v.OpenJobs()[id] == nil {
+				delete(checked, id)
+			}
+		}
+	})
+	d.mu.Unlock()
+	for _, h := range found {
+		event.JobHopeless.Emit(event.F("job", h.job), event.F("reason", h.reason))
+		if _, err := d.commit(&pb.Command{Body: &pb.Command_FailJob{FailJob: &pb.FailJob{Job: h.job, Reason: h.reason}}}); err != nil {
+			event.EndsUncommitted.Emit(event.F("job", h.job), event.Err(err))
+		}
+	}
+}
+
+// neverFits returns why a job can never run, or "".
+func neverFits(v *workflow.View, job *workflow.Job) string {
+	for i, step := range job.Spec.Steps {
+		fits := false
+		for _, target := range v.Targets() {
+			if workflow.StepRoom(step).FitsIn(workflow.ResourcesOf(target.Capacity)) &&
+				(step.Label == "" || slices.Contains(target.Labels, step.Label)) {
+				fits = true
+				break
+			}
+		}
+		if !fits {
+			return "step " + string(rune('0'+i%10)) + " fits on no target"
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/driver/registry.go
@@ -0,0 +1,92 @@
+package driver
+
+import (
+	"context"
+	"errors"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+var errNoLease = errors.New("the leader's lease is not held")
+
+// Announce takes in the announcement of a target. A leaving one is answered
+// only once that is committed: no later leader starts anything there either.
+func (d *Driver) Announce(ctx context.Context, r *pb.Request) *pb.Response {
+	target := r.Target
+	d.mu.Lock()
+	commit := d.takeAnnouncement(r)
+	d.mu.Unlock()
+	if commit {
+		_, err := d.commitIn(ctx, &pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}})
+		if err != nil {
+			return notReady("register target: " + err.Error())
+		}
+		d.kick()
+	}
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+}
+
+// takeAnnouncement updates the link of the target and reports whether the
+// committed target is to change.
+func (d *Driver) takeAnnouncement(r *pb.Request) bool {
+	target := r.Target
+	if d.ended[life{target.Id, target.BornUnixMs}] {
+		return false
+	}
+	l := d.links[target.Id]
+	switch {
+	case l == nil:
+		l = d.addLink(target)
+		event.TargetFound.Emit(event.F("target", target.Id), event.F("pool", target.Pool), event.F("zone", target.Zone), event.F("vm", target.Vm))
+		d.noteVMBack(target)
+	case target.BornUnixMs < l.target.BornUnixMs:
+		return false
+	case target.BornUnixMs > l.target.BornUnixMs:
+		l = d.beginLife(l, target)
+		d.noteVMBack(target)
+	case r.Sequence < l.sequence:
+		return false
+	}
+	l.sequence = r.Sequence
+	l.lastAnnounced = d.cfg.Now()
+	if l.clockAt.IsZero() {
+		d.noteClock(l, r.TargetClockMs)
+	}
+	if target.Leaving && !l.leaving {
+		event.TargetLeaves.Emit(event.F("target", target.Id))
+	}
+	l.leaving = l.leaving || target.Leaving
+	return d.differs(target)
+}
+
+// differs reports whether the committed target is another one or another state.
+func (d *Driver) differs(target *pb.Target) bool {
+	differs := false
+	d.cfg.Machine.View(func(v *workflow.View) {
+		known := v.Target(target.Id)
+		differs = known == nil || known.BornUnixMs != target.BornUnixMs || known.Address != target.Address ||
+			known.Pool != target.Pool || known.Leaving != target.Leaving && target.Leaving
+	})
+	return differs
+}
+
+// Deregister takes in that a target has ended as planned.
+func (d *Driver) Deregister(id string) *pb.Response {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l := d.links[id]; l != nil {
+		d.endLife(l, "it has ended as planned")
+	}
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+}
+
+func (d *Driver) commitIn(ctx context.Context, command *pb.Command) (*workflow.Outcome, error) {
+	command.TimeUnixMs = d.cfg.NowMS()
+	return d.cfg.Log.Commit(ctx, command)
+}
+
+func notReady(reason string) *pb.Response {
+	return &pb.Response{Answer: pb.Answer_ANSWER_NOT_READY, Reason: reason}
+}
--- /dev/null
+++ b/internal/driver/requests.go
@@ -0,0 +1,209 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/replica"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// Serve answers a request that reached the leader.
+func (d *Driver) Serve(ctx context.Context, r *pb.Request) *pb.Response {
+	if !d.cfg.Log.HoldsLease() {
+		return notReady(errNoLease.Error())
+	}
+	switch r.Operation {
+	case pb.Operation_OPERATION_SUBMIT:
+		return d.submit(ctx, r)
+	case pb.Operation_OPERATION_STATUS:
+		return d.status(r)
+	case pb.Operation_OPERATION_CANCEL:
+		return d.cancel(ctx, r)
+	case pb.Operation_OPERATION_COUNT:
+		return d.count(r)
+	case pb.Operation_OPERATION_ANNOUNCE:
+		return d.Announce(ctx, r)
+	case pb.Operation_OPERATION_DEREGISTER:
+		return d.Deregister(r.Target.GetId())
+	case pb.Operation_OPERATION_PUT_CATALOGUE:
+		return d.putCatalogue(ctx, r.Catalogue)
+	case pb.Operation_OPERATION_GET_CATALOGUE:
+		return d.getCatalogue()
+	case pb.Operation_OPERATION_DECLARE_WAVE:
+		return d.declareWave(ctx, r.Wave)
+	case pb.Operation_OPERATION_GET_WAVE:
+		return d.getWave(r.Wave.GetId())
+	}
+	return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: "unknown operation"}
+}
+
+// admit finds the queue of a request and checks its key; the response is nil
+// when the request may go on.
+func admit(v *workflow.View, r *pb.Request) (*pb.Queue, *pb.Workspace, *pb.Response) {
+	if v.Catalogue() == nil {
+		return nil, nil, notReady("no catalogue is in force yet")
+	}
+	queue := v.Route(r.Host, r.Path)
+	if queue == nil {
+		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_NO_QUEUE, Reason: "no queue at this path"}
+	}
+	workspace := v.WorkspaceOfKey(r.Key)
+	if workspace == nil && !queue.Open {
+		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_BAD_KEY, Reason: "key belongs to no workspace"}
+	}
+	return queue, workspace, nil
+}
+
+func (d *Driver) submit(ctx context.Context, r *pb.Request) *pb.Response {
+	var refused *pb.Response
+	known := false
+	d.cfg.Machine.View(func(v *workflow.View) {
+		var queue *pb.Queue
+		var workspace *pb.Workspace
+		queue, workspace, refused = admit(v, r)
+		if refused != nil {
+			return
+		}
+		known = v.Job(r.Job.Id) != nil
+		r.Job.Queue, r.Job.Workspace = queue.Name, workspace.GetName()
+	})
+	if refused != nil {
+		event.RequestRefused.Emit(event.F("job", r.Job.GetId()), event.F("answer", refused.Answer.String()), event.F("reason", refused.Reason))
+		return refused
+	}
+	if known {
+		return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+	}
+	out, err := d.commitIn(ctx, &pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: r.Job}}})
+	if err != nil {
+		return commitFailed(err)
+	}
+	if out.Code != workflow.OK {
+		event.RequestRefused.Emit(event.F("job", r.Job.Id), event.F("answer", "invalid"), event.F("reason", out.Reason))
+		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: out.Reason}
+	}
+	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("index", out.Index))
+	d.kick()
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+}
+
+// commitFailed tells whether a command that was not seen committed may take effect.
+func commitFailed(err error) *pb.Response {
+	if errors.Is(err, replica.ErrNotLeader) {
+		return notReady(err.Error())
+	}
+	return &pb.Response{Answer: pb.Answer_ANSWER_UNKNOWN, Reason: err.Error()}
+}
+
+func (d *Driver) status(r *pb.Request) *pb.Response {
+	var response *pb.Response
+	d.cfg.Machine.View(func(v *workflow.View) {
+		queue, _, refused := admit(v, r)
+		if refused != nil {
+			response = refused
+			return
+		}
+		job := v.Job(r.Job.GetId())
+		if job == nil || job.Spec.Queue != queue.Name {
+			response = &pb.Response{Answer: pb.Answer_ANSWER_GONE}
+			return
+		}
+		response = &pb.Response{Answer: pb.Answer_ANSWER_OK, State: job.State, Reason: job.Reason}
+	})
+	return response
+}
+
+func (d *Driver) cancel(ctx context.Context, r *pb.Request) *pb.Response {
+	if response := d.status(r); response.Answer != pb.Answer_ANSWER_OK {
+		return response
+	}
+	out, err := d.commitIn(ctx, &pb.Command{Body: &pb.Command_CancelJob{CancelJob: &pb.CancelJob{Job: r.Job.Id}}})
+	if err != nil {
+		return commitFailed(err)
+	}
+	if out.Code != workflow.OK {
+		return &pb.Response{Answer: pb.Answer_ANSWER_GONE, Reason: out.Reason}
+	}
+	event.JobCancelled.Emit(event.F("job", r.Job.Id), event.F("index", out.Index))
+	d.kick()
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+}
+
+// count returns the jobs of a queue of which nothing has started.
+func (d *Driver) count(r *pb.Request) *pb.Response {
+	var response *pb.Response
+	d.cfg.Machine.View(func(v *workflow.View) {
+		queue, _, refused := admit(v, r)
+		if refused != nil {
+			response = refused
+			return
+		}
+		response = &pb.Response{Answer: pb.Answer_ANSWER_OK}
+		for _, job := range v.OpenJobs() {
+			if job.Spec.Queue == queue.Name && job.State == pb.JobState_JOB_STATE_QUEUED {
+				response.Waiting++
+			}
+		}
+	})
+	return response
+}
+
+// putCatalogue answers only once the version, or a later one, is committed.
+func (d *Driver) putCatalogue(ctx context.Context, c *pb.Catalogue) *pb.Response {
+	if err := workflow.CheckCatalogue(c); err != nil {
+		event.CatalogueRefused.Emit(event.F("version", c.GetVersion()), event.Err(err))
+		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: err.Error()}
+	}
+	out, err := d.commitIn(ctx, &pb.Command{Body: &pb.Command_PutCatalogue{PutCatalogue: &pb.PutCatalogue{Catalogue: c}}})
+	if err != nil {
+		return commitFailed(err)
+	}
+	if out.Code != workflow.OK {
+		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: out.Reason}
+	}
+	event.CatalogueAccepted.Emit(event.F("version", c.Version), event.F("index", out.Index))
+	d.kick()
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+}
+
+func (d *Driver) getCatalogue() *pb.Response {
+	var response *pb.Response
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if v.Catalogue() == nil {
+			response = notReady("no catalogue is in force yet")
+			return
+		}
+		response = &pb.Response{Answer: pb.Answer_ANSWER_OK, Source: v.Catalogue().Source}
+	})
+	if !d.cfg.Log.HoldsLease() {
+		return notReady(errNoLease.Error())
+	}
+	return response
+}
+
+func (d *Driver) declareWave(ctx context.Context, w *pb.Wave) *pb.Response {
+	out, err := d.commitIn(ctx, &pb.Command{Body: &pb.Command_DeclareWave{DeclareWave: &pb.DeclareWave{Wave: w}}})
+	if err != nil {
+		return commitFailed(err)
+	}
+	if out.Code != workflow.OK {
+		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: out.Reason}
+	}
+	event.WaveDeclared.Emit(event.F("wave", w.Id), event.F("vms", len(w.Vms)), event.F("cap", w.Cap), event.F("duration_ms", w.DurationMs))
+	d.kick()
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+}
+
+func (d *Driver) getWave(id uint64) *pb.Response {
+	response := &pb.Response{Answer: pb.Answer_ANSWER_GONE, Reason: fmt.Sprintf("wave %d does not exist", id)}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if w := v.Wave(id); w != nil {
+			response = &pb.Response{Answer: pb.Answer_ANSWER_OK, Complete: workflow.WaveComplete(w)}
+		}
+	})
+	return response
+}
--- /dev/null
+++ b/internal/driver/runs.go
@@ -0,0 +1,406 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// startTimeout bounds one call that starts, stops or paces a run.
+	startTimeout = time.Second
+	// startPatience is how long an unanswered start is sent again before the
+	// run is stopped and the task placed elsewhere.
+	startPatience = 1500 * time.Millisecond
+)
+
+type runPhase int
+
+// Phases of a run in the leader's memory.
+const (
+	// runCalling: a start call is under way.
+	runCalling runPhase = iota
+	// runUnanswered: the last start call got no answer; it may be carried out yet.
+	runUnanswered
+	// runConfirmed: the target has accepted the start.
+	runConfirmed
+	// runStopping: stop calls are sent until one is answered.
+	runStopping
+	// runStopped: the target has taken the stop; the run never starts from here on.
+	runStopped
+	// runEnded: the end waits to be committed.
+	runEnded
+)
+
+// run is the newest run of a placed task. The driver's mutex guards it.
+type run struct {
+	task    workflow.TaskID
+	attempt uint32
+	target  string
+	born    int64
+	phase   runPhase
+	// unanswered tells that some start call may still be carried out.
+	unanswered bool
+	// adopted runs were placed under a former leader.
+	adopted bool
+	// begun is when the run was placed, settled when its phase last changed by
+	// an answer, working when it was first known to run.
+	begun, settled, working time.Time
+	lastCall                time.Time
+	// percent and movedAt tell whether the run gets on.
+	percent float64
+	movedAt time.Time
+	// pace is the share of its speed that the run was told to work at.
+	pace   int
+	pacing bool
+	gauge  float64
+	// overSince is since when a lasting task has been over its goal.
+	overSince time.Time
+}
+
+// beginRuns calls the targets for committed starts.
+func (d *Driver) beginRuns(starts []*pb.Start, refused []workflow.RefusedStart) {
+	not := make(map[workflow.TaskID]bool, len(refused))
+	for _, r := range refused {
+		not[r.Task] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	for _, start := range starts {
+		id := workflow.RefID(start.Task)
+		if not[id] {
+			continue
+		}
+		r := &run{
+			task: id, attempt: start.Task.Attempt, target: start.Target, born: start.TargetBornUnixMs,
+			phase: runCalling, begun: now, pace: fullPace,
+		}
+		d.runs[id] = r
+		d.callStart(r)
+	}
+}
+
+// callStart sends one start call beside the loop.
+func (d *Driver) callStart(r *run) {
+	l := d.links[r.target]
+	if l == nil || l.target.BornUnixMs != r.born {
+		r.phase = runUnanswered
+		return
+	}
+	call, ok := d.startCall(r, l)
+	if !ok {
+		r.phase = runUnanswered
+		return
+	}
+	r.phase, r.lastCall = runCalling, d.cfg.Now()
+	to := l.address()
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
+		defer cancel()
+		if !d.cfg.Log.HoldsLease() {
+			d.takeStart(r, call.LeaseUntilMS, Answer{}, errNoLease, false)
+			return
+		}
+		answer, err := d.cfg.Targets.Start(ctx, to, call)
+		d.takeStart(r, call.LeaseUntilMS, answer, err, true)
+	})
+}
+
+// startCall returns the call for a run that is still wanted.
+func (d *Driver) startCall(r *run, l *link) (StartCall, bool) {
+	call := StartCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, LeaseUntilMS: d.grant(l)}
+	found := false
+	d.cfg.Machine.View(func(v *workflow.View) {
+		task := v.Task(r.task)
+		if task == nil || task.Attempt != r.attempt || task.State != pb.TaskState_TASK_STATE_PLACED || workflow.Ended(task.Job.State) {
+			return
+		}
+		call.Payload, call.Checkpoint, found = task.Job.Spec.Payload, task.Checkpoint, true
+	})
+	return call, found && call.LeaseUntilMS != 0
+}
+
+// takeStart takes in the answer to a start call.
+func (d *Driver) takeStart(r *run, leaseUntil int64, answer Answer, err error, sent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.runs[r.task] != r || r.phase != runCalling {
+		if err != nil && sent {
+			r.unanswered = true
+		}
+		return
+	}
+	now := d.cfg.Now()
+	l := d.links[r.target]
+	if err != nil {
+		r.phase = runUnanswered
+		r.unanswered = r.unanswered || sent
+		if sent && l != nil {
+			d.noteSilence(l, "start", err)
+		}
+		return
+	}
+	if l != nil && l.target.BornUnixMs == r.born {
+		d.noteClock(l, answer.ClockMS)
+		d.noteAnswer(l)
+	}
+	d.counts.start(answer.Refusal)
+	switch answer.Refusal {
+	case Accepted:
+		r.phase, r.settled, r.working, r.movedAt = runConfirmed, now, now, now
+		if l != nil {
+			l.wakeLook()
+		}
+		return
+	case OtherLife:
+		if l != nil {
+			d.endLife(l, "another target answers at its address")
+		}
+		return
+	case RefusedFence:
+		r.phase = runUnanswered
+		return
+	case RefusedOld:
+		// The listing holds its end, if it ran.
+		r.phase, r.settled = runStopped, now
+		return
+	case RefusedLate:
+		r.phase = runUnanswered
+		return
+	}
+	event.StartRefusedByTarget.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt),
+		event.F("target", r.target), event.F("reason", answer.Refusal.String()))
+	if l != nil && answer.Refusal != RefusedRoom {
+		l.unhealthy = now.Add(unhealthyPause)
+	}
+	if l != nil && answer.Refusal == RefusedRoom {
+		l.unhealthy = now.Add(roomPause)
+	}
+	if r.unanswered {
+		// An earlier call for the same run may still be carried out.
+		d.callStop(r)
+		return
+	}
+	d.endRun(r, pb.EndKind_END_KIND_NOT_RUN, "refused: "+answer.Refusal.String())
+}
+
+const (
+	// unhealthyPause is how long a target that refuses as unhealthy gets no starts.
+	unhealthyPause = 500 * time.Millisecond
+	// roomPause is how long a target whose room differs from the books gets none.
+	roomPause = 150 * time.Millisecond
+)
+
+// callStop tells the target to end the run, or never to begin it.
+func (d *Driver) callStop(r *run) {
+	l := d.links[r.target]
+	if l == nil {
+		return
+	}
+	r.phase, r.lastCall = runStopping, d.cfg.Now()
+	call := StopCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch}
+	to, born := l.address(), l.target.BornUnixMs
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
+		defer cancel()
+		if !d.cfg.Log.HoldsLease() {
+			return
+		}
+		answer, err := d.cfg.Targets.Stop(ctx, to, call)
+		d.takeStop(r, born, answer, err)
+	})
+}
+
+// takeStop takes in the answer to a stop call.
+func (d *Driver) takeStop(r *run, born int64, answer Answer, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.links[r.target]
+	if d.runs[r.task] != r || r.phase != runStopping || l == nil || l.target.BornUnixMs != born {
+		return
+	}
+	if err != nil {
+		d.noteSilence(l, "stop", err)
+		return
+	}
+	d.noteClock(l, answer.ClockMS)
+	d.noteAnswer(l)
+	switch answer.Refusal {
+	case Accepted, RefusedOld:
+		r.phase, r.settled = runStopped, d.cfg.Now()
+		if born != r.born {
+			// The run's own life is over, and the new one will not begin it.
+			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was reborn")
+			return
+		}
+		l.wakeLook()
+	case OtherLife:
+		d.endLife(l, "another target answers at its address")
+	}
+}
+
+// loseToRebirth ends a run whose target has begun a new life. A start that is
+// still under way could reach the new life, so that a stop goes there first.
+func (d *Driver) loseToRebirth(l *link, r *run) {
+	if r.phase == runEnded {
+		return
+	}
+	if r.phase == runConfirmed && !r.unanswered {
+		d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was reborn")
+		return
+	}
+	d.callStop(r)
+}
+
+// endRun queues the end of a run that no listing will tell.
+func (d *Driver) endRun(r *run, kind pb.EndKind, reason string) {
+	if r.phase == runEnded {
+		return
+	}
+	r.phase = runEnded
+	event.RunEndedUnlisted.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt),
+		event.F("target", r.target), event.F("end", kind.String()), event.F("reason", reason))
+	d.pending = append(d.pending, &pb.End{Task: r.task.Ref(r.attempt), Target: r.target, Kind: kind})
+	d.kick()
+}
+
+// noteEnd marks a run as ended by its target's listing.
+func (d *Driver) noteEnd(l *link, task workflow.TaskID, attempt uint32, kind pb.EndKind) {
+	r := d.runs[task]
+	if r == nil || r.attempt != attempt || r.target != l.target.Id || r.phase == runEnded {
+		return
+	}
+	r.phase = runEnded
+	d.learnEnd(l, r, kind)
+}
+
+// forgetRun drops a run whose end is committed.
+func (d *Driver) forgetRun(end *pb.End) {
+	id := workflow.RefID(end.Task)
+	if r := d.runs[id]; r != nil && r.attempt == end.Task.Attempt {
+		delete(d.runs, id)
+	}
+}
+
+// takeRunning compares a listing with the runs that should be there.
+func (d *Driver) takeRunning(l *link) {
+	now := d.cfg.Now()
+	listed := make(map[workflow.TaskID]*Running, len(l.listing.Running))
+	for i := range l.listing.Running {
+		running := &l.listing.Running[i]
+		listed[running.Task] = running
+		r := d.runs[running.Task]
+		if r == nil || r.attempt != running.Attempt || r.target != l.target.Id || r.born != l.target.BornUnixMs {
+			d.stopStranger(l, running)
+			continue
+		}
+		if r.phase == runCalling || r.phase == runUnanswered {
+			r.phase, r.settled = runConfirmed, now
+			if r.working.IsZero() {
+				r.working = now
+			}
+		}
+		if running.Percent != r.percent || r.movedAt.IsZero() {
+			r.percent, r.movedAt = running.Percent, now
+		}
+		r.gauge = running.Gauge
+	}
+	if len(l.listing.Ended) >= maxEndsListed {
+		return
+	}
+	for _, r := range d.runs {
+		if r.target != l.target.Id || r.born != l.target.BornUnixMs || listed[r.task] != nil {
+			continue
+		}
+		if (r.phase == runConfirmed || r.phase == runStopped) && r.settled.Before(l.listedAt) {
+			d.endRun(r, pb.EndKind_END_KIND_NOT_RUN, "the target knows neither the run nor its end")
+		}
+	}
+}
+
+// stopStranger ends a run that the state does not hold: one that began late,
+// of a task that is placed elsewhere by now.
+func (d *Driver) stopStranger(l *link, running *Running) {
+	event.StrangerStopped.Emit(event.F("task", running.Task.String()), event.F("attempt", running.Attempt), event.F("target", l.target.Id))
+	call := StopCall{Task: running.Task, Attempt: running.Attempt, Fence: d.cfg.Epoch}
+	to := l.address()
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
+		defer cancel()
+		// A stop that fails is sent again after the next listing.
+		if _, err := d.cfg.Targets.Stop(ctx, to, call); err != nil {
+			event.TargetSilent.Emit(event.F("target", to.ID), event.F("step", "stop stranger"), event.Err(err))
+		}
+	})
+}
+
+// checkRuns sends again what got no answer, and stops what is not wanted any more.
+func (d *Driver) checkRuns() {
+	now := d.cfg.Now()
+	d.cfg.Machine.View(func(v *workflow.View) {
+		d.adoptPlaced(v, now)
+		for _, r := range d.runs {
+			task := v.Task(r.task)
+			if task == nil || task.State != pb.TaskState_TASK_STATE_PLACED || task.Attempt != r.attempt {
+				if r.phase == runEnded || now.Sub(r.begun) > time.Second {
+					delete(d.runs, r.task)
+				}
+				continue
+			}
+			d.checkRun(r, workflow.Ended(task.Job.State) || v.Queue(task.Job.Spec.Queue) == nil, now)
+		}
+	})
+}
+
+// adoptPlaced finds tasks that were placed by a command whose outcome was not known.
+func (d *Driver) adoptPlaced(v *workflow.View, now time.Time) {
+	for id, l := range d.links {
+		placed := v.Placed(id)
+		for _, task := range placed {
+			if r := d.runs[task.ID]; r != nil && r.attempt == task.Attempt {
+				continue
+			}
+			d.runs[task.ID] = &run{
+				task: task.ID, attempt: task.Attempt, target: id, born: l.target.BornUnixMs,
+				phase: runUnanswered, begun: now, adopted: true, unanswered: true, pace: fullPace,
+			}
+		}
+	}
+}
+
+func (d *Driver) checkRun(r *run, unwanted bool, now time.Time) {
+	if now.Sub(r.lastCall) < retryPause {
+		return
+	}
+	l := d.links[r.target]
+	if l == nil {
+		return
+	}
+	switch r.phase {
+	case runConfirmed:
+		if unwanted {
+			d.callStop(r)
+		}
+	case runStopping:
+		d.callStop(r)
+	case runUnanswered:
+		switch {
+		case l.target.BornUnixMs != r.born:
+			d.loseToRebirth(l, r)
+		case unwanted, l.leaving, now.Sub(r.begun) > startPatience && !r.adopted, now.Sub(r.begun) > 3*startPatience:
+			d.callStop(r)
+		case r.adopted && !l.looked:
+			// The first listing tells whether it runs already.
+		default:
+			d.callStart(r)
+		}
+	}
+}
+
+func pbCloneTarget(t *pb.Target) *pb.Target { return proto.CloneOf(t) }
--- /dev/null
+++ b/internal/driver/waves.go
@@ -0,0 +1,354 @@
+package driver
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	// orderPause spaces orders for one VM that were not carried out.
+	orderPause = 500 * time.Millisecond
+	// listPause spaces readings of the platform's list of VMs.
+	listPause = 2 * time.Second
+	// drainPatience is how long a VM of a wave waits for its short tasks to end.
+	drainPatience = 4 * time.Second
+	// returnPatience is how long a VM may be away after its maintenance before
+	// the platform is asked about it.
+	returnPatience = 4 * time.Second
+	// drainAhead is how many VMs beyond the wave's cap are being emptied.
+	drainAhead = 1
+)
+
+// waveLoop is what the leader remembers of waves. The driver's mutex guards it.
+type waveLoop struct {
+	// cordoned VMs get no starts.
+	cordoned map[string]bool
+	since    map[string]time.Time
+	// calling holds VMs with an order under way, tried when the last one began.
+	calling map[string]bool
+	tried   map[string]time.Time
+	// away holds VMs whose maintenance has begun and that are not back, with
+	// the time of the order.
+	away    map[string]time.Time
+	listing bool
+	listed  time.Time
+}
+
+func newWaveLoop() *waveLoop {
+	return &waveLoop{
+		cordoned: make(map[string]bool), since: make(map[string]time.Time), calling: make(map[string]bool),
+		tried: make(map[string]time.Time), away: make(map[string]time.Time),
+	}
+}
+
+// fleetView is the platform's list of VMs as last read.
+type fleetView struct {
+	vms      map[string]VM
+	readAt   time.Time
+	cordoned map[string]bool
+}
+
+// runWaves brings each wave on by what is due.
+func (d *Driver) runWaves() {
+	var waves []*pb.Wave
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, w := range v.Waves() {
+			if !workflow.WaveComplete(w) {
+				waves = append(waves, w)
+			}
+		}
+	})
+	for _, w := range waves {
+		d.runWave(w)
+	}
+}
+
+func (d *Driver) runWave(w *pb.Wave) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ordered, left []string
+	d.cfg.Machine.View(func(*workflow.View) {
+		ordered = slices.Clone(w.Ordered)
+		for _, vm := range w.Vms {
+			if !slices.Contains(w.Ordered, vm) && !slices.Contains(w.Begun, vm) {
+				left = append(left, vm)
+			}
+		}
+	})
+	for _, vm := range ordered {
+		d.bringOn(w, vm)
+	}
+	d.cordonNext(w, left, len(ordered))
+	if len(ordered) < int(w.Cap) {
+		for _, vm := range left {
+			if d.waves.cordoned[vm] && d.emptied(vm) && d.mayGoDown(vm) {
+				d.order(w, vm)
+				break
+			}
+		}
+	}
+}
+
+// cordonNext empties VMs of the wave so that one is ready when the cap allows
+// it: those first that have the least to lose.
+func (d *Driver) cordonNext(w *pb.Wave, left []string, ordered int) {
+	cordoned := 0
+	for _, vm := range left {
+		if d.waves.cordoned[vm] {
+			cordoned++
+		}
+	}
+	want := int(w.Cap) - ordered + drainAhead
+	load := make(map[string]int64)
+	for _, vm := range left {
+		load[vm] = d.workOn(vm)
+	}
+	slices.SortStableFunc(left, func(a, b string) int { return cmp.Compare(load[a], load[b]) })
+	for _, vm := range left {
+		if cordoned >= want {
+			return
+		}
+		if !d.waves.cordoned[vm] {
+			d.waves.cordoned[vm] = true
+			d.waves.since[vm] = d.cfg.Now()
+			cordoned++
+			event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
+		}
+	}
+}
+
+// linkOfVM returns the link of the target that runs on a VM, or nil.
+func (d *Driver) linkOfVM(vm string) *link {
+	for _, l := range d.links {
+		if l.target.Vm == vm {
+			return l
+		}
+	}
+	return nil
+}
+
+// workOn returns the processor room that tasks take on a VM.
+func (d *Driver) workOn(vm string) int64 {
+	l := d.linkOfVM(vm)
+	if l == nil {
+		return 0
+	}
+	total := int64(0)
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, task := range v.Placed(l.target.Id) {
+			total += task.Spec().Needs.GetCpuMillis()
+		}
+	})
+	return total
+}
+
+// emptied reports whether no short task runs on the VM any more, or the wait
+// for them is over.
+func (d *Driver) emptied(vm string) bool {
+	if d.cfg.Now().Sub(d.waves.since[vm]) > drainPatience {
+		return true
+	}
+	l := d.linkOfVM(vm)
+	if l == nil {
+		return true
+	}
+	short := false
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, task := range v.Placed(l.target.Id) {
+			short = short || !task.Spec().Lasting
+		}
+	})
+	return !short
+}
+
+// mayGoDown reports whether every lasting step with tasks on the VM keeps its
+// availability budget when they end.
+func (d *Driver) mayGoDown(vm string) bool {
+	l := d.linkOfVM(vm)
+	if l == nil {
+		return true
+	}
+	allowed := true
+	d.cfg.Machine.View(func(v *workflow.View) {
+		steps := make(map[workflow.TaskID]int)
+		for _, task := range v.Placed(l.target.Id) {
+			if task.Spec().Lasting && task.Spec().MaxUnavailable > 0 && !workflow.Ended(task.Job.State) {
+				first := task.ID
+				first.Index = 0
+				steps[first]++
+			}
+		}
+		for first, here := range steps {
+			if d.awayElsewhere(v, first, vm)+here > int(v.Task(first).Spec().MaxUnavailable) {
+				allowed = false
+			}
+		}
+	})
+	return allowed
+}
+
+// awayElsewhere counts the tasks of a lasting step on other VMs that are not at
+// work, have only just begun, or are about to end by an order.
+func (d *Driver) awayElsewhere(v *workflow.View, first workflow.TaskID, except string) int {
+	away := 0
+	now := d.cfg.Now()
+	for _, task := range v.Job(first.Job).Tasks[first.Occurrence][first.Step] {
+		vm := v.Target(task.Target).GetVm()
+		if task.State == pb.TaskState_TASK_STATE_PLACED && vm == except {
+			continue
+		}
+		r := d.runs[task.ID]
+		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed && r.percent >= fullPace
+		if !atWork || now.Sub(r.movedAt) < backMargin || d.waves.calling[vm] || v.Ordered(vm) {
+			away++
+		}
+	}
+	return away
+}
+
+// backMargin is how long a lasting task must have been seen at work.
+const backMargin = 500 * time.Millisecond
+
+// order commits that the VM's maintenance begins, then asks the platform.
+func (d *Driver) order(w *pb.Wave, vm string) {
+	if d.waves.calling[vm] {
+		return
+	}
+	d.waves.calling[vm] = true
+	id := w.Id
+	d.call(func() {
+		out, err := d.commit(&pb.Command{Body: &pb.Command_BeginMaintenance{BeginMaintenance: &pb.BeginMaintenance{Wave: id, Vm: vm}}})
+		d.mu.Lock()
+		delete(d.waves.calling, vm)
+		d.mu.Unlock()
+		if err != nil || out.Code != workflow.OK {
+			event.WaveStepFailed.Emit(event.F("wave", id), event.F("vm", vm), event.F("step", "commit the order"))
+			return
+		}
+		d.kick()
+	})
+}
+
+// bringOn sends the order of a VM until it is carried out, then waits until
+// the VM is back.
+func (d *Driver) bringOn(w *pb.Wave, vm string) {
+	now := d.cfg.Now()
+	if d.waves.calling[vm] {
+		return
+	}
+	if at, ok := d.waves.away[vm]; ok {
+		if now.Sub(at) > returnPatience {
+			d.readFleet()
+			if listed, known := d.fleet.vms[vm]; d.fleet.readAt.After(at.Add(returnPatience)) && (!known || listed.State == VMUp || listed.State == VMDown) {
+				d.finishMaintenance(w.Id, vm)
+			}
+		}
+		return
+	}
+	if now.Sub(d.waves.tried[vm]) < orderPause {
+		return
+	}
+	d.waves.calling[vm], d.waves.tried[vm] = true, now
+	id := w.Id
+	order := VMOrder{VM: vm, Holder: d.cfg.Holder, Fence: d.cfg.Epoch}
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
+		defer cancel()
+		if !d.cfg.Log.HoldsLease() {
+			d.takeOrder(id, vm, VMFence, errNoLease)
+			return
+		}
+		refusal, err := d.cfg.VMs.Maintain(ctx, order, id)
+		d.takeOrder(id, vm, refusal, err)
+	})
+}
+
+func (d *Driver) takeOrder(wave uint64, vm string, refusal VMRefusal, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waves.calling, vm)
+	if err != nil {
+		event.PlatformSilent.Emit(event.F("step", "maintenance"), event.F("vm", vm), event.Err(err))
+		return
+	}
+	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()))
+	switch refusal {
+	case VMAccepted:
+		d.waves.away[vm] = d.cfg.Now()
+		if l := d.linkOfVM(vm); l != nil {
+			d.endLife(l, "its VM is in maintenance")
+		}
+	case VMUnknown, VMNotInWave:
+		d.finishMaintenance(wave, vm)
+	}
+}
+
+// noteVMBack ends the wait for a VM whose target has begun a new life.
+func (d *Driver) noteVMBack(target *pb.Target) {
+	if _, ok := d.waves.away[target.Vm]; !ok {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, w := range v.Waves() {
+			if slices.Contains(w.Ordered, target.Vm) {
+				d.finishMaintenance(w.Id, target.Vm)
+			}
+		}
+	})
+}
+
+func (d *Driver) finishMaintenance(wave uint64, vm string) {
+	if d.waves.calling[vm] {
+		return
+	}
+	d.waves.calling[vm] = true
+	d.call(func() {
+		_, err := d.commit(&pb.Command{Body: &pb.Command_EndMaintenance{EndMaintenance: &pb.EndMaintenance{Wave: wave, Vm: vm}}})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.waves.calling, vm)
+		if err != nil {
+			event.WaveStepFailed.Emit(event.F("wave", wave), event.F("vm", vm), event.F("step", "commit the return"), event.Err(err))
+			return
+		}
+		delete(d.waves.cordoned, vm)
+		delete(d.waves.away, vm)
+		event.VMBack.Emit(event.F("vm", vm), event.F("wave", wave))
+	})
+}
+
+// readFleet reads the platform's list of VMs beside the loop, at most once in
+// listPause.
+func (d *Driver) readFleet() {
+	now := d.cfg.Now()
+	if d.waves.listing || now.Sub(d.waves.listed) < listPause {
+		return
+	}
+	d.waves.listing, d.waves.listed = true, now
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
+		defer cancel()
+		asked := d.cfg.Now()
+		vms, err := d.cfg.VMs.List(ctx)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.waves.listing = false
+		if err != nil {
+			event.PlatformSilent.Emit(event.F("step", "list VMs"), event.Err(err))
+			return
+		}
+		d.fleet.vms = make(map[string]VM, len(vms))
+		for _, vm := range vms {
+			d.fleet.vms[vm.Name] = vm
+		}
+		d.fleet.readAt = asked
+	})
+}
--- /dev/null
+++ b/internal/event/catalogue_workflow.go
@@ -0,0 +1,62 @@
+package event
+
+import "github.com/apex/log"
+
+// Events of jobs of steps.
+var (
+	JobAccepted    = define(7001, log.InfoLevel, "job accepted", "")
+	JobCancelled   = define(7002, log.InfoLevel, "job cancelled", "")
+	JobHopeless    = define(7003, log.WarnLevel, "job can never run, ended as failed", "Correct what the job needs, then submit it again.")
+	RequestRefused = define(7004, log.InfoLevel, "request refused, nothing was run", "")
+
+	StartRefused         = define(7010, log.InfoLevel, "start broke a rule when it was applied", "")
+	StartRefusedByTarget = define(7011, log.InfoLevel, "target refused a start", "")
+	RunEndedUnlisted     = define(7012, log.InfoLevel, "run ended without its target's word", "")
+	StrangerStopped      = define(7013, log.WarnLevel, "target runs a task that was not placed there, stopped", "")
+	StartsUncommitted    = define(7014, log.WarnLevel, "starts could not be committed", "")
+	EndsUncommitted      = define(7015, log.WarnLevel, "ends could not be committed yet", "")
+	FillerPaced          = define(7016, log.InfoLevel, "pace of a filling task changed", "")
+
+	CatalogueAccepted = define(7020, log.InfoLevel, "catalogue accepted", "")
+	CatalogueRefused  = define(7021, log.WarnLevel, "invalid catalogue refused", "Correct the catalogue and send it again.")
+)
+
+// Events of the driver and its targets.
+var (
+	DriverStarted       = define(7030, log.InfoLevel, "driver started with the leadership", "")
+	DriverStopped       = define(7031, log.InfoLevel, "driver stopped with the leadership", "")
+	TargetFound         = define(7032, log.InfoLevel, "target announced itself to the leader", "")
+	TargetReborn        = define(7033, log.InfoLevel, "target began a new life", "")
+	TargetGone          = define(7034, log.InfoLevel, "life of a target is over", "")
+	TargetLeaves        = define(7035, log.InfoLevel, "target is leaving, it gets no starts", "")
+	TargetSilent        = define(7036, log.WarnLevel, "target gave no answer, it gets no starts until it does", "")
+	TargetAnswers       = define(7037, log.InfoLevel, "target answers again", "")
+	TargetExcluded      = define(7038, log.WarnLevel, "target fails what it starts, excluded for a while", "Look at the target's own log.")
+	LookRefused         = define(7039, log.WarnLevel, "target refused to list its runs", "")
+	LeaseLapsed         = define(7040, log.WarnLevel, "lease of a silent target has lapsed, its runs are over", "")
+	RegisterUncommitted = define(7041, log.WarnLevel, "change of a target could not be committed", "")
+)
+
+// Events of waves on the platform's VMs.
+var (
+	WaveDeclared        = define(7050, log.InfoLevel, "maintenance wave declared", "")
+	VMCordoned          = define(7051, log.InfoLevel, "VM gets no starts before its maintenance", "")
+	MaintenanceAnswered = define(7052, log.InfoLevel, "platform answered an order for maintenance", "")
+	VMBack              = define(7053, log.InfoLevel, "VM is back from its maintenance", "")
+	WaveStepFailed      = define(7054, log.WarnLevel, "step of a wave failed, it is tried again", "")
+	PlatformSilent      = define(7055, log.WarnLevel, "platform gave no answer", "Check the platform.")
+)
+
+// Events of the core and edge roles.
+var (
+	RoleStarted     = define(7060, log.InfoLevel, "role started", "")
+	PeersTrusted    = define(7061, log.WarnLevel, "links between daemons are not encrypted: the settings trust the peer network", "")
+	ClusterFounded  = define(7062, log.InfoLevel, "founding member list written", "")
+	VoterReplaced   = define(7063, log.WarnLevel, "lost voter taken out of the member list", "")
+	SettingsLoaded  = define(7064, log.InfoLevel, "settings loaded", "")
+	SettingsInvalid = define(7065, log.ErrorLevel, "changed settings are invalid, the former ones stay in force", "Correct the settings file.")
+	LeaderLost      = define(7066, log.WarnLevel, "leader cannot be reached", "")
+	LeaderFound     = define(7067, log.InfoLevel, "leader reached", "")
+	BadInput        = define(7068, log.InfoLevel, "unreadable or oversize input refused", "")
+	LinesDropped    = define(7069, log.WarnLevel, "log lines dropped above the volume bound", "")
+)
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -34,7 +34,7 @@
 			t.Errorf("number %d is both %q and %q", e.Number, other, e.Text)
 		}
 		seen[e.Number] = e.Text
-		if e.Number < 1000 || e.Number > 6999 || e.Text == "" {
+		if e.Number < 1000 || e.Number > 7999 || e.Text == "" {
 			t.Errorf("event %d %q is out of range or has no text", e.Number, e.Text)
 		}
 	}
--- a/internal/event/page.go
+++ b/internal/event/page.go
@@ -14,7 +14,7 @@
 	title string
 }{
 	{1000, "Daemon and operators"}, {2000, "Agreement and membership"}, {3000, "Sessions and reservations"},
-	{4000, "Requests and targets"}, {5000, "Jobs, shares and placement"}, {6000, "Control, capacity and maintenance"},
+	{4000, "Requests and targets"}, {5000, "Jobs, shares and placement"}, {6000, "Control, capacity and maintenance"}, {7000, "Jobs of steps and their targets"},
 }
 
 // Page returns docs/EVENTS.md.
--- /dev/null
+++ b/internal/policy/assign/assign.go
@@ -0,0 +1,292 @@
+// Package assign decides which waiting task starts on which target. It is
+// pure: the same snapshot gives the same plan. The load it answers: each queue
+// in its turn asks for more than its pool holds for some seconds, then for
+// almost nothing. Jobs that can still meet their objective come first, the
+// most urgent of them first; jobs that are late already use what is left, so
+// that one burst does not make all jobs behind it late.
+package assign
+
+import (
+	"cmp"
+	"slices"
+
+	"sapphirering/internal/workflow"
+)
+
+// Target is one target of the pool.
+type Target struct {
+	ID     string
+	Rack   string
+	Labels []string
+	// Free is the room that no task takes.
+	Free workflow.Resources
+	// Slowness is the learned run time there against that of its peers; 1 is normal.
+	Slowness float64
+}
+
+// Step is the waiting part of one step of one occurrence.
+type Step struct {
+	// Tasks in the order in which they start.
+	Tasks []workflow.TaskID
+	// Room is what one task takes on a target, Needs what counts for the workspace.
+	Room, Needs workflow.Resources
+	Gang        bool
+	SameRack    bool
+	Label       string
+	DataRack    string
+	// MaxPerTarget bounds the tasks of the step on one target; 0 for no bound.
+	MaxPerTarget int
+	// OnTarget counts tasks of the step by target.
+	OnTarget map[string]int
+	// Avoid holds targets where tasks of the step failed.
+	Avoid map[string]bool
+	// Spread prefers targets with fewer tasks of the step.
+	Spread bool
+}
+
+// Job is one job with steps that may start.
+type Job struct {
+	ID        string
+	Workspace string
+	// Priority 0 comes first.
+	Priority uint32
+	// RemainingMS is the longest chain of work left, as learned.
+	RemainingMS int64
+	// DeadlineMS is when the objective ends, in Unix milliseconds.
+	DeadlineMS int64
+	// LateDeadlineMS is when even a late end has no worth.
+	LateDeadlineMS int64
+	SubmittedMS    int64
+	// Lasting jobs go first: they earn for as long as they run.
+	Lasting bool
+	Steps   []Step
+}
+
+// Workspace is what a workspace may still start.
+type Workspace struct {
+	Used, Limit workflow.Resources
+}
+
+// Snapshot is what one round of one pool looks at.
+type Snapshot struct {
+	NowMS      int64
+	Targets    []Target
+	Jobs       []Job
+	Workspaces map[string]*Workspace
+}
+
+// Start places one task.
+type Start struct {
+	Task   workflow.TaskID
+	Target string
+}
+
+// Plan returns the starts of one round.
+func Plan(s *Snapshot) []Start {
+	p := &plan{snapshot: s, targets: s.Targets}
+	slices.SortStableFunc(s.Jobs, p.compare)
+	for i := range s.Jobs {
+		if !p.anyRoom() {
+			break
+		}
+		p.placeJob(&s.Jobs[i])
+	}
+	return p.starts
+}
+
+type plan struct {
+	snapshot *Snapshot
+	targets  []Target
+	starts   []Start
+}
+
+// anyRoom reports whether any target has processor room left.
+func (p *plan) anyRoom() bool {
+	for i := range p.targets {
+		if p.targets[i].Free.CPUMillis > 0 && p.targets[i].Free.MemoryMB > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Classes of jobs by what an early start still earns.
+const (
+	classLasting = iota
+	classInTime
+	classLate
+	classWorthless
+)
+
+func (p *plan) class(j *Job) int {
+	end := p.snapshot.NowMS + j.RemainingMS
+	switch {
+	case j.Lasting:
+		return classLasting
+	case end <= j.DeadlineMS:
+		return classInTime
+	case end <= j.LateDeadlineMS:
+		return classLate
+	}
+	return classWorthless
+}
+
+// compare orders jobs: by class, then by the latest time at which the rest
+// must start to be in time.
+func (p *plan) compare(a, b Job) int {
+	ca, cb := p.class(&a), p.class(&b)
+	if c := cmp.Compare(ca, cb); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if ca == classInTime || ca == classLate {
+		if c := cmp.Compare(a.DeadlineMS-a.RemainingMS, b.DeadlineMS-b.RemainingMS); c != 0 {
+			return c
+		}
+	}
+	if c := cmp.Compare(a.SubmittedMS, b.SubmittedMS); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+func (p *plan) placeJob(j *Job) {
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if step.Gang {
+			p.placeGang(j, step)
+			continue
+		}
+		for _, task := range step.Tasks {
+			if !p.withinLimit(j.Workspace, step.Needs) {
+				return
+			}
+			at := p.bestTarget(step, "")
+			if at < 0 {
+				break
+			}
+			p.take(j, step, task, at)
+		}
+	}
+}
+
+// placeGang places all tasks of a gang or none. Racks are tried first when the
+// gang runs slower on more than one.
+func (p *plan) placeGang(j *Job, step *Step) {
+	if step.SameRack {
+		for _, rack := range p.racks() {
+			if p.tryGang(j, step, rack) {
+				return
+			}
+		}
+	}
+	p.tryGang(j, step, "")
+}
+
+func (p *plan) tryGang(j *Job, step *Step, rack string) bool {
+	var placed []int
+	for _, task := range step.Tasks {
+		at := -1
+		if p.withinLimit(j.Workspace, step.Needs) {
+			at = p.bestTarget(step, rack)
+		}
+		if at < 0 {
+			for i := len(placed) - 1; i >= 0; i-- {
+				p.undo(j, step, placed[i])
+			}
+			return false
+		}
+		p.take(j, step, task, at)
+		placed = append(placed, at)
+	}
+	return true
+}
+
+func (p *plan) racks() []string {
+	var racks []string
+	for i := range p.targets {
+		if !slices.Contains(racks, p.targets[i].Rack) {
+			racks = append(racks, p.targets[i].Rack)
+		}
+	}
+	return racks
+}
+
+func (p *plan) withinLimit(workspace string, needs workflow.Resources) bool {
+	w := p.snapshot.Workspaces[workspace]
+	return w == nil || w.Used.Add(needs).WithinLimit(w.Limit)
+}
+
+func (p *plan) take(j *Job, step *Step, task workflow.TaskID, at int) {
+	target := &p.targets[at]
+	target.Free = target.Free.Sub(step.Room)
+	if step.OnTarget == nil {
+		step.OnTarget = make(map[string]int)
+	}
+	step.OnTarget[target.ID]++
+	if w := p.snapshot.Workspaces[j.Workspace]; w != nil {
+		w.Used = w.Used.Add(step.Needs)
+	}
+	p.starts = append(p.starts, Start{Task: task, Target: target.ID})
+}
+
+func (p *plan) undo(j *Job, step *Step, at int) {
+	target := &p.targets[at]
+	target.Free = target.Free.Add(step.Room)
+	step.OnTarget[target.ID]--
+	if w := p.snapshot.Workspaces[j.Workspace]; w != nil {
+		w.Used = w.Used.Sub(step.Needs)
+	}
+	p.starts = p.starts[:len(p.starts)-1]
+}
+
+// bestTarget returns the target that a task of the step goes to, or -1. On a
+// rack alone when one is named.
+func (p *plan) bestTarget(step *Step, rack string) int {
+	best, bestScore := -1, 0.0
+	for i := range p.targets {
+		target := &p.targets[i]
+		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
+			continue
+		}
+		if step.Label != "" && !slices.Contains(target.Labels, step.Label) {
+			continue
+		}
+		onTarget := step.OnTarget[target.ID]
+		if step.MaxPerTarget > 0 && onTarget >= step.MaxPerTarget {
+			continue
+		}
+		if score := score(step, target, onTarget); best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// Weights of the score, in parts of a normal run time.
+const (
+	weightSlowness = 4.0
+	weightAvoid    = 8.0
+	weightFarData  = 4.0
+	weightSpread   = 0.5
+	// weightFit prefers the fuller target, so that large tasks find room.
+	weightFit = 0.3
+)
+
+// score tells how bad a target is for a task; the lowest wins.
+func score(step *Step, target *Target, onTarget int) float64 {
+	s := weightSlowness * (target.Slowness - 1)
+	if step.Avoid[target.ID] {
+		s += weightAvoid
+	}
+	if step.DataRack != "" && step.DataRack != target.Rack {
+		s += weightFarData
+	}
+	if step.Spread {
+		return s + weightSpread*float64(onTarget)
+	}
+	left := target.Free.CPUMillis - step.Room.CPUMillis
+	return s + weightFit*float64(left)/float64(max(target.Free.CPUMillis, 1))
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -624,15 +624,21 @@
 // Bootstrap writes the first snapshot of a new cluster: an empty state and a
 // member list of one voter.
 func Bootstrap(storage Storage, first *wirepb.Member, emptyState []byte) error {
+	return Found(storage, WithMember(nil, first), emptyState)
+}
+
+// Found writes the first snapshot of a new cluster: an empty state and the
+// member list that all founders write alike.
+func Found(storage Storage, membership *wirepb.Membership, emptyState []byte) error {
 	snapshot := &wirepb.ReplicaSnapshot{
-		Meta:  &wirepb.SnapshotMeta{Index: 1, Term: 1, Membership: WithMember(nil, first)},
+		Meta:  &wirepb.SnapshotMeta{Index: 1, Term: 1, Membership: membership},
 		State: emptyState,
 	}
 	err := storage.Save(store.Batch{
 		HardState: &wirepb.HardState{Term: 1, Commit: 1}, Snapshot: snapshot, Reset: true,
 	})
 	if err != nil {
-		return fmt.Errorf("bootstrap: %w", err)
+		return fmt.Errorf("found cluster: %w", err)
 	}
 	return nil
 }
--- a/internal/replica/ready.go
+++ b/internal/replica/ready.go
@@ -11,8 +11,8 @@
 	HardState *wirepb.HardState
 	// VoteChanged tells that term or vote differ from what was synced.
 	VoteChanged bool
-	Entries   []*wirepb.Entry
-	Snapshot  *wirepb.ReplicaSnapshot
+	Entries     []*wirepb.Entry
+	Snapshot    *wirepb.ReplicaSnapshot
 	// Early messages may be sent before the sync.
 	Early     []*wirepb.ReplicaMessage
 	Messages  []*wirepb.ReplicaMessage
--- /dev/null
+++ b/internal/server/core.go
@@ -0,0 +1,445 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/clock"
+	"sapphirering/internal/config"
+	"sapphirering/internal/driver"
+	"sapphirering/internal/event"
+	"sapphirering/internal/replica"
+	"sapphirering/internal/replica/store"
+	"sapphirering/internal/wire"
+	"sapphirering/internal/wire/wirepb"
+	"sapphirering/internal/workflow"
+	"sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// coreTick gives an election timeout of 0.5 to 1 s with electionTicks.
+	coreTick = 50 * time.Millisecond
+	// coreSnapshotEntries bounds the log kept in memory and on disk.
+	coreSnapshotEntries = 1500
+	coreSnapshotTail    = 500
+)
+
+// Core is a daemon that keeps the log and, while it leads, drives the targets.
+type Core struct {
+	settings *config.RoleSettings
+	adapter  Adapter
+	log      *store.AppendLog
+	machine  *workflow.Machine
+	node     *replica.Node
+	identity store.Identity
+	dialer   *wire.Dialer
+	peers    *wire.Peers
+	links    *wire.Server
+	gateway  *Gateway
+	clock    *clock.Estimator
+	refusals refusals
+	servers  []*http.Server
+
+	leader     atomic.Pointer[string]
+	membership atomic.Pointer[wirepb.Membership]
+	driver     atomic.Pointer[driver.Driver]
+	fatal      chan error
+
+	background context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+
+	leadMu     sync.Mutex
+	cancelLead context.CancelFunc
+}
+
+// NewCore opens the data folder, founds or joins the cluster, and opens the listeners.
+func NewCore(ctx context.Context, s *config.RoleSettings, newAdapter NewAdapter) (*Core, error) {
+	c := &Core{
+		settings: s, adapter: newAdapter(s), machine: workflow.New(), dialer: &wire.Dialer{},
+		clock: clock.New(time.Now), fatal: make(chan error, 1),
+	}
+	c.background, c.cancel = context.WithCancel(context.Background())
+	c.gateway = newGateway(c.dialer, s.Listen.Peers, s.Seeds)
+	event.PeersTrusted.Emit()
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("listen.peers: %w", err)
+	}
+	loaded, err := c.identify(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.startReplica(loaded); err != nil {
+		return nil, err
+	}
+	c.gateway.local = c.serveLocal
+	c.links = &wire.Server{Listener: listener, Handler: c.serveStream}
+	return c, c.listen()
+}
+
+// listen opens the listeners for targets, operators and metrics.
+func (c *Core) listen() error {
+	for _, service := range []struct {
+		field, address string
+		handler        http.Handler
+	}{
+		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.gateway)},
+		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
+	} {
+		server, err := serveRole(service.field, service.address, service.handler)
+		if err != nil {
+			return err
+		}
+		if server != nil {
+			c.servers = append(c.servers, server)
+		}
+	}
+	return nil
+}
+
+// identify returns what the data folder holds. An empty folder gets an
+// identity: that of a founder, or a new one that joins.
+func (c *Core) identify(ctx context.Context) (store.Loaded, error) {
+	if err := os.MkdirAll(c.settings.DataFolder, 0o700); err != nil {
+		return store.Loaded{}, fmt.Errorf("data_folder: %w", err)
+	}
+	log, err := store.OpenAppend(c.settings.DataFolder)
+	if err != nil {
+		return store.Loaded{}, err
+	}
+	c.log = log
+	id, found, err := log.Identity()
+	if err != nil {
+		return store.Loaded{}, err
+	}
+	switch {
+	case found:
+		c.identity = id
+	case c.settings.Found && slices.Contains(c.settings.Seeds, c.settings.Listen.Peers):
+		if err := c.found(); err != nil {
+			return store.Loaded{}, err
+		}
+	default:
+		if err := c.join(ctx); err != nil {
+			return store.Loaded{}, err
+		}
+	}
+	return log.Load()
+}
+
+// found writes the founding member list. Every seed writes the same one, in
+// whichever order they start, so that one cluster comes of it. The identity is
+// written last: a crash before it founds anew, before any vote was given.
+func (c *Core) found() error {
+	seeds := slices.Sorted(slices.Values(c.settings.Seeds))
+	membership := &wirepb.Membership{}
+	for _, seed := range seeds {
+		membership.Members = append(membership.Members, &wirepb.Member{
+			Id: founderID(seed), Name: seed, Address: seed, Durable: true, Role: wirepb.Role_ROLE_VOTER,
+		})
+	}
+	empty, err := workflow.New().Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := replica.Found(c.log, membership, empty); err != nil {
+		return err
+	}
+	sum := sha256.Sum256([]byte(strings.Join(seeds, ",")))
+	c.identity = store.Identity{ClusterID: hex.EncodeToString(sum[:8]), MemberID: founderID(c.settings.Listen.Peers)}
+	event.ClusterFounded.Emit(event.F("cluster", c.identity.ClusterID), event.F("members", strings.Join(seeds, ",")))
+	return c.log.SetIdentity(c.identity)
+}
+
+func founderID(address string) string { return "founder-" + address }
+
+// join asks the leader to add this daemon as a learner under a new identity.
+// It tries until ctx ends.
+func (c *Core) join(ctx context.Context) error {
+	member := &wirepb.Member{
+		Id: c.settings.Name + "-" + randomHex(4), Name: c.settings.Listen.Peers, Address: c.settings.Listen.Peers,
+		Zone: c.settings.Zone, Durable: true,
+	}
+	event.IdentityCreated.Emit(event.F("member", member.Id))
+	failures := 0
+	for {
+		address := c.gateway.target()
+		step, cancel := context.WithTimeout(ctx, joinTimeout)
+		response, _, err := c.dialer.Call(step, address, &wirepb.Hello{FromMember: member.Id}, &wirepb.CallRequest{
+			Body: &wirepb.CallRequest_Join{Join: &wirepb.JoinRequest{Member: member, WantsVote: true}},
+		})
+		cancel()
+		if err == nil {
+			c.identity = store.Identity{ClusterID: response.GetJoin().ClusterId, MemberID: member.Id}
+			return c.log.SetIdentity(c.identity)
+		}
+		var refused *wire.CallError
+		if errors.As(err, &refused) {
+			c.gateway.setLeader(refused.LeaderAddress)
+		} else {
+			c.gateway.forgetLeader(address)
+		}
+		if failures++; failures%10 == 1 {
+			event.JoinFailed.Emit(event.F("peer", address), event.F("failures", failures), event.Err(err))
+		}
+		pause(ctx, joinPause)
+		if ctx.Err() != nil {
+			return fmt.Errorf("join: %w", ctx.Err())
+		}
+	}
+}
+
+func (c *Core) startReplica(loaded store.Loaded) error {
+	incarnation := uint64(time.Now().UnixNano())
+	c.peers = wire.NewPeers(c.dialer, c.identity.ClusterID, c.identity.MemberID)
+	node, err := replica.NewNode(replica.NodeConfig{
+		Core: replica.Config{
+			ID: c.identity.MemberID, Incarnation: incarnation, Durable: true, LeaderLease: true,
+			ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: newRand(int64(incarnation)),
+		},
+		Machine: c.machine, Storage: c.log, Sender: coreSender{c}, TickInterval: coreTick,
+		SnapshotEntries: coreSnapshotEntries, SnapshotTail: coreSnapshotTail,
+		OnLeaderChange: c.onLeaderChange, ConfirmedReads: true,
+		OnFatal: func(err error) {
+			event.StorageFailed.Emit(event.Err(err))
+			c.fatal <- err
+		},
+	}, loaded)
+	if err != nil {
+		return err
+	}
+	c.node = node
+	return nil
+}
+
+// coreSender sends replica messages and keeps the member list.
+type coreSender struct{ c *Core }
+
+func (s coreSender) Send(messages []*wirepb.ReplicaMessage) { s.c.peers.Send(messages) }
+
+func (s coreSender) SetMembership(m *wirepb.Membership) {
+	event.MembershipApplied.Emit(event.F("members", len(m.GetMembers())))
+	s.c.membership.Store(m)
+	s.c.peers.SetMembership(m)
+}
+
+// onLeaderChange starts the driver with the leadership and ends it with it.
+func (c *Core) onLeaderChange(leader string, term uint64) {
+	c.leader.Store(&leader)
+	event.LeaderChanged.Emit(event.F("leader", leader), event.F("term", term))
+	c.leadMu.Lock()
+	defer c.leadMu.Unlock()
+	if c.cancelLead != nil {
+		c.cancelLead()
+		c.cancelLead = nil
+		c.driver.Store(nil)
+	}
+	if leader != c.identity.MemberID {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.background)
+	c.cancelLead = cancel
+	c.running.Go(func() { c.lead(ctx, term) })
+	c.running.Go(func() { c.repairLoop(ctx) })
+}
+
+// lead drives the targets for one leadership, once this leader has applied all
+// that former ones committed.
+func (c *Core) lead(ctx context.Context, term uint64) {
+	for !c.node.HoldsLease() {
+		if pause(ctx, leaseWait); ctx.Err() != nil {
+			return
+		}
+	}
+	d := driver.New(driver.Config{
+		Machine: c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(),
+		Limits: limitsOf(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, NowMS: c.clock.NowMS,
+	})
+	c.leadMu.Lock()
+	if ctx.Err() == nil {
+		d.Prepare(ctx)
+		c.driver.Store(d)
+	}
+	c.leadMu.Unlock()
+	d.Run(ctx)
+}
+
+// leaseWait spaces looks for the lease at the beginning of a leadership.
+const leaseWait = 10 * time.Millisecond
+
+func limitsOf(b config.PlatformBounds) driver.Limits {
+	return driver.Limits{
+		LeaseTTL: b.LeaseTTL.Duration, StopGrace: b.StopGrace.Duration, LeaveWait: b.LeaveWait.Duration,
+		UnavailableNotice: b.UnavailableNotice.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
+		HarmTime: b.HarmTime.Duration,
+	}
+}
+
+// coreLog commits the driver's commands.
+type coreLog struct{ c *Core }
+
+// Commit proposes through this daemon's own log.
+func (l coreLog) Commit(ctx context.Context, command *workflowpb.Command) (*workflow.Outcome, error) {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("marshal command: %w", err)
+	}
+	outcome, err := l.c.node.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	return outcome.(*workflow.Outcome), nil
+}
+
+// HoldsLease reports whether no other leader can act now.
+func (l coreLog) HoldsLease() bool { return l.c.node.HoldsLease() }
+
+// serveLocal serves a request if this daemon leads.
+func (c *Core) serveLocal(ctx context.Context, r *workflowpb.Request) (*workflowpb.Response, bool) {
+	d := c.driver.Load()
+	if d == nil {
+		return nil, false
+	}
+	if r.Operation == workflowpb.Operation_OPERATION_MEMBERS {
+		return c.memberList(), true
+	}
+	response := d.Serve(ctx, r)
+	response.AnnounceAddress = c.settings.Listen.Control
+	return response, true
+}
+
+func (c *Core) memberList() *workflowpb.Response {
+	response := &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_OK}
+	if !c.node.HoldsLease() {
+		response.Answer = workflowpb.Answer_ANSWER_NOT_READY
+	}
+	for _, member := range c.membership.Load().GetMembers() {
+		response.CoreAddresses = append(response.CoreAddresses, member.Address)
+	}
+	return response
+}
+
+// serveStream serves one stream of another daemon.
+func (c *Core) serveStream(hello *wirepb.Hello, stream net.Conn) {
+	switch hello.Kind {
+	case wirepb.StreamKind_STREAM_KIND_REPLICA:
+		if hello.ClusterId != c.identity.ClusterID {
+			event.WrongCluster.Emit(event.F("peer", hello.FromMember), event.F("cluster", hello.ClusterId))
+			return
+		}
+		if hello.ToMember != c.identity.MemberID || !c.admits(hello.FromMember) {
+			c.refusals.note(hello.FromMember)
+			return
+		}
+		wire.ServeReplica(stream, c.node.Deliver)
+	case wirepb.StreamKind_STREAM_KIND_CALL:
+		wire.ServeCall(stream, c.serveCall)
+	}
+}
+
+// admits reports whether replica streams of a member are served; see Daemon.admits.
+func (c *Core) admits(member string) bool {
+	list := c.membership.Load()
+	if replica.WasRemoved(list, member) {
+		return false
+	}
+	return c.driver.Load() == nil || replica.FindMember(list, member) != nil
+}
+
+func (c *Core) serveCall(ctx context.Context, request *wirepb.CallRequest) *wirepb.CallResponse {
+	switch body := request.Body.(type) {
+	case *wirepb.CallRequest_Workflow:
+		if response, leads := c.serveLocal(ctx, body.Workflow); leads {
+			return &wirepb.CallResponse{Body: &wirepb.CallResponse_Workflow{Workflow: response}}
+		}
+		return c.notLeader()
+	case *wirepb.CallRequest_Join:
+		if c.driver.Load() == nil {
+			return c.notLeader()
+		}
+		return c.serveJoin(ctx, body.Join)
+	}
+	return failure(wirepb.ErrorCode_ERROR_CODE_INVALID, errors.New("call has no known body"))
+}
+
+func (c *Core) notLeader() *wirepb.CallResponse {
+	response := failure(wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, replica.ErrNotLeader)
+	if id := c.leader.Load(); id != nil && *id != c.identity.MemberID {
+		response.LeaderAddress = replica.FindMember(c.membership.Load(), *id).GetAddress()
+	}
+	return response
+}
+
+func (c *Core) serveJoin(ctx context.Context, join *wirepb.JoinRequest) *wirepb.CallResponse {
+	if join.GetMember().GetId() == "" || join.Member.Address == "" {
+		return failure(wirepb.ErrorCode_ERROR_CODE_INVALID, errors.New("join: member id and address are required"))
+	}
+	membership, err := addLearner(ctx, c.node, join.Member, join.WantsVote)
+	if err != nil {
+		return failure(wirepb.ErrorCode_ERROR_CODE_UNAVAILABLE, err)
+	}
+	return &wirepb.CallResponse{Body: &wirepb.CallResponse_Join{Join: &wirepb.JoinResponse{
+		ClusterId: c.identity.ClusterID, Membership: membership,
+	}}}
+}
+
+// Reload takes changed settings.
+func (c *Core) Reload(s *config.RoleSettings) { c.gateway.SetSeeds(s.Seeds) }
+
+// Run serves until ctx ends, then hands over the leadership.
+func (c *Core) Run(ctx context.Context) error {
+	event.RoleStarted.Emit(event.F("role", c.settings.Role), event.F("member", c.identity.MemberID), event.F("zone", c.settings.Zone))
+	go c.links.Serve()
+	go c.node.Run()
+	go c.gateway.watch(c.background)
+	var err error
+	select {
+	case <-ctx.Done():
+		event.DaemonStopping.Emit()
+		c.handOver()
+	case err = <-c.fatal:
+	}
+	c.cancel()
+	c.running.Wait()
+	if err == nil {
+		c.node.Stop()
+	}
+	for _, server := range c.servers {
+		server.Close()
+	}
+	c.links.Close()
+	c.peers.Close()
+	c.dialer.Close()
+	event.DaemonStopped.Emit()
+	return errors.Join(err, c.log.Close())
+}
+
+// handOver lets another voter lead at once, then answers what is under way.
+func (c *Core) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	for c.driver.Load() != nil && ctx.Err() == nil {
+		if started, err := c.node.TransferLeadership(ctx); err != nil || !started {
+			break
+		}
+		pause(ctx, retryDelay)
+	}
+	for _, server := range c.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	pause(ctx, answerLinger)
+}
--- /dev/null
+++ b/internal/server/edge.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"sapphirering/internal/config"
+	"sapphirering/internal/event"
+	"sapphirering/internal/wire"
+)
+
+const (
+	// balancerLeaves is how long after readiness turned the balancer may still
+	// send new connections: two looks, one a second.
+	balancerLeaves = 2200 * time.Millisecond
+	// readyWithout is how long an edge daemon without a leader counts as ready,
+	// so that an election does not empty the balancer.
+	readyWithout = 4 * time.Second
+	// shutdownMargin is kept free before the kill that follows the signal.
+	shutdownMargin = 500 * time.Millisecond
+)
+
+// Edge is a daemon that takes callers' requests and keeps nothing.
+type Edge struct {
+	settings *config.RoleSettings
+	gateway  *Gateway
+	dialer   *wire.Dialer
+	leaving  atomic.Bool
+	servers  []*http.Server
+}
+
+// NewEdge opens the listeners of an edge daemon.
+func NewEdge(s *config.RoleSettings, newAdapter NewAdapter) (*Edge, error) {
+	e := &Edge{settings: s, dialer: &wire.Dialer{}}
+	e.gateway = newGateway(e.dialer, s.Name, s.Seeds)
+	adapter := newAdapter(s)
+	for _, service := range []struct {
+		field, address string
+		handler        http.Handler
+	}{
+		{"listen.callers", s.Listen.Callers, adapter.Callers(e.gateway)},
+		{"listen.health", s.Listen.Health, adapter.Health(e.ready)},
+		{"listen.metrics", s.Listen.Metrics, metricsHandler()},
+	} {
+		server, err := serveRole(service.field, service.address, service.handler)
+		if err != nil {
+			return nil, err
+		}
+		if server != nil {
+			e.servers = append(e.servers, server)
+		}
+	}
+	return e, nil
+}
+
+// ready reports whether the balancer should send connections here.
+func (e *Edge) ready() bool { return !e.leaving.Load() && e.gateway.Reached(readyWithout) }
+
+// Reload takes changed settings.
+func (e *Edge) Reload(s *config.RoleSettings) { e.gateway.SetSeeds(s.Seeds) }
+
+// Run serves until ctx ends, then lets the balancer leave and finishes what
+// is in flight.
+func (e *Edge) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.gateway.watch(background)
+	<-ctx.Done()
+	event.DaemonStopping.Emit()
+	e.leaving.Store(true)
+	for _, server := range e.servers {
+		// Answers from here on ask callers to take their next request elsewhere.
+		server.SetKeepAlivesEnabled(false)
+	}
+	grace := e.settings.Bounds.ShutdownGrace.Duration - shutdownMargin
+	stop, cancelStop := context.WithTimeout(background, max(grace, shutdownMargin))
+	defer cancelStop()
+	pause(stop, min(balancerLeaves, grace))
+	for _, server := range e.servers {
+		if err := server.Shutdown(stop); err != nil {
+			event.ShutdownCut.Emit(event.Err(err))
+		}
+	}
+	event.DaemonStopped.Emit()
+	return nil
+}
+
+// serveRole opens a listener and serves it; nil without an address.
+func serveRole(field, address string, handler http.Handler) (*http.Server, error) {
+	if address == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", field, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			event.ListenerFailed.Emit(event.F("field", field), event.Err(err))
+		}
+	}()
+	return server, nil
+}
--- a/internal/workflow/waves.go
+++ b/internal/workflow/waves.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -36,10 +37,59 @@
 	if len(w.Ordered) >= int(w.Cap) {
 		return m.outcome(Refused, "wave %d has %d VMs down, at most %d are allowed", c.Wave, len(w.Ordered), w.Cap)
 	}
+	if reason := m.checkAvailability(c.Vm); reason != "" {
+		return m.outcome(Refused, "wave %d, VM %q: %s", c.Wave, c.Vm, reason)
+	}
 	w.Ordered = append(w.Ordered, c.Vm)
 	return m.ok()
 }
 
+// checkAvailability returns the lasting step whose budget would be exceeded if
+// the VM went down, or "". Tasks that wait, and those on VMs with an order,
+// count as away.
+func (m *Machine) checkAvailability(vm string) string {
+	for _, target := range m.targets {
+		if target.Vm != vm {
+			continue
+		}
+		for _, task := range m.placed[target.Id] {
+			step := task.Spec()
+			if !step.Lasting || step.MaxUnavailable == 0 || Ended(task.Job.State) {
+				continue
+			}
+			if away := m.awayWithout(task, vm); away > int(step.MaxUnavailable) {
+				return fmt.Sprintf("%d tasks of step %d of job %s would be away, at most %d are allowed",
+					away, task.ID.Step, task.ID.Job, step.MaxUnavailable)
+			}
+		}
+	}
+	return ""
+}
+
+// awayWithout counts the tasks of the step that would be away without the VM.
+func (m *Machine) awayWithout(task *Task, vm string) int {
+	away := 0
+	for _, other := range task.Job.Tasks[task.ID.Occurrence][task.ID.Step] {
+		on := m.targets[other.Target].GetVm()
+		if other.State != pb.TaskState_TASK_STATE_PLACED || on == vm || m.ordered(on) {
+			away++
+		}
+	}
+	return away
+}
+
+func (m *Machine) ordered(vm string) bool {
+	for _, w := range m.waves {
+		if slices.Contains(w.Ordered, vm) {
+			return true
+		}
+	}
+	return false
+}
+
+// Ordered reports whether maintenance of the VM is ordered and not over.
+func (v *View) Ordered(vm string) bool { return (*Machine)(v).ordered(vm) }
+
 func (m *Machine) endMaintenance(c *pb.EndMaintenance) *Outcome {
 	w := m.waves[c.Wave]
 	if w == nil || !slices.Contains(w.Vms, c.Vm) {
