--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -86,9 +86,10 @@
 	// announcements do not bring them back.
 	ended map[life]bool
 	// pending holds ends that are not committed yet.
-	pending []*pb.End
+	pending []pendingEnd
 	learned *learner
 	waves   *waveLoop
+	pools   *poolLoop
 	fleet   fleetView
 	// refusals counts starts that broke a rule when applied.
 	counts counters
@@ -97,6 +98,14 @@
 	running sync.WaitGroup
 }
 
+// pendingEnd is an end that is to be committed.
+type pendingEnd struct {
+	end *pb.End
+	// link listed the end under the number; nil for ends that no target listed.
+	link   *link
+	number uint64
+}
+
 // life is one life of a target.
 type life struct {
 	id   string
@@ -108,7 +117,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
 		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run),
-		ended: make(map[life]bool), learned: newLearner(), waves: newWaveLoop(),
+		ended: make(map[life]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
 	}
 }
 
@@ -181,6 +190,7 @@
 	d.changeTasks()
 	d.failHopeless()
 	d.runWaves()
+	d.movePools()
 	d.paceFillers()
 }
 
@@ -210,8 +220,12 @@
 }
 
 // commitEnds records ends; only then are they confirmed to the targets.
-func (d *Driver) commitEnds(ends []*pb.End) bool {
-	_, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Ends: ends}}})
+func (d *Driver) commitEnds(ends []pendingEnd) bool {
+	change := new(pb.ChangeTasks)
+	for _, e := range ends {
+		change.Ends = append(change.Ends, e.end)
+	}
+	_, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
@@ -219,11 +233,11 @@
 		d.pending = append(ends, d.pending...)
 		return false
 	}
-	for _, end := range ends {
-		d.forgetRun(end)
-	}
-	for _, l := range d.links {
-		l.confirmEnds()
+	for _, e := range ends {
+		d.forgetRun(e.end)
+		if e.link != nil {
+			e.link.confirmEnd(e.number)
+		}
 	}
 	return true
 }
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -85,10 +85,14 @@
 	}
 }
 
-// confirmEnds lets the target forget the ends that were read: they are committed.
-func (l *link) confirmEnds() {
-	if l.seen != l.taken {
-		l.seen = l.taken
+// confirmEnd lets the target forget ends up to the number: they are committed.
+// Ends that were read since then wait for their own commit.
+func (l *link) confirmEnd(number uint64) {
+	if number <= l.seen {
+		return
+	}
+	l.seen = number
+	if l.seen == l.taken {
 		l.wakeLook()
 	}
 }
@@ -206,9 +210,9 @@
 		}
 		l.taken = end.Number
 		d.noteEnd(l, end.Task, end.Attempt, end.Kind)
-		d.pending = append(d.pending, &pb.End{
+		d.pending = append(d.pending, pendingEnd{link: l, number: end.Number, end: &pb.End{
 			Task: end.Task.Ref(end.Attempt), Target: l.target.Id, Kind: end.Kind, Checkpoint: end.Checkpoint,
-		})
+		}})
 	}
 }
 
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -70,15 +70,19 @@
 		if known == nil || known.Pool != pool || known.Leaving || known.BornUnixMs != l.target.BornUnixMs {
 			continue
 		}
-		if !d.startable(l) || d.waves.cordoned[known.Vm] || d.fleet.cordoned[known.Vm] || !l.health.admits(now) {
+		if !d.startable(l) || d.waves.cordoned[known.Vm] || d.pools.moving[known.Vm] != nil || !l.health.admits(now) {
 			continue
 		}
 		free := workflow.ResourcesOf(known.Capacity)
+		lasting := 0
 		for _, task := range v.Placed(id) {
 			free = free.Sub(workflow.StepRoom(task.Spec()))
+			if task.Spec().Lasting {
+				lasting++
+			}
 		}
 		out = append(out, assign.Target{
-			ID: id, Rack: rackOf(known), Labels: known.Labels, Free: free, Slowness: l.health.slowness(),
+			ID: id, Rack: rackOf(known), Labels: known.Labels, Free: free, Lasting: lasting, Slowness: l.health.slowness(),
 		})
 	}
 	slices.SortFunc(out, func(a, b assign.Target) int { return strings.Compare(a.ID, b.ID) })
@@ -152,7 +156,7 @@
 	spec := job.Spec.Steps[number]
 	step := assign.Step{
 		Room: workflow.StepRoom(spec), Needs: workflow.ResourcesOf(spec.Needs), Gang: spec.Gang, SameRack: spec.SameRack,
-		Label: spec.Label, DataRack: spec.DataRack, MaxPerTarget: int(spec.MaxPerTarget), Spread: spec.Lasting,
+		Label: spec.Label, DataRack: spec.DataRack, MaxPerTarget: int(spec.MaxPerTarget), Lasting: spec.Lasting,
 		OnTarget: make(map[string]int),
 	}
 	tasks := job.Tasks[occurrence][number]
--- /dev/null
+++ b/internal/driver/pools.go
@@ -0,0 +1,351 @@
+package driver
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/policy/pools"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// poolInterval spaces rounds of the pool policy.
+	poolInterval = 100 * time.Millisecond
+	// fleetInterval is how often the platform's list of VMs is read.
+	fleetInterval = 4 * time.Second
+	// maxMovesPerRound bounds the moves that one round orders.
+	maxMovesPerRound = 12
+	// moveWait is how long a moved VM counts as on its way.
+	moveWait = 4 * time.Second
+	// moveTime is how long a VM is away for a move, until one was seen.
+	moveTime = 1500 * time.Millisecond
+	// moveVMSeconds is the price of a move against a second of a VM in a pool.
+	moveVMSeconds = 1.1
+	// restAfter is how long after the first short job VMs may begin to rest: by
+	// then the lasting jobs of a first start have found their places.
+	restAfter = time.Second
+	// minPoolVMs is what a pool with work keeps beyond the VMs of its lasting
+	// tasks, so that one of them may go down.
+	minPoolVMs = 1
+	// finishMargin is the part of the time left in which the work should end.
+	finishMargin = 0.75
+)
+
+// poolLoop is what the leader remembers of VMs and pools. The driver's mutex
+// guards it.
+type poolLoop struct {
+	last time.Time
+	// turns learns the arrivals of each pool.
+	turns map[string]*pools.Turns
+	// moving holds VMs with an order under way or on their way.
+	moving map[string]*move
+	// firstArrival is when the first short job came under this leadership.
+	firstArrival time.Time
+	// idleSince is since when nothing has run on a VM.
+	idleSince map[string]time.Time
+}
+
+// move is one VM's way to another pool.
+type move struct {
+	to    string
+	cpu   int64
+	begun time.Time
+	// tried is when the order was sent last; accepted when the platform took it.
+	tried, accepted time.Time
+	calling         bool
+}
+
+func newPoolLoop() *poolLoop {
+	return &poolLoop{
+		turns: make(map[string]*pools.Turns), moving: make(map[string]*move), idleSince: make(map[string]time.Time),
+	}
+}
+
+// noteArrival adds an accepted job to the arrivals of its pool.
+func (d *Driver) noteArrival(job *pb.Job, pool string) {
+	if job.Steps[0].Lasting {
+		return
+	}
+	if d.pools.firstArrival.IsZero() {
+		d.pools.firstArrival = d.cfg.Now()
+	}
+	work := int64(0)
+	for _, step := range job.Steps {
+		work += int64(step.Tasks) * step.Needs.GetCpuMillis() * d.learned.expected(job.Queue, step)
+	}
+	turns := d.pools.turns[pool]
+	if turns == nil {
+		turns = new(pools.Turns)
+		d.pools.turns[pool] = turns
+	}
+	turns.Note(d.monotonicMS(), work)
+}
+
+// monotonicMS is a time that does not jump, for the history of arrivals.
+func (d *Driver) monotonicMS() int64 { return d.cfg.Now().Sub(d.began).Milliseconds() + 1 }
+
+// movePools moves idle VMs to where they are needed, or to rest.
+func (d *Driver) movePools() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	if now.Sub(d.pools.last) < poolInterval {
+		return
+	}
+	d.pools.last = now
+	if d.fleet.readAt.IsZero() || now.Sub(d.fleet.readAt) > fleetInterval {
+		d.readFleet()
+	}
+	d.bringMoves(now)
+	if d.fleet.readAt.IsZero() {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if v.Catalogue() == nil {
+			return
+		}
+		snapshot := d.poolSnapshot(v, now)
+		for _, m := range pools.Plan(snapshot) {
+			d.beginMove(m, now)
+		}
+	})
+}
+
+// poolSnapshot describes every pool to the policy.
+func (d *Driver) poolSnapshot(v *workflow.View, now time.Time) *pools.Snapshot {
+	s := &pools.Snapshot{
+		NowMS: d.monotonicMS(), Budget: maxMovesPerRound,
+		MayRest: !d.pools.firstArrival.IsZero() && now.Sub(d.pools.firstArrival) > restAfter,
+		Prices:  pools.Prices{MoveVMSeconds: moveVMSeconds, MoveMS: moveTime.Milliseconds()},
+		Fits:    func(string, string) bool { return true },
+	}
+	index := make(map[string]int)
+	for _, pool := range v.Catalogue().Pools {
+		index[pool.Name] = len(s.Pools)
+		s.Pools = append(s.Pools, d.poolDemand(pool))
+	}
+	d.addNeeds(v, s, index)
+	d.addVMs(v, s, index, now)
+	return s
+}
+
+func (d *Driver) poolDemand(pool *pb.Pool) pools.Pool {
+	p := pools.Pool{Name: pool.Name, Resting: pool.Resting}
+	if turns := d.pools.turns[pool.Name]; turns != nil {
+		p.NextTurnMS, p.TurnMillis = turns.Next(d.monotonicMS())
+	}
+	return p
+}
+
+// addNeeds adds the room with which each open job ends in time.
+func (d *Driver) addNeeds(v *workflow.View, s *pools.Snapshot, index map[string]int) {
+	nowMS := d.cfg.NowMS()
+	for _, job := range v.OpenJobs() {
+		queue := v.Queue(job.Spec.Queue)
+		if queue == nil || workflow.Ended(job.State) {
+			continue
+		}
+		at, ok := index[queue.Pool]
+		if !ok {
+			continue
+		}
+		pool := &s.Pools[at]
+		lasting, vms := lastingNeed(job)
+		pool.NeedMillis += lasting
+		if pool.TurnMillis > 0 {
+			pool.TurnMillis += lasting
+		}
+		if vms > 0 {
+			pool.MinVMs = max(pool.MinVMs, vms+minPoolVMs)
+		}
+		pool.NeedMillis += d.shortNeed(job, queue, nowMS)
+	}
+}
+
+// lastingNeed returns the room of a job's lasting tasks and the VMs over which
+// they must spread.
+func lastingNeed(job *workflow.Job) (millis int64, vms int) {
+	for _, step := range job.Spec.Steps {
+		if !step.Lasting {
+			continue
+		}
+		millis += int64(step.Tasks) * workflow.StepRoom(step).CPUMillis
+		if step.MaxPerTarget > 0 {
+			vms = max(vms, int((step.Tasks+step.MaxPerTarget-1)/step.MaxPerTarget))
+		}
+	}
+	return millis, vms
+}
+
+// shortNeed returns the room with which the rest of a job ends in the time that
+// its objective leaves, or as fast as its chain allows when that is over.
+func (d *Driver) shortNeed(job *workflow.Job, queue *pb.Queue, nowMS int64) int64 {
+	work := int64(0)
+	for k := range job.Tasks {
+		if job.DueMS(k) > nowMS {
+			continue
+		}
+		for n, step := range job.Spec.Steps {
+			if !step.Lasting {
+				work += int64(job.StepLeft(k, n)) * workflow.StepRoom(step).CPUMillis * d.learned.expected(job.Spec.Queue, step)
+			}
+		}
+	}
+	if work == 0 {
+		return 0
+	}
+	total, left := d.chain(job)
+	deadline := job.Spec.SubmittedUnixMs + int64(queue.SlackFactor*float64(total)) + queue.ObjectiveMs
+	within := max(int64(finishMargin*float64(deadline-nowMS)), left, 1)
+	return work / within
+}
+
+// addVMs adds the VMs where they are, and those on their way to where they go.
+func (d *Driver) addVMs(v *workflow.View, s *pools.Snapshot, index map[string]int, now time.Time) {
+	for name, vm := range d.fleet.vms {
+		if m := d.pools.moving[name]; m != nil {
+			if at, ok := index[m.to]; ok && !s.Pools[at].Resting {
+				s.Pools[at].IncomingMillis += m.cpu
+				s.Pools[at].Incoming++
+			}
+			continue
+		}
+		at, ok := index[vm.Pool]
+		if !ok {
+			continue
+		}
+		described := pools.VM{Name: name, CPUMillis: vm.Capacity.CPUMillis, Fixed: vm.State != VMUp}
+		if s.Pools[at].Resting {
+			described.Fixed = vm.State == VMMoving || vm.State == VMInMaintenance
+		} else if !d.describeVM(v, name, &described, now) {
+			continue
+		}
+		described.Out = described.Out || d.waves.cordoned[name] || v.Ordered(name)
+		described.Fixed = described.Fixed || described.Out
+		s.Pools[at].VMs = append(s.Pools[at].VMs, described)
+	}
+	for i := range s.Pools {
+		slices.SortFunc(s.Pools[i].VMs, func(a, b pools.VM) int {
+			if a.Name < b.Name {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+// describeVM adds what runs on a VM; false for one without a target that works.
+func (d *Driver) describeVM(v *workflow.View, name string, vm *pools.VM, now time.Time) bool {
+	l := d.linkOfVM(name)
+	if l == nil {
+		return false
+	}
+	for _, task := range v.Placed(l.target.Id) {
+		vm.Tasks++
+		if task.Spec().Lasting {
+			vm.Lasting++
+		}
+	}
+	vm.Out = l.leaving || l.failures > 0
+	if vm.Tasks > 0 {
+		delete(d.pools.idleSince, name)
+		return true
+	}
+	since, ok := d.pools.idleSince[name]
+	if !ok {
+		since = now
+		d.pools.idleSince[name] = now
+	}
+	vm.IdleMS = now.Sub(since).Milliseconds()
+	return true
+}
+
+// beginMove keeps starts off the VM from here on and orders the move.
+func (d *Driver) beginMove(m pools.Move, now time.Time) {
+	event.VMMoveBegun.Emit(event.F("vm", m.VM), event.F("from", m.From), event.F("to", m.To), event.F("reason", m.Reason))
+	d.pools.moving[m.VM] = &move{to: m.To, cpu: d.fleet.vms[m.VM].Capacity.CPUMillis, begun: now}
+	d.orderMove(m.VM, now)
+}
+
+// bringMoves sends orders again that got no answer and ends the wait for VMs
+// that have arrived.
+func (d *Driver) bringMoves(now time.Time) {
+	for vm, m := range d.pools.moving {
+		switch {
+		case m.calling:
+		case m.accepted.IsZero():
+			if now.Sub(m.tried) > orderPause {
+				d.orderMove(vm, now)
+			}
+		case now.Sub(m.accepted) > moveWait:
+			delete(d.pools.moving, vm)
+		}
+	}
+}
+
+func (d *Driver) orderMove(vm string, now time.Time) {
+	m := d.pools.moving[vm]
+	m.calling, m.tried = true, now
+	order := VMOrder{VM: vm, Holder: d.cfg.Holder, Fence: d.cfg.Epoch}
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
+		defer cancel()
+		if !d.cfg.Log.HoldsLease() {
+			d.takeMove(vm, m, VMFence, errNoLease)
+			return
+		}
+		refusal, err := d.cfg.VMs.Move(ctx, order, m.to)
+		d.takeMove(vm, m, refusal, err)
+	})
+}
+
+func (d *Driver) takeMove(vm string, m *move, refusal VMRefusal, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m.calling = false
+	if err != nil {
+		event.PlatformSilent.Emit(event.F("step", "move"), event.F("vm", vm), event.Err(err))
+		return
+	}
+	event.VMMoveAnswered.Emit(event.F("vm", vm), event.F("to", m.to), event.F("answer", refusal.String()))
+	switch refusal {
+	case VMAccepted:
+		m.accepted = d.cfg.Now()
+		known := d.fleet.vms[vm]
+		known.Pool = m.to
+		d.fleet.vms[vm] = known
+		delete(d.pools.idleSince, vm)
+		if l := d.linkOfVM(vm); l != nil {
+			d.endLife(l, "its VM moves to another pool")
+		}
+		if d.restingPool(m.to) {
+			delete(d.pools.moving, vm)
+		}
+	case VMThrottled:
+	default:
+		// The list that is read next tells where the VM is.
+		delete(d.pools.moving, vm)
+		d.waves.listed = time.Time{}
+		d.readFleet()
+	}
+}
+
+func (d *Driver) restingPool(name string) bool {
+	resting := false
+	d.cfg.Machine.View(func(v *workflow.View) { resting = v.Pool(name).GetResting() })
+	return resting
+}
+
+// noteMoved ends the wait for a VM whose target has announced itself.
+func (d *Driver) noteMoved(target *pb.Target) {
+	if m := d.pools.moving[target.Vm]; m != nil && m.to == target.Pool {
+		delete(d.pools.moving, target.Vm)
+	}
+	if known, ok := d.fleet.vms[target.Vm]; ok {
+		known.Pool, known.State, known.Target = target.Pool, VMUp, target.Id
+		d.fleet.vms[target.Vm] = known
+	}
+}
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -60,6 +60,7 @@
 
 func (d *Driver) submit(ctx context.Context, r *pb.Request) *pb.Response {
 	var refused *pb.Response
+	var pool string
 	known := false
 	d.cfg.Machine.View(func(v *workflow.View) {
 		var queue *pb.Queue
@@ -69,7 +70,7 @@
 			return
 		}
 		known = v.Job(r.Job.Id) != nil
-		r.Job.Queue, r.Job.Workspace = queue.Name, workspace.GetName()
+		r.Job.Queue, r.Job.Workspace, pool = queue.Name, workspace.GetName(), queue.Pool
 	})
 	if refused != nil {
 		event.RequestRefused.Emit(event.F("job", r.Job.GetId()), event.F("answer", refused.Answer.String()), event.F("reason", refused.Reason))
@@ -87,6 +88,9 @@
 		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: out.Reason}
 	}
 	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("index", out.Index))
+	d.mu.Lock()
+	d.noteArrival(r.Job, pool)
+	d.mu.Unlock()
 	d.kick()
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
 }
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -266,7 +266,7 @@
 	r.phase = runEnded
 	event.RunEndedUnlisted.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt),
 		event.F("target", r.target), event.F("end", kind.String()), event.F("reason", reason))
-	d.pending = append(d.pending, &pb.End{Task: r.task.Ref(r.attempt), Target: r.target, Kind: kind})
+	d.pending = append(d.pending, pendingEnd{end: &pb.End{Task: r.task.Ref(r.attempt), Target: r.target, Kind: kind}})
 	d.kick()
 }
 
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -51,9 +51,8 @@
 
 // fleetView is the platform's list of VMs as last read.
 type fleetView struct {
-	vms      map[string]VM
-	readAt   time.Time
-	cordoned map[string]bool
+	vms    map[string]VM
+	readAt time.Time
 }
 
 // runWaves brings each wave on by what is due.
@@ -293,6 +292,7 @@
 
 // noteVMBack ends the wait for a VM whose target has begun a new life.
 func (d *Driver) noteVMBack(target *pb.Target) {
+	d.noteMoved(target)
 	if _, ok := d.waves.away[target.Vm]; !ok {
 		return
 	}
@@ -345,10 +345,20 @@
 			event.PlatformSilent.Emit(event.F("step", "list VMs"), event.Err(err))
 			return
 		}
-		d.fleet.vms = make(map[string]VM, len(vms))
-		for _, vm := range vms {
-			d.fleet.vms[vm.Name] = vm
-		}
-		d.fleet.readAt = asked
+		d.takeFleet(vms, asked)
 	})
 }
+
+// takeFleet takes in the platform's list. What this leader ordered since it
+// asked is newer than the list.
+func (d *Driver) takeFleet(vms []VM, asked time.Time) {
+	before := d.fleet.vms
+	d.fleet.vms = make(map[string]VM, len(vms))
+	for _, vm := range vms {
+		if m := d.pools.moving[vm.Name]; m != nil && m.tried.After(asked) {
+			vm.Pool = before[vm.Name].Pool
+		}
+		d.fleet.vms[vm.Name] = vm
+	}
+	d.fleet.readAt = asked
+}
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -44,6 +44,8 @@
 	MaintenanceAnswered = define(7052, log.InfoLevel, "platform answered an order for maintenance", "")
 	VMBack              = define(7053, log.InfoLevel, "VM is back from its maintenance", "")
 	WaveStepFailed      = define(7054, log.WarnLevel, "step of a wave failed, it is tried again", "")
+	VMMoveBegun         = define(7056, log.InfoLevel, "VM is ordered to another pool", "")
+	VMMoveAnswered      = define(7057, log.InfoLevel, "platform answered an order for a move", "")
 	PlatformSilent      = define(7055, log.WarnLevel, "platform gave no answer", "Check the platform.")
 )
 
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -20,6 +20,8 @@
 	Labels []string
 	// Free is the room that no task takes.
 	Free workflow.Resources
+	// Lasting counts lasting tasks there.
+	Lasting int
 	// Slowness is the learned run time there against that of its peers; 1 is normal.
 	Slowness float64
 }
@@ -40,8 +42,8 @@
 	OnTarget map[string]int
 	// Avoid holds targets where tasks of the step failed.
 	Avoid map[string]bool
-	// Spread prefers targets with fewer tasks of the step.
-	Spread bool
+	// Lasting tasks go where other lasting tasks are, so that the other VMs may move.
+	Lasting bool
 }
 
 // Job is one job with steps that may start.
@@ -222,6 +224,9 @@
 func (p *plan) take(j *Job, step *Step, task workflow.TaskID, at int) {
 	target := &p.targets[at]
 	target.Free = target.Free.Sub(step.Room)
+	if step.Lasting {
+		target.Lasting++
+	}
 	if step.OnTarget == nil {
 		step.OnTarget = make(map[string]int)
 	}
@@ -271,6 +276,9 @@
 	weightAvoid    = 8.0
 	weightFarData  = 4.0
 	weightSpread   = 0.5
+	weightTogether = 0.2
+	// maxTogether bounds the pull of lasting tasks on each other.
+	maxTogether = 4
 	// weightFit prefers the fuller target, so that large tasks find room.
 	weightFit = 0.3
 )
@@ -284,8 +292,8 @@
 	if step.DataRack != "" && step.DataRack != target.Rack {
 		s += weightFarData
 	}
-	if step.Spread {
-		return s + weightSpread*float64(onTarget)
+	if step.Lasting {
+		return s + weightSpread*float64(onTarget) - weightTogether*float64(min(target.Lasting, maxTogether))
 	}
 	left := target.Free.CPUMillis - step.Room.CPUMillis
 	return s + weightFit*float64(left)/float64(max(target.Free.CPUMillis, 1))
--- /dev/null
+++ b/internal/policy/pools/pools.go
@@ -0,0 +1,253 @@
+// Package pools decides which VMs move between pools and which rest. It is
+// pure. The load it answers: queues take turns; in its turn each asks for more
+// than its pool holds for some seconds, and for almost nothing in between. VMs
+// that are idle between turns rest, where they cost nothing, or go to the pool
+// whose turn it is; those of a turn that comes back at an even pace are called
+// ahead of it.
+package pools
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Prices weigh what a decision costs, in seconds of a VM in a pool.
+type Prices struct {
+	// MoveVMSeconds is the price of one move.
+	MoveVMSeconds float64
+	// MoveMS is how long a VM is away for a move.
+	MoveMS int64
+}
+
+// VM is one VM of a pool.
+type VM struct {
+	Name      string
+	CPUMillis int64
+	// Tasks run or may run there; Lasting ones keep the VM where it is.
+	Tasks, Lasting int
+	// IdleMS is how long nothing has run there.
+	IdleMS int64
+	// Fixed VMs may not move now.
+	Fixed bool
+	// Out VMs take no tasks: they are in maintenance, about to be, or leaving.
+	Out bool
+}
+
+// Pool is one pool with what is asked of it.
+type Pool struct {
+	Name string
+	// Resting pools hold VMs that are off and cost nothing.
+	Resting bool
+	// NeedMillis is the processor room with which the work at hand ends in time.
+	NeedMillis int64
+	// MinVMs is how many VMs the pool needs however little room is asked for.
+	MinVMs int
+	// NextTurnMS is when a turn is expected, and TurnMillis what it will ask
+	// for; TurnMillis is 0 while no turn is expected.
+	NextTurnMS int64
+	TurnMillis int64
+	// Incoming VMs are on their way, with IncomingMillis of room.
+	Incoming       int
+	IncomingMillis int64
+	VMs            []VM
+}
+
+// Move sends a VM to another pool.
+type Move struct {
+	VM     string
+	From   string
+	To     string
+	Reason string
+}
+
+// Snapshot is what one round looks at.
+type Snapshot struct {
+	NowMS int64
+	Pools []Pool
+	// Fits reports whether the VMs of one pool may serve in another.
+	Fits func(vm, pool string) bool
+	// Budget bounds the moves of the round.
+	Budget int
+	// MayRest tells that enough was seen to let idle VMs rest.
+	MayRest bool
+	Prices Prices
+}
+
+const (
+	// usable is the part of a VM's room that tasks of mixed sizes fill.
+	usable = 0.85
+	// callAhead is how long before an expected turn VMs are called, beyond the
+	// time of their move.
+	callAheadMS = 600
+	// giveAfterMS is how long a VM must have been idle to go to a pool in need.
+	giveAfterMS = 200
+	// restFactor times the price of a move there and back is the idle time
+	// after which a VM rests.
+	restFactor = 0.5
+	// keepBeforeTurnMS keeps idle VMs of a pool whose turn comes soon.
+	keepBeforeTurnMS = 3000
+)
+
+// balance is one pool's supply against its demand.
+type balance struct {
+	pool *Pool
+	// short is the room that is missing, spare what could be given away.
+	short, spare int64
+}
+
+// Plan returns the moves of one round.
+func Plan(s *Snapshot) []Move {
+	var needy, rich []balance
+	for i := range s.Pools {
+		b := s.balance(&s.Pools[i])
+		if b.short > 0 {
+			needy = append(needy, b)
+		} else if b.spare > 0 {
+			rich = append(rich, b)
+		}
+	}
+	slices.SortStableFunc(needy, func(a, b balance) int {
+		return cmp.Or(cmp.Compare(b.short, a.short), strings.Compare(a.pool.Name, b.pool.Name))
+	})
+	// Resting VMs first: they cost no other pool anything.
+	slices.SortStableFunc(rich, func(a, b balance) int {
+		if a.pool.Resting != b.pool.Resting {
+			if a.pool.Resting {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.spare, a.spare), strings.Compare(a.pool.Name, b.pool.Name))
+	})
+	moves := s.fill(needy, rich)
+	return s.rest(rich, moves)
+}
+
+// balance compares what a pool has with what it is asked for.
+func (s *Snapshot) balance(p *Pool) balance {
+	b := balance{pool: p}
+	supply, vms, largest := p.IncomingMillis, p.Incoming, int64(0)
+	for _, vm := range p.VMs {
+		if !vm.Out {
+			supply += vm.CPUMillis
+			largest = max(largest, vm.CPUMillis)
+			vms++
+		}
+	}
+	if p.Resting {
+		b.spare = supply - p.IncomingMillis
+		return b
+	}
+	demand := int64(float64(s.demand(p)) / usable)
+	// The least number of VMs counts as the room of so many of the largest.
+	demand = max(demand, supply+int64(p.MinVMs-vms)*largest)
+	if vms == 0 && p.MinVMs > 0 {
+		demand = max(demand, int64(p.MinVMs)*s.largest())
+	}
+	if demand > supply {
+		b.short = demand - supply
+	} else {
+		b.spare = supply - demand
+	}
+	return b
+}
+
+// largest returns the room of the largest VM of any pool.
+func (s *Snapshot) largest() int64 {
+	largest := int64(0)
+	for i := range s.Pools {
+		for _, vm := range s.Pools[i].VMs {
+			largest = max(largest, vm.CPUMillis)
+		}
+	}
+	return largest
+}
+
+func (s *Snapshot) demand(p *Pool) int64 {
+	demand := p.NeedMillis
+	if p.TurnMillis > 0 && p.NextTurnMS-s.NowMS < s.Prices.MoveMS+callAheadMS {
+		demand = max(demand, p.TurnMillis)
+	}
+	return demand
+}
+
+// fill moves idle VMs to pools in need.
+func (s *Snapshot) fill(needy, rich []balance) []Move {
+	var moves []Move
+	for i := range needy {
+		for j := range rich {
+			moves = s.give(&needy[i], &rich[j], moves)
+		}
+	}
+	return moves
+}
+
+func (s *Snapshot) give(to, from *balance, moves []Move) []Move {
+	for _, vm := range idlest(from.pool) {
+		if to.short <= 0 || len(moves) >= s.Budget {
+			return moves
+		}
+		if vm.CPUMillis > from.spare || moved(moves, vm.Name) || !from.pool.Resting && vm.IdleMS < giveAfterMS || !s.Fits(vm.Name, to.pool.Name) {
+			continue
+		}
+		if to.short < vm.CPUMillis/4 {
+			// A small lack passes before the VM would be there.
+			return moves
+		}
+		to.short -= vm.CPUMillis
+		from.spare -= vm.CPUMillis
+		moves = append(moves, Move{VM: vm.Name, From: from.pool.Name, To: to.pool.Name, Reason: "the pool lacks room"})
+	}
+	return moves
+}
+
+// rest sends VMs that stay idle to the resting pool.
+func (s *Snapshot) rest(rich []balance, moves []Move) []Move {
+	resting := ""
+	for _, p := range s.Pools {
+		if p.Resting {
+			resting = p.Name
+			break
+		}
+	}
+	if resting == "" || !s.MayRest {
+		return moves
+	}
+	after := int64(restFactor * 2 * s.Prices.MoveVMSeconds * 1000)
+	for i := range rich {
+		from := &rich[i]
+		if from.pool.Resting || from.pool.TurnMillis > 0 && from.pool.NextTurnMS-s.NowMS < keepBeforeTurnMS && from.pool.NextTurnMS > s.NowMS-keepBeforeTurnMS {
+			continue
+		}
+		for _, vm := range idlest(from.pool) {
+			if len(moves) >= s.Budget || vm.CPUMillis > from.spare {
+				break
+			}
+			if vm.IdleMS < after || moved(moves, vm.Name) || !s.Fits(vm.Name, resting) {
+				continue
+			}
+			from.spare -= vm.CPUMillis
+			moves = append(moves, Move{VM: vm.Name, From: from.pool.Name, To: resting, Reason: "idle"})
+		}
+	}
+	return moves
+}
+
+// idlest returns the VMs that may move, the longest idle first.
+func idlest(p *Pool) []VM {
+	var out []VM
+	for _, vm := range p.VMs {
+		if !vm.Fixed && vm.Tasks == 0 && vm.Lasting == 0 {
+			out = append(out, vm)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(b.IdleMS, a.IdleMS), strings.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+func moved(moves []Move, vm string) bool {
+	return slices.ContainsFunc(moves, func(m Move) bool { return m.VM == vm })
+}
--- /dev/null
+++ b/internal/policy/pools/turns.go
@@ -0,0 +1,102 @@
+package pools
+
+const (
+	// binMS is the resolution of the arrival history.
+	binMS = 250
+	// historyBins covers several turns of a queue.
+	historyBins = 480
+	// recentBins is the span over which the present load is measured.
+	recentBins = 4
+	// onsetFactor times the mean load is where a turn begins.
+	onsetFactor = 1.6
+	// minTurnGapMS keeps one turn from counting as two.
+	minTurnGapMS = 6000
+	// maxOnsets bounds what is remembered of turns.
+	maxOnsets = 8
+)
+
+// Turns learns when the turns of a queue come and what they ask for.
+type Turns struct {
+	// bins holds the arrived work by binMS, in thousandths of a core times milliseconds.
+	bins  [historyBins]int64
+	first int64
+	last  int64
+	total int64
+
+	onsets []int64
+	// peak is the largest load of the newest turn.
+	peak int64
+}
+
+// Note adds work that has arrived: processor room times run time.
+func (t *Turns) Note(nowMS, cpuMillisMS int64) {
+	t.advance(nowMS)
+	t.bins[t.last%historyBins] += cpuMillisMS
+	t.total += cpuMillisMS
+	t.noteOnset(nowMS)
+}
+
+// advance clears the bins between the last note and now.
+func (t *Turns) advance(nowMS int64) {
+	bin := nowMS / binMS
+	if t.first == 0 {
+		t.first, t.last = bin, bin
+	}
+	for t.last < bin {
+		t.last++
+		at := t.last % historyBins
+		t.total -= t.bins[at]
+		t.bins[at] = 0
+		if bin-t.last > historyBins {
+			t.last = bin - historyBins
+		}
+	}
+}
+
+// Load returns the load that arrives at present, in thousandths of a core.
+func (t *Turns) Load(nowMS int64) int64 {
+	t.advance(nowMS)
+	sum := int64(0)
+	for bin := max(t.last-recentBins+1, t.first); bin <= t.last; bin++ {
+		sum += t.bins[bin%historyBins]
+	}
+	return sum / (recentBins * binMS)
+}
+
+// mean returns the mean load over the history, in thousandths of a core.
+func (t *Turns) mean() int64 {
+	span := min(t.last-t.first+1, historyBins)
+	return t.total / (max(span, 4*recentBins) * binMS)
+}
+
+func (t *Turns) noteOnset(nowMS int64) {
+	load := t.Load(nowMS)
+	if n := len(t.onsets); n > 0 && nowMS-t.onsets[n-1] < minTurnGapMS {
+		t.peak = max(t.peak, load)
+		return
+	}
+	if float64(load) <= onsetFactor*float64(t.mean()) || load == 0 {
+		return
+	}
+	t.onsets = append(t.onsets, nowMS)
+	if len(t.onsets) > maxOnsets {
+		t.onsets = t.onsets[1:]
+	}
+	t.peak = load
+}
+
+// Next returns when the next turn is expected and what it will ask for. The
+// load is 0 until two turns were seen.
+func (t *Turns) Next(nowMS int64) (atMS, cpuMillis int64) {
+	n := len(t.onsets)
+	if n < 2 {
+		return 0, 0
+	}
+	period := (t.onsets[n-1] - t.onsets[0]) / int64(n-1)
+	at := t.onsets[n-1] + period
+	if nowMS > at+period/2 {
+		// The turns have stopped coming.
+		return 0, 0
+	}
+	return at, t.peak
+}
