--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -30,14 +30,16 @@
 	// minPoolVMs is what a pool with work keeps beyond the VMs of its lasting
 	// tasks, so that one of them may go down.
 	minPoolVMs = 1
+	// aheadWithinMS is the time within which work usually has to end.
+	aheadWithinMS = 3000
 	// finishMargin is the part of the time left in which the work should end.
-	finishMargin = 0.75
+	finishMargin = 0.5
 )
 
 // poolLoop is what the leader remembers of VMs and pools. The driver's mutex
 // guards it.
 type poolLoop struct {
-	last time.Time
+	last, reported time.Time
 	// turns learns the arrivals of each pool.
 	turns map[string]*pools.Turns
 	// moving holds VMs with an order under way or on their way.
@@ -108,6 +110,7 @@
 			return
 		}
 		snapshot := d.poolSnapshot(v, now)
+		d.reportPools(snapshot, now)
 		for _, m := range pools.Plan(snapshot) {
 			d.beginMove(m, now)
 		}
@@ -135,6 +138,9 @@
 func (d *Driver) poolDemand(pool *pb.Pool) pools.Pool {
 	p := pools.Pool{Name: pool.Name, Resting: pool.Resting}
 	if turns := d.pools.turns[pool.Name]; turns != nil {
+		// What keeps arriving while a VM is on its way has to end within about
+		// the same time as what is here.
+		p.NeedMillis = turns.Load(d.monotonicMS()) * moveTime.Milliseconds() / aheadWithinMS
 		p.NextTurnMS, p.TurnMillis = turns.Next(d.monotonicMS())
 	}
 	return p
@@ -349,3 +355,29 @@
 		d.fleet.vms[target.Vm] = known
 	}
 }
+
+// reportInterval spaces the lines about what pools have and need.
+const reportInterval = time.Second
+
+// reportPools writes what each pool has and needs, once an interval.
+func (d *Driver) reportPools(s *pools.Snapshot, now time.Time) {
+	if now.Sub(d.pools.reported) < reportInterval {
+		return
+	}
+	d.pools.reported = now
+	for i := range s.Pools {
+		p := &s.Pools[i]
+		idle, out := 0, 0
+		for _, vm := range p.VMs {
+			if vm.Tasks == 0 {
+				idle++
+			}
+			if vm.Out {
+				out++
+			}
+		}
+		event.PoolState.Emit(event.F("pool", p.Name), event.F("vms", len(p.VMs)), event.F("idle", idle), event.F("out", out),
+			event.F("incoming", p.Incoming), event.F("need_millis", p.NeedMillis), event.F("min_vms", p.MinVMs),
+			event.F("turn_in_ms", p.NextTurnMS-s.NowMS), event.F("turn_millis", p.TurnMillis))
+	}
+}
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -46,6 +46,7 @@
 	WaveStepFailed      = define(7054, log.WarnLevel, "step of a wave failed, it is tried again", "")
 	VMMoveBegun         = define(7056, log.InfoLevel, "VM is ordered to another pool", "")
 	VMMoveAnswered      = define(7057, log.InfoLevel, "platform answered an order for a move", "")
+	PoolState           = define(7058, log.InfoLevel, "what a pool has and needs", "")
 	PlatformSilent      = define(7055, log.WarnLevel, "platform gave no answer", "Check the platform.")
 )
 
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -71,7 +71,7 @@
 	Budget int
 	// MayRest tells that enough was seen to let idle VMs rest.
 	MayRest bool
-	Prices Prices
+	Prices  Prices
 }
 
 const (
--- a/internal/policy/pools/turns.go
+++ b/internal/policy/pools/turns.go
@@ -6,11 +6,15 @@
 	// historyBins covers several turns of a queue.
 	historyBins = 480
 	// recentBins is the span over which the present load is measured.
-	recentBins = 4
+	recentBins = 6
 	// onsetFactor times the mean load is where a turn begins.
 	onsetFactor = 1.6
-	// minTurnGapMS keeps one turn from counting as two.
-	minTurnGapMS = 6000
+	// minQuietMS of low load separate two turns.
+	minQuietMS = 4000
+	// endShare of a turn's peak is where it ends.
+	endShare = 0.3
+	// minOnsets is the number of turns after which their pace counts as known.
+	minOnsets = 3
 	// maxOnsets bounds what is remembered of turns.
 	maxOnsets = 8
 )
@@ -24,8 +28,11 @@
 	total int64
 
 	onsets []int64
-	// peak is the largest load of the newest turn.
-	peak int64
+	// peak is the largest load of the newest turn; inTurn tells that it goes on.
+	peak   int64
+	inTurn bool
+	// quietSince is since when the load has been low; 0 while it is not.
+	quietSince int64
 }
 
 // Note adds work that has arrived: processor room times run time.
@@ -69,30 +76,48 @@
 	return t.total / (max(span, 4*recentBins) * binMS)
 }
 
+// noteOnset follows the turns: one begins when the load rises far above the
+// mean after a quiet time, and ends when little is left of its peak.
 func (t *Turns) noteOnset(nowMS int64) {
-	load := t.Load(nowMS)
-	if n := len(t.onsets); n > 0 && nowMS-t.onsets[n-1] < minTurnGapMS {
+	load, mean := t.Load(nowMS), t.mean()
+	if t.inTurn {
 		t.peak = max(t.peak, load)
+		if float64(load) < endShare*float64(t.peak) {
+			t.inTurn, t.quietSince = false, nowMS
+		}
+		return
+	}
+	if float64(load) <= onsetFactor*float64(mean) {
+		if t.quietSince == 0 {
+			t.quietSince = nowMS
+		}
 		return
 	}
-	if float64(load) <= onsetFactor*float64(t.mean()) || load == 0 {
+	quiet := t.quietSince == 0 || nowMS-t.quietSince >= minQuietMS
+	t.quietSince = 0
+	if !quiet {
 		return
 	}
+	t.inTurn, t.peak = true, load
 	t.onsets = append(t.onsets, nowMS)
 	if len(t.onsets) > maxOnsets {
 		t.onsets = t.onsets[1:]
 	}
-	t.peak = load
 }
 
 // Next returns when the next turn is expected and what it will ask for. The
-// load is 0 until two turns were seen.
+// load is 0 until turns have come at an even pace.
 func (t *Turns) Next(nowMS int64) (atMS, cpuMillis int64) {
 	n := len(t.onsets)
-	if n < 2 {
+	if n < minOnsets || t.inTurn {
 		return 0, 0
 	}
 	period := (t.onsets[n-1] - t.onsets[0]) / int64(n-1)
+	for i := 1; i < n; i++ {
+		if gap := t.onsets[i] - t.onsets[i-1]; gap < period*3/4 || gap > period*5/4 {
+			return 0, 0
+		}
+	}
 	at := t.onsets[n-1] + period
 	if nowMS > at+period/2 {
 		// The turns have stopped coming.
