--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -12,6 +12,8 @@
 const (
 	// lookWait is how long a target may hold a listing back while nothing ends.
 	lookWait = 1500 * time.Millisecond
+	// waveLookWait keeps listings fresh while a wave decides by them.
+	waveLookWait = 500 * time.Millisecond
 	// lookMargin is what a listing may take beyond its wait.
 	lookMargin = 700 * time.Millisecond
 	// lookPause spaces listings, so that ends that come together share one.
@@ -49,7 +51,9 @@
 	listing Listing
 	// listedAt is when the last listing was asked for.
 	listedAt time.Time
-	looked   bool
+	// answeredAt is when it came.
+	answeredAt time.Time
+	looked     bool
 	// taken is the number of the last end that was read, seen the last one
 	// that is committed, told the last one that the target was told of.
 	taken, seen, told uint64
@@ -155,6 +159,9 @@
 		return RenewCall{}, false
 	}
 	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.seen, Wait: lookWait, LeaseUntilMS: d.grant(l)}
+	if d.waves.active {
+		call.Wait = waveLookWait
+	}
 	if l.clockAt.IsZero() || !l.looked {
 		call.Wait = 0
 	}
@@ -195,7 +202,7 @@
 	}
 	d.noteClock(l, listing.ClockMS)
 	d.noteAnswer(l)
-	l.listing, l.listedAt, l.looked = listing, asked, true
+	l.listing, l.listedAt, l.answeredAt, l.looked = listing, asked, d.cfg.Now(), true
 	l.told = max(l.told, call.SeenEnd)
 	d.takeEnds(l, listing.Ended)
 	d.takeRunning(l)
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -34,7 +34,9 @@
 			}
 			snapshot.Targets = d.planTargets(v, pool)
 			snapshot.Workspaces = workspaces
-			for _, start := range assign.Plan(snapshot) {
+			planned := assign.Plan(snapshot)
+			d.noteStuck(pool, waitingTasks(snapshot) > len(planned))
+			for _, start := range planned {
 				starts = append(starts, d.startOf(v, start))
 			}
 			if len(starts) >= maxStartsPerRound {
@@ -45,6 +47,25 @@
 	return starts
 }
 
+func waitingTasks(s *assign.Snapshot) int {
+	count := 0
+	for i := range s.Jobs {
+		for _, step := range s.Jobs[i].Steps {
+			count += len(step.Tasks)
+		}
+	}
+	return count
+}
+
+// noteStuck remembers since when a pool has had tasks that fit nowhere.
+func (d *Driver) noteStuck(pool string, stuck bool) {
+	if !stuck {
+		delete(d.pools.stuckSince, pool)
+	} else if _, ok := d.pools.stuckSince[pool]; !ok {
+		d.pools.stuckSince[pool] = d.cfg.Now()
+	}
+}
+
 func (d *Driver) startOf(v *workflow.View, s assign.Start) *pb.Start {
 	task := v.Task(s.Task)
 	return &pb.Start{
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -30,6 +30,9 @@
 	// minPoolVMs is what a pool with work keeps beyond the VMs of its lasting
 	// tasks, so that one of them may go down.
 	minPoolVMs = 1
+	// stuckAfter is how long a waiting task may fit nowhere before its pool gets
+	// another VM.
+	stuckAfter = 300 * time.Millisecond
 	// aheadWithinMS is the time within which work usually has to end.
 	aheadWithinMS = 3000
 	// finishMargin is the part of the time left in which the work should end.
@@ -46,6 +49,8 @@
 	moving map[string]*move
 	// firstArrival is when the first short job came under this leadership.
 	firstArrival time.Time
+	// stuckSince is since when tasks of a pool have fitted nowhere.
+	stuckSince map[string]time.Time
 	// idleSince is since when nothing has run on a VM.
 	idleSince map[string]time.Time
 }
@@ -63,6 +68,7 @@
 func newPoolLoop() *poolLoop {
 	return &poolLoop{
 		turns: make(map[string]*pools.Turns), moving: make(map[string]*move), idleSince: make(map[string]time.Time),
+		stuckSince: make(map[string]time.Time),
 	}
 }
 
@@ -169,6 +175,11 @@
 		}
 		pool.NeedMillis += d.shortNeed(job, queue, nowMS)
 	}
+	now := d.cfg.Now()
+	for i := range s.Pools {
+		since, ok := d.pools.stuckSince[s.Pools[i].Name]
+		s.Pools[i].Stuck = ok && now.Sub(since) > stuckAfter
+	}
 }
 
 // lastingNeed returns the room of a job's lasting tasks and the VMs over which
@@ -196,7 +207,8 @@
 		}
 		for n, step := range job.Spec.Steps {
 			if !step.Lasting {
-				work += int64(job.StepLeft(k, n)) * workflow.StepRoom(step).CPUMillis * d.learned.expected(job.Spec.Queue, step)
+				room := pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest)
+				work += int64(job.StepLeft(k, n)) * room * d.learned.expected(job.Spec.Queue, step)
 			}
 		}
 	}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -380,6 +380,10 @@
 	}
 	l := d.links[r.target]
 	if l == nil {
+		if d.ended[life{r.target, r.born}] {
+			// The start was committed while the target's life ended.
+			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
+		}
 		return
 	}
 	switch r.phase {
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -40,6 +40,8 @@
 	away    map[string]time.Time
 	listing bool
 	listed  time.Time
+	// active tells that a wave is under way.
+	active bool
 }
 
 func newWaveLoop() *waveLoop {
@@ -53,6 +55,8 @@
 type fleetView struct {
 	vms    map[string]VM
 	readAt time.Time
+	// largest is the processor room of the largest VM.
+	largest int64
 }
 
 // runWaves brings each wave on by what is due.
@@ -65,6 +69,9 @@
 			}
 		}
 	})
+	d.mu.Lock()
+	d.waves.active = len(waves) > 0
+	d.mu.Unlock()
 	for _, w := range waves {
 		d.runWave(w)
 	}
@@ -88,14 +95,57 @@
 	d.cordonNext(w, left, len(ordered))
 	if len(ordered) < int(w.Cap) {
 		for _, vm := range left {
-			if d.waves.cordoned[vm] && d.emptied(vm) && d.mayGoDown(vm) {
+			if !d.waves.cordoned[vm] || !d.emptied(vm) {
+				continue
+			}
+			if d.mayGoDown(vm) {
 				d.order(w, vm)
 				break
 			}
+			d.evacuate(vm)
 		}
 	}
 }
 
+// evacuate stops one lasting task of a step that has more tasks on the VM than
+// may be away at once, if one may: it starts again elsewhere.
+func (d *Driver) evacuate(vm string) {
+	l := d.linkOfVM(vm)
+	if l == nil {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for first, here := range lastingOn(v, l.target.Id) {
+			most := int(v.Task(first).Spec().MaxUnavailable)
+			if here <= most || d.awayElsewhere(v, first, "")+1 > most {
+				continue
+			}
+			for _, task := range v.Placed(l.target.Id) {
+				r := d.runs[task.ID]
+				if gang := task.ID; r != nil && r.phase == runConfirmed && gang.Job == first.Job && gang.Step == first.Step && gang.Occurrence == first.Occurrence {
+					event.TaskEvacuated.Emit(event.F("task", task.ID.String()), event.F("vm", vm), event.F("here", here), event.F("may_be_away", most))
+					d.callStop(r)
+					return
+				}
+			}
+		}
+	})
+}
+
+// lastingOn counts the tasks on a target of each lasting step with a budget, by
+// the step's first task.
+func lastingOn(v *workflow.View, target string) map[workflow.TaskID]int {
+	steps := make(map[workflow.TaskID]int)
+	for _, task := range v.Placed(target) {
+		if task.Spec().Lasting && task.Spec().MaxUnavailable > 0 && !workflow.Ended(task.Job.State) {
+			first := task.ID
+			first.Index = 0
+			steps[first]++
+		}
+	}
+	return steps
+}
+
 // cordonNext empties VMs of the wave so that one is ready when the cap allows
 // it: those first that have the least to lose.
 func (d *Driver) cordonNext(w *pb.Wave, left []string, ordered int) {
@@ -177,15 +227,7 @@
 	}
 	allowed := true
 	d.cfg.Machine.View(func(v *workflow.View) {
-		steps := make(map[workflow.TaskID]int)
-		for _, task := range v.Placed(l.target.Id) {
-			if task.Spec().Lasting && task.Spec().MaxUnavailable > 0 && !workflow.Ended(task.Job.State) {
-				first := task.ID
-				first.Index = 0
-				steps[first]++
-			}
-		}
-		for first, here := range steps {
+		for first, here := range lastingOn(v, l.target.Id) {
 			if d.awayElsewhere(v, first, vm)+here > int(v.Task(first).Spec().MaxUnavailable) {
 				allowed = false
 			}
@@ -205,7 +247,8 @@
 			continue
 		}
 		r := d.runs[task.ID]
-		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed && r.percent >= fullPace
+		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
+			r.percent >= fullPace && d.fresh(task.Target)
 		if !atWork || now.Sub(r.movedAt) < backMargin || d.waves.calling[vm] || v.Ordered(vm) {
 			away++
 		}
@@ -213,6 +256,15 @@
 	return away
 }
 
+// freshListing bounds the age of a listing that an order relies on.
+const freshListing = 900 * time.Millisecond
+
+// fresh reports whether a target has just listed its runs.
+func (d *Driver) fresh(target string) bool {
+	l := d.links[target]
+	return l != nil && l.failures == 0 && d.cfg.Now().Sub(l.answeredAt) < freshListing
+}
+
 // backMargin is how long a lasting task must have been seen at work.
 const backMargin = 500 * time.Millisecond
 
@@ -359,6 +411,7 @@
 			vm.Pool = before[vm.Name].Pool
 		}
 		d.fleet.vms[vm.Name] = vm
+		d.fleet.largest = max(d.fleet.largest, vm.Capacity.CPUMillis)
 	}
 	d.fleet.readAt = asked
 }
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -47,6 +47,7 @@
 	VMMoveBegun         = define(7056, log.InfoLevel, "VM is ordered to another pool", "")
 	VMMoveAnswered      = define(7057, log.InfoLevel, "platform answered an order for a move", "")
 	PoolState           = define(7058, log.InfoLevel, "what a pool has and needs", "")
+	TaskEvacuated       = define(7059, log.InfoLevel, "lasting task stopped to start elsewhere before maintenance", "")
 	PlatformSilent      = define(7055, log.WarnLevel, "platform gave no answer", "Check the platform.")
 )
 
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -275,7 +275,7 @@
 	weightSlowness = 4.0
 	weightAvoid    = 8.0
 	weightFarData  = 4.0
-	weightSpread   = 0.5
+	weightSpread   = 2.0
 	weightTogether = 0.2
 	// maxTogether bounds the pull of lasting tasks on each other.
 	maxTogether = 4
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -41,6 +41,8 @@
 	Resting bool
 	// NeedMillis is the processor room with which the work at hand ends in time.
 	NeedMillis int64
+	// Stuck tells that a waiting task has fitted on no VM for a while.
+	Stuck bool
 	// MinVMs is how many VMs the pool needs however little room is asked for.
 	MinVMs int
 	// NextTurnMS is when a turn is expected, and TurnMillis what it will ask
@@ -75,8 +77,9 @@
 }
 
 const (
-	// usable is the part of a VM's room that tasks of mixed sizes fill.
-	usable = 0.85
+	// usable is the part of a VM's room that tasks of mixed sizes fill, beyond
+	// what Footprint counts.
+	usable = 0.95
 	// callAhead is how long before an expected turn VMs are called, beyond the
 	// time of their move.
 	callAheadMS = 600
@@ -124,6 +127,15 @@
 	return s.rest(rich, moves)
 }
 
+// Footprint returns the room that a task takes of a VM when only tasks of its
+// size run there: what is left over is of no use to it.
+func Footprint(room, vm int64) int64 {
+	if room <= 0 || room > vm {
+		return room
+	}
+	return vm / (vm / room)
+}
+
 // balance compares what a pool has with what it is asked for.
 func (s *Snapshot) balance(p *Pool) balance {
 	b := balance{pool: p}
@@ -142,6 +154,9 @@
 	demand := int64(float64(s.demand(p)) / usable)
 	// The least number of VMs counts as the room of so many of the largest.
 	demand = max(demand, supply+int64(p.MinVMs-vms)*largest)
+	if p.Stuck && p.Incoming == 0 {
+		demand = max(demand, supply+s.largest())
+	}
 	if vms == 0 && p.MinVMs > 0 {
 		demand = max(demand, int64(p.MinVMs)*s.largest())
 	}
