--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -53,6 +53,10 @@
 	refusals refusals
 	servers  []*http.Server
 
+	// joined is the member list that the leader answered to a join: it gives the
+	// addresses to answer to until the log brings the list itself.
+	joined *wirepb.Membership
+
 	leader     atomic.Pointer[string]
 	membership atomic.Pointer[wirepb.Membership]
 	driver     atomic.Pointer[driver.Driver]
@@ -127,6 +131,12 @@
 		return store.Loaded{}, err
 	}
 	switch {
+	case found && !holdsLog(log):
+		// The process ended between its join and the first append. It may have
+		// voted meanwhile, so it goes on from its hard state.
+		if err := c.join(ctx, id.MemberID); err != nil {
+			return store.Loaded{}, err
+		}
 	case found:
 		c.identity = id
 	case c.settings.Found && slices.Contains(c.settings.Seeds, c.settings.Listen.Peers):
@@ -134,13 +144,21 @@
 			return store.Loaded{}, err
 		}
 	default:
-		if err := c.join(ctx); err != nil {
+		member := c.settings.Name + "-" + randomHex(4)
+		event.IdentityCreated.Emit(event.F("member", member))
+		if err := c.join(ctx, member); err != nil {
 			return store.Loaded{}, err
 		}
 	}
 	return log.Load()
 }
 
+// holdsLog reports whether the folder holds a snapshot or entries.
+func holdsLog(log *store.AppendLog) bool {
+	loaded, err := log.Load()
+	return err == nil && (loaded.Snapshot != nil || len(loaded.Entries) > 0)
+}
+
 // found writes the founding member list. Every seed writes the same one, in
 // whichever order they start, so that one cluster comes of it. The identity is
 // written last: a crash before it founds anew, before any vote was given.
@@ -167,14 +185,12 @@
 
 func founderID(address string) string { return "founder-" + address }
 
-// join asks the leader to add this daemon as a learner under a new identity.
-// It tries until ctx ends.
-func (c *Core) join(ctx context.Context) error {
+// join asks the leader to add this daemon as a learner. It tries until ctx ends.
+func (c *Core) join(ctx context.Context, id string) error {
 	member := &wirepb.Member{
-		Id: c.settings.Name + "-" + randomHex(4), Name: c.settings.Listen.Peers, Address: c.settings.Listen.Peers,
+		Id: id, Name: c.settings.Listen.Peers, Address: c.settings.Listen.Peers,
 		Zone: c.settings.Zone, Durable: true,
 	}
-	event.IdentityCreated.Emit(event.F("member", member.Id))
 	failures := 0
 	for {
 		address := c.gateway.target()
@@ -185,6 +201,7 @@
 		cancel()
 		if err == nil {
 			c.identity = store.Identity{ClusterID: response.GetJoin().ClusterId, MemberID: member.Id}
+			c.joined = response.GetJoin().Membership
 			return c.log.SetIdentity(c.identity)
 		}
 		var refused *wire.CallError
@@ -206,6 +223,9 @@
 func (c *Core) startReplica(loaded store.Loaded) error {
 	incarnation := uint64(time.Now().UnixNano())
 	c.peers = wire.NewPeers(c.dialer, c.identity.ClusterID, c.identity.MemberID)
+	if c.joined != nil {
+		coreSender{c}.SetMembership(c.joined)
+	}
 	node, err := replica.NewNode(replica.NodeConfig{
 		Core: replica.Config{
 			ID: c.identity.MemberID, Incarnation: incarnation, Durable: true, LeaderLease: true,
--- /dev/null
+++ b/internal/server/core_test.go
@@ -0,0 +1,228 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/config"
+	"sapphirering/internal/driver"
+	"sapphirering/internal/replica"
+	"sapphirering/internal/wire/wirepb"
+	"sapphirering/internal/workflow/workflowpb"
+)
+
+// nullAdapter serves nothing and calls nobody.
+type nullAdapter struct{}
+
+func (nullAdapter) Callers(Requester) http.Handler       { return http.NotFoundHandler() }
+func (nullAdapter) Control(Requester) http.Handler       { return http.NotFoundHandler() }
+func (nullAdapter) Health(func() bool) http.Handler      { return http.NotFoundHandler() }
+func (nullAdapter) Targets() driver.TargetClient         { return nil }
+func (nullAdapter) VMs() driver.VMClient                 { return nullVMs{} }
+func newNullAdapter(*config.RoleSettings) (none Adapter) { return nullAdapter{} }
+
+type nullVMs struct{}
+
+func (nullVMs) List(context.Context) ([]driver.VM, error) { return nil, nil }
+func (nullVMs) Move(context.Context, driver.VMOrder, string) (driver.VMRefusal, error) {
+	return driver.VMAccepted, nil
+}
+func (nullVMs) Maintain(context.Context, driver.VMOrder, uint64) (driver.VMRefusal, error) {
+	return driver.VMAccepted, nil
+}
+
+// coreNode is one core daemon of a test.
+type coreNode struct {
+	settings *config.RoleSettings
+	core     *Core
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// coreCluster runs core daemons in this process on loopback.
+type coreCluster struct {
+	t     *testing.T
+	nodes []*coreNode
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newCoreCluster(t *testing.T, size int) *coreCluster {
+	t.Helper()
+	c := &coreCluster{t: t}
+	var seeds []string
+	for range size {
+		seeds = append(seeds, freeAddress(t))
+	}
+	for i := range size {
+		c.nodes = append(c.nodes, &coreNode{settings: &config.RoleSettings{
+			Role: config.RoleCore, Name: fmt.Sprintf("core-%d", i), Zone: fmt.Sprintf("zone-%d", i),
+			DataFolder: filepath.Join(t.TempDir(), "data"), Seeds: seeds, Found: true, TrustPeerNetwork: true,
+			Listen: config.RoleListen{Control: freeAddress(t), Peers: seeds[i]},
+		}})
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.stop()
+		}
+	})
+	return c
+}
+
+func (c *coreCluster) start(n *coreNode) {
+	c.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel, n.done = cancel, make(chan struct{})
+	core, err := NewCore(ctx, n.settings, newNullAdapter)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.core = core
+	go func() {
+		defer close(n.done)
+		if err := core.Run(ctx); err != nil {
+			c.t.Error(err)
+		}
+	}()
+}
+
+func (n *coreNode) stop() {
+	if n.cancel != nil {
+		n.cancel()
+		<-n.done
+		n.cancel = nil
+	}
+}
+
+func (c *coreCluster) eventually(what string, within time.Duration, holds func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(within); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("%s: not within %s", what, within)
+		}
+	}
+}
+
+// put submits one catalogue version through a node.
+func (c *coreCluster) put(n *coreNode, version uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response := n.core.gateway.Do(ctx, &workflowpb.Request{
+		Operation: workflowpb.Operation_OPERATION_PUT_CATALOGUE,
+		Catalogue: &workflowpb.Catalogue{Version: version, Source: fmt.Appendf(nil, "version %d", version)},
+	})
+	if response.Answer != workflowpb.Answer_ANSWER_OK {
+		return fmt.Errorf("version %d: %s: %s", version, response.Answer, response.Reason)
+	}
+	return nil
+}
+
+// read returns the catalogue's source as a node tells it.
+func (c *coreCluster) read(n *coreNode) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	response := n.core.gateway.Do(ctx, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_GET_CATALOGUE})
+	return string(response.Source)
+}
+
+// voters returns the identities of the voters as a node knows them.
+func (n *coreNode) voters() map[string]bool {
+	out := make(map[string]bool)
+	for _, member := range n.core.membership.Load().GetMembers() {
+		if member.Role == wirepb.Role_ROLE_VOTER {
+			out[member.Id] = true
+		}
+	}
+	return out
+}
+
+// TestCoreFoundsOneCluster starts three founders one after the other: one
+// cluster comes of it, and a version that one accepted is read at another.
+func TestCoreFoundsOneCluster(t *testing.T) {
+	is := is.New(t)
+	c := newCoreCluster(t, 3)
+	is.NoErr(c.put(c.nodes[0], 1))
+	for _, n := range c.nodes {
+		is.Equal(c.read(n), "version 1")
+		is.Equal(len(n.voters()), 3)
+	}
+}
+
+// TestCoreWipedVoterIsReplaced wipes a voter's disk after the log was
+// compacted: it comes back as a new member and votes, so that another voter's
+// disk may be lost afterwards without losing what was acknowledged.
+func TestCoreWipedVoterIsReplaced(t *testing.T) {
+	is := is.New(t)
+	c := newCoreCluster(t, 3)
+	version := uint64(1)
+	for ; version < coreSnapshotEntries+50; version++ {
+		is.NoErr(c.put(c.nodes[0], version))
+	}
+	for _, n := range []*coreNode{c.nodes[2], c.nodes[1], c.nodes[0]} {
+		n.stop()
+		is.NoErr(os.RemoveAll(n.settings.DataFolder))
+		n.settings.Found = false
+		c.start(n)
+		id := n.core.identity.MemberID
+		c.eventually("the wiped voter votes again", 10*time.Second, func() bool {
+			voters := n.voters()
+			return voters[id] && len(voters) == 3
+		})
+		is.NoErr(c.put(n, version))
+		version++
+	}
+	is.Equal(c.read(c.nodes[1]), fmt.Sprintf("version %d", version-1))
+}
+
+// TestLostVoter covers who is replaced and when.
+func TestLostVoter(t *testing.T) {
+	now := time.Now()
+	member := func(id, name string, role wirepb.Role, active, leads bool) *wirepb.MemberStatus {
+		return &wirepb.MemberStatus{
+			Member: &wirepb.Member{Id: id, Name: name, Role: role, Durable: true}, Active: active, Leader: leads, MatchIndex: 100,
+		}
+	}
+	base := func(extra ...*wirepb.MemberStatus) replica.Status {
+		return replica.Status{Commit: 100, Members: append([]*wirepb.MemberStatus{
+			member("a", "A", voter, true, true), member("b", "B", voter, true, false), member("c", "C", voter, false, false),
+		}, extra...)}
+	}
+	for _, test := range []struct {
+		name   string
+		status replica.Status
+		away   time.Duration
+		want   string
+	}{
+		{"no learner", base(), time.Hour, ""},
+		{"learner at the same address", base(member("c2", "C", learner, true, false)), 0, "c"},
+		{"learner elsewhere, voter just away", base(member("d", "D", learner, true, false)), time.Second, ""},
+		{"learner elsewhere, voter long away", base(member("d", "D", learner, true, false)), replaceAfter + time.Second, "c"},
+		{"learner that does not answer", base(member("d", "D", learner, false, false)), time.Hour, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			lost := lostVoter(test.status, map[string]time.Time{"c": now.Add(-test.away)}, now)
+			if lost.GetId() != test.want {
+				t.Errorf("got %q, want %q", lost.GetId(), test.want)
+			}
+		})
+	}
+}
