A silent target gets no new lease; a VM runs one target; edges in a cut zone leave the balancer

Seen by the new lines about starts and ends of a job (7008, 7009): task placed, target killed, no end. Ruled out: room, limits, order (no line 7005 about a wait). The target had been killed by our own move: two lives of one VM were known after a restart, and the older one was idle; the newest one counts now, and a new one ends the older.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -91,8 +91,9 @@
 	waves   *waveLoop
 	pools   *poolLoop
 	fleet   fleetView
-	// refusals counts starts that broke a rule when applied.
-	counts counters
+	counts  counters
+	// waitsReported is when waits of a pool were reported last.
+	waitsReported map[string]time.Time
 
 	ctx     context.Context
 	running sync.WaitGroup
@@ -118,6 +119,7 @@
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
 		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run),
 		ended: make(map[life]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
+		waitsReported: make(map[string]time.Time),
 	}
 }
 
@@ -216,7 +218,12 @@
 	for _, refused := range out.Refused {
 		event.StartRefused.Emit(event.F("task", refused.Task.String()), event.F("reason", refused.Reason))
 	}
-	d.beginRuns(starts, out.Refused)
+	refused := make(map[workflow.TaskID]bool, len(out.Refused))
+	for _, r := range out.Refused {
+		refused[r.Task] = true
+	}
+	reportStarts(starts, refused, out.Index)
+	d.beginRuns(starts, refused)
 }
 
 // commitEnds records ends; only then are they confirmed to the targets.
@@ -225,7 +232,7 @@
 	for _, e := range ends {
 		change.Ends = append(change.Ends, e.end)
 	}
-	_, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
+	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
@@ -233,6 +240,7 @@
 		d.pending = append(ends, d.pending...)
 		return false
 	}
+	reportEnds(ends, out.Index)
 	for _, e := range ends {
 		d.forgetRun(e.end)
 		if e.link != nil {
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -158,7 +158,14 @@
 	if l.told == l.seen && !d.hasRuns(l.target.Id) && (l.looked || d.cfg.Now().Sub(l.lastAnnounced) > 2*d.cfg.Limits.AnnounceInterval) {
 		return RenewCall{}, false
 	}
-	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.seen, Wait: lookWait, LeaseUntilMS: d.grant(l)}
+	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.seen, Wait: lookWait}
+	if l.failures == 0 {
+		// A target that gave no answer gets no new lease before it does: else the
+		// end of its leases would never come.
+		call.LeaseUntilMS = d.grant(l)
+	} else {
+		call.Wait = 0
+	}
 	if d.waves.active {
 		call.Wait = waveLookWait
 	}
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -34,8 +34,8 @@
 			}
 			snapshot.Targets = d.planTargets(v, pool)
 			snapshot.Workspaces = workspaces
-			planned := assign.Plan(snapshot)
-			d.noteStuck(pool, waitingTasks(snapshot) > len(planned))
+			planned, waits := assign.Plan(snapshot)
+			d.noteWaits(pool, snapshot, waits)
 			for _, start := range planned {
 				starts = append(starts, d.startOf(v, start))
 			}
@@ -47,22 +47,48 @@
 	return starts
 }
 
-func waitingTasks(s *assign.Snapshot) int {
-	count := 0
-	for i := range s.Jobs {
-		for _, step := range s.Jobs[i].Steps {
-			count += len(step.Tasks)
-		}
-	}
-	return count
-}
+const (
+	// waitReported is how long a job must have been accepted for a line about
+	// why it waits; waitInterval spaces such lines.
+	waitReported = 3 * time.Second
+	waitInterval = 2 * time.Second
+	// maxWaitsReported bounds the lines of one interval.
+	maxWaitsReported = 5
+)
 
-// noteStuck remembers since when a pool has had tasks that fit nowhere.
-func (d *Driver) noteStuck(pool string, stuck bool) {
-	if !stuck {
+// noteWaits remembers since when a pool has had tasks that fit nowhere, and
+// reports why old jobs wait.
+func (d *Driver) noteWaits(pool string, s *assign.Snapshot, waits []assign.Wait) {
+	if len(waits) == 0 {
 		delete(d.pools.stuckSince, pool)
-	} else if _, ok := d.pools.stuckSince[pool]; !ok {
-		d.pools.stuckSince[pool] = d.cfg.Now()
+		return
+	}
+	now := d.cfg.Now()
+	if _, ok := d.pools.stuckSince[pool]; !ok {
+		d.pools.stuckSince[pool] = now
+	}
+	if now.Sub(d.waitsReported[pool]) < waitInterval {
+		return
+	}
+	d.waitsReported[pool] = now
+	submitted := make(map[string]int64, len(s.Jobs))
+	for i := range s.Jobs {
+		submitted[s.Jobs[i].ID] = s.Jobs[i].SubmittedMS
+	}
+	largest := int64(0)
+	for _, target := range s.Targets {
+		largest = max(largest, target.Free.CPUMillis)
+	}
+	reported := 0
+	for _, wait := range waits {
+		age := s.NowMS - submitted[wait.Job]
+		if age < waitReported.Milliseconds() || reported == maxWaitsReported {
+			continue
+		}
+		reported++
+		event.JobWaits.Emit(event.F("job", wait.Job), event.F("task", wait.Step.String()), event.F("tasks", wait.Tasks),
+			event.F("age_ms", age), event.F("reason", wait.Reason), event.F("pool", pool),
+			event.F("targets", len(s.Targets)), event.F("largest_free_millis", largest))
 	}
 }
 
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -64,17 +64,13 @@
 }
 
 // beginRuns calls the targets for committed starts.
-func (d *Driver) beginRuns(starts []*pb.Start, refused []workflow.RefusedStart) {
-	not := make(map[workflow.TaskID]bool, len(refused))
-	for _, r := range refused {
-		not[r.Task] = true
-	}
+func (d *Driver) beginRuns(starts []*pb.Start, refused map[workflow.TaskID]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	for _, start := range starts {
 		id := workflow.RefID(start.Task)
-		if not[id] {
+		if refused[id] {
 			continue
 		}
 		r := &run{
@@ -93,6 +89,9 @@
 		r.phase = runUnanswered
 		return
 	}
+	if l.failures > 0 && r.unanswered {
+		return
+	}
 	call, ok := d.startCall(r, l)
 	if !ok {
 		r.phase = runUnanswered
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -174,14 +174,28 @@
 	}
 }
 
-// linkOfVM returns the link of the target that runs on a VM, or nil.
+// linkOfVM returns the link of the newest target on a VM, or nil.
 func (d *Driver) linkOfVM(vm string) *link {
+	var newest *link
 	for _, l := range d.links {
-		if l.target.Vm == vm {
-			return l
+		if l.target.Vm == vm && (newest == nil || l.target.BornUnixMs > newest.target.BornUnixMs) {
+			newest = l
+		}
+	}
+	return newest
+}
+
+// endLivesOn ends the lives on a VM that began before a time: a VM runs one
+// target, and what it ran before is gone.
+func (d *Driver) endLivesOn(vm string, before int64, reason string) {
+	if vm == "" {
+		return
+	}
+	for _, l := range d.links {
+		if l.target.Vm == vm && l.target.BornUnixMs < before {
+			d.endLife(l, reason)
 		}
 	}
-	return nil
 }
 
 // workOn returns the processor room that tasks take on a VM.
@@ -335,7 +349,7 @@
 	case VMAccepted:
 		d.waves.away[vm] = d.cfg.Now()
 		if l := d.linkOfVM(vm); l != nil {
-			d.endLife(l, "its VM is in maintenance")
+			d.endLivesOn(vm, l.target.BornUnixMs+1, "its VM is in maintenance")
 		}
 	case VMUnknown, VMNotInWave:
 		d.finishMaintenance(wave, vm)
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -7,8 +7,11 @@
 	JobAccepted    = define(7001, log.InfoLevel, "job accepted", "")
 	JobCancelled   = define(7002, log.InfoLevel, "job cancelled", "")
 	JobHopeless    = define(7003, log.WarnLevel, "job can never run, ended as failed", "Correct what the job needs, then submit it again.")
+	JobWaits       = define(7005, log.InfoLevel, "tasks of a job wait", "")
 	RequestRefused = define(7004, log.InfoLevel, "request refused, nothing was run", "")
 
+	TasksStarted         = define(7008, log.InfoLevel, "tasks of a job placed: occurrence.step.index/attempt@target", "")
+	TasksEnded           = define(7009, log.InfoLevel, "runs of a job ended", "")
 	StartRefused         = define(7010, log.InfoLevel, "start broke a rule when it was applied", "")
 	StartRefusedByTarget = define(7011, log.InfoLevel, "target refused a start", "")
 	RunEndedUnlisted     = define(7012, log.InfoLevel, "run ended without its target's word", "")
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -83,25 +83,37 @@
 	Target string
 }
 
-// Plan returns the starts of one round.
-func Plan(s *Snapshot) []Start {
+// Wait tells why tasks of a job did not start.
+type Wait struct {
+	Job    string
+	Step   workflow.TaskID
+	Tasks  int
+	Reason string
+}
+
+// Plan returns the starts of one round, and why other tasks wait.
+func Plan(s *Snapshot) ([]Start, []Wait) {
 	p := &plan{snapshot: s, targets: s.Targets}
 	slices.SortStableFunc(s.Jobs, p.compare)
 	for i := range s.Jobs {
-		if !p.anyRoom() {
-			break
-		}
 		p.placeJob(&s.Jobs[i])
 	}
-	return p.starts
+	return p.starts, p.waits
 }
 
 type plan struct {
 	snapshot *Snapshot
 	targets  []Target
 	starts   []Start
+	waits    []Wait
 }
 
+// Reasons of waits.
+const (
+	waitLimit = "its workspace is at its limit"
+	waitRoom  = "it fits on no target now"
+)
+
 // anyRoom reports whether any target has processor room left.
 func (p *plan) anyRoom() bool {
 	for i := range p.targets {
@@ -158,33 +170,50 @@
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		if step.Gang {
-			p.placeGang(j, step)
+			if !p.placeGang(j, step) {
+				p.wait(j, step, 0, waitRoom)
+			}
 			continue
 		}
-		for _, task := range step.Tasks {
-			if !p.withinLimit(j.Workspace, step.Needs) {
-				return
-			}
-			at := p.bestTarget(step, "")
-			if at < 0 {
-				break
-			}
-			p.take(j, step, task, at)
+		p.placeTasks(j, step)
+	}
+}
+
+func (p *plan) placeTasks(j *Job, step *Step) {
+	if !p.anyRoom() {
+		p.wait(j, step, 0, waitRoom)
+		return
+	}
+	for n, task := range step.Tasks {
+		if !p.withinLimit(j.Workspace, step.Needs) {
+			p.wait(j, step, n, waitLimit)
+			return
 		}
+		at := p.bestTarget(step, "")
+		if at < 0 {
+			p.wait(j, step, n, waitRoom)
+			return
+		}
+		p.take(j, step, task, at)
 	}
 }
 
+// wait notes that the tasks of a step from a place on wait.
+func (p *plan) wait(j *Job, step *Step, from int, reason string) {
+	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason})
+}
+
 // placeGang places all tasks of a gang or none. Racks are tried first when the
 // gang runs slower on more than one.
-func (p *plan) placeGang(j *Job, step *Step) {
+func (p *plan) placeGang(j *Job, step *Step) bool {
 	if step.SameRack {
 		for _, rack := range p.racks() {
 			if p.tryGang(j, step, rack) {
-				return
+				return true
 			}
 		}
 	}
-	p.tryGang(j, step, "")
+	return p.tryGang(j, step, "")
 }
 
 func (p *plan) tryGang(j *Job, step *Step, rack string) bool {
--- a/internal/server/edge.go
+++ b/internal/server/edge.go
@@ -18,9 +18,6 @@
 	// balancerLeaves is how long after readiness turned the balancer may still
 	// send new connections: two looks, one a second.
 	balancerLeaves = 2200 * time.Millisecond
-	// readyWithout is how long an edge daemon without a leader counts as ready,
-	// so that an election does not empty the balancer.
-	readyWithout = 4 * time.Second
 	// shutdownMargin is kept free before the kill that follows the signal.
 	shutdownMargin = 500 * time.Millisecond
 )
@@ -43,7 +40,7 @@
 		field, address string
 		handler        http.Handler
 	}{
-		{"listen.callers", s.Listen.Callers, adapter.Callers(e.gateway)},
+		{"listen.callers", s.Listen.Callers, e.closeUnready(adapter.Callers(e.gateway))},
 		{"listen.health", s.Listen.Health, adapter.Health(e.ready)},
 		{"listen.metrics", s.Listen.Metrics, metricsHandler()},
 	} {
@@ -59,7 +56,18 @@
 }
 
 // ready reports whether the balancer should send connections here.
-func (e *Edge) ready() bool { return !e.leaving.Load() && e.gateway.Reached(readyWithout) }
+func (e *Edge) ready() bool { return !e.leaving.Load() && e.gateway.Connected() }
+
+// closeUnready asks callers to come back on a new connection, which the balancer
+// takes elsewhere, while this daemon is not ready.
+func (e *Edge) closeUnready(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.ready() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 // Reload takes changed settings.
 func (e *Edge) Reload(s *config.RoleSettings) { e.gateway.SetSeeds(s.Seeds) }
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sapphirering/internal/event"
@@ -19,6 +20,10 @@
 	gatewayTry = 900 * time.Millisecond
 	// gatewayPause spaces tries.
 	gatewayPause = 40 * time.Millisecond
+	// connectedFor is how long an answer shows that the core is within reach.
+	connectedFor = 1500 * time.Millisecond
+	// probeTime bounds one look at a core daemon.
+	coreProbeTime = 400 * time.Millisecond
 	// memberInterval is how often the member list is asked for.
 	memberInterval = time.Second
 )
@@ -37,9 +42,11 @@
 	cores  []string
 	leader string
 	next   int
-	// reached is when the leader last answered.
-	reached time.Time
-	lost    bool
+	// reached is when the leader last answered, connected when it or a majority
+	// of the core daemons did.
+	reached   time.Time
+	connected time.Time
+	lost      bool
 }
 
 // newGateway returns a gateway that knows the seeds.
@@ -85,6 +92,7 @@
 func (g *Gateway) noteReached(address string) {
 	g.mu.Lock()
 	g.leader, g.reached = address, time.Now()
+	g.connected = g.reached
 	found := g.lost
 	g.lost = false
 	g.mu.Unlock()
@@ -93,11 +101,13 @@
 	}
 }
 
-// Reached reports whether the leader answered within the given time.
-func (g *Gateway) Reached(within time.Duration) bool {
+// Connected reports whether the leader or a majority of the core daemons
+// answered lately. A daemon in a cut-off zone is not connected; during an
+// election all others are.
+func (g *Gateway) Connected() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.reached.IsZero() && time.Since(g.reached) < within
+	return !g.connected.IsZero() && time.Since(g.connected) < connectedFor
 }
 
 // Do brings a request to the leader and returns its answer. It tries again
@@ -120,6 +130,10 @@
 		default:
 			return response
 		}
+		if !g.Connected() {
+			// Cut off: waiting would only cost the caller time to try elsewhere.
+			return g.giveUp(r, unknown, last)
+		}
 		timer := time.NewTimer(gatewayPause)
 		select {
 		case <-ctx.Done():
@@ -181,6 +195,7 @@
 		} else {
 			pause = 3 * gatewayPause
 			g.noteLost(err)
+			g.probeCores(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -189,6 +204,38 @@
 	}
 }
 
+// probeCores asks every known core daemon whether it is there; that it does not
+// lead is an answer too.
+func (g *Gateway) probeCores(ctx context.Context) {
+	g.mu.Lock()
+	cores := g.cores
+	if len(cores) == 0 {
+		cores = g.seeds
+	}
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, coreProbeTime)
+	defer cancel()
+	var probes sync.WaitGroup
+	var answers atomic.Int32
+	for _, address := range cores {
+		probes.Go(func() {
+			_, _, err := g.dialer.Call(ctx, address, &wirepb.Hello{FromMember: g.name}, &wirepb.CallRequest{
+				Body: &wirepb.CallRequest_Workflow{Workflow: &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS}},
+			})
+			var refused *wire.CallError
+			if err == nil || errors.As(err, &refused) {
+				answers.Add(1)
+			}
+		})
+	}
+	probes.Wait()
+	if int(answers.Load()) > len(cores)/2 {
+		g.mu.Lock()
+		g.connected = time.Now()
+		g.mu.Unlock()
+	}
+}
+
 // noteLost reports once that the leader is out of reach.
 func (g *Gateway) noteLost(err error) {
 	g.mu.Lock()
