--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -42,8 +42,12 @@
 
 // RefusedStart is a start that broke a rule when it was applied.
 type RefusedStart struct {
-	Task   TaskID
-	Reason string
+	Task    TaskID
+	Attempt uint32
+	Target  string
+	// TargetBornUnixMS is the life of the target that was meant.
+	TargetBornUnixMS int64
+	Reason           string
 }
 
 // Machine holds the committed state. Readers hold the lock through View.
--- /dev/null
+++ b/internal/workflow/property_test.go
@@ -0,0 +1,442 @@
+package workflow
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	propertyPool     = "render"
+	propertyAttempts = 2
+	propertyLimit    = 6000
+)
+
+// runModel is an independent record of what the machine allowed to run.
+type runModel struct {
+	t       *rapid.T
+	machine *Machine
+	index   uint64
+	// open holds the runs that may be running, by task.
+	open map[TaskID]openRun
+	// attempts, done and failed are counted by task.
+	attempts, failed map[TaskID]uint32
+	done             map[TaskID]bool
+	jobs             map[string]*pb.Job
+	cancelled        map[string]bool
+	targets          map[string]*pb.Target
+	down             map[string]bool
+}
+
+type openRun struct {
+	attempt uint32
+	target  string
+}
+
+func newRunModel(t *rapid.T) *runModel {
+	m := &runModel{
+		t: t, machine: New(), open: make(map[TaskID]openRun), attempts: make(map[TaskID]uint32),
+		failed: make(map[TaskID]uint32), done: make(map[TaskID]bool), jobs: make(map[string]*pb.Job),
+		cancelled: make(map[string]bool), targets: make(map[string]*pb.Target), down: make(map[string]bool),
+	}
+	m.apply(&pb.Command{Body: &pb.Command_PutCatalogue{PutCatalogue: &pb.PutCatalogue{Catalogue: &pb.Catalogue{
+		Version: 1,
+		Queues: []*pb.Queue{
+			{Name: "proofs", Host: "h", PathPrefix: "/p/", Pool: propertyPool, TimeoutMs: 1000, MaxAttempts: propertyAttempts},
+		},
+		Pools:      []*pb.Pool{{Name: propertyPool}, {Name: "other"}},
+		Workspaces: []*pb.Workspace{{Name: "kita", Keys: []string{"k"}, Limit: &pb.Resources{CpuMillis: propertyLimit}}},
+	}}}})
+	return m
+}
+
+func (m *runModel) apply(command *pb.Command) *Outcome {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.index++
+	return m.machine.Apply(m.index, data).(*Outcome)
+}
+
+func (m *runModel) submit() {
+	id := fmt.Sprintf("job%d", len(m.jobs))
+	spec := &pb.Job{Id: id, Queue: "proofs", Workspace: "kita"}
+	for s := range rapid.IntRange(1, 3).Draw(m.t, "steps") {
+		step := &pb.Step{
+			Tasks: uint32(rapid.IntRange(1, 3).Draw(m.t, "tasks")), Needs: &pb.Resources{CpuMillis: int64(rapid.IntRange(500, 2500).Draw(m.t, "cpu"))},
+			MaxPerTarget: uint32(rapid.IntRange(0, 1).Draw(m.t, "spread")), Lasting: rapid.IntRange(0, 3).Draw(m.t, "lasting") == 0,
+			Gang: rapid.IntRange(0, 4).Draw(m.t, "gang") == 0,
+		}
+		if step.Lasting {
+			step.MaxUnavailable, step.Gang = 1, false
+		}
+		if rapid.IntRange(0, 3).Draw(m.t, "label") == 0 {
+			step.Label = "fast"
+		}
+		if s > 0 {
+			step.After = []uint32{uint32(s - 1)}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	m.apply(&pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: proto.CloneOf(spec)}}})
+	m.jobs[id] = spec
+}
+
+func (m *runModel) register() {
+	id := fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(m.t, "target"))
+	born := int64(1)
+	if known := m.targets[id]; known != nil {
+		born = known.BornUnixMs + int64(rapid.IntRange(0, 1).Draw(m.t, "reborn"))
+	}
+	target := &pb.Target{Id: id, BornUnixMs: born, Pool: propertyPool, Vm: "vm-" + id, Capacity: &pb.Resources{CpuMillis: 16000}}
+	if id == "t4" {
+		target.Pool = "other"
+	}
+	if id != "t0" {
+		target.Labels = []string{"fast"}
+	}
+	if known := m.targets[id]; known != nil && known.BornUnixMs == born {
+		target.Leaving = known.Leaving || rapid.IntRange(0, 5).Draw(m.t, "leaves") == 0
+	}
+	m.apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{proto.CloneOf(target)}}}})
+	m.targets[id] = target
+}
+
+func (m *runModel) anyTask() (TaskID, bool) {
+	if len(m.jobs) == 0 {
+		return TaskID{}, false
+	}
+	id := fmt.Sprintf("job%d", rapid.IntRange(0, len(m.jobs)-1).Draw(m.t, "job"))
+	steps := m.jobs[id].Steps
+	s := rapid.IntRange(0, len(steps)-1).Draw(m.t, "step")
+	return TaskID{Job: id, Step: uint32(s), Index: uint32(rapid.IntRange(0, int(steps[s].Tasks)-1).Draw(m.t, "index"))}, true
+}
+
+// start proposes starts as two drivers at odds might: of any task, on any
+// target, as any attempt.
+func (m *runModel) start() {
+	var starts []*pb.Start
+	for range rapid.IntRange(1, 4).Draw(m.t, "starts") {
+		id, ok := m.anyTask()
+		if !ok {
+			return
+		}
+		target := fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(m.t, "on"))
+		attempt := m.attempts[id] + uint32(rapid.SampledFrom([]int{0, 1, 1, 1, 1, 2}).Draw(m.t, "attempt"))
+		born := m.targets[target].GetBornUnixMs()
+		if rapid.IntRange(0, 5).Draw(m.t, "stale") == 0 {
+			born--
+		}
+		starts = append(starts, &pb.Start{Task: id.Ref(attempt), Target: target, TargetBornUnixMs: born})
+	}
+	out := m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: starts}}})
+	refused := make(map[RefusedStart]int)
+	for _, r := range out.Refused {
+		r.Reason = ""
+		refused[r]++
+	}
+	for _, start := range starts {
+		if key := refusedStart(start, ""); refused[key] > 0 {
+			refused[key]--
+			continue
+		}
+		m.began(RefID(start.Task), start)
+	}
+	m.checkGangs(starts)
+}
+
+// began checks a start that the machine allowed against the rules.
+func (m *runModel) began(id TaskID, start *pb.Start) {
+	job, step := m.jobs[id.Job], m.jobs[id.Job].Steps[id.Step]
+	target := m.targets[start.Target]
+	if run, ok := m.open[id]; ok {
+		m.t.Fatalf("%s started on %s while it may run on %s", id, start.Target, run.target)
+	}
+	switch {
+	case m.done[id]:
+		m.t.Fatalf("%s started after it was done", id)
+	case m.cancelled[id.Job]:
+		m.t.Fatalf("%s started after its job was cancelled", id)
+	case start.Task.Attempt != m.attempts[id]+1:
+		m.t.Fatalf("%s: attempt %d follows %d", id, start.Task.Attempt, m.attempts[id])
+	case !step.Lasting && m.failed[id] >= propertyAttempts:
+		m.t.Fatalf("%s started after %d failed runs", id, m.failed[id])
+	case target == nil || target.BornUnixMs != start.TargetBornUnixMs || target.Leaving || target.Pool != propertyPool:
+		m.t.Fatalf("%s started on %v", id, target)
+	case step.Label != "" && !slices.Contains(target.Labels, step.Label):
+		m.t.Fatalf("%s started on a target without label %q", id, step.Label)
+	}
+	for _, before := range step.After {
+		for i := range job.Steps[before].Tasks {
+			if !m.done[TaskID{Job: id.Job, Step: before, Index: i}] {
+				m.t.Fatalf("%s started before step %d was done", id, before)
+			}
+		}
+	}
+	m.attempts[id] = start.Task.Attempt
+	m.open[id] = openRun{start.Task.Attempt, start.Target}
+	m.checkSums(id)
+}
+
+func (m *runModel) checkSums(id TaskID) {
+	used, here := int64(0), 0
+	for other, run := range m.open {
+		used += m.jobs[other.Job].Steps[other.Step].Needs.CpuMillis
+		if other.Job == id.Job && other.Step == id.Step && run.target == m.open[id].target {
+			here++
+		}
+	}
+	if used > propertyLimit {
+		m.t.Fatalf("workspace runs %d, its limit is %d", used, propertyLimit)
+	}
+	if most := m.jobs[id.Job].Steps[id.Step].MaxPerTarget; most > 0 && here > int(most) {
+		m.t.Fatalf("%s: %d tasks of the step on one target, at most %d", id, here, most)
+	}
+}
+
+// checkGangs compares the model with the machine after gangs were undone.
+func (m *runModel) checkGangs(starts []*pb.Start) {
+	for _, start := range starts {
+		id := RefID(start.Task)
+		task := m.machine.task(id)
+		run, open := m.open[id]
+		if open != (task.State == pb.TaskState_TASK_STATE_PLACED) {
+			m.t.Fatalf("%s: machine says %s, %v was allowed to run", id, task.State, run)
+		}
+	}
+}
+
+// end ends a run, or one of a former attempt, which must change nothing.
+func (m *runModel) end() {
+	id, ok := m.anyTask()
+	if !ok {
+		return
+	}
+	run, open := m.open[id]
+	if !open {
+		run = openRun{m.attempts[id], "t1"}
+	}
+	attempt := run.attempt
+	stale := rapid.IntRange(0, 4).Draw(m.t, "former") == 0 && attempt > 0
+	if stale {
+		attempt--
+	}
+	kind := rapid.SampledFrom([]pb.EndKind{
+		pb.EndKind_END_KIND_DONE, pb.EndKind_END_KIND_DONE, pb.EndKind_END_KIND_FAILED, pb.EndKind_END_KIND_STOPPED,
+		pb.EndKind_END_KIND_LOST, pb.EndKind_END_KIND_NOT_RUN,
+	}).Draw(m.t, "kind")
+	m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Ends: []*pb.End{
+		{Task: id.Ref(attempt), Target: run.target, Kind: kind},
+	}}}})
+	if open && !stale {
+		m.ended(id, kind)
+	}
+}
+
+func (m *runModel) ended(id TaskID, kind pb.EndKind) {
+	attempt := m.open[id].attempt
+	delete(m.open, id)
+	step := m.jobs[id.Job].Steps[id.Step]
+	switch {
+	case kind == pb.EndKind_END_KIND_DONE && !step.Lasting:
+		m.done[id] = true
+		for i := range step.Tasks {
+			// One end stands for the gang members of the same run.
+			other := TaskID{Job: id.Job, Step: id.Step, Index: i}
+			if step.Gang && m.attempts[other] == attempt {
+				m.done[other] = true
+				delete(m.open, other)
+			}
+		}
+	case kind == pb.EndKind_END_KIND_FAILED:
+		m.failed[id]++
+		for i := range step.Tasks {
+			if other := (TaskID{Job: id.Job, Step: id.Step, Index: i}); step.Gang {
+				m.failed[other] = max(m.failed[other], m.failed[id])
+			}
+		}
+		if m.failed[id] >= propertyAttempts && !step.Lasting {
+			m.cancelled[id.Job] = true
+		}
+	}
+}
+
+func (m *runModel) cancel() {
+	if id, ok := m.anyTask(); ok {
+		m.apply(&pb.Command{Body: &pb.Command_CancelJob{CancelJob: &pb.CancelJob{Job: id.Job}}})
+		m.cancelled[id.Job] = m.cancelled[id.Job] || !m.allDone(id.Job)
+	}
+}
+
+// allDone reports whether every task of a job is done: its end stands.
+func (m *runModel) allDone(job string) bool {
+	for s, step := range m.jobs[job].Steps {
+		for i := range step.Tasks {
+			if !m.done[TaskID{Job: job, Step: uint32(s), Index: i}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// restart replaces the machine by one restored from its snapshot.
+func (m *runModel) restart() {
+	data, err := m.machine.Snapshot()
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(data); err != nil {
+		m.t.Fatal(err)
+	}
+	again, err := restored.Snapshot()
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	if !bytes.Equal(data, again) {
+		m.t.Fatal("a restored machine gives another snapshot")
+	}
+	m.machine = restored
+}
+
+// check compares what the machine shows with the model.
+func (m *runModel) check() {
+	m.machine.View(func(v *View) {
+		for id, spec := range m.jobs {
+			job := v.Job(id)
+			done, all := 0, 0
+			job.EachTask(func(task *Task) {
+				all++
+				if m.done[task.ID] {
+					done++
+				}
+				if (task.State == pb.TaskState_TASK_STATE_DONE) != m.done[task.ID] {
+					m.t.Fatalf("%s is %s, done by the model: %v", task.ID, task.State, m.done[task.ID])
+				}
+			})
+			if (job.State == pb.JobState_JOB_STATE_DONE) != (done == all && !m.cancelled[id]) {
+				m.t.Fatalf("job %s is %s with %d of %d tasks done", spec.Id, job.State, done, all)
+			}
+		}
+	})
+}
+
+// TestTasksProperty drives random histories of submits, starts, ends, late
+// ends, new lives, cancels and restarts: no task runs twice at once, again
+// after it is done, out of order, beyond its attempts, its workspace's limit
+// or its spread, on a wrong target, or after its job has ended.
+func TestTasksProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newRunModel(rt)
+		for range 4 {
+			m.register()
+		}
+		m.submit()
+		for range rapid.IntRange(20, 120).Draw(rt, "length") {
+			switch rapid.IntRange(0, 19).Draw(rt, "action") {
+			case 0:
+				m.submit()
+			case 1, 2:
+				m.register()
+			case 3:
+				m.restart()
+			case 4:
+				if rapid.IntRange(0, 3).Draw(rt, "cancels") == 0 {
+					m.cancel()
+				}
+			case 5, 6, 7, 8, 9:
+				m.end()
+			default:
+				m.start()
+			}
+			m.check()
+		}
+	})
+}
+
+// TestMaintenanceProperty orders VMs of two overlapping waves down at random:
+// never more than a wave's cap are ordered at once, and no lasting step loses
+// more tasks than its budget by orders.
+func TestMaintenanceProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newRunModel(rt)
+		var vms []string
+		for i := range 4 {
+			id := fmt.Sprintf("t%d", i)
+			m.targets[id] = &pb.Target{Id: id, BornUnixMs: 1, Pool: propertyPool, Vm: "vm-" + id, Capacity: &pb.Resources{CpuMillis: 16000}}
+			m.apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{m.targets[id]}}}})
+			vms = append(vms, "vm-"+id)
+		}
+		spec := &pb.Job{Id: "job0", Queue: "proofs", Workspace: "kita", Steps: []*pb.Step{
+			{Tasks: 4, Needs: &pb.Resources{CpuMillis: 100}, Lasting: true, MaxUnavailable: uint32(rapid.IntRange(1, 3).Draw(rt, "budget")), MaxPerTarget: 1},
+		}}
+		m.apply(&pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: spec}}})
+		m.jobs["job0"] = spec
+		for i := range uint32(4) {
+			m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: []*pb.Start{
+				{Task: TaskID{Job: "job0", Index: i}.Ref(1), Target: fmt.Sprintf("t%d", i), TargetBornUnixMs: 1},
+			}}}})
+		}
+		limit := uint32(rapid.IntRange(1, 3).Draw(rt, "cap"))
+		for wave := range uint64(2) {
+			m.apply(&pb.Command{Body: &pb.Command_DeclareWave{DeclareWave: &pb.DeclareWave{Wave: &pb.Wave{Id: wave + 1, Vms: vms, Cap: limit}}}})
+		}
+		for range 40 {
+			wave := uint64(rapid.IntRange(1, 2).Draw(rt, "wave"))
+			vm := rapid.SampledFrom(vms).Draw(rt, "vm")
+			if rapid.Bool().Draw(rt, "begins") {
+				m.apply(&pb.Command{Body: &pb.Command_BeginMaintenance{BeginMaintenance: &pb.BeginMaintenance{Wave: wave, Vm: vm}}})
+			} else if slices.Contains(m.machine.waves[wave].Ordered, vm) {
+				m.apply(&pb.Command{Body: &pb.Command_EndMaintenance{EndMaintenance: &pb.EndMaintenance{Wave: wave, Vm: vm}}})
+			}
+			down := make(map[string]bool)
+			for _, w := range m.machine.waves {
+				if len(w.Ordered) > int(w.Cap) {
+					rt.Fatalf("wave %d has %v ordered, its cap is %d", w.Id, w.Ordered, w.Cap)
+				}
+				for _, vm := range w.Ordered {
+					down[vm] = true
+				}
+			}
+			if most := int(spec.Steps[0].MaxUnavailable); len(down) > most {
+				rt.Fatalf("%d VMs with a task each are down, at most %d tasks may be away", len(down), most)
+			}
+		}
+	})
+}
+
+// FuzzApply feeds arbitrary commands: they are refused or taken, never a crash,
+// and what they leave can be restored.
+func FuzzApply(f *testing.F) {
+	for _, command := range []*pb.Command{
+		{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: &pb.Job{Id: "a", Queue: "q", Steps: []*pb.Step{{Tasks: 1}}}}}},
+		{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: []*pb.Start{{}}, Ends: []*pb.End{{}}}}},
+		{Body: &pb.Command_PutCatalogue{}}, {Body: &pb.Command_FailJob{}}, {Body: &pb.Command_DeclareWave{}},
+	} {
+		data, err := proto.Marshal(command)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := New()
+		m.Apply(1, data)
+		m.Apply(2, data)
+		snapshot, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := New().Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -13,18 +13,29 @@
 		m.endRun(end)
 	}
 	out := m.ok()
+	var accepted []*pb.Start
 	for _, start := range c.Starts {
 		if reason := m.startRun(start); reason != "" {
-			out.Refused = append(out.Refused, RefusedStart{RefID(start.Task), reason})
+			out.Refused = append(out.Refused, refusedStart(start, reason))
+			continue
 		}
+		accepted = append(accepted, start)
 	}
-	m.undoPartGangs(c.Starts, out)
+	m.undoPartGangs(accepted, out)
 	return out
 }
 
+func refusedStart(start *pb.Start, reason string) RefusedStart {
+	return RefusedStart{
+		Task: RefID(start.GetTask()), Attempt: start.GetTask().GetAttempt(), Target: start.Target,
+		TargetBornUnixMS: start.TargetBornUnixMs, Reason: reason,
+	}
+}
+
 // undoPartGangs takes back the starts of a gang of which a member was refused:
-// the others would hold room and wait for it in vain.
-func (m *Machine) undoPartGangs(starts []*pb.Start, out *Outcome) {
+// the others would hold room and wait for it in vain. Only starts of the same
+// command are taken back: nobody was told of them yet.
+func (m *Machine) undoPartGangs(accepted []*pb.Start, out *Outcome) {
 	broken := make(map[TaskID]bool)
 	for _, refused := range out.Refused {
 		if task := m.task(refused.Task); task != nil && task.Spec().Gang {
@@ -34,15 +45,14 @@
 	if len(broken) == 0 {
 		return
 	}
-	for _, start := range starts {
+	for _, start := range accepted {
 		task := m.task(RefID(start.GetTask()))
-		if task == nil || !broken[gangOf(task.ID)] || task.State != pb.TaskState_TASK_STATE_PLACED ||
-			task.Attempt != start.Task.Attempt || task.Target != start.Target {
+		if !broken[gangOf(task.ID)] {
 			continue
 		}
 		m.release(task)
 		task.Attempt--
-		out.Refused = append(out.Refused, RefusedStart{task.ID, "another member of the gang was refused"})
+		out.Refused = append(out.Refused, refusedStart(start, "another member of the gang was refused"))
 	}
 }
 
