--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -65,5 +65,6 @@
 	LeaderLost      = define(7066, log.WarnLevel, "leader cannot be reached", "")
 	LeaderFound     = define(7067, log.InfoLevel, "leader reached", "")
 	BadInput        = define(7068, log.InfoLevel, "unreadable or oversize input refused", "")
+	DiskFull        = define(7070, log.ErrorLevel, "disk takes no more bytes, writing waits", "Make room on the data folder's disk.")
 	LinesDropped    = define(7069, log.WarnLevel, "log lines dropped above the volume bound", "")
 )
--- a/internal/replica/store/append.go
+++ b/internal/replica/store/append.go
@@ -12,6 +12,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -50,6 +53,34 @@
 	// failed is the error after which nothing may be written any more: what
 	// the file holds behind the last synced frame is not known.
 	failed error
+	// OnFull is told once each time the disk takes no more bytes.
+	OnFull func(error)
+	// interrupted ends the wait for a full disk.
+	interrupted atomic.Bool
+}
+
+// fullPause spaces tries to write to a full disk.
+const fullPause = 100 * time.Millisecond
+
+// Interrupt ends a Save that waits for a full disk; it fails.
+func (a *AppendLog) Interrupt() { a.interrupted.Store(true) }
+
+// whileFull tries f again for as long as the disk is full. Nothing that was not
+// synced has been acknowledged, so that waiting is safe; ending the process
+// would not make room.
+func (a *AppendLog) whileFull(f func() error) error {
+	told := false
+	for {
+		err := f()
+		if err == nil || !errors.Is(err, syscall.ENOSPC) || a.interrupted.Load() {
+			return err
+		}
+		if !told && a.OnFull != nil {
+			a.OnFull(err)
+		}
+		told = true
+		time.Sleep(fullPause)
+	}
 }
 
 // OpenAppend opens or creates the log in the folder.
@@ -278,7 +309,7 @@
 	}
 	a.take(b)
 	if b.Snapshot != nil {
-		if err := a.beginSegment(); err != nil {
+		if err := a.whileFull(a.beginSegment); err != nil {
 			return a.fail(err)
 		}
 		return nil
@@ -290,7 +321,7 @@
 	if a.buffer.Len() == 0 {
 		return nil
 	}
-	if err := a.writeFrame(); err != nil {
+	if err := a.whileFull(a.writeFrame); err != nil {
 		return a.fail(err)
 	}
 	return nil
@@ -337,14 +368,14 @@
 	if err != nil {
 		return fmt.Errorf("create segment: %w", err)
 	}
-	old := a.file
-	a.file, a.number, a.size = file, a.number+1, 0
-	if err := a.writeFrame(); err != nil {
-		return err
-	}
-	if err := syncFolder(a.folder); err != nil {
-		return err
+	old, oldSize := a.file, a.size
+	a.file, a.size = file, 0
+	if err := errors.Join(a.writeFrame(), syncFolder(a.folder)); err != nil {
+		// The former segment still holds everything.
+		a.file, a.size = old, oldSize
+		return errors.Join(err, file.Close(), os.Remove(file.Name()))
 	}
+	a.number++
 	if old != nil {
 		old.Close()
 		os.Remove(old.Name())
@@ -396,6 +427,17 @@
 	return nil
 }
 
+// dropTail removes what a failed write left behind the last whole frame.
+func (a *AppendLog) dropTail() error {
+	if err := a.file.Truncate(a.size); err != nil {
+		return fmt.Errorf("truncate %s: %w", a.file.Name(), err)
+	}
+	if _, err := a.file.Seek(a.size, io.SeekStart); err != nil {
+		return fmt.Errorf("seek %s: %w", a.file.Name(), err)
+	}
+	return nil
+}
+
 // writeFrame appends the buffer as one frame and syncs it.
 func (a *AppendLog) writeFrame() error {
 	content := a.buffer.Bytes()
@@ -404,7 +446,8 @@
 	binary.BigEndian.PutUint32(frame[4:], crc32.Checksum(content, checksumTable))
 	frame = append(frame, content...)
 	if _, err := a.file.Write(frame); err != nil {
-		return fmt.Errorf("write %s: %w", a.file.Name(), err)
+		err = fmt.Errorf("write %s: %w", a.file.Name(), err)
+		return errors.Join(err, a.dropTail())
 	}
 	if err := a.file.Sync(); err != nil {
 		return fmt.Errorf("sync %s: %w", a.file.Name(), err)
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -121,11 +122,12 @@
 	if err := os.MkdirAll(c.settings.DataFolder, 0o700); err != nil {
 		return store.Loaded{}, fmt.Errorf("data_folder: %w", err)
 	}
-	log, err := store.OpenAppend(c.settings.DataFolder)
+	log, err := openWhenFree(ctx, c.settings.DataFolder)
 	if err != nil {
 		return store.Loaded{}, err
 	}
 	c.log = log
+	c.log.OnFull = func(err error) { event.DiskFull.Emit(event.Err(err)) }
 	id, found, err := log.Identity()
 	if err != nil {
 		return store.Loaded{}, err
@@ -153,6 +155,20 @@
 	return log.Load()
 }
 
+// openWhenFree opens the log; while the disk is full it waits.
+func openWhenFree(ctx context.Context, folder string) (*store.AppendLog, error) {
+	for told := false; ; told = true {
+		log, err := store.OpenAppend(folder)
+		if err == nil || !errors.Is(err, syscall.ENOSPC) || ctx.Err() != nil {
+			return log, err
+		}
+		if !told {
+			event.DiskFull.Emit(event.Err(err))
+		}
+		pause(ctx, joinPause)
+	}
+}
+
 // holdsLog reports whether the folder holds a snapshot or entries.
 func holdsLog(log *store.AppendLog) bool {
 	loaded, err := log.Load()
@@ -435,6 +451,7 @@
 	}
 	c.cancel()
 	c.running.Wait()
+	c.log.Interrupt()
 	if err == nil {
 		c.node.Stop()
 	}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -61,6 +61,13 @@
 	g.seeds = slices.Clone(seeds)
 }
 
+// cutOff reports whether this daemon was connected and is not any more.
+func (g *Gateway) cutOff() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.connected.IsZero() && time.Since(g.connected) >= connectedFor
+}
+
 // target returns the address to call next.
 func (g *Gateway) target() string {
 	g.mu.Lock()
@@ -130,7 +137,7 @@
 		default:
 			return response
 		}
-		if !g.Connected() {
+		if g.cutOff() {
 			// Cut off: waiting would only cost the caller time to try elsewhere.
 			return g.giveUp(r, unknown, last)
 		}
