--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -117,7 +117,7 @@
 		if known == nil || known.Pool != pool || known.Leaving || known.BornUnixMs != l.target.BornUnixMs {
 			continue
 		}
-		if !d.startable(l) || d.waves.cordoned[known.Vm] || d.pools.moving[known.Vm] != nil || !l.health.admits(now) {
+		if !d.startable(l) || d.waves.cordoned[known.Vm] || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.admits(now) {
 			continue
 		}
 		free := workflow.ResourcesOf(known.Capacity)
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -33,6 +33,8 @@
 	// stuckAfter is how long a waiting task may fit nowhere before its pool gets
 	// another VM.
 	stuckAfter = 300 * time.Millisecond
+	// lateWithinMS is the time within which work that is late should end.
+	lateWithinMS = 12_000
 	// aheadWithinMS is the time within which work usually has to end.
 	aheadWithinMS = 3000
 	// finishMargin is the part of the time left in which the work should end.
@@ -49,6 +51,8 @@
 	moving map[string]*move
 	// firstArrival is when the first short job came under this leadership.
 	firstArrival time.Time
+	// draining VMs get no starts: another pool needs them.
+	draining map[string]bool
 	// stuckSince is since when tasks of a pool have fitted nowhere.
 	stuckSince map[string]time.Time
 	// idleSince is since when nothing has run on a VM.
@@ -68,7 +72,7 @@
 func newPoolLoop() *poolLoop {
 	return &poolLoop{
 		turns: make(map[string]*pools.Turns), moving: make(map[string]*move), idleSince: make(map[string]time.Time),
-		stuckSince: make(map[string]time.Time),
+		stuckSince: make(map[string]time.Time), draining: make(map[string]bool),
 	}
 }
 
@@ -117,9 +121,14 @@
 		}
 		snapshot := d.poolSnapshot(v, now)
 		d.reportPools(snapshot, now)
-		for _, m := range pools.Plan(snapshot) {
+		moves, drain := pools.Plan(snapshot)
+		for _, m := range moves {
 			d.beginMove(m, now)
 		}
+		clear(d.pools.draining)
+		for _, vm := range drain {
+			d.pools.draining[vm] = true
+		}
 	})
 }
 
@@ -217,8 +226,12 @@
 	}
 	total, left := d.chain(job)
 	deadline := job.Spec.SubmittedUnixMs + int64(queue.SlackFactor*float64(total)) + queue.ObjectiveMs
-	within := max(int64(finishMargin*float64(deadline-nowMS)), left, 1)
-	return work / within
+	if nowMS+left > deadline {
+		// Late already: what is left of its worth does not justify VMs that jobs
+		// in time could use.
+		return work / max(lateWithinMS, left)
+	}
+	return work / max(int64(finishMargin*float64(deadline-nowMS)), left, 1)
 }
 
 // addVMs adds the VMs where they are, and those on their way to where they go.
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -302,6 +302,9 @@
 // Weights of the score, in parts of a normal run time.
 const (
 	weightSlowness = 4.0
+	// normalSlowness is what run times differ by on sound targets; below it
+	// tasks are packed, so that other VMs become empty.
+	normalSlowness = 1.3
 	weightAvoid    = 8.0
 	weightFarData  = 4.0
 	weightSpread   = 2.0
@@ -314,7 +317,7 @@
 
 // score tells how bad a target is for a task; the lowest wins.
 func score(step *Step, target *Target, onTarget int) float64 {
-	s := weightSlowness * (target.Slowness - 1)
+	s := weightSlowness * max(0, target.Slowness-normalSlowness)
 	if step.Avoid[target.ID] {
 		s += weightAvoid
 	}
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -99,8 +99,9 @@
 	short, spare int64
 }
 
-// Plan returns the moves of one round.
-func Plan(s *Snapshot) []Move {
+// Plan returns the moves of one round, and the VMs that should take no more
+// tasks, so that they become empty and can go to pools in need.
+func Plan(s *Snapshot) (moves []Move, drain []string) {
 	var needy, rich []balance
 	for i := range s.Pools {
 		b := s.balance(&s.Pools[i])
@@ -123,8 +124,51 @@
 		}
 		return cmp.Or(cmp.Compare(b.spare, a.spare), strings.Compare(a.pool.Name, b.pool.Name))
 	})
-	moves := s.fill(needy, rich)
-	return s.rest(rich, moves)
+	moves = s.fill(needy, rich)
+	drain = s.drain(needy, rich, moves)
+	return s.rest(rich, moves), drain
+}
+
+// drain picks busy VMs of pools with room to spare for what pools in need still
+// lack, those with the fewest tasks first.
+func (s *Snapshot) drain(needy, rich []balance, moves []Move) []string {
+	short := int64(0)
+	for _, b := range needy {
+		short += max(b.short, 0)
+	}
+	var out []string
+	for _, from := range rich {
+		if from.pool.Resting {
+			continue
+		}
+		spare := from.spare
+		for _, vm := range leastBusy(from.pool) {
+			if short < vm.CPUMillis/2 || vm.CPUMillis > spare {
+				break
+			}
+			if moved(moves, vm.Name) {
+				continue
+			}
+			short -= vm.CPUMillis
+			spare -= vm.CPUMillis
+			out = append(out, vm.Name)
+		}
+	}
+	return out
+}
+
+// leastBusy returns the VMs that could become empty, the emptiest first.
+func leastBusy(p *Pool) []VM {
+	var out []VM
+	for _, vm := range p.VMs {
+		if !vm.Fixed && vm.Lasting == 0 {
+			out = append(out, vm)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(a.Tasks, b.Tasks), strings.Compare(a.Name, b.Name))
+	})
+	return out
 }
 
 // Footprint returns the room that a task takes of a VM when only tasks of its
