--- /dev/null
+++ b/internal/command/steps.go
@@ -0,0 +1,94 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+)
+
+var stepsCommand = subcommand{
+	name: "steps", args: "submit QUEUE ID FILE | show QUEUE ID | explain QUEUE ID | cancel QUEUE ID | waiting QUEUE",
+	help: "jobs of steps: submit, show, explain, cancel; count those that wait (the address is a role's listen.api)",
+	examples: []string{
+		"steps submit proofs 5c0e7a21d94b36f8 job.json", "steps explain proofs 5c0e7a21d94b36f8   # where it runs, why the rest waits",
+		"steps cancel proofs 5c0e7a21d94b36f8", "steps waiting proofs",
+	},
+	run: runSteps,
+}
+
+// stepsAnswer is an answer of the interface to jobs of steps.
+type stepsAnswer struct {
+	State   string   `json:"state"`
+	Reason  string   `json:"reason,omitempty"`
+	Waiting string   `json:"waiting,omitempty"`
+	Lines   []string `json:"lines,omitempty"`
+}
+
+func runSteps(env *Env, args []string) error {
+	if len(args) < 2 {
+		return fmt.Errorf("%w: want submit, show, explain or cancel with QUEUE and ID, or waiting QUEUE", errUsage)
+	}
+	base := "/v1/queues/" + url.PathEscape(args[1]) + "/jobs"
+	if args[0] == "waiting" && len(args) == 2 {
+		return printSteps(env, base, func(a stepsAnswer) string { return orZero(a.Waiting) + " jobs wait" })
+	}
+	if len(args) < 3 {
+		return fmt.Errorf("%w: %s needs QUEUE and ID", errUsage, args[0])
+	}
+	path := base + "/" + url.PathEscape(args[2])
+	switch {
+	case args[0] == "submit" && len(args) == 4:
+		return submitSteps(env, path, args[3])
+	case args[0] == "cancel" && len(args) == 3:
+		if err := env.client.do(http.MethodDelete, path, "", nil, new(stepsAnswer)); err != nil {
+			return err
+		}
+		fmt.Fprintln(env.Out, "cancelled")
+		return nil
+	case args[0] == "show" && len(args) == 3:
+		return printSteps(env, path, func(a stepsAnswer) string { return strings.TrimSpace(stepsState(a.State) + " " + a.Reason) })
+	case args[0] == "explain" && len(args) == 3:
+		return printSteps(env, path+"/explain", func(a stepsAnswer) string { return strings.Join(a.Lines, "\n") })
+	}
+	return fmt.Errorf("%w: %q with %d arguments", errUsage, args[0], len(args)-1)
+}
+
+// submitSteps hands in the job of a JSON file; a resend with the same id is harmless.
+func submitSteps(env *Env, path, file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errBadFile, err)
+	}
+	if !json.Valid(data) {
+		return fmt.Errorf("%w: %s is not JSON", errBadFile, file)
+	}
+	if err := env.client.do(http.MethodPut, path, "", json.RawMessage(data), new(stepsAnswer)); err != nil {
+		return err
+	}
+	fmt.Fprintln(env.Out, "accepted")
+	return nil
+}
+
+func printSteps(env *Env, path string, show func(stepsAnswer) string) error {
+	var answer stepsAnswer
+	if err := env.client.get(path, &answer); err != nil {
+		return err
+	}
+	if env.json {
+		return env.printJSON(answer)
+	}
+	fmt.Fprintln(env.Out, show(answer))
+	return nil
+}
+
+func stepsState(state string) string { return strings.ToLower(strings.TrimPrefix(state, "JOB_STATE_")) }
+
+func orZero(count string) string {
+	if count == "" {
+		return "0"
+	}
+	return count
+}
--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -25,6 +25,8 @@
 	Control string `yaml:"control"`
 	// Peers takes links of other daemons (core).
 	Peers string `yaml:"peers"`
+	// API serves the product's own interface; empty for none.
+	API string `yaml:"api"`
 	// Metrics serves counters and histograms as text; empty for none.
 	Metrics string `yaml:"metrics"`
 }
@@ -123,6 +125,9 @@
 	default:
 		src.addField("role", "%q is neither %q nor %q", s.Role, RoleCore, RoleEdge)
 	}
+	if s.Listen.API != "" {
+		requireAddress(src, "listen.api", s.Listen.API)
+	}
 	if s.Listen.Metrics != "" {
 		requireAddress(src, "listen.metrics", s.Listen.Metrics)
 	}
--- /dev/null
+++ b/internal/driver/explain.go
@@ -0,0 +1,109 @@
+package driver
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// explain tells what a job runs, where, and why the rest of it waits.
+func (d *Driver) explain(r *pb.Request) *pb.Response {
+	if response := d.status(r); response.Answer != pb.Answer_ANSWER_OK {
+		return response
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	response := &pb.Response{Answer: pb.Answer_ANSWER_OK}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		job := v.Job(r.Job.Id)
+		response.State, response.Reason = job.State, job.Reason
+		response.Lines = append(response.Lines, d.explainJob(v, job)...)
+	})
+	return response
+}
+
+func (d *Driver) explainJob(v *workflow.View, job *workflow.Job) []string {
+	total, left := d.chain(job)
+	lines := []string{fmt.Sprintf("job %s of workspace %q in queue %s: %s, submitted at %d, learned chain %d ms, %d ms of it left",
+		job.Spec.Id, job.Spec.Workspace, job.Spec.Queue, stateName(job.State), job.Spec.SubmittedUnixMs, total, left)}
+	if job.Reason != "" {
+		lines = append(lines, "reason: "+job.Reason)
+	}
+	for k := range job.Tasks {
+		for s := range job.Tasks[k] {
+			lines = append(lines, d.explainStep(v, job, k, s))
+		}
+	}
+	return lines
+}
+
+func stateName(s pb.JobState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "JOB_STATE_"))
+}
+
+// explainStep counts the tasks of a step and names where they run.
+func (d *Driver) explainStep(v *workflow.View, job *workflow.Job, occurrence, step int) string {
+	waiting, done, attempts := 0, 0, uint32(0)
+	var on []string
+	for _, task := range job.Tasks[occurrence][step] {
+		attempts += task.Attempt
+		switch task.State {
+		case pb.TaskState_TASK_STATE_WAITING:
+			waiting++
+		case pb.TaskState_TASK_STATE_DONE:
+			done++
+		case pb.TaskState_TASK_STATE_PLACED:
+			on = append(on, task.Target+d.explainRun(task))
+		}
+	}
+	slices.Sort(on)
+	line := fmt.Sprintf("step %d of occurrence %d: %d done, %d placed, %d waiting, %d runs so far", step, occurrence, done, len(on), waiting, attempts)
+	if len(on) > 0 {
+		line += "; on " + strings.Join(on, ", ")
+	}
+	if waiting > 0 {
+		line += "; waits: " + d.waitReason(v, job, occurrence, step)
+	}
+	return line
+}
+
+func (d *Driver) explainRun(task *workflow.Task) string {
+	r := d.runs[task.ID]
+	if r == nil {
+		return ""
+	}
+	return map[runPhase]string{
+		runCalling: " (starting)", runUnanswered: " (start not answered)", runConfirmed: "",
+		runStopping: " (stopping)", runStopped: " (stopped)", runEnded: " (ended)",
+	}[r.phase]
+}
+
+// waitReason returns the first reason for which a step's tasks cannot start now.
+func (d *Driver) waitReason(v *workflow.View, job *workflow.Job, occurrence, step int) string {
+	spec := job.Spec.Steps[step]
+	queue := v.Queue(job.Spec.Queue)
+	switch {
+	case workflow.Ended(job.State):
+		return "the job has ended"
+	case queue == nil:
+		return "its queue is not in the catalogue"
+	case job.DueMS(occurrence) > d.cfg.NowMS():
+		return "the occurrence is not due"
+	case !job.Ready(occurrence, step):
+		return "an earlier step is not done"
+	}
+	workspace := v.Workspace(job.Spec.Workspace)
+	if workspace != nil && !v.Used(workspace.Name).Add(workflow.ResourcesOf(spec.Needs)).WithinLimit(workflow.ResourcesOf(workspace.Limit)) {
+		return "its workspace is at its limit"
+	}
+	targets := d.planTargets(v, queue.Pool)
+	for _, target := range targets {
+		if workflow.StepRoom(spec).FitsIn(target.Free) {
+			return "it starts in the next round, or jobs before it take the room"
+		}
+	}
+	return fmt.Sprintf("no room on the %d targets of pool %s that take starts", len(targets), queue.Pool)
+}
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -23,6 +23,8 @@
 		return d.status(r)
 	case pb.Operation_OPERATION_CANCEL:
 		return d.cancel(ctx, r)
+	case pb.Operation_OPERATION_EXPLAIN:
+		return d.explain(r)
 	case pb.Operation_OPERATION_COUNT:
 		return d.count(r)
 	case pb.Operation_OPERATION_ANNOUNCE:
@@ -48,6 +50,9 @@
 		return nil, nil, notReady("no catalogue is in force yet")
 	}
 	queue := v.Route(r.Host, r.Path)
+	if r.QueueName != "" {
+		queue = v.Queue(r.QueueName)
+	}
 	if queue == nil {
 		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_NO_QUEUE, Reason: "no queue at this path"}
 	}
--- /dev/null
+++ b/internal/driver/rig_test.go
@@ -0,0 +1,168 @@
+package driver_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/driver"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+	"sapphirering/test/standin"
+)
+
+// testLeaseTTL is short, so that lapses take little of a test's time.
+const testLeaseTTL = 700 * time.Millisecond
+
+// fakeLog applies commands at once, unless told to fail.
+type fakeLog struct {
+	machine *workflow.Machine
+	mu      sync.Mutex
+	index   uint64
+	deposed bool
+	// hold is called before each commit without the lock held.
+	hold func(*pb.Command)
+	// lose makes commits fail without effect.
+	lose bool
+}
+
+var errLost = errors.New("outcome unknown")
+
+func (l *fakeLog) Commit(_ context.Context, command *pb.Command) (*workflow.Outcome, error) {
+	if l.hold != nil {
+		l.hold(command)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.deposed || l.lose {
+		return nil, errLost
+	}
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, err
+	}
+	l.index++
+	return l.machine.Apply(l.index, data).(*workflow.Outcome), nil
+}
+
+func (l *fakeLog) HoldsLease() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.deposed
+}
+
+// rig is a driver over fakes.
+type rig struct {
+	t       *testing.T
+	fleet   *standin.StepFleet
+	machine *workflow.Machine
+	log     *fakeLog
+	driver  *driver.Driver
+	epoch   uint64
+	stop    func()
+}
+
+func newRig(t *testing.T, targets ...string) *rig {
+	t.Helper()
+	r := &rig{t: t, fleet: standin.NewStepFleet(testLeaseTTL), machine: workflow.New()}
+	r.log = &fakeLog{machine: r.machine}
+	for _, id := range targets {
+		r.fleet.Add(id)
+	}
+	r.lead()
+	t.Cleanup(func() { r.stop() })
+	r.request(&pb.Request{Operation: pb.Operation_OPERATION_PUT_CATALOGUE, Catalogue: &pb.Catalogue{
+		Version: 1, Pools: []*pb.Pool{{Name: "render", Guarded: true}},
+		Queues: []*pb.Queue{{Name: "proofs", Host: "h", PathPrefix: "/p/", Pool: "render", TimeoutMs: 1000, ObjectiveMs: 500, SlackFactor: 1.5, MaxAttempts: 3, Open: true}},
+	}})
+	r.announceAll()
+	return r
+}
+
+// lead begins a new leadership over the same state.
+func (r *rig) lead() {
+	if r.stop != nil {
+		r.stop()
+	}
+	r.epoch++
+	r.log = &fakeLog{machine: r.machine, index: r.log.index}
+	r.driver = driver.New(driver.Config{
+		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: standin.NoVMs{}, Epoch: r.epoch, Holder: "test",
+		Limits: driver.Limits{LeaseTTL: testLeaseTTL, AnnounceInterval: 200 * time.Millisecond},
+		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r.driver.Prepare(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.driver.Run(ctx)
+	}()
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		for ctx.Err() == nil {
+			r.announceAll()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	r.stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+		<-announced
+	})
+}
+
+func (r *rig) request(request *pb.Request) *pb.Response {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return r.driver.Serve(ctx, request)
+}
+
+// announceAll sends the announcement of every target that can be heard.
+func (r *rig) announceAll() {
+	for _, request := range r.fleet.Announcements("render") {
+		r.request(request)
+	}
+}
+
+// submit hands in a job of steps with the given numbers of tasks, one after the other.
+func (r *rig) submit(id string, tasks ...uint32) {
+	r.t.Helper()
+	job := &pb.Job{Id: id, Payload: "p"}
+	for i, n := range tasks {
+		step := &pb.Step{Tasks: n, Needs: &pb.Resources{CpuMillis: 1000, MemoryMb: 10}, EstimateMs: 60}
+		if i > 0 {
+			step.After = []uint32{uint32(i - 1)}
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	if answer := r.request(&pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/p/" + id, Job: job}); answer.Answer != pb.Answer_ANSWER_OK {
+		r.t.Fatalf("submit %s: %s: %s", id, answer.Answer, answer.Reason)
+	}
+}
+
+func (r *rig) state(id string) pb.JobState {
+	return r.request(&pb.Request{Operation: pb.Operation_OPERATION_STATUS, Host: "h", Path: "/p/" + id, Job: &pb.Job{Id: id}}).State
+}
+
+func (r *rig) eventually(what string, within time.Duration, holds func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(within); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("%s: not within %s", what, within)
+		}
+	}
+}
+
+// judge fails the test for every rule that a target saw broken.
+func (r *rig) judge() {
+	r.t.Helper()
+	for _, fault := range r.fleet.Faults() {
+		r.t.Error(fault)
+	}
+}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -24,6 +24,7 @@
 	"sapphirering/internal/event"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/replica/store"
+	"sapphirering/internal/stepapi"
 	"sapphirering/internal/wire"
 	"sapphirering/internal/wire/wirepb"
 	"sapphirering/internal/workflow"
@@ -104,6 +105,7 @@
 	}{
 		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.gateway)},
 		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
+		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway)},
 	} {
 		server, err := serveRole(service.field, service.address, service.handler)
 		if err != nil {
@@ -433,6 +435,9 @@
 	}}}
 }
 
+// Requester brings requests to the leader, as the daemon's own listeners do.
+func (c *Core) Requester() Requester { return c.gateway }
+
 // Reload takes changed settings.
 func (c *Core) Reload(s *config.RoleSettings) { c.gateway.SetSeeds(s.Seeds) }
 
--- a/internal/server/edge.go
+++ b/internal/server/edge.go
@@ -11,6 +11,7 @@
 
 	"sapphirering/internal/config"
 	"sapphirering/internal/event"
+	"sapphirering/internal/stepapi"
 	"sapphirering/internal/wire"
 )
 
@@ -43,6 +44,7 @@
 		{"listen.callers", s.Listen.Callers, e.closeUnready(adapter.Callers(e.gateway))},
 		{"listen.health", s.Listen.Health, adapter.Health(e.ready)},
 		{"listen.metrics", s.Listen.Metrics, metricsHandler()},
+		{"listen.api", s.Listen.API, stepapi.New(e.gateway)},
 	} {
 		server, err := serveRole(service.field, service.address, service.handler)
 		if err != nil {
--- /dev/null
+++ b/internal/stepapi/stepapi.go
@@ -0,0 +1,204 @@
+// Package stepapi is the product's own HTTP interface to jobs of steps, the
+// catalogue and waves. Bodies are JSON with the field names of the messages in
+// workflow.proto.
+package stepapi
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/event"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// MaxBodyBytes bounds a request; a catalogue of hundreds of queues is far smaller.
+	MaxBodyBytes = 8 << 20
+	// callTimeout bounds a request whose caller set no deadline.
+	callTimeout = 5 * time.Second
+)
+
+var errTooLarge = errors.New("body is too large")
+
+// Requester brings requests to the leader.
+type Requester interface {
+	Do(ctx context.Context, r *pb.Request) *pb.Response
+}
+
+type api struct{ requester Requester }
+
+// New returns the interface's handler.
+func New(requester Requester) http.Handler {
+	a := &api{requester: requester}
+	r := mux.NewRouter()
+	jobs := r.PathPrefix("/v1/queues/{queue}").Subrouter()
+	jobs.HandleFunc("/jobs", a.count).Methods(http.MethodGet)
+	jobs.HandleFunc("/jobs/{id}", a.submit).Methods(http.MethodPut)
+	jobs.HandleFunc("/jobs/{id}", a.job(pb.Operation_OPERATION_STATUS)).Methods(http.MethodGet)
+	jobs.HandleFunc("/jobs/{id}", a.job(pb.Operation_OPERATION_CANCEL)).Methods(http.MethodDelete)
+	jobs.HandleFunc("/jobs/{id}/explain", a.job(pb.Operation_OPERATION_EXPLAIN)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/catalogue", a.putCatalogue).Methods(http.MethodPut)
+	r.HandleFunc("/v1/catalogue", a.getCatalogue).Methods(http.MethodGet)
+	r.HandleFunc("/v1/waves/{wave}", a.putWave).Methods(http.MethodPut)
+	r.HandleFunc("/v1/waves/{wave}", a.getWave).Methods(http.MethodGet)
+	return r
+}
+
+func (a *api) do(w http.ResponseWriter, r *http.Request, request *pb.Request) *pb.Response {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	request.Key, _ = strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	response := a.requester.Do(ctx, request)
+	if response.Answer != pb.Answer_ANSWER_OK {
+		refuse(w, response)
+		return nil
+	}
+	return response
+}
+
+var statusOf = map[pb.Answer]int{
+	pb.Answer_ANSWER_GONE: http.StatusNotFound, pb.Answer_ANSWER_NO_QUEUE: http.StatusNotFound,
+	pb.Answer_ANSWER_BAD_KEY: http.StatusUnauthorized, pb.Answer_ANSWER_BUSY: http.StatusTooManyRequests,
+	pb.Answer_ANSWER_INVALID: http.StatusBadRequest, pb.Answer_ANSWER_NOT_READY: http.StatusServiceUnavailable,
+	pb.Answer_ANSWER_UNKNOWN: http.StatusGatewayTimeout,
+}
+
+// refuse answers with the reason; 429 and 503 say truly that nothing was run.
+func refuse(w http.ResponseWriter, response *pb.Response) {
+	status, ok := statusOf[response.Answer]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatInt(max(1, (response.RetryAfterMs+999)/1000), 10))
+	}
+	http.Error(w, response.Reason, status)
+}
+
+// read decodes a body strictly; an unknown field is refused.
+func read(w http.ResponseWriter, r *http.Request, into proto.Message) bool {
+	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
+	if err == nil && len(data) > MaxBodyBytes {
+		err = errTooLarge
+	}
+	if err == nil {
+		err = protojson.Unmarshal(data, into)
+	}
+	if err == nil {
+		return true
+	}
+	status := http.StatusBadRequest
+	if errors.Is(err, errTooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	event.BadInput.Emit(event.F("path", r.URL.Path), event.F("peer", r.RemoteAddr), event.F("status", status), event.Err(err))
+	http.Error(w, err.Error(), status)
+	return false
+}
+
+// write answers with the fields of the response that a caller can use.
+func write(w http.ResponseWriter, response *pb.Response) {
+	shown := &pb.Response{
+		State: response.State, Reason: response.Reason, Waiting: response.Waiting, Complete: response.Complete, Lines: response.Lines,
+	}
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(shown)
+	if err != nil {
+		event.BadInput.Emit(event.F("step", "encode answer"), event.Err(err))
+		http.Error(w, fmt.Sprintf("encode answer: %v", err), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write shows at the caller as a broken connection.
+	_, _ = w.Write(data)
+}
+
+func (a *api) submit(w http.ResponseWriter, r *http.Request) {
+	job := new(pb.Job)
+	if !read(w, r, job) {
+		return
+	}
+	job.Id = mux.Vars(r)["id"]
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, QueueName: mux.Vars(r)["queue"], Job: job}); response != nil {
+		write(w, response)
+	}
+}
+
+// job answers the calls that name a job and carry no body.
+func (a *api) job(operation pb.Operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		vars := mux.Vars(r)
+		if response := a.do(w, r, &pb.Request{Operation: operation, QueueName: vars["queue"], Job: &pb.Job{Id: vars["id"]}}); response != nil {
+			write(w, response)
+		}
+	}
+}
+
+func (a *api) count(w http.ResponseWriter, r *http.Request) {
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_COUNT, QueueName: mux.Vars(r)["queue"]}); response != nil {
+		write(w, response)
+	}
+}
+
+func (a *api) putCatalogue(w http.ResponseWriter, r *http.Request) {
+	c := new(pb.Catalogue)
+	if !read(w, r, c) {
+		return
+	}
+	c.Source = nil
+	source, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(c)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("encode catalogue: %v", err), http.StatusInternalServerError)
+		return
+	}
+	c.Source = source
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_PUT_CATALOGUE, Catalogue: c}); response != nil {
+		write(w, response)
+	}
+}
+
+func (a *api) getCatalogue(w http.ResponseWriter, r *http.Request) {
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_GET_CATALOGUE}); response != nil {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(response.Source)
+	}
+}
+
+func waveOf(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	id, err := strconv.ParseUint(mux.Vars(r)["wave"], 10, 64)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("wave: %v", err), http.StatusBadRequest)
+	}
+	return id, err == nil
+}
+
+func (a *api) putWave(w http.ResponseWriter, r *http.Request) {
+	wave := new(pb.Wave)
+	id, ok := waveOf(w, r)
+	if !ok || !read(w, r, wave) {
+		return
+	}
+	wave.Id = id
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}); response != nil {
+		write(w, response)
+	}
+}
+
+func (a *api) getWave(w http.ResponseWriter, r *http.Request) {
+	id, ok := waveOf(w, r)
+	if !ok {
+		return
+	}
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_GET_WAVE, Wave: &pb.Wave{Id: id}}); response != nil {
+		write(w, response)
+	}
+}
--- /dev/null
+++ b/internal/stepapi/stepapi_test.go
@@ -0,0 +1,96 @@
+package stepapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+type recorder struct {
+	last   *pb.Request
+	answer *pb.Response
+}
+
+func (r *recorder) Do(_ context.Context, request *pb.Request) *pb.Response {
+	r.last = request
+	return r.answer
+}
+
+func call(r *recorder, method, path, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer secret")
+	response := httptest.NewRecorder()
+	New(r).ServeHTTP(response, request)
+	return response
+}
+
+const job = `{"payload":"p","steps":[{"tasks":2,"needs":{"cpu_millis":500},"estimate_ms":900},{"tasks":1,"after":[0]}]}`
+
+// TestCalls covers every call of the interface.
+func TestCalls(t *testing.T) {
+	is := is.New(t)
+	r := &recorder{answer: &pb.Response{Answer: pb.Answer_ANSWER_OK, State: pb.JobState_JOB_STATE_RUNNING, Waiting: 3, Lines: []string{"line"}, Source: []byte(`{"version":"1"}`)}}
+	is.Equal(call(r, http.MethodPut, "/v1/queues/proofs/jobs/j1", job).Code, http.StatusOK)
+	is.True(r.last.Operation == pb.Operation_OPERATION_SUBMIT && r.last.QueueName == "proofs" && r.last.Key == "secret")
+	is.True(r.last.Job.Id == "j1" && r.last.Job.Steps[0].Needs.CpuMillis == 500 && r.last.Job.Steps[1].After[0] == 0)
+	for _, test := range []struct {
+		method, path string
+		want         pb.Operation
+	}{
+		{http.MethodGet, "/v1/queues/proofs/jobs/j1", pb.Operation_OPERATION_STATUS},
+		{http.MethodDelete, "/v1/queues/proofs/jobs/j1", pb.Operation_OPERATION_CANCEL},
+		{http.MethodGet, "/v1/queues/proofs/jobs/j1/explain", pb.Operation_OPERATION_EXPLAIN},
+		{http.MethodGet, "/v1/queues/proofs/jobs", pb.Operation_OPERATION_COUNT},
+		{http.MethodGet, "/v1/catalogue", pb.Operation_OPERATION_GET_CATALOGUE},
+		{http.MethodGet, "/v1/waves/4", pb.Operation_OPERATION_GET_WAVE},
+	} {
+		is.Equal(call(r, test.method, test.path, "").Code, http.StatusOK)
+		is.Equal(r.last.Operation, test.want)
+	}
+	is.Equal(call(r, http.MethodPut, "/v1/waves/4", `{"vms":["a"],"cap":1}`).Code, http.StatusOK)
+	is.True(r.last.Wave.Id == 4 && r.last.Wave.Cap == 1)
+	is.Equal(call(r, http.MethodPut, "/v1/catalogue", `{"version":2,"pools":[{"name":"p"}]}`).Code, http.StatusOK)
+	is.True(r.last.Catalogue.Version == 2 && strings.Contains(string(r.last.Catalogue.Source), `"version"`))
+}
+
+// TestFaults covers bad input and every refusal.
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		name, method, path, body string
+		answer                   pb.Answer
+		want                     int
+	}{
+		{"cut short", http.MethodPut, "/v1/queues/q/jobs/j", job[:20], pb.Answer_ANSWER_OK, 400},
+		{"unknown field", http.MethodPut, "/v1/queues/q/jobs/j", `{"stepz":[]}`, pb.Answer_ANSWER_OK, 400},
+		{"too large", http.MethodPut, "/v1/queues/q/jobs/j", strings.Repeat(" ", MaxBodyBytes+1), pb.Answer_ANSWER_OK, 413},
+		{"wave without a number", http.MethodGet, "/v1/waves/x", "", pb.Answer_ANSWER_OK, 400},
+		{"no such job", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_GONE, 404},
+		{"no such queue", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_NO_QUEUE, 404},
+		{"bad key", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_BAD_KEY, 401},
+		{"busy", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_BUSY, 429},
+		{"invalid", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_INVALID, 400},
+		{"not ready", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_NOT_READY, 503},
+		{"unknown outcome", http.MethodGet, "/v1/queues/q/jobs/j", "", pb.Answer_ANSWER_UNKNOWN, 504},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := call(&recorder{answer: &pb.Response{Answer: test.answer}}, test.method, test.path, test.body); got.Code != test.want {
+				t.Errorf("got %d, want %d", got.Code, test.want)
+			}
+		})
+	}
+}
+
+// FuzzSubmit feeds arbitrary bodies: they are refused or passed on, never a crash.
+func FuzzSubmit(f *testing.F) {
+	f.Add(job)
+	f.Add(`{"steps":[{}]}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		call(&recorder{answer: &pb.Response{Answer: pb.Answer_ANSWER_OK}}, http.MethodPut, "/v1/queues/q/jobs/j", body)
+	})
+}
--- /dev/null
+++ b/test/standin/steps.go
@@ -0,0 +1,370 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"sapphirering/internal/driver"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// stepRun is one run at a fake target.
+type stepRun struct {
+	attempt uint32
+	begun   time.Time
+}
+
+// StepTarget is a target for tasks of steps: fences, leases that
+// lapse, refusals, numbered ends that are listed until they are seen.
+type StepTarget struct {
+	id   string
+	born int64
+	// Work is how long a run takes, Room how many fit.
+	Work time.Duration
+	Room int
+	// Silent targets let every call hang.
+	Silent bool
+	// Resets makes calls fail at once; Full makes the target announce no room.
+	Resets, Full bool
+	// LoseAnswers carries calls out and answers nothing; LateBy delays them too.
+	LoseAnswers bool
+	LateBy      time.Duration
+	// Gone tells that another target answers at the address.
+	Gone bool
+
+	began     time.Time
+	fence     uint64
+	leaseTo   int64
+	running   map[workflow.TaskID]stepRun
+	blocked   map[workflow.TaskID]uint32
+	ends      []driver.Ended
+	nextEnd   uint64
+	forgotten uint64
+	// lapsedEnds is the number of the last end that a lapse followed.
+	lapsedEnds uint64
+}
+
+// StepFleet is all targets, with the record that the tests judge.
+type StepFleet struct {
+	// LeaseTTL is the longest lease that a target grants.
+	LeaseTTL time.Duration
+
+	mu      sync.Mutex
+	targets map[string]*StepTarget
+	// starts counts begun runs, done those that ended as done and were seen.
+	starts map[workflow.TaskID]int
+	open   map[workflow.TaskID]map[string]bool
+	faults []string
+	// seenDone holds tasks of which an end as done was taken note of.
+	seenDone map[workflow.TaskID]bool
+}
+
+// NewStepFleet returns a fleet without targets.
+func NewStepFleet(leaseTTL time.Duration) *StepFleet {
+	return &StepFleet{
+		LeaseTTL: leaseTTL,
+		targets:  make(map[string]*StepTarget), starts: make(map[workflow.TaskID]int),
+		open: make(map[workflow.TaskID]map[string]bool), seenDone: make(map[workflow.TaskID]bool),
+	}
+}
+
+// Add adds a target.
+func (f *StepFleet) Add(id string) *StepTarget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &StepTarget{id: id, born: time.Now().UnixMilli(), Work: 60 * time.Millisecond, Room: 4, began: time.Now(),
+		running: make(map[workflow.TaskID]stepRun), blocked: make(map[workflow.TaskID]uint32)}
+	f.targets[id] = t
+	return t
+}
+
+// clock is the target's own clock.
+func (t *StepTarget) clock() int64 { return time.Since(t.began).Milliseconds() + 1000 }
+
+// advance ends what is due: finished work, and everything once the lease lapsed.
+func (f *StepFleet) advance(t *StepTarget) {
+	if t.leaseTo != 0 && t.clock() > t.leaseTo {
+		// Ends before a lapse are never taken note of: the task may run again.
+		t.lapsedEnds = t.nextEnd
+		for id, run := range t.running {
+			f.end(t, id, run.attempt, pb.EndKind_END_KIND_LAPSED)
+		}
+	}
+	for id, run := range t.running {
+		if time.Since(run.begun) >= t.Work {
+			f.end(t, id, run.attempt, pb.EndKind_END_KIND_DONE)
+		}
+	}
+}
+
+func (f *StepFleet) end(t *StepTarget, id workflow.TaskID, attempt uint32, kind pb.EndKind) {
+	delete(t.running, id)
+	delete(f.open[id], t.id)
+	t.blocked[id] = max(t.blocked[id], attempt)
+	t.nextEnd++
+	t.ends = append(t.ends, driver.Ended{Number: t.nextEnd, Task: id, Attempt: attempt, Kind: kind})
+}
+
+// Reborn replaces the target by a new life under the same id.
+func (f *StepFleet) Reborn(id string) *StepTarget {
+	f.mu.Lock()
+	old := f.targets[id]
+	for task := range old.running {
+		delete(f.open[task], id)
+	}
+	f.mu.Unlock()
+	t := f.Add(id)
+	t.born = old.born + 1000
+	return t
+}
+
+// exchange delivers a call as the network of a test does.
+//
+// A late start or stop reaches whichever life is there by then. A late listing
+// dies with its life: nothing in the call tells the lives apart, so that the
+// ends which it confirms would be lost whatever the leader does (a question in
+// docs/design/platform.md).
+func (f *StepFleet) exchange(ctx context.Context, to driver.Address, crossesLives bool, handle func(*StepTarget) driver.Answer) (driver.Answer, error) {
+	f.mu.Lock()
+	t := f.targets[to.ID]
+	if t == nil || t.Gone {
+		f.mu.Unlock()
+		return driver.Answer{Refusal: driver.OtherLife}, nil
+	}
+	if t.Resets {
+		f.mu.Unlock()
+		return driver.Answer{}, errors.New("connection reset")
+	}
+	if t.Silent {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return driver.Answer{}, ctx.Err()
+	}
+	late, lost := t.LateBy, t.LoseAnswers
+	if late > 0 {
+		f.mu.Unlock()
+		go func() {
+			time.Sleep(late)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if now := f.targets[to.ID]; now == t || crossesLives {
+				handle(now)
+			}
+		}()
+		<-ctx.Done()
+		return driver.Answer{}, ctx.Err()
+	}
+	answer := handle(t)
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return driver.Answer{}, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (t *StepTarget) answer(refusal driver.Refusal) driver.Answer {
+	return driver.Answer{Refusal: refusal, ClockMS: t.clock()}
+}
+
+// checkFence reports whether the call's fence is the newest.
+func (t *StepTarget) checkFence(fence uint64) bool {
+	if fence < t.fence {
+		return false
+	}
+	t.fence = fence
+	return true
+}
+
+// Start starts a run, or refuses it.
+func (f *StepFleet) Start(ctx context.Context, to driver.Address, call driver.StartCall) (driver.Answer, error) {
+	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
+		f.advance(t)
+		if !t.checkFence(call.Fence) {
+			return t.answer(driver.RefusedFence)
+		}
+		if run, ok := t.running[call.Task]; ok && run.attempt == call.Attempt {
+			return t.answer(driver.Accepted)
+		}
+		switch {
+		case call.Attempt <= t.blocked[call.Task]:
+			return t.answer(driver.RefusedOld)
+		case call.LeaseUntilMS <= t.clock():
+			return t.answer(driver.RefusedLate)
+		case len(t.running) >= t.Room:
+			return t.answer(driver.RefusedRoom)
+		}
+		t.leaseTo = max(t.leaseTo, min(call.LeaseUntilMS, t.clock()+f.LeaseTTL.Milliseconds()))
+		f.begin(t, call)
+		return t.answer(driver.Accepted)
+	})
+}
+
+// begin records a run and the rules that it breaks.
+func (f *StepFleet) begin(t *StepTarget, call driver.StartCall) {
+	for _, other := range f.targets {
+		f.advance(other)
+	}
+	if f.open[call.Task] == nil {
+		f.open[call.Task] = make(map[string]bool)
+	}
+	if len(f.open[call.Task]) > 0 {
+		f.faults = append(f.faults, fmt.Sprintf("%s runs on %v and on %s", call.Task, f.open[call.Task], t.id))
+	}
+	if f.seenDone[call.Task] {
+		f.faults = append(f.faults, fmt.Sprintf("%s started on %s after it was done", call.Task, t.id))
+	}
+	f.open[call.Task][t.id] = true
+	f.starts[call.Task]++
+	t.running[call.Task] = stepRun{attempt: call.Attempt, begun: time.Now()}
+}
+
+// Stop stops a run, or keeps it from starting.
+func (f *StepFleet) Stop(ctx context.Context, to driver.Address, call driver.StopCall) (driver.Answer, error) {
+	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
+		f.advance(t)
+		if !t.checkFence(call.Fence) {
+			return t.answer(driver.RefusedFence)
+		}
+		if run, ok := t.running[call.Task]; ok && run.attempt <= call.Attempt {
+			f.end(t, call.Task, run.attempt, pb.EndKind_END_KIND_STOPPED)
+		}
+		t.blocked[call.Task] = max(t.blocked[call.Task], call.Attempt)
+		return t.answer(driver.Accepted)
+	})
+}
+
+// Pace accepts every pace.
+func (f *StepFleet) Pace(ctx context.Context, to driver.Address, _ driver.PaceCall) (driver.Answer, error) {
+	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer { return t.answer(driver.Accepted) })
+}
+
+// Renew renews the lease and lists the runs.
+func (f *StepFleet) Renew(ctx context.Context, to driver.Address, call driver.RenewCall) (driver.Listing, error) {
+	var listing driver.Listing
+	// One call reaches one life: when that ends, no answer comes.
+	var life *StepTarget
+	for end := time.Now().Add(min(call.Wait, 100*time.Millisecond)); ; time.Sleep(5 * time.Millisecond) {
+		if life != nil && f.life(to.ID) != life {
+			<-ctx.Done()
+			return driver.Listing{}, ctx.Err()
+		}
+		answer, err := f.exchange(ctx, to, false, func(t *StepTarget) driver.Answer {
+			first := life == nil
+			life = t
+			f.advance(t)
+			if !t.checkFence(call.Fence) {
+				return t.answer(driver.RefusedFence)
+			}
+			if call.LeaseUntilMS != 0 {
+				t.leaseTo = max(t.leaseTo, min(call.LeaseUntilMS, t.clock()+f.LeaseTTL.Milliseconds()))
+			}
+			if first {
+				f.see(t, call.SeenEnd)
+			}
+			listing = driver.Listing{BornUnixMS: t.born, Ended: slices.Clone(t.ends)}
+			for id, run := range t.running {
+				listing.Running = append(listing.Running, driver.Running{Task: id, Attempt: run.attempt, Percent: 100})
+			}
+			return t.answer(driver.Accepted)
+		})
+		listing.Answer = answer
+		if err != nil || answer.Refusal != driver.Accepted || len(listing.Ended) > 0 || time.Now().After(end) {
+			return listing, err
+		}
+	}
+}
+
+func (f *StepFleet) life(id string) *StepTarget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets[id]
+}
+
+// see forgets ends that the leader has committed.
+func (f *StepFleet) see(t *StepTarget, seen uint64) {
+	for len(t.ends) > 0 && t.ends[0].Number <= seen {
+		if t.ends[0].Kind == pb.EndKind_END_KIND_DONE && t.ends[0].Number > t.lapsedEnds {
+			f.seenDone[t.ends[0].Task] = true
+		}
+		t.ends = t.ends[1:]
+	}
+	t.forgotten = max(t.forgotten, seen)
+}
+
+// Change changes a target under the fleet's lock.
+func (f *StepFleet) Change(id string, change func(*StepTarget)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.targets[id])
+}
+
+// ChangeAll changes every target under the fleet's lock.
+func (f *StepFleet) ChangeAll(change func(*StepTarget)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		change(t)
+	}
+}
+
+// Running counts what runs on a target.
+func (f *StepFleet) Running(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advance(f.targets[id])
+	return len(f.targets[id].running)
+}
+
+// Faults returns the rules that targets saw broken: a task that ran twice at
+// once, or again after an end as done was taken note of.
+func (f *StepFleet) Faults() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.faults)
+}
+
+// Announcements returns what the targets that can be heard say of themselves.
+func (f *StepFleet) Announcements(pool string) []*pb.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var requests []*pb.Request
+	for _, t := range f.targets {
+		if t.Silent || t.Resets || t.Gone {
+			continue
+		}
+		room := int64(t.Room)
+		if t.Full {
+			room = 0
+		}
+		requests = append(requests, &pb.Request{
+			Operation: pb.Operation_OPERATION_ANNOUNCE, TargetClockMs: t.clock(), Sequence: uint64(time.Now().UnixNano()),
+			Target: &pb.Target{
+				Id: t.id, Address: t.id, BornUnixMs: t.born, Pool: pool, Zone: "a", Vm: "vm-" + t.id,
+				Labels: []string{"kind", "rack"}, Capacity: &pb.Resources{CpuMillis: room * 1000, MemoryMb: 1000},
+			},
+		})
+	}
+	return requests
+}
+
+// NoVMs is a platform without VMs.
+type NoVMs struct{}
+
+// List returns none.
+func (NoVMs) List(context.Context) ([]driver.VM, error) { return nil, nil }
+
+// Move accepts every order.
+func (NoVMs) Move(context.Context, driver.VMOrder, string) (driver.VMRefusal, error) {
+	return driver.VMAccepted, nil
+}
+
+// Maintain accepts every order.
+func (NoVMs) Maintain(context.Context, driver.VMOrder, uint64) (driver.VMRefusal, error) {
+	return driver.VMAccepted, nil
+}
