--- /dev/null
+++ b/internal/driver/advice.go
@@ -0,0 +1,160 @@
+package driver
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+)
+
+const (
+	// adviceTargets is how many targets one call asks about: each adds to the
+	// time of the answer.
+	adviceTargets = 30
+	// adviceTimeout bounds one call; the service serves callers in turn.
+	adviceTimeout = 5 * time.Second
+	// advicePause spaces calls for one step.
+	advicePause = 500 * time.Millisecond
+	// maxAdviceCalls bounds the calls that wait at the service.
+	maxAdviceCalls = 8
+	// ticketMargin is how long before its end a ticket is no longer used.
+	ticketMargin = 300 * time.Millisecond
+)
+
+// Advice is which targets may run a step.
+type Advice struct {
+	// Tickets by target.
+	Tickets map[string]string
+	// ValidFor is how long the tickets hold.
+	ValidFor time.Duration
+}
+
+// AdviceClient asks which targets may run a step. The index of the task is not
+// looked at.
+type AdviceClient interface {
+	Advise(ctx context.Context, step workflow.TaskID, targets []string) (Advice, error)
+}
+
+// stepAdvice is what is known for one step.
+type stepAdvice struct {
+	tickets map[life]ticket
+	// denied targets may not run the step; that does not change.
+	denied  map[string]bool
+	calling bool
+	asked   time.Time
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+func stepOf(id workflow.TaskID) workflow.TaskID {
+	id.Index = 0
+	return id
+}
+
+// advisedTargets returns the targets of a step with a ticket, and asks for more
+// when there are none.
+func (d *Driver) advisedTargets(v *workflow.View, id workflow.TaskID, pool string) map[string]bool {
+	step := stepOf(id)
+	known := d.advice[step]
+	if known == nil {
+		known = &stepAdvice{tickets: make(map[life]ticket), denied: make(map[string]bool)}
+		d.advice[step] = known
+	}
+	now := d.cfg.Now()
+	allowed := make(map[string]bool)
+	for of, t := range known.tickets {
+		l := d.links[of.id]
+		if l == nil || l.target.BornUnixMs != of.born || now.After(t.until.Add(-ticketMargin)) {
+			delete(known.tickets, of)
+			continue
+		}
+		if d.startable(l) {
+			allowed[of.id] = true
+		}
+	}
+	if len(allowed) == 0 {
+		d.askAdvice(v, step, pool, known, now)
+	}
+	return allowed
+}
+
+// askAdvice asks about targets of the pool that were not denied yet.
+func (d *Driver) askAdvice(v *workflow.View, step workflow.TaskID, pool string, known *stepAdvice, now time.Time) {
+	if known.calling || now.Sub(known.asked) < advicePause || d.adviceCalls >= maxAdviceCalls || d.cfg.Advice == nil {
+		return
+	}
+	var ask []string
+	for _, target := range d.planTargets(v, pool) {
+		if !known.denied[target.ID] {
+			ask = append(ask, target.ID)
+		}
+	}
+	if len(ask) == 0 {
+		// Every target was denied; those that come later are asked about.
+		return
+	}
+	slices.SortStableFunc(ask, func(a, b string) int { return len(v.Placed(a)) - len(v.Placed(b)) })
+	ask = ask[:min(len(ask), adviceTargets)]
+	known.calling, known.asked = true, now
+	d.adviceCalls++
+	d.call(func() {
+		ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
+		defer cancel()
+		advice, err := d.cfg.Advice.Advise(ctx, step, ask)
+		d.takeAdvice(step, known, ask, advice, err)
+	})
+}
+
+func (d *Driver) takeAdvice(step workflow.TaskID, known *stepAdvice, asked []string, advice Advice, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known.calling = false
+	d.adviceCalls--
+	if err != nil {
+		event.AdviceSilent.Emit(event.F("step", step.String()), event.Err(err))
+		return
+	}
+	event.AdviceTaken.Emit(event.F("step", step.String()), event.F("asked", len(asked)),
+		event.F("granted", len(advice.Tickets)), event.F("valid", advice.ValidFor.String()))
+	until := d.cfg.Now().Add(advice.ValidFor)
+	for _, id := range asked {
+		text, granted := advice.Tickets[id]
+		if !granted {
+			known.denied[id] = true
+			continue
+		}
+		if l := d.links[id]; l != nil {
+			known.tickets[l.life()] = ticket{text: text, until: until}
+		}
+	}
+	d.kick()
+}
+
+// ticketFor returns the ticket for a start on a target, if one is known.
+func (d *Driver) ticketFor(id workflow.TaskID, l *link) string {
+	if known := d.advice[stepOf(id)]; known != nil {
+		return known.tickets[l.life()].text
+	}
+	return ""
+}
+
+// dropTicket forgets a ticket that a target refused.
+func (d *Driver) dropTicket(id workflow.TaskID, l *link) {
+	if known := d.advice[stepOf(id)]; known != nil {
+		delete(known.tickets, l.life())
+	}
+}
+
+// forgetAdvice drops what is known for steps of jobs that are over.
+func (d *Driver) forgetAdvice(v *workflow.View) {
+	for step := range d.advice {
+		if job := v.Job(step.Job); job == nil || workflow.Ended(job.State) {
+			delete(d.advice, step)
+		}
+	}
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -48,7 +48,9 @@
 	Log     Log
 	Targets TargetClient
 	VMs     VMClient
-	Limits  Limits
+	// Advice is nil where no queue needs it.
+	Advice AdviceClient
+	Limits Limits
 	// Epoch is the fence of this leadership; a later one is higher.
 	Epoch uint64
 	// Holder names this daemon in orders to the platform.
@@ -90,8 +92,11 @@
 	learned *learner
 	waves   *waveLoop
 	pools   *poolLoop
-	fleet   fleetView
-	counts  counters
+	// advice is known by step; adviceCalls counts calls under way.
+	advice      map[workflow.TaskID]*stepAdvice
+	adviceCalls int
+	fleet       fleetView
+	counts      counters
 	// waitsReported is when waits of a pool were reported last.
 	waitsReported map[string]time.Time
 
@@ -119,6 +124,7 @@
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
 		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run),
 		ended: make(map[life]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
+		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time),
 	}
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -1,6 +1,7 @@
 package driver_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand"
 	"sync"
@@ -9,6 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"sapphirering/internal/driver"
+	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 	"sapphirering/test/standin"
 )
@@ -166,6 +169,30 @@
 	r.judge()
 }
 
+// advice grants one target of each call, with a ticket that the fleet asks for.
+type advice struct{ granted string }
+
+func (a advice) Advise(context.Context, workflow.TaskID, []string) (driver.Advice, error) {
+	return driver.Advice{Tickets: map[string]string{a.granted: "ticket"}, ValidFor: time.Minute}, nil
+}
+
+// TestAdvice runs a job of an advised queue: only the granted target gets it,
+// with its ticket.
+func TestAdvice(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a", "b", "c")
+	r.advice = advice{granted: "b"}
+	r.fleet.ChangeAll(func(t *standin.StepTarget) { t.Ticket = "ticket" })
+	r.lead()
+	r.catalogue(2, true)
+	r.announceAll()
+	r.submit("j", 6)
+	r.waitDone("j")
+	is.Equal(r.fleet.Started("a")+r.fleet.Started("c"), 0)
+	is.Equal(r.fleet.Started("b"), 6)
+	r.judge()
+}
+
 // TestRefusals covers how an unreadable, foreign or unknown request is answered.
 func TestRefusals(t *testing.T) {
 	r := newRig(t, "a")
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -27,6 +27,7 @@
 	defer d.mu.Unlock()
 	var starts []*pb.Start
 	d.cfg.Machine.View(func(v *workflow.View) {
+		d.forgetAdvice(v)
 		workspaces := workspacesOf(v)
 		for pool, snapshot := range d.snapshots(v) {
 			if len(snapshot.Jobs) == 0 {
@@ -181,7 +182,11 @@
 			if job.StepLeft(k, s) == 0 || !job.Ready(k, s) {
 				continue
 			}
-			if step := d.planStep(v, job, k, s); len(step.Tasks) > 0 {
+			step := d.planStep(v, job, k, s)
+			if queue.Advised && len(step.Tasks) > 0 {
+				step.Only = d.advisedTargets(v, step.Tasks[0], queue.Pool)
+			}
+			if len(step.Tasks) > 0 && (!queue.Advised || len(step.Only) > 0) {
 				planned.Steps = append(planned.Steps, step)
 			}
 		}
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -63,6 +63,7 @@
 	log     *fakeLog
 	driver  *driver.Driver
 	epoch   uint64
+	advice  driver.AdviceClient
 	stop    func()
 }
 
@@ -75,14 +76,21 @@
 	}
 	r.lead()
 	t.Cleanup(func() { r.stop() })
-	r.request(&pb.Request{Operation: pb.Operation_OPERATION_PUT_CATALOGUE, Catalogue: &pb.Catalogue{
-		Version: 1, Pools: []*pb.Pool{{Name: "render", Guarded: true}},
-		Queues: []*pb.Queue{{Name: "proofs", Host: "h", PathPrefix: "/p/", Pool: "render", TimeoutMs: 1000, ObjectiveMs: 500, SlackFactor: 1.5, MaxAttempts: 3, Open: true}},
-	}})
+	r.catalogue(1, false)
 	r.announceAll()
 	return r
 }
 
+func (r *rig) catalogue(version uint64, advised bool) {
+	r.request(&pb.Request{Operation: pb.Operation_OPERATION_PUT_CATALOGUE, Catalogue: &pb.Catalogue{
+		Version: version, Pools: []*pb.Pool{{Name: "render", Guarded: true}},
+		Queues: []*pb.Queue{{
+			Name: "proofs", Host: "h", PathPrefix: "/p/", Pool: "render", TimeoutMs: 1000, ObjectiveMs: 500,
+			SlackFactor: 1.5, MaxAttempts: 3, Open: true, Advised: advised,
+		}},
+	}})
+}
+
 // lead begins a new leadership over the same state.
 func (r *rig) lead() {
 	if r.stop != nil {
@@ -91,7 +99,7 @@
 	r.epoch++
 	r.log = &fakeLog{machine: r.machine, index: r.log.index}
 	r.driver = driver.New(driver.Config{
-		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: standin.NoVMs{}, Epoch: r.epoch, Holder: "test",
+		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: standin.NoVMs{}, Advice: r.advice, Epoch: r.epoch, Holder: "test",
 		Limits: driver.Limits{LeaseTTL: testLeaseTTL, AnnounceInterval: 200 * time.Millisecond},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -113,7 +113,7 @@
 
 // startCall returns the call for a run that is still wanted.
 func (d *Driver) startCall(r *run, l *link) (StartCall, bool) {
-	call := StartCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, LeaseUntilMS: d.grant(l)}
+	call := StartCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, LeaseUntilMS: d.grant(l), Ticket: d.ticketFor(r.task, l)}
 	found := false
 	d.cfg.Machine.View(func(v *workflow.View) {
 		task := v.Task(r.task)
@@ -175,11 +175,14 @@
 	}
 	event.StartRefusedByTarget.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt),
 		event.F("target", r.target), event.F("reason", answer.Refusal.String()))
-	if l != nil && answer.Refusal != RefusedRoom {
-		l.unhealthy = now.Add(unhealthyPause)
-	}
-	if l != nil && answer.Refusal == RefusedRoom {
+	switch {
+	case l == nil:
+	case answer.Refusal == RefusedRoom:
 		l.unhealthy = now.Add(roomPause)
+	case answer.Refusal == RefusedTicket:
+		d.dropTicket(r.task, l)
+	default:
+		l.unhealthy = now.Add(unhealthyPause)
 	}
 	if r.unanswered {
 		// An earlier call for the same run may still be carried out.
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -51,6 +51,8 @@
 	VMMoveAnswered      = define(7057, log.InfoLevel, "platform answered an order for a move", "")
 	PoolState           = define(7058, log.InfoLevel, "what a pool has and needs", "")
 	TaskEvacuated       = define(7059, log.InfoLevel, "lasting task stopped to start elsewhere before maintenance", "")
+	AdviceTaken         = define(7042, log.InfoLevel, "advice on the targets of a step", "")
+	AdviceSilent        = define(7043, log.WarnLevel, "advice gave no answer, the step waits", "Check the advice service.")
 	PlatformSilent      = define(7055, log.WarnLevel, "platform gave no answer", "Check the platform.")
 )
 
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -42,6 +42,8 @@
 	OnTarget map[string]int
 	// Avoid holds targets where tasks of the step failed.
 	Avoid map[string]bool
+	// Only holds the targets that may run the step; nil for all.
+	Only map[string]bool
 	// Lasting tasks go where other lasting tasks are, so that the other VMs may move.
 	Lasting bool
 }
@@ -285,6 +287,9 @@
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
 		}
+		if step.Only != nil && !step.Only[target.ID] {
+			continue
+		}
 		if step.Label != "" && !slices.Contains(target.Labels, step.Label) {
 			continue
 		}
--- a/internal/server/adapter.go
+++ b/internal/server/adapter.go
@@ -24,6 +24,8 @@
 	Health(ready func() bool) http.Handler
 	// Targets calls targets.
 	Targets() driver.TargetClient
+	// Advice says which targets may run a step; nil without such a service.
+	Advice() driver.AdviceClient
 	// VMs calls the platform that owns the VMs.
 	VMs() driver.VMClient
 }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -304,7 +304,7 @@
 		}
 	}
 	d := driver.New(driver.Config{
-		Machine: c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(),
+		Machine: c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
 		Limits: limitsOf(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, NowMS: c.clock.NowMS,
 	})
 	c.leadMu.Lock()
--- a/internal/server/core_test.go
+++ b/internal/server/core_test.go
@@ -27,6 +27,7 @@
 func (nullAdapter) Control(Requester) http.Handler       { return http.NotFoundHandler() }
 func (nullAdapter) Health(func() bool) http.Handler      { return http.NotFoundHandler() }
 func (nullAdapter) Targets() driver.TargetClient         { return nil }
+func (nullAdapter) Advice() driver.AdviceClient          { return nil }
 func (nullAdapter) VMs() driver.VMClient                 { return standin.NoVMs{} }
 func newNullAdapter(*config.RoleSettings) (none Adapter) { return nullAdapter{} }
 
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -27,6 +27,8 @@
 	// Work is how long a run takes, Room how many fit.
 	Work time.Duration
 	Room int
+	// Ticket is what starts must carry; empty for none.
+	Ticket string
 	// Silent targets let every call hang.
 	Silent bool
 	// Resets makes calls fail at once; Full makes the target announce no room.
@@ -44,6 +46,7 @@
 	blocked   map[workflow.TaskID]uint32
 	ends      []driver.Ended
 	nextEnd   uint64
+	started   int
 	forgotten uint64
 	// lapsedEnds is the number of the last end that a lapse followed.
 	lapsedEnds uint64
@@ -196,6 +199,8 @@
 			return t.answer(driver.RefusedOld)
 		case call.LeaseUntilMS <= t.clock():
 			return t.answer(driver.RefusedLate)
+		case t.Ticket != "" && call.Ticket != t.Ticket:
+			return t.answer(driver.RefusedTicket)
 		case len(t.running) >= t.Room:
 			return t.answer(driver.RefusedRoom)
 		}
@@ -221,6 +226,7 @@
 	}
 	f.open[call.Task][t.id] = true
 	f.starts[call.Task]++
+	t.started++
 	t.running[call.Task] = stepRun{attempt: call.Attempt, begun: time.Now()}
 }
 
@@ -321,6 +327,13 @@
 	return len(f.targets[id].running)
 }
 
+// Started counts the runs that have begun on a target.
+func (f *StepFleet) Started(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets[id].started
+}
+
 // Faults returns the rules that targets saw broken: a task that ran twice at
 // once, or again after an end as done was taken note of.
 func (f *StepFleet) Faults() []string {
--- a/test/stepsdemo/main.go
+++ b/test/stepsdemo/main.go
@@ -45,6 +45,7 @@
 func (adapter) Control(server.Requester) http.Handler { return http.NotFoundHandler() }
 func (adapter) Health(func() bool) http.Handler       { return http.NotFoundHandler() }
 func (a adapter) Targets() driver.TargetClient        { return a.fleet }
+func (adapter) Advice() driver.AdviceClient           { return nil }
 func (adapter) VMs() driver.VMClient                  { return standin.NoVMs{} }
 
 func main() {
@@ -117,7 +118,7 @@
 func runJob(ctx context.Context, folder, address string) error {
 	key := filepath.Join(folder, "key")
 	jobFile := filepath.Join(folder, "job.json")
-	if err := os.WriteFile(key, []byte("demo demo-caller-key-0001\n"), 0o600); err != nil {
+	if err := os.WriteFile(key, []byte("demo-caller-key-0001\n"), 0o600); err != nil {
 		return err
 	}
 	if err := os.WriteFile(jobFile, []byte(job), 0o600); err != nil {
