--- /dev/null
+++ b/internal/policy/assign/assign_test.go
@@ -0,0 +1,198 @@
+package assign
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/workflow"
+)
+
+func tasks(job string, n int) []workflow.TaskID {
+	out := make([]workflow.TaskID, n)
+	for i := range out {
+		out[i] = workflow.TaskID{Job: job, Index: uint32(i)}
+	}
+	return out
+}
+
+func room(cpu int64) workflow.Resources { return workflow.Resources{CPUMillis: cpu, MemoryMB: 1} }
+
+func target(id string, cpu int64) Target {
+	return Target{ID: id, Rack: "r" + id, Labels: []string{"k", "r" + id}, Free: workflow.Resources{CPUMillis: cpu, MemoryMB: 1000}, Slowness: 1}
+}
+
+func simple(id string, n int, cpu int64) Job {
+	return Job{ID: id, RemainingMS: 1000, DeadlineMS: 10_000, LateDeadlineMS: 30_000, Steps: []Step{{Tasks: tasks(id, n), Room: room(cpu), Needs: room(cpu)}}}
+}
+
+func onTargets(starts []Start) map[string]int {
+	out := make(map[string]int)
+	for _, s := range starts {
+		out[s.Target]++
+	}
+	return out
+}
+
+// TestPlaces covers where tasks go.
+func TestPlaces(t *testing.T) {
+	step := func(change func(*Step)) Job {
+		j := simple("j", 2, 1000)
+		change(&j.Steps[0])
+		return j
+	}
+	for _, test := range []struct {
+		name    string
+		targets []Target
+		job     Job
+		want    map[string]int
+	}{
+		{"the fuller target first", []Target{target("a", 8000), target("b", 4000)}, simple("j", 2, 1000), map[string]int{"b": 2}},
+		{"a slow target last", []Target{{ID: "a", Free: workflow.Resources{CPUMillis: 4000, MemoryMB: 9}, Slowness: 3}, target("b", 8000)}, simple("j", 2, 1000), map[string]int{"b": 2}},
+		{"label", []Target{target("a", 4000), target("b", 8000)}, step(func(s *Step) { s.Label = "rb" }), map[string]int{"b": 2}},
+		{"rack of the data", []Target{target("a", 4000), target("b", 8000)}, step(func(s *Step) { s.DataRack = "rb" }), map[string]int{"b": 2}},
+		{"spread", []Target{target("a", 4000), target("b", 8000)}, step(func(s *Step) { s.MaxPerTarget = 1 }), map[string]int{"a": 1, "b": 1}},
+		{"a target that failed the step", []Target{target("a", 4000), target("b", 8000)}, step(func(s *Step) { s.Avoid = map[string]bool{"a": true} }), map[string]int{"b": 2}},
+		{"granted targets only", []Target{target("a", 4000), target("b", 8000)}, step(func(s *Step) { s.Only = map[string]bool{"b": true} }), map[string]int{"b": 2}},
+		{"a gang whole", []Target{target("a", 1500), target("b", 1500)}, step(func(s *Step) { s.Gang = true }), map[string]int{"a": 1, "b": 1}},
+		{"no part of a gang", []Target{target("a", 1500)}, step(func(s *Step) { s.Gang = true }), map[string]int{}},
+		{"a gang on one rack", []Target{target("a", 1500), target("b", 4000)}, step(func(s *Step) { s.Gang, s.SameRack = true, true }), map[string]int{"b": 2}},
+		{"lasting tasks on several targets", []Target{target("a", 4000), target("b", 8000)}, step(func(s *Step) { s.Lasting = true }), map[string]int{"a": 1, "b": 1}},
+		{"too large", []Target{target("a", 500)}, simple("j", 1, 1000), map[string]int{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			starts, waits := Plan(&Snapshot{Targets: test.targets, Jobs: []Job{test.job}})
+			is.Equal(onTargets(starts), test.want)
+			placed := len(starts)
+			for _, wait := range waits {
+				placed += wait.Tasks
+			}
+			is.Equal(placed, len(test.job.Steps[0].Tasks)) // each task starts or waits with a reason
+		})
+	}
+}
+
+// TestLimit starts no more than a workspace may run.
+func TestLimit(t *testing.T) {
+	is := is.New(t)
+	j := simple("j", 5, 1000)
+	j.Workspace = "kita"
+	starts, waits := Plan(&Snapshot{
+		Targets: []Target{target("a", 16000)}, Jobs: []Job{j},
+		Workspaces: map[string]*Workspace{"kita": {Used: room(1000), Limit: workflow.Resources{CPUMillis: 3000}}},
+	})
+	is.Equal(len(starts), 2)
+	is.Equal(waits[0].Reason, waitLimit)
+}
+
+// TestOrder covers who goes first.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	first := func(jobs ...Job) string {
+		starts, _ := Plan(&Snapshot{NowMS: 5000, Targets: []Target{target("a", 1000)}, Jobs: jobs})
+		return starts[0].Task.Job
+	}
+	late := simple("late", 1, 1000)
+	late.DeadlineMS = 5500
+	soon := simple("soon", 1, 1000)
+	soon.DeadlineMS = 7000
+	relaxed := simple("relaxed", 1, 1000)
+	urgent := simple("urgent", 1, 1000)
+	urgent.DeadlineMS = 9000
+	relaxed.Priority = 1
+	lasting := simple("lasting", 1, 1000)
+	lasting.Lasting = true
+	is.Equal(first(late, relaxed), "relaxed") // what can be in time comes before what is late
+	is.Equal(first(urgent, soon), "soon")
+	is.Equal(first(relaxed, urgent), "urgent")
+	is.Equal(first(soon, lasting), "lasting")
+}
+
+// burst replays the load that the order is for: for some seconds jobs come at
+// 1.6 times what the pool can do, then hardly any. It returns the share in time.
+func burst(seed int64, plan func(*Snapshot) []Start) float64 {
+	const stepMS, endMS, burstMS, cores = 50, 40_000, 8000, 64
+	rng := rand.New(rand.NewSource(seed))
+	type job struct {
+		left, running int
+		endsAt        []int64
+		deadline      int64
+		submitted     int64
+		workMS        int64
+	}
+	jobs := make(map[string]*job)
+	inTime, all, free := 0, 0, cores
+	for now := int64(0); now < endMS; now += stepMS {
+		rate := 0.02
+		if now < burstMS {
+			rate = 1.6 * cores / 8 * stepMS / 1000
+		}
+		for range int(rate + rng.Float64()) {
+			all++
+			work := int64(500 + rng.Intn(1000))
+			jobs[fmt.Sprintf("j%03d", all)] = &job{left: 8, workMS: work, submitted: now, deadline: now + work*16/10 + 600}
+		}
+		s := &Snapshot{NowMS: now, Targets: []Target{{ID: "t", Free: workflow.Resources{CPUMillis: 1 << 40, MemoryMB: 1 << 40}, Slowness: 1}}}
+		for id, j := range jobs {
+			rest := j.endsAt[:0]
+			for _, at := range j.endsAt {
+				if at > now {
+					rest = append(rest, at)
+					continue
+				}
+				free++
+				j.running--
+			}
+			j.endsAt = rest
+			if j.left == 0 && j.running == 0 {
+				if now <= j.deadline {
+					inTime++
+				}
+				delete(jobs, id)
+				continue
+			}
+			if j.left > 0 {
+				s.Jobs = append(s.Jobs, Job{ID: id, RemainingMS: j.workMS, DeadlineMS: j.deadline, LateDeadlineMS: j.submitted + 3*(j.deadline-j.submitted), SubmittedMS: j.submitted,
+					Steps: []Step{{Tasks: tasks(id, j.left), Room: room(1000), Needs: room(1000)}}})
+			}
+		}
+		s.Targets[0].Free.CPUMillis = int64(free) * 1000
+		for _, start := range plan(s) {
+			j := jobs[start.Task.Job]
+			j.left--
+			j.running++
+			free--
+			j.endsAt = append(j.endsAt, now+j.workMS)
+		}
+	}
+	return float64(inTime) / float64(all)
+}
+
+// firstInFirstOut is the naive order.
+func firstInFirstOut(s *Snapshot) []Start {
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		j.RemainingMS, j.DeadlineMS = 0, 1<<60+j.SubmittedMS
+	}
+	starts, _ := Plan(s)
+	return starts
+}
+
+// TestReplayBurst compares the order with first in, first out: at least a tenth
+// more of all jobs are in time.
+func TestReplayBurst(t *testing.T) {
+	for seed := range int64(5) {
+		policy := burst(seed, func(s *Snapshot) []Start {
+			starts, _ := Plan(s)
+			return starts
+		})
+		naive := burst(seed, firstInFirstOut)
+		t.Logf("seed %d: in time %.2f against %.2f", seed, policy, naive)
+		if policy < naive+0.1 {
+			t.Errorf("seed %d: the order is no better than first in, first out", seed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/pools/pools_test.go
@@ -0,0 +1,216 @@
+package pools
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func vms(prefix string, n int, change func(*VM)) []VM {
+	out := make([]VM, n)
+	for i := range out {
+		out[i] = VM{Name: fmt.Sprintf("%s%d", prefix, i), CPUMillis: 16000, IdleMS: 10_000}
+		if change != nil {
+			change(&out[i])
+		}
+	}
+	return out
+}
+
+func snapshot(pools ...Pool) *Snapshot {
+	return &Snapshot{
+		NowMS: 1000, Pools: pools, Budget: 10, MayRest: true, Fits: func(string, string) bool { return true },
+		Prices: Prices{MoveVMSeconds: 1.1, MoveMS: 1500},
+	}
+}
+
+func count(moves []Move, from, to string) int {
+	n := 0
+	for _, m := range moves {
+		if m.From == from && m.To == to {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPlan covers who gives and who gets.
+func TestPlan(t *testing.T) {
+	busy := func(vm *VM) { vm.Tasks, vm.IdleMS = 2, 0 }
+	rest := func(n int) Pool { return Pool{Name: "rest", Resting: true, VMs: vms("r", n, nil)} }
+	for _, test := range []struct {
+		name     string
+		pools    []Pool
+		from, to string
+		want     int
+	}{
+		{"resting VMs go to a pool in need", []Pool{rest(5), {Name: "p", NeedMillis: 45_000}}, "rest", "p", 3},
+		{"idle VMs of another pool go when none rest", []Pool{{Name: "q", VMs: vms("q", 4, nil)}, {Name: "p", NeedMillis: 30_000}}, "q", "p", 2},
+		{"busy VMs stay", []Pool{{Name: "q", VMs: vms("q", 4, busy)}, {Name: "p", NeedMillis: 30_000}}, "q", "p", 0},
+		{"idle VMs rest", []Pool{rest(0), {Name: "q", NeedMillis: 10_000, VMs: vms("q", 4, nil)}}, "q", "rest", 3},
+		{"the least number stays", []Pool{rest(0), {Name: "q", MinVMs: 3, VMs: vms("q", 4, nil)}}, "q", "rest", 1},
+		{"VMs just idle do not rest", []Pool{rest(0), {Name: "q", VMs: vms("q", 4, func(vm *VM) { vm.IdleMS = 500 })}}, "q", "rest", 0},
+		{"VMs under maintenance do not move", []Pool{{Name: "q", VMs: vms("q", 4, func(vm *VM) { vm.Fixed = true })}, {Name: "p", NeedMillis: 30_000}}, "q", "p", 0},
+		{"VMs of a wave are no supply", []Pool{rest(5), {Name: "p", NeedMillis: 30_000, VMs: vms("p", 2, func(vm *VM) { vm.Out, vm.Fixed = true, true })}}, "rest", "p", 2},
+		{"VMs on their way count", []Pool{rest(5), {Name: "p", NeedMillis: 30_000, Incoming: 2, IncomingMillis: 32_000}}, "rest", "p", 0},
+		{"a task that fits nowhere calls a VM", []Pool{rest(5), {Name: "p", NeedMillis: 1000, Stuck: true, VMs: vms("p", 1, busy)}}, "rest", "p", 1},
+		{"VMs are called ahead of a turn", []Pool{rest(5), {Name: "p", NextTurnMS: 2500, TurnMillis: 30_000}}, "rest", "p", 2},
+		{"a far turn calls none", []Pool{rest(5), {Name: "p", NextTurnMS: 9000, TurnMillis: 30_000}}, "rest", "p", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			moves, _ := Plan(snapshot(test.pools...))
+			if got := count(moves, test.from, test.to); got != test.want {
+				t.Errorf("%d moves from %s to %s, want %d: %v", got, test.from, test.to, test.want, moves)
+			}
+		})
+	}
+}
+
+// TestDrain empties the least busy VMs of a pool with room to spare.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	busy := vms("q", 4, func(vm *VM) { vm.Tasks, vm.IdleMS = 3, 0 })
+	busy[2].Tasks = 1
+	busy[3].Lasting = 1
+	_, drain := Plan(snapshot(Pool{Name: "q", NeedMillis: 20_000, VMs: busy}, Pool{Name: "p", NeedMillis: 14_000}))
+	is.Equal(drain, []string{"q2"})
+}
+
+// TestFootprint covers what is left over beside tasks of one size.
+func TestFootprint(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Footprint(5700, 16000), int64(8000))
+	is.Equal(Footprint(880, 16000), int64(888))
+	is.Equal(Footprint(20_000, 16000), int64(20_000))
+	is.Equal(Footprint(0, 16000), int64(0))
+}
+
+// TestTurns learns turns at an even pace, and none from one uneven turn.
+func TestTurns(t *testing.T) {
+	is := is.New(t)
+	var even, once Turns
+	for now := int64(1); now < 60_000; now += 100 {
+		load := int64(500)
+		if now%15_000 < 4000 {
+			load = 8000
+		}
+		even.Note(now, load*100)
+		if now > 10_000 && now < 19_000 && now%2000 < 1200 {
+			once.Note(now, 8000*100)
+		}
+	}
+	at, peak := even.Next(60_000 - 5000)
+	is.True(at > 58_000 && at < 62_000)
+	is.True(peak > 6000)
+	_, peak = once.Next(60_000)
+	is.Equal(peak, int64(0)) // bursts within one turn are no pace
+}
+
+// turnsLoad replays the load that the policy is for: four queues take turns,
+// each in its turn asks for five times its mean, more than its pool holds. It
+// returns the share of work that ended within a bound and the VM-seconds in pools.
+func turnsLoad(seed int64, plan func(*Snapshot) []Move) (inTime, vmSeconds float64) {
+	const (
+		stepMS, turnMS, boundMS = 100, 9000, 3000
+		perPool, coreMillis     = 10, 16000
+	)
+	rng := rand.New(rand.NewSource(seed))
+	type pending struct{ work, until int64 }
+	names := []string{"a", "b", "c", "d"}
+	pool, idle, arrives := make(map[string]string), make(map[string]int64), make(map[string]int64)
+	for i := range 8 {
+		pool[fmt.Sprintf("rest%d", i)] = "rest"
+	}
+	for _, p := range names {
+		for i := range perPool {
+			pool[fmt.Sprintf("%s%d", p, i)] = p
+		}
+	}
+	queue := make(map[string][]pending)
+	var done, late int64
+	for now := int64(0); now < 4*turnMS; now += stepMS {
+		s := &Snapshot{NowMS: now, Budget: 12, MayRest: now > 1000, Fits: func(string, string) bool { return true }, Prices: Prices{MoveVMSeconds: 1.1, MoveMS: 1500}}
+		for k, p := range names {
+			mean := 60_000.0
+			rate := 0.2 * mean
+			if now/turnMS == int64(k) {
+				rate = 4 * mean
+			}
+			queue[p] = append(queue[p], pending{int64(rate * stepMS * (0.5 + rng.Float64())), now + boundMS})
+			described := Pool{Name: p, MinVMs: 4}
+			for _, job := range queue[p] {
+				described.NeedMillis += job.work / max(job.until-now, boundMS/4)
+			}
+			described.NeedMillis += int64(rate * 1500 / boundMS)
+			left, used := int64(0), 0
+			for vm, at := range pool {
+				if at != p {
+					continue
+				}
+				if arrives[vm] > now {
+					described.Incoming, described.IncomingMillis = described.Incoming+1, described.IncomingMillis+coreMillis
+					continue
+				}
+				left += coreMillis * stepMS
+				described.VMs = append(described.VMs, VM{Name: vm, CPUMillis: coreMillis})
+			}
+			full := left
+			for len(queue[p]) > 0 && left > 0 {
+				part := min(left, queue[p][0].work)
+				left -= part
+				queue[p][0].work -= part
+				done += part
+				if now > queue[p][0].until {
+					late += part
+				}
+				if queue[p][0].work == 0 {
+					queue[p] = queue[p][1:]
+				}
+			}
+			if full > 0 {
+				used = int((full - left + coreMillis*stepMS - 1) / (coreMillis * stepMS))
+			}
+			for i := range described.VMs {
+				vm := &described.VMs[i]
+				if i < used {
+					idle[vm.Name], vm.Tasks = now, 1
+				}
+				vm.IdleMS = now - idle[vm.Name]
+			}
+			vmSeconds += float64(len(described.VMs)+described.Incoming) * stepMS / 1000
+			s.Pools = append(s.Pools, described)
+		}
+		resting := Pool{Name: "rest", Resting: true}
+		for vm, at := range pool {
+			if at == "rest" {
+				resting.VMs = append(resting.VMs, VM{Name: vm, CPUMillis: coreMillis})
+			}
+		}
+		s.Pools = append(s.Pools, resting)
+		for _, m := range plan(s) {
+			pool[m.VM], idle[m.VM] = m.To, now
+			if m.To != "rest" {
+				arrives[m.VM] = now + 1500
+			}
+		}
+	}
+	return 1 - float64(late)/float64(done), vmSeconds
+}
+
+// TestReplayTurns compares the policy with pools that never move: at least a
+// fifth more of the work ends in time, with fewer VM-seconds in pools.
+func TestReplayTurns(t *testing.T) {
+	for seed := range int64(5) {
+		moved, moving := turnsLoad(seed, func(s *Snapshot) []Move {
+			moves, _ := Plan(s)
+			return moves
+		})
+		fixed, standing := turnsLoad(seed, func(*Snapshot) []Move { return nil })
+		t.Logf("seed %d: in time %.2f against %.2f, VM-seconds %.0f against %.0f", seed, moved, fixed, moving, standing)
+		if moved < fixed+0.2 || moving > standing {
+			t.Errorf("seed %d: the policy is no better than fixed pools", seed)
+		}
+	}
+}
