--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -27,8 +27,8 @@
 	// restAfter is how long after the first short job VMs may begin to rest: by
 	// then the lasting jobs of a first start have found their places.
 	restAfter = time.Second
-	// minPoolVMs is what a pool with work keeps beyond the VMs of its lasting
-	// tasks, so that one of them may go down.
+	// minPoolVMs is what a pool keeps beyond the VMs of its lasting tasks while
+	// one of them may go down.
 	minPoolVMs = 1
 	// stuckAfter is how long a waiting task may fit nowhere before its pool gets
 	// another VM.
@@ -180,7 +180,7 @@
 			pool.TurnMillis += lasting
 		}
 		if vms > 0 {
-			pool.MinVMs = max(pool.MinVMs, vms+minPoolVMs)
+			pool.MinVMs = max(pool.MinVMs, vms+d.spareVMs())
 		}
 		pool.NeedMillis += d.shortNeed(job, queue, nowMS)
 	}
@@ -191,6 +191,15 @@
 	}
 }
 
+// spareVMs is how many VMs a pool keeps beyond those of its lasting tasks: while
+// a wave goes on, one of them is about to go down.
+func (d *Driver) spareVMs() int {
+	if d.waves.active {
+		return minPoolVMs
+	}
+	return 0
+}
+
 // lastingNeed returns the room of a job's lasting tasks and the VMs over which
 // they must spread.
 func lastingNeed(job *workflow.Job) (millis int64, vms int) {
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -56,6 +56,9 @@
 type StepFleet struct {
 	// LeaseTTL is the longest lease that a target grants.
 	LeaseTTL time.Duration
+	// Lasting holds jobs whose tasks run until they are stopped; set it before
+	// anything starts.
+	Lasting map[string]bool
 
 	mu      sync.Mutex
 	targets map[string]*StepTarget
@@ -105,7 +108,7 @@
 		}
 	}
 	for id, run := range t.running {
-		if time.Since(run.begun) >= t.Work {
+		if !f.Lasting[id.Job] && time.Since(run.begun) >= t.Work {
 			f.end(t, id, run.attempt, pb.EndKind_END_KIND_DONE)
 		}
 	}
