--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -233,7 +233,7 @@
 // noteSilence counts a call without an answer. The target gets no starts until
 // it answers again.
 func (d *Driver) noteSilence(l *link, step string, err error) {
-	if l.failures == 0 {
+	if l.failures == 0 && d.pools.moving[l.target.Vm] == nil && !d.orderedDown(l.target.Vm) {
 		event.TargetSilent.Emit(event.F("target", l.target.Id), event.F("step", step), event.Err(err))
 	}
 	l.failures++
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -353,6 +353,9 @@
 				}
 				continue
 			}
+			if r.phase == runConfirmed {
+				d.rescue(task, r, now)
+			}
 			d.checkRun(r, task.Superseded || workflow.Ended(task.Job.State) || v.Queue(task.Job.Spec.Queue) == nil, now)
 		}
 	})
--- /dev/null
+++ b/internal/driver/stuck_test.go
@@ -0,0 +1,32 @@
+package driver
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRescueReason covers which runs are stopped for want of progress.
+func TestRescueReason(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	for _, test := range []struct {
+		name     string
+		run      run
+		expected time.Duration
+		want     string
+	}{
+		{"just begun", run{working: ago(time.Second), movedAt: ago(time.Second)}, time.Second, ""},
+		{"not known to run", run{}, time.Second, ""},
+		{"stands still", run{working: ago(4 * time.Second), movedAt: ago(3 * time.Second), percent: 40}, time.Second, "it stands still"},
+		{"a long task may rest longer", run{working: ago(4 * time.Second), movedAt: ago(3 * time.Second), percent: 40}, 10 * time.Second, ""},
+		{"slow with much left", run{working: ago(4 * time.Second), movedAt: ago(100 * time.Millisecond), percent: 50}, time.Second, "it is slow"},
+		{"short and slow to start", run{working: ago(600 * time.Millisecond), movedAt: ago(100 * time.Millisecond), percent: 40}, 200 * time.Millisecond, ""},
+		{"slow but nearly done", run{working: ago(4 * time.Second), movedAt: ago(100 * time.Millisecond), percent: 90}, time.Second, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := rescueReason(&test.run, test.expected, now); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -279,6 +279,13 @@
 	return l != nil && l.failures == 0 && d.cfg.Now().Sub(l.answeredAt) < freshListing
 }
 
+// orderedDown reports whether the VM's maintenance is ordered: its target ends.
+func (d *Driver) orderedDown(vm string) bool {
+	down := false
+	d.cfg.Machine.View(func(v *workflow.View) { down = v.Ordered(vm) })
+	return down
+}
+
 // backMargin is how long a lasting task must have been seen at work.
 const backMargin = 500 * time.Millisecond
 
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -18,6 +18,7 @@
 	StrangerStopped      = define(7013, log.WarnLevel, "target runs a task that was not placed there, stopped", "")
 	StartsUncommitted    = define(7014, log.WarnLevel, "starts could not be committed", "")
 	EndsUncommitted      = define(7015, log.WarnLevel, "ends could not be committed yet", "")
+	RunRescued           = define(7017, log.InfoLevel, "run without progress stopped, its task starts elsewhere", "")
 	FillerPaced          = define(7016, log.InfoLevel, "pace of a filling task changed", "")
 
 	CatalogueAccepted = define(7020, log.InfoLevel, "catalogue accepted", "")
