--- /dev/null
+++ b/internal/config/role_test.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const roleBounds = `bounds:
+  lease_ttl: 6s
+  stop_grace: 400ms
+  leave_wait: 2s
+  unavailable_notice: 4500ms
+  announce_interval: 1500ms
+  harm_time: 4s
+  gather_time: 3s
+  in_force: 2s
+  shutdown_grace: 6s
+`
+
+const coreSettings = `role: core
+name: core-a-1
+zone: zone-a
+data_folder: /data/core
+listen:
+  control: 10.1.0.26:8345
+  peers: 10.1.0.26:7000
+seeds: ["10.1.0.26:8345", "10.2.0.17:8345"]
+peer_port: 7000
+found: true
+trust_peer_network: true
+platform_address: 10.200.0.82:8344
+` + roleBounds
+
+// TestRoleSettings reads settings of a core daemon; seeds get the peers' port.
+func TestRoleSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := ParseRoleSettings("f", []byte(coreSettings))
+	is.NoErr(err)
+	is.Equal(s.Seeds, []string{"10.1.0.26:7000", "10.2.0.17:7000"})
+	is.Equal(s.Bounds.LeaseTTL.String(), "6s")
+	is.True(s.Found && s.TrustPeerNetwork)
+}
+
+// TestRoleSettingsFaults names the field of every fault.
+func TestRoleSettingsFaults(t *testing.T) {
+	for _, test := range []struct{ name, from, to, field string }{
+		{"unknown field", "found: true", "fond: true", "fond"},
+		{"unknown role", "role: core", "role: cure", "role"},
+		{"no name", "name: core-a-1\n", "", "name"},
+		{"no data folder", "data_folder: /data/core\n", "", "data_folder"},
+		{"control without a port", "control: 10.1.0.26:8345", "control: 10.1.0.26", "listen.control"},
+		{"seed by name", `"10.2.0.17:8345"`, `"core.example:8345"`, "seeds[1]"},
+		{"no seeds", `seeds: ["10.1.0.26:8345", "10.2.0.17:8345"]`, "seeds: []", "seeds"},
+		{"no peer port", "peer_port: 7000\n", "", "peer_port"},
+		{"peers not trusted", "trust_peer_network: true", "trust_peer_network: false", "trust_peer_network"},
+		{"bound of zero", "lease_ttl: 6s", "lease_ttl: 0s", "bounds.lease_ttl"},
+		{"bound without a unit", "harm_time: 4s", "harm_time: 4", "harm_time"},
+		{"edge without callers", "role: core", "role: edge", "listen.callers"},
+		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
+		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			text := strings.Replace(coreSettings, test.from, test.to, 1)
+			if text == coreSettings {
+				t.Fatal("the case changes nothing")
+			}
+			_, err := ParseRoleSettings("f", []byte(text))
+			if err == nil || !strings.Contains(err.Error(), test.field) && !strings.Contains(err.Error(), "line") {
+				t.Errorf("got %v, want a fault of %s", err, test.field)
+			}
+		})
+	}
+}
+
+// FuzzRoleSettings feeds arbitrary files: refused or read, never a crash.
+func FuzzRoleSettings(f *testing.F) {
+	f.Add(coreSettings)
+	f.Add("role: edge\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if s, err := ParseRoleSettings("f", []byte(text)); err == nil && len(s.Seeds) == 0 {
+			t.Fatal("settings without seeds were accepted")
+		}
+	})
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -97,6 +97,8 @@
 	adviceCalls int
 	fleet       fleetView
 	counts      counters
+	// prunedAt is when old jobs were last looked for; only the loop uses it.
+	prunedAt time.Time
 	// waitsReported is when waits of a pool were reported last.
 	waitsReported map[string]time.Time
 
@@ -199,6 +201,7 @@
 	d.failHopeless()
 	d.runWaves()
 	d.movePools()
+	d.prune()
 	d.paceFillers()
 }
 
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -122,6 +122,7 @@
 			continue
 		}
 		free := workflow.ResourcesOf(known.Capacity)
+		free = free.Sub(strangersRoom(v, l))
 		lasting := 0
 		for _, task := range v.Placed(id) {
 			free = free.Sub(workflow.StepRoom(task.Spec()))
@@ -137,6 +138,23 @@
 	return out
 }
 
+// strangersRoom returns what runs take that a target lists and the state does
+// not place there: they are being stopped and still take room.
+func strangersRoom(v *workflow.View, l *link) workflow.Resources {
+	var room workflow.Resources
+	placed := v.Placed(l.target.Id)
+	for i := range l.listing.Running {
+		id := l.listing.Running[i].Task
+		if placed[id] != nil {
+			continue
+		}
+		if task := v.Task(id); task != nil {
+			room = room.Add(workflow.StepRoom(task.Spec()))
+		}
+	}
+	return room
+}
+
 // rackOf returns the last label of a target: the labels are its kind and its rack.
 func rackOf(t *pb.Target) string {
 	if len(t.Labels) == 0 {
--- /dev/null
+++ b/internal/driver/prune.go
@@ -0,0 +1,37 @@
+package driver
+
+import (
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// retention is how long the state of an ended job can be asked for; the
+	// platform asks for two minutes.
+	retention = 10 * time.Minute
+	// pruneInterval spaces looks for jobs to forget, maxPruned bounds one command.
+	pruneInterval = 10 * time.Second
+	maxPruned     = 500
+)
+
+// prune forgets jobs that ended long ago.
+func (d *Driver) prune() {
+	now := d.cfg.Now()
+	if now.Sub(d.prunedAt) < pruneInterval {
+		return
+	}
+	d.prunedAt = now
+	var old []string
+	d.cfg.Machine.View(func(v *workflow.View) { old = v.EndedBefore(d.cfg.NowMS()-retention.Milliseconds(), maxPruned) })
+	if len(old) == 0 {
+		return
+	}
+	if _, err := d.commit(&pb.Command{Body: &pb.Command_Prune{Prune: &pb.Prune{Jobs: old}}}); err != nil {
+		event.EndsUncommitted.Emit(event.F("step", "prune"), event.F("jobs", len(old)), event.Err(err))
+		return
+	}
+	event.StatePruned.Emit(event.F("jobs", len(old)))
+}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -24,6 +24,12 @@
 	connectedFor = 1500 * time.Millisecond
 	// probeTime bounds one look at a core daemon.
 	coreProbeTime = 400 * time.Millisecond
+	// electionWait is when a caller should come back while no leader answers: an
+	// election takes about as long.
+	electionWait = time.Second
+	// cutWait is when a caller should come back to a daemon that is cut off: by
+	// then the balancer has left it.
+	cutWait = 2500 * time.Millisecond
 	// memberInterval is how often the member list is asked for.
 	memberInterval = time.Second
 )
@@ -158,7 +164,11 @@
 	}
 	event.RequestRefused.Emit(event.F("job", r.Job.GetId()), event.F("operation", r.Operation.String()),
 		event.F("answer", answer.String()), event.F("reason", reason))
-	return &workflowpb.Response{Answer: answer, Reason: reason}
+	response := &workflowpb.Response{Answer: answer, Reason: reason, RetryAfterMs: electionWait.Milliseconds()}
+	if g.cutOff() {
+		response.RetryAfterMs = cutWait.Milliseconds()
+	}
+	return response
 }
 
 // try calls once; maySend tells whether the request may have reached a leader.
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -170,6 +170,18 @@
 // may still run.
 func (v *View) OpenJobs() map[string]*Job { return v.open }
 
+// EndedBefore returns up to most jobs that ended before a time.
+func (v *View) EndedBefore(unixMS int64, most int) []string {
+	var ids []string
+	for id, job := range v.jobs {
+		if Ended(job.State) && job.EndedMS < unixMS && len(ids) < most {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Targets returns the registered targets by id.
 func (v *View) Targets() map[string]*pb.Target { return v.targets }
 
