--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/driver"
 	"sapphirering/internal/workflow"
@@ -193,6 +194,50 @@
 	r.judge()
 }
 
+// TestRoundsBesideCommits adopts placed tasks whose starts were never sent, so
+// that rounds send them, while commands are applied without a pause: neither
+// waits for the other.
+func TestRoundsBesideCommits(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a")
+	r.fleet.ChangeAll(func(t *standin.StepTarget) { t.Full = true })
+	r.lead()
+	r.announceAll()
+	apply := func(command *pb.Command) {
+		data, err := proto.Marshal(command)
+		is.NoErr(err)
+		r.machine.Apply(1, data)
+	}
+	r.submit("j", 4)
+	var target *pb.Target
+	r.machine.View(func(v *workflow.View) { target = proto.CloneOf(v.Target("a")) })
+	for i := range uint32(4) {
+		apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: []*pb.Start{
+			{Task: workflow.TaskID{Job: "j", Index: i}.Ref(1), Target: "a", TargetBornUnixMs: target.BornUnixMs},
+		}}}})
+	}
+	stop := make(chan struct{})
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					apply(&pb.Command{Body: &pb.Command_CancelJob{CancelJob: &pb.CancelJob{Job: "none"}}})
+				}
+			}
+		})
+	}
+	r.lead()
+	r.eventually("the starts are sent", testWait, func() bool { return r.fleet.Started("a") == 4 })
+	close(stop)
+	writers.Wait()
+	r.waitDone("j")
+	r.judge()
+}
+
 // TestRefusals covers how an unreadable, foreign or unknown request is answered.
 func TestRefusals(t *testing.T) {
 	r := newRig(t, "a")
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -343,6 +343,9 @@
 // checkRuns sends again what got no answer, and stops what is not wanted any more.
 func (d *Driver) checkRuns() {
 	now := d.cfg.Now()
+	// Calls are made outside of the view: they look at the state themselves, and
+	// a second read lock would wait for a writer that waits for the first.
+	var start, stop []*run
 	d.cfg.Machine.View(func(v *workflow.View) {
 		d.adoptPlaced(v, now)
 		for _, r := range d.runs {
@@ -353,14 +356,35 @@
 				}
 				continue
 			}
-			if r.phase == runConfirmed {
-				d.rescue(task, r, now)
+			unwanted := task.Superseded || workflow.Ended(task.Job.State) || v.Queue(task.Job.Spec.Queue) == nil
+			if r.phase == runConfirmed && d.rescue(task, r, now) {
+				unwanted = true
+			}
+			switch d.checkRun(r, unwanted, now) {
+			case actionStart:
+				start = append(start, r)
+			case actionStop:
+				stop = append(stop, r)
 			}
-			d.checkRun(r, task.Superseded || workflow.Ended(task.Job.State) || v.Queue(task.Job.Spec.Queue) == nil, now)
 		}
 	})
+	for _, r := range start {
+		d.callStart(r)
+	}
+	for _, r := range stop {
+		d.callStop(r)
+	}
 }
 
+// runAction is what is due for a run.
+type runAction int
+
+const (
+	actionNone runAction = iota
+	actionStart
+	actionStop
+)
+
 // adoptPlaced finds tasks that were placed by a command whose outcome was not known.
 func (d *Driver) adoptPlaced(v *workflow.View, now time.Time) {
 	for id, l := range d.links {
@@ -377,9 +401,10 @@
 	}
 }
 
-func (d *Driver) checkRun(r *run, unwanted bool, now time.Time) {
+// checkRun returns what is due for a run.
+func (d *Driver) checkRun(r *run, unwanted bool, now time.Time) runAction {
 	if now.Sub(r.lastCall) < retryPause {
-		return
+		return actionNone
 	}
 	l := d.links[r.target]
 	if l == nil {
@@ -387,27 +412,28 @@
 			// The start was committed while the target's life ended.
 			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
 		}
-		return
+		return actionNone
 	}
 	switch r.phase {
 	case runConfirmed:
 		if unwanted {
-			d.callStop(r)
+			return actionStop
 		}
 	case runStopping:
-		d.callStop(r)
+		return actionStop
 	case runUnanswered:
 		switch {
 		case l.target.BornUnixMs != r.born:
 			d.loseToRebirth(l, r)
 		case unwanted, l.leaving, now.Sub(r.begun) > startPatience && !r.adopted, now.Sub(r.begun) > 3*startPatience:
-			d.callStop(r)
+			return actionStop
 		case r.adopted && !l.looked:
 			// The first listing tells whether it runs already.
 		default:
-			d.callStart(r)
+			return actionStart
 		}
 	}
+	return actionNone
 }
 
 func pbCloneTarget(t *pb.Target) *pb.Target { return proto.CloneOf(t) }
