--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -35,20 +35,8 @@
 type PlatformBounds struct {
 	// LeaseTTL is the longest lease that targets grant.
 	LeaseTTL Duration `yaml:"lease_ttl"`
-	// StopGrace is how long a stopped run may take to end.
-	StopGrace Duration `yaml:"stop_grace"`
-	// LeaveWait is how long a leaving target may still get starts.
-	LeaveWait Duration `yaml:"leave_wait"`
-	// UnavailableNotice is how long an absent lasting task counts against its budget.
-	UnavailableNotice Duration `yaml:"unavailable_notice"`
 	// AnnounceInterval is how often targets announce themselves.
 	AnnounceInterval Duration `yaml:"announce_interval"`
-	// HarmTime is how long a lasting task may be over its goal because of fillers.
-	HarmTime Duration `yaml:"harm_time"`
-	// GatherTime is how long a gang waits for its members.
-	GatherTime Duration `yaml:"gather_time"`
-	// InForce is how soon a catalogue has to be in force everywhere.
-	InForce Duration `yaml:"in_force"`
 	// ShutdownGrace is the time from the signal to the kill.
 	ShutdownGrace Duration `yaml:"shutdown_grace"`
 }
@@ -162,9 +150,7 @@
 		field string
 		value Duration
 	}{
-		{"lease_ttl", b.LeaseTTL}, {"stop_grace", b.StopGrace}, {"leave_wait", b.LeaveWait},
-		{"unavailable_notice", b.UnavailableNotice}, {"announce_interval", b.AnnounceInterval}, {"harm_time", b.HarmTime},
-		{"gather_time", b.GatherTime}, {"in_force", b.InForce}, {"shutdown_grace", b.ShutdownGrace},
+		{"lease_ttl", b.LeaseTTL}, {"announce_interval", b.AnnounceInterval}, {"shutdown_grace", b.ShutdownGrace},
 	} {
 		requireRange(src, "bounds."+bound.field, bound.value, time.Millisecond, maxBound)
 	}
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -9,13 +9,7 @@
 
 const roleBounds = `bounds:
   lease_ttl: 6s
-  stop_grace: 400ms
-  leave_wait: 2s
-  unavailable_notice: 4500ms
   announce_interval: 1500ms
-  harm_time: 4s
-  gather_time: 3s
-  in_force: 2s
   shutdown_grace: 6s
 `
 
@@ -56,7 +50,7 @@
 		{"no peer port", "peer_port: 7000\n", "", "peer_port"},
 		{"peers not trusted", "trust_peer_network: true", "trust_peer_network: false", "trust_peer_network"},
 		{"bound of zero", "lease_ttl: 6s", "lease_ttl: 0s", "bounds.lease_ttl"},
-		{"bound without a unit", "harm_time: 4s", "harm_time: 4", "harm_time"},
+		{"bound without a unit", "shutdown_grace: 6s", "shutdown_grace: 6", "shutdown_grace"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
--- a/internal/driver/advice.go
+++ b/internal/driver/advice.go
@@ -39,7 +39,7 @@
 
 // stepAdvice is what is known for one step.
 type stepAdvice struct {
-	tickets map[life]ticket
+	tickets map[incarnation]ticket
 	// denied targets may not run the step; that does not change.
 	denied  map[string]bool
 	calling bool
@@ -62,7 +62,7 @@
 	step := stepOf(id)
 	known := d.advice[step]
 	if known == nil {
-		known = &stepAdvice{tickets: make(map[life]ticket), denied: make(map[string]bool)}
+		known = &stepAdvice{tickets: make(map[incarnation]ticket), denied: make(map[string]bool)}
 		d.advice[step] = known
 	}
 	now := d.cfg.Now()
@@ -129,7 +129,7 @@
 			continue
 		}
 		if l := d.links[id]; l != nil {
-			known.tickets[l.life()] = ticket{text: text, until: until}
+			known.tickets[l.incarnation()] = ticket{text: text, until: until}
 		}
 	}
 	d.kick()
@@ -138,7 +138,7 @@
 // ticketFor returns the ticket for a start on a target, if one is known.
 func (d *Driver) ticketFor(id workflow.TaskID, l *link) string {
 	if known := d.advice[stepOf(id)]; known != nil {
-		return known.tickets[l.life()].text
+		return known.tickets[l.incarnation()].text
 	}
 	return ""
 }
@@ -146,7 +146,7 @@
 // dropTicket forgets a ticket that a target refused.
 func (d *Driver) dropTicket(id workflow.TaskID, l *link) {
 	if known := d.advice[stepOf(id)]; known != nil {
-		delete(known.tickets, l.life())
+		delete(known.tickets, l.incarnation())
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -29,17 +29,8 @@
 type Limits struct {
 	// LeaseTTL is the longest lease that a target grants.
 	LeaseTTL time.Duration
-	// StopGrace is how long a stopped run may take to end.
-	StopGrace time.Duration
-	// LeaveWait is how long a leaving target may still get starts.
-	LeaveWait time.Duration
-	// UnavailableNotice is how long a lasting task that is away counts against
-	// its step's budget for whatever reason it is away.
-	UnavailableNotice time.Duration
 	// AnnounceInterval is how often targets announce themselves.
 	AnnounceInterval time.Duration
-	// HarmTime is how long a lasting task may be over its goal because of fillers.
-	HarmTime time.Duration
 }
 
 // Config holds what a Driver needs.
@@ -84,9 +75,9 @@
 	mu    sync.Mutex
 	links map[string]*link
 	runs  map[workflow.TaskID]*run
-	// ended holds lives of targets that are surely over, so that late
+	// ended holds incarnations of targets that are surely over, so that late
 	// announcements do not bring them back.
-	ended map[life]bool
+	ended map[incarnation]bool
 	// pending holds ends that are not committed yet.
 	pending []pendingEnd
 	learned *learner
@@ -114,8 +105,8 @@
 	number uint64
 }
 
-// life is one life of a target.
-type life struct {
+// incarnation is one incarnation of a target.
+type incarnation struct {
 	id   string
 	born int64
 }
@@ -125,7 +116,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
 		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run),
-		ended: make(map[life]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
+		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time),
 	}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -78,13 +78,13 @@
 }
 
 // TestLateStart delays starts past the death of their target: a start that
-// reaches its next life under the same id does not run a task twice.
+// reaches its next incarnation under the same id does not run a task twice.
 func TestLateStart(t *testing.T) {
 	r := newRig(t, "a", "b")
 	r.fleet.Change("a", func(t *standin.StepTarget) { t.LateBy = 600 * time.Millisecond })
 	r.submit("j", 6)
 	time.Sleep(150 * time.Millisecond)
-	r.fleet.Reborn("a")
+	r.fleet.Restart("a")
 	r.fleet.Change("a", func(t *standin.StepTarget) { t.Full = true })
 	r.waitDone("j")
 	time.Sleep(700 * time.Millisecond)
@@ -150,9 +150,9 @@
 	is.Equal(r.state("j"), pb.JobState_JOB_STATE_CANCELLED)
 }
 
-// TestStartOnEndedLife commits a start while its target is replaced on its VM:
+// TestStartOnEndedIncarnation commits a start while its target is replaced on its VM:
 // the task runs elsewhere.
-func TestStartOnEndedLife(t *testing.T) {
+func TestStartOnEndedIncarnation(t *testing.T) {
 	r := newRig(t, "a")
 	var once sync.Once
 	r.log.hold = func(command *pb.Command) {
@@ -264,7 +264,7 @@
 }
 
 // TestRandomFaults runs jobs while targets lose answers, carry calls out late,
-// go silent and are reborn, and leaders change, in a random order by seed. No
+// go silent and are restarted, and leaders change, in a random order by seed. No
 // task runs twice at once or after it is done, and every job ends.
 func TestRandomFaults(t *testing.T) {
 	for seed := range int64(4) {
@@ -289,7 +289,7 @@
 	id := string(rune('a' + rng.Intn(3)))
 	switch kind := rng.Intn(7); kind {
 	case 0:
-		r.fleet.Reborn(id)
+		r.fleet.Restart(id)
 	case 1:
 		r.lead()
 	default:
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -63,7 +63,7 @@
 
 func (l *link) address() Address { return Address{ID: l.target.Id, HostPort: l.target.Address} }
 
-func (l *link) life() life { return life{l.target.Id, l.target.BornUnixMs} }
+func (l *link) incarnation() incarnation { return incarnation{l.target.Id, l.target.BornUnixMs} }
 
 // addLink begins to look after a target.
 func (d *Driver) addLink(target *pb.Target) *link {
@@ -194,8 +194,8 @@
 	}
 	switch listing.Refusal {
 	case Accepted:
-	case OtherLife:
-		d.endLife(l, "another target answers at its address")
+	case OtherIncarnation:
+		d.endIncarnation(l, "another target answers at its address")
 		return
 	default:
 		d.noteClock(l, listing.ClockMS)
@@ -203,8 +203,8 @@
 		return
 	}
 	if listing.BornUnixMS != 0 && listing.BornUnixMS != l.target.BornUnixMs {
-		// The new life announces itself; until then nothing is started there.
-		d.noteRebirth(l, listing.BornUnixMS)
+		// The new incarnation announces itself; until then nothing is started there.
+		d.noteRestart(l, listing.BornUnixMS)
 		return
 	}
 	d.noteClock(l, listing.ClockMS)
@@ -258,27 +258,27 @@
 	return !l.leaving && l.failures == 0 && !d.silent(l) && now.After(l.unhealthy) && !l.clockAt.IsZero()
 }
 
-// noteRebirth handles a new life under the same id before it has announced itself.
-func (d *Driver) noteRebirth(l *link, born int64) {
+// noteRestart handles a new incarnation under the same id before it has announced itself.
+func (d *Driver) noteRestart(l *link, born int64) {
 	if born < l.target.BornUnixMs {
 		return
 	}
 	target := pbCloneTarget(l.target)
 	target.BornUnixMs, target.Leaving = born, false
-	d.beginLife(l, target)
+	d.beginIncarnation(l, target)
 }
 
-// beginLife replaces the link by one of a new life. Runs of the former life
+// beginIncarnation replaces the link by one of a new incarnation. Runs of the former incarnation
 // are over; a start that is still under way is kept out by a stop there.
-func (d *Driver) beginLife(old *link, target *pb.Target) *link {
-	event.TargetReborn.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs), event.F("former", old.target.BornUnixMs))
-	d.ended[old.life()] = true
+func (d *Driver) beginIncarnation(old *link, target *pb.Target) *link {
+	event.TargetRestarted.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs), event.F("former", old.target.BornUnixMs))
+	d.ended[old.incarnation()] = true
 	d.dropLink(old)
 	l := d.addLink(target)
 	l.lastAnnounced = d.cfg.Now()
 	for _, r := range d.runs {
 		if r.target == target.Id && r.born != target.BornUnixMs {
-			d.loseToRebirth(l, r)
+			d.loseToRestart(l, r)
 		}
 	}
 	d.call(func() { d.register(target) })
@@ -293,10 +293,10 @@
 	d.kick()
 }
 
-// endLife handles a life that is surely over: nothing runs there any more.
-func (d *Driver) endLife(l *link, reason string) {
+// endIncarnation handles an incarnation that is surely over: nothing runs there any more.
+func (d *Driver) endIncarnation(l *link, reason string) {
 	event.TargetGone.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason))
-	d.ended[l.life()] = true
+	d.ended[l.incarnation()] = true
 	d.dropLink(l)
 	for _, r := range d.runs {
 		if r.target == l.target.Id && r.born == l.target.BornUnixMs {
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		free := workflow.ResourcesOf(known.Capacity)
-		free = free.Sub(strangersRoom(v, l))
+		free = free.Sub(unplacedRoom(v, l))
 		lasting := 0
 		for _, task := range v.Placed(id) {
 			free = free.Sub(workflow.StepRoom(task.Spec()))
@@ -138,9 +138,9 @@
 	return out
 }
 
-// strangersRoom returns what runs take that a target lists and the state does
+// unplacedRoom returns what runs take that a target lists and the state does
 // not place there: they are being stopped and still take room.
-func strangersRoom(v *workflow.View, l *link) workflow.Resources {
+func unplacedRoom(v *workflow.View, l *link) workflow.Resources {
 	var room workflow.Resources
 	placed := v.Placed(l.target.Id)
 	for i := range l.listing.Running {
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -359,7 +359,7 @@
 		d.fleet.vms[vm] = known
 		delete(d.pools.idleSince, vm)
 		if l := d.linkOfVM(vm); l != nil {
-			d.endLivesOn(vm, l.target.BornUnixMs+1, "its VM moves to another pool")
+			d.endIncarnationsOn(vm, l.target.BornUnixMs+1, "its VM moves to another pool")
 		}
 		if d.restingPool(m.to) {
 			delete(d.pools.moving, vm)
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -32,7 +32,7 @@
 // committed target is to change.
 func (d *Driver) takeAnnouncement(r *pb.Request) bool {
 	target := r.Target
-	if d.ended[life{target.Id, target.BornUnixMs}] {
+	if d.ended[incarnation{target.Id, target.BornUnixMs}] {
 		return false
 	}
 	l := d.links[target.Id]
@@ -40,13 +40,13 @@
 	case l == nil:
 		l = d.addLink(target)
 		event.TargetFound.Emit(event.F("target", target.Id), event.F("pool", target.Pool), event.F("zone", target.Zone), event.F("vm", target.Vm))
-		d.endLivesOn(target.Vm, target.BornUnixMs, "its VM runs another target")
+		d.endIncarnationsOn(target.Vm, target.BornUnixMs, "its VM runs another target")
 		d.noteVMBack(target)
 	case target.BornUnixMs < l.target.BornUnixMs:
 		return false
 	case target.BornUnixMs > l.target.BornUnixMs:
-		l = d.beginLife(l, target)
-		d.endLivesOn(target.Vm, target.BornUnixMs, "its VM runs another target")
+		l = d.beginIncarnation(l, target)
+		d.endIncarnationsOn(target.Vm, target.BornUnixMs, "its VM runs another target")
 		d.noteVMBack(target)
 	case r.Sequence < l.sequence:
 		return false
@@ -79,7 +79,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l := d.links[id]; l != nil {
-		d.endLife(l, "it has ended as planned")
+		d.endIncarnation(l, "it has ended as planned")
 	}
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
 }
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -155,9 +155,9 @@
 			l.wakeLook()
 		}
 		return
-	case OtherLife:
+	case OtherIncarnation:
 		if l != nil {
-			d.endLife(l, "another target answers at its address")
+			d.endIncarnation(l, "another target answers at its address")
 		}
 		return
 	case RefusedFence:
@@ -235,24 +235,24 @@
 	case Accepted, RefusedOld:
 		r.phase, r.settled = runStopped, d.cfg.Now()
 		if born != r.born {
-			// The run's own life is over, and the new one will not begin it.
-			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was reborn")
+			// The run's own incarnation is over, and the new one will not begin it.
+			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was restarted")
 			return
 		}
 		l.wakeLook()
-	case OtherLife:
-		d.endLife(l, "another target answers at its address")
+	case OtherIncarnation:
+		d.endIncarnation(l, "another target answers at its address")
 	}
 }
 
-// loseToRebirth ends a run whose target has begun a new life. A start that is
-// still under way could reach the new life, so that a stop goes there first.
-func (d *Driver) loseToRebirth(l *link, r *run) {
+// loseToRestart ends a run whose target has begun a new incarnation. A start that is
+// still under way could reach the new incarnation, so that a stop goes there first.
+func (d *Driver) loseToRestart(l *link, r *run) {
 	if r.phase == runEnded {
 		return
 	}
 	if r.phase == runConfirmed && !r.unanswered {
-		d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was reborn")
+		d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was restarted")
 		return
 	}
 	d.callStop(r)
@@ -297,7 +297,7 @@
 		listed[running.Task] = running
 		r := d.runs[running.Task]
 		if r == nil || r.attempt != running.Attempt || r.target != l.target.Id || r.born != l.target.BornUnixMs {
-			d.stopStranger(l, running)
+			d.stopUnplaced(l, running)
 			continue
 		}
 		if r.phase == runCalling || r.phase == runUnanswered {
@@ -324,10 +324,10 @@
 	}
 }
 
-// stopStranger ends a run that the state does not hold: one that began late,
+// stopUnplaced ends a run that the state does not hold: one that began late,
 // of a task that is placed elsewhere by now.
-func (d *Driver) stopStranger(l *link, running *Running) {
-	event.StrangerStopped.Emit(event.F("task", running.Task.String()), event.F("attempt", running.Attempt), event.F("target", l.target.Id))
+func (d *Driver) stopUnplaced(l *link, running *Running) {
+	event.UnplacedStopped.Emit(event.F("task", running.Task.String()), event.F("attempt", running.Attempt), event.F("target", l.target.Id))
 	call := StopCall{Task: running.Task, Attempt: running.Attempt, Fence: d.cfg.Epoch}
 	to := l.address()
 	d.call(func() {
@@ -335,7 +335,7 @@
 		defer cancel()
 		// A stop that fails is sent again after the next listing.
 		if _, err := d.cfg.Targets.Stop(ctx, to, call); err != nil {
-			event.TargetSilent.Emit(event.F("target", to.ID), event.F("step", "stop stranger"), event.Err(err))
+			event.TargetSilent.Emit(event.F("target", to.ID), event.F("step", "stop unplaced run"), event.Err(err))
 		}
 	})
 }
@@ -357,7 +357,7 @@
 				continue
 			}
 			unwanted := task.Superseded || workflow.Ended(task.Job.State) || v.Queue(task.Job.Spec.Queue) == nil
-			if r.phase == runConfirmed && d.rescue(task, r, now) {
+			if r.phase == runConfirmed && d.stalled(task, r, now) {
 				unwanted = true
 			}
 			switch d.checkRun(r, unwanted, now) {
@@ -408,8 +408,8 @@
 	}
 	l := d.links[r.target]
 	if l == nil {
-		if d.ended[life{r.target, r.born}] {
-			// The start was committed while the target's life ended.
+		if d.ended[incarnation{r.target, r.born}] {
+			// The start was committed while the target's incarnation ended.
 			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
 		}
 		return actionNone
@@ -424,7 +424,7 @@
 	case runUnanswered:
 		switch {
 		case l.target.BornUnixMs != r.born:
-			d.loseToRebirth(l, r)
+			d.loseToRestart(l, r)
 		case unwanted, l.leaving, now.Sub(r.begun) > startPatience && !r.adopted, now.Sub(r.begun) > 3*startPatience:
 			return actionStop
 		case r.adopted && !l.looked:
--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -13,13 +13,13 @@
 	// fit into it.
 	standsStill      = 2200 * time.Millisecond
 	standsStillShare = 0.3
-	// maxRescues bounds how often a task is started anew for want of progress:
+	// maxStalls bounds how often a task is started anew for want of progress:
 	// work that stands still everywhere has to end somewhere.
-	maxRescues = 2
+	maxStalls = 2
 )
 
-// rescueReason returns why a run should be stopped and started elsewhere, or "".
-func rescueReason(r *run, expected time.Duration, now time.Time) string {
+// stallReason returns why a run should be stopped and started elsewhere, or "".
+func stallReason(r *run, expected time.Duration, now time.Time) string {
 	if r.working.IsZero() || r.movedAt.IsZero() {
 		return ""
 	}
@@ -29,19 +29,19 @@
 	return ""
 }
 
-// rescue reports whether a run without progress is to stop; its task starts
+// stalled reports whether a run without progress is to stop; its task starts
 // elsewhere.
-func (d *Driver) rescue(task *workflow.Task, r *run, now time.Time) bool {
+func (d *Driver) stalled(task *workflow.Task, r *run, now time.Time) bool {
 	spec := task.Spec()
-	if spec.Lasting || spec.Fills || spec.Gang || task.Attempt > maxRescues || spec.EstimateMs <= 0 {
+	if spec.Lasting || spec.Fills || spec.Gang || task.Attempt > maxStalls || spec.EstimateMs <= 0 {
 		return false
 	}
 	expected := time.Duration(d.learned.expected(task.Job.Spec.Queue, spec)) * time.Millisecond
-	reason := rescueReason(r, expected, now)
+	reason := stallReason(r, expected, now)
 	if reason == "" || now.Sub(r.lastCall) < retryPause {
 		return false
 	}
-	event.RunRescued.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt), event.F("target", r.target),
+	event.RunStalled.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt), event.F("target", r.target),
 		event.F("reason", reason), event.F("percent", r.percent), event.F("expected", expected.String()), event.F("elapsed", now.Sub(r.working).String()))
 	d.learned.failed[r.task] = r.target
 	return true
--- a/internal/driver/stuck_test.go
+++ b/internal/driver/stuck_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestRescueReason covers which runs are stopped for want of progress.
-func TestRescueReason(t *testing.T) {
+// TestStallReason covers which runs are stopped for want of progress.
+func TestStallReason(t *testing.T) {
 	now := time.Now()
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
 	for _, test := range []struct {
@@ -22,7 +22,7 @@
 		{"slow", run{working: ago(9 * time.Second), movedAt: ago(100 * time.Millisecond), percent: 20}, time.Second, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if got := rescueReason(&test.run, test.expected, now); got != test.want {
+			if got := stallReason(&test.run, test.expected, now); got != test.want {
 				t.Errorf("got %q, want %q", got, test.want)
 			}
 		})
--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -35,12 +35,12 @@
 	RefusedUnhealthy
 	// RefusedInvalid means that the target cannot read the call.
 	RefusedInvalid
-	// OtherLife means that another target answers at the address: the one
+	// OtherIncarnation means that another target answers at the address: the one
 	// that was called is gone.
-	OtherLife
+	OtherIncarnation
 )
 
-var refusalNames = [...]string{"accepted", "fence", "old", "late", "room", "ticket", "unhealthy", "invalid", "other life"}
+var refusalNames = [...]string{"accepted", "fence", "old", "late", "room", "ticket", "unhealthy", "invalid", "other incarnation"}
 
 // String names the refusal.
 func (r Refusal) String() string { return refusalNames[r] }
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -185,15 +185,15 @@
 	return newest
 }
 
-// endLivesOn ends the lives on a VM that began before a time: a VM runs one
+// endIncarnationsOn ends the incarnations on a VM that began before a time: a VM runs one
 // target, and what it ran before is gone.
-func (d *Driver) endLivesOn(vm string, before int64, reason string) {
+func (d *Driver) endIncarnationsOn(vm string, before int64, reason string) {
 	if vm == "" {
 		return
 	}
 	for _, l := range d.links {
 		if l.target.Vm == vm && l.target.BornUnixMs < before {
-			d.endLife(l, reason)
+			d.endIncarnation(l, reason)
 		}
 	}
 }
@@ -356,14 +356,14 @@
 	case VMAccepted:
 		d.waves.away[vm] = d.cfg.Now()
 		if l := d.linkOfVM(vm); l != nil {
-			d.endLivesOn(vm, l.target.BornUnixMs+1, "its VM is in maintenance")
+			d.endIncarnationsOn(vm, l.target.BornUnixMs+1, "its VM is in maintenance")
 		}
 	case VMUnknown, VMNotInWave:
 		d.finishMaintenance(wave, vm)
 	}
 }
 
-// noteVMBack ends the wait for a VM whose target has begun a new life.
+// noteVMBack ends the wait for a VM whose target has begun a new incarnation.
 func (d *Driver) noteVMBack(target *pb.Target) {
 	d.noteMoved(target)
 	if _, ok := d.waves.away[target.Vm]; !ok {
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -320,11 +320,7 @@
 const leaseWait = 10 * time.Millisecond
 
 func limitsOf(b config.PlatformBounds) driver.Limits {
-	return driver.Limits{
-		LeaseTTL: b.LeaseTTL.Duration, StopGrace: b.StopGrace.Duration, LeaveWait: b.LeaveWait.Duration,
-		UnavailableNotice: b.UnavailableNotice.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
-		HarmTime: b.HarmTime.Duration,
-	}
+	return driver.Limits{LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration}
 }
 
 // coreLog commits the driver's commands.
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -45,7 +45,7 @@
 	Task    TaskID
 	Attempt uint32
 	Target  string
-	// TargetBornUnixMS is the life of the target that was meant.
+	// TargetBornUnixMS is the incarnation of the target that was meant.
 	TargetBornUnixMS int64
 	Reason           string
 }
--- a/internal/workflow/property_test.go
+++ b/internal/workflow/property_test.go
@@ -94,7 +94,7 @@
 	id := fmt.Sprintf("t%d", rapid.IntRange(0, 4).Draw(m.t, "target"))
 	born := int64(1)
 	if known := m.targets[id]; known != nil {
-		born = known.BornUnixMs + int64(rapid.IntRange(0, 1).Draw(m.t, "reborn"))
+		born = known.BornUnixMs + int64(rapid.IntRange(0, 1).Draw(m.t, "restarted"))
 	}
 	target := &pb.Target{Id: id, BornUnixMs: born, Pool: propertyPool, Vm: "vm-" + id, Capacity: &pb.Resources{CpuMillis: 16000}}
 	if id == "t4" {
@@ -354,7 +354,7 @@
 }
 
 // TestTasksProperty drives random histories of submits, starts, ends, late
-// ends, new lives, cancels and restarts: no task runs twice at once, again
+// ends, new incarnations, cancels and restarts: no task runs twice at once, again
 // after it is done, out of order, beyond its attempts, its workspace's limit
 // or its spread, on a wrong target, or after its job has ended.
 func TestTasksProperty(t *testing.T) {
--- a/internal/workflow/targets.go
+++ b/internal/workflow/targets.go
@@ -6,8 +6,8 @@
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
-// putTargets registers targets. Runs of a former life stay placed until they
-// are ended one by one: a start that is still under way may reach the new life.
+// putTargets registers targets. Runs of a former incarnation stay placed until they
+// are ended one by one: a start that is still under way may reach the new incarnation.
 func (m *Machine) putTargets(targets []*pb.Target) *Outcome {
 	for _, target := range targets {
 		if target.GetId() == "" {
@@ -26,7 +26,7 @@
 	return m.ok()
 }
 
-// removeTargets forgets lives that are over. A target that may still run
+// removeTargets forgets incarnations that are over. A target that may still run
 // something stays.
 func (m *Machine) removeTargets(targets []*pb.Target) *Outcome {
 	for _, target := range targets {
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -71,7 +71,7 @@
 	}
 	target := m.targets[start.Target]
 	if target == nil || target.BornUnixMs != start.TargetBornUnixMs {
-		return fmt.Sprintf("target %q is not registered in this life", start.Target)
+		return fmt.Sprintf("target %q is not registered in this incarnation", start.Target)
 	}
 	if reason := m.checkStart(task, start.Task.Attempt, target); reason != "" {
 		return reason
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -122,32 +122,32 @@
 	t.ends = append(t.ends, driver.Ended{Number: t.nextEnd, Task: id, Attempt: attempt, Kind: kind})
 }
 
-// lifeGapMS keeps the starts of two lives apart.
-const lifeGapMS = 1000
+// restartGapMS keeps the starts of two incarnations apart.
+const restartGapMS = 1000
 
-// Reborn replaces the target by a new life under the same id.
-func (f *StepFleet) Reborn(id string) {
+// Restart replaces the target by a new incarnation under the same id.
+func (f *StepFleet) Restart(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.targets[id]
 	for task := range old.running {
 		delete(f.open[task], id)
 	}
-	f.add(id, old.born+lifeGapMS)
+	f.add(id, old.born+restartGapMS)
 }
 
 // exchange delivers a call as the network of a test does.
 //
-// A late start or stop reaches whichever life is there by then. A late listing
-// dies with its life: nothing in the call tells the lives apart, so that the
+// A late start or stop reaches whichever incarnation is there by then. A late listing
+// dies with its incarnation: nothing in the call tells the incarnations apart, so that the
 // ends which it confirms would be lost whatever the leader does (a question in
 // docs/design/platform.md).
-func (f *StepFleet) exchange(ctx context.Context, to driver.Address, crossesLives bool, handle func(*StepTarget) driver.Answer) (driver.Answer, error) {
+func (f *StepFleet) exchange(ctx context.Context, to driver.Address, crossesRestarts bool, handle func(*StepTarget) driver.Answer) (driver.Answer, error) {
 	f.mu.Lock()
 	t := f.targets[to.ID]
 	if t == nil || t.Gone {
 		f.mu.Unlock()
-		return driver.Answer{Refusal: driver.OtherLife}, nil
+		return driver.Answer{Refusal: driver.OtherIncarnation}, nil
 	}
 	if t.Resets {
 		f.mu.Unlock()
@@ -165,7 +165,7 @@
 			time.Sleep(late)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if now := f.targets[to.ID]; now == t || crossesLives {
+			if now := f.targets[to.ID]; now == t || crossesRestarts {
 				handle(now)
 			}
 		}()
@@ -263,16 +263,16 @@
 // Renew renews the lease and lists the runs.
 func (f *StepFleet) Renew(ctx context.Context, to driver.Address, call driver.RenewCall) (driver.Listing, error) {
 	var listing driver.Listing
-	// One call reaches one life: when that ends, no answer comes.
-	var life *StepTarget
+	// One call reaches one incarnation: when that ends, no answer comes.
+	var incarnation *StepTarget
 	for end := time.Now().Add(min(call.Wait, 100*time.Millisecond)); ; time.Sleep(5 * time.Millisecond) {
-		if life != nil && f.life(to.ID) != life {
+		if incarnation != nil && f.incarnation(to.ID) != incarnation {
 			<-ctx.Done()
 			return driver.Listing{}, ctx.Err()
 		}
 		answer, err := f.exchange(ctx, to, false, func(t *StepTarget) driver.Answer {
-			first := life == nil
-			life = t
+			first := incarnation == nil
+			incarnation = t
 			f.advance(t)
 			if !t.checkFence(call.Fence) {
 				return t.answer(driver.RefusedFence)
@@ -300,7 +300,7 @@
 	}
 }
 
-func (f *StepFleet) life(id string) *StepTarget {
+func (f *StepFleet) incarnation(id string) *StepTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.targets[id]
