--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -87,7 +88,6 @@
 	advice      map[workflow.TaskID]*stepAdvice
 	adviceCalls int
 	fleet       fleetView
-	counts      counters
 	// prunedAt is when old jobs were last looked for; only the loop uses it.
 	prunedAt time.Time
 	// waitsReported is when waits of a pool were reported last.
@@ -140,7 +140,7 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 		case <-d.wake:
-			sleep(ctx, planInterval)
+			clock.Sleep(ctx, planInterval)
 		}
 	}
 	d.running.Wait()
@@ -261,12 +261,3 @@
 func (d *Driver) call(f func()) {
 	d.running.Go(f)
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -44,8 +47,8 @@
 	leaving bool
 
 	// failures counts calls without an answer since the last one with.
-	failures  int
-	failedAt  time.Time
+	failures int
+	// unhealthy is until when the target gets no starts after a refusal.
 	unhealthy time.Time
 
 	listing Listing
@@ -143,7 +146,7 @@
 		if err != nil || listing.Refusal != Accepted {
 			pause = retryPause
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -237,7 +240,6 @@
 		event.TargetSilent.Emit(event.F("target", l.target.Id), event.F("step", step), event.Err(err))
 	}
 	l.failures++
-	l.failedAt = d.cfg.Now()
 }
 
 func (d *Driver) noteAnswer(l *link) {
@@ -263,7 +265,7 @@
 	if born < l.target.BornUnixMs {
 		return
 	}
-	target := pbCloneTarget(l.target)
+	target := proto.CloneOf(l.target)
 	target.BornUnixMs, target.Leaving = born, false
 	d.beginIncarnation(l, target)
 }
@@ -306,7 +308,7 @@
 	target := l.target
 	d.call(func() {
 		// The runs' ends go first; what still stands keeps the target.
-		sleep(d.ctx, time.Second)
+		clock.Sleep(d.ctx, time.Second)
 		_, err := d.commit(&pb.Command{Body: &pb.Command_RemoveTargets{RemoveTargets: &pb.RemoveTargets{Targets: []*pb.Target{target}}}})
 		if err != nil {
 			event.RegisterUncommitted.Emit(event.F("target", target.Id), event.Err(err))
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -38,7 +39,7 @@
 			planned, waits := assign.Plan(snapshot)
 			d.noteWaits(pool, snapshot, waits)
 			for _, start := range planned {
-				starts = append(starts, d.startOf(v, start))
+				starts = append(starts, startOf(v, start))
 			}
 			if len(starts) >= maxStartsPerRound {
 				return
@@ -93,7 +94,7 @@
 	}
 }
 
-func (d *Driver) startOf(v *workflow.View, s assign.Start) *pb.Start {
+func startOf(v *workflow.View, s assign.Start) *pb.Start {
 	task := v.Task(s.Task)
 	return &pb.Start{
 		Task: s.Task.Ref(task.Attempt + 1), Target: s.Target,
@@ -214,13 +215,18 @@
 	}
 	planned.Lasting = job.Spec.Steps[0].Lasting
 	total, left := d.chain(job)
-	objective := int64(queue.SlackFactor*float64(total)) + queue.ObjectiveMs
+	objective := objectiveMS(queue, total)
 	planned.RemainingMS = left
 	planned.DeadlineMS = job.Spec.SubmittedUnixMs + objective
 	planned.LateDeadlineMS = job.Spec.SubmittedUnixMs + lateFactor*objective
 	return planned
 }
 
+// objectiveMS is the time in which a job with a chain of work should end.
+func objectiveMS(queue *pb.Queue, chainMS int64) int64 {
+	return int64(queue.SlackFactor*float64(chainMS)) + queue.ObjectiveMs
+}
+
 // planStep returns the waiting tasks of one step.
 func (d *Driver) planStep(v *workflow.View, job *workflow.Job, occurrence, number int) assign.Step {
 	spec := job.Spec.Steps[number]
@@ -258,13 +264,14 @@
 	whole, rest := make([]int64, len(steps)), make([]int64, len(steps))
 	for i, step := range steps {
 		length := d.learned.expected(job.Spec.Queue, step)
-		whole[i] = length
-		if len(job.Tasks) > 0 && job.StepLeft(len(job.Tasks)-1, i) > 0 {
-			rest[i] = length
+		open := int64(0)
+		if job.StepLeft(len(job.Tasks)-1, i) > 0 {
+			open = length
 		}
+		whole[i], rest[i] = length, open
 		for _, before := range step.After {
 			whole[i] = max(whole[i], whole[before]+length)
-			rest[i] = max(rest[i], rest[before]+map[bool]int64{true: length}[job.StepLeft(len(job.Tasks)-1, i) > 0])
+			rest[i] = max(rest[i], rest[before]+open)
 		}
 		total, left = max(total, whole[i]), max(left, rest[i])
 	}
@@ -322,7 +329,7 @@
 			}
 		}
 		if !fits {
-			return "step " + string(rune('0'+i%10)) + " fits on no target"
+			return fmt.Sprintf("step %d fits on no target", i)
 		}
 	}
 	return ""
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -234,7 +234,7 @@
 		return 0
 	}
 	total, left := d.chain(job)
-	deadline := job.Spec.SubmittedUnixMs + int64(queue.SlackFactor*float64(total)) + queue.ObjectiveMs
+	deadline := job.Spec.SubmittedUnixMs + objectiveMS(queue, total)
 	if nowMS+left > deadline {
 		// Late already: what is left of its worth does not justify VMs that jobs
 		// in time could use.
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"sapphirering/internal/event"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -101,11 +99,11 @@
 		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
 		defer cancel()
 		if !d.cfg.Log.HoldsLease() {
-			d.takeStart(r, call.LeaseUntilMS, Answer{}, errNoLease, false)
+			d.takeStart(r, Answer{}, errNoLease, false)
 			return
 		}
 		answer, err := d.cfg.Targets.Start(ctx, to, call)
-		d.takeStart(r, call.LeaseUntilMS, answer, err, true)
+		d.takeStart(r, answer, err, true)
 	})
 }
 
@@ -124,7 +122,7 @@
 }
 
 // takeStart takes in the answer to a start call.
-func (d *Driver) takeStart(r *run, leaseUntil int64, answer Answer, err error, sent bool) {
+func (d *Driver) takeStart(r *run, answer Answer, err error, sent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.runs[r.task] != r || r.phase != runCalling {
@@ -147,7 +145,7 @@
 		d.noteClock(l, answer.ClockMS)
 		d.noteAnswer(l)
 	}
-	d.counts.start(answer.Refusal)
+	countStart(answer.Refusal)
 	switch answer.Refusal {
 	case Accepted:
 		r.phase, r.settled, r.working, r.movedAt = runConfirmed, now, now, now
@@ -435,5 +433,3 @@
 	}
 	return actionNone
 }
-
-func pbCloneTarget(t *pb.Target) *pb.Target { return proto.CloneOf(t) }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"runtime"
 	"sort"
 	"strings"
 
@@ -47,6 +48,16 @@
 	Value float64
 }
 
+// ProcessGauges describe this process.
+func ProcessGauges() []Gauge {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return []Gauge{
+		{Name: "process_heap_bytes", Value: float64(memory.HeapAlloc)},
+		{Name: "process_goroutines", Value: float64(runtime.NumGoroutine())},
+	}
+}
+
 // family is all the series of one name.
 type family struct {
 	name, kind, help string
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"runtime"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -27,16 +26,12 @@
 // localGauges describe this entry VM.
 func (s *Server) localGauges() []metrics.Gauge {
 	local := s.cfg.Cluster.Local()
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	return []metrics.Gauge{
+	return append(metrics.ProcessGauges(), []metrics.Gauge{
 		{Name: "applied_index", Value: float64(local.AppliedIndex)},
 		{Name: "session_live", Value: oneIf(local.Live)},
 		{Name: "session_renewed_age_ms", Value: float64(local.RenewedAge.Milliseconds())},
 		{Name: "leading", Value: oneIf(local.Leading)},
-		{Name: "process_heap_bytes", Value: float64(memory.HeapAlloc)},
-		{Name: "process_goroutines", Value: float64(runtime.NumGoroutine())},
-	}
+	}...)
 }
 
 func oneIf(condition bool) float64 {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
 	"sapphirering/internal/session"
 	"sapphirering/internal/state"
@@ -138,7 +139,7 @@
 				return
 			}
 		}
-		sleep(ctx, pollInterval)
+		clock.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -245,15 +246,6 @@
 			return
 		}
 		event.JobReportFailed.Emit(event.F("job", job.Id), event.Err(err))
-		sleep(ctx, pollInterval)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		clock.Sleep(ctx, pollInterval)
 	}
 }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -167,7 +167,7 @@
 		if !told {
 			event.DiskFull.Emit(event.Err(err))
 		}
-		pause(ctx, joinPause)
+		clock.Sleep(ctx, joinPause)
 	}
 }
 
@@ -231,7 +231,7 @@
 		if failures++; failures%10 == 1 {
 			event.JoinFailed.Emit(event.F("peer", address), event.F("failures", failures), event.Err(err))
 		}
-		pause(ctx, joinPause)
+		clock.Sleep(ctx, joinPause)
 		if ctx.Err() != nil {
 			return fmt.Errorf("join: %w", ctx.Err())
 		}
@@ -299,7 +299,7 @@
 // that former ones committed.
 func (c *Core) lead(ctx context.Context, term uint64) {
 	for !c.node.HoldsLease() {
-		if pause(ctx, leaseWait); ctx.Err() != nil {
+		if clock.Sleep(ctx, leaseWait); ctx.Err() != nil {
 			return
 		}
 	}
@@ -474,10 +474,10 @@
 		if started, err := c.node.TransferLeadership(ctx); err != nil || !started {
 			break
 		}
-		pause(ctx, retryDelay)
+		clock.Sleep(ctx, retryDelay)
 	}
 	for _, server := range c.servers {
 		server.SetKeepAlivesEnabled(false)
 	}
-	pause(ctx, answerLinger)
+	clock.Sleep(ctx, answerLinger)
 }
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -247,19 +247,28 @@
 	if secured != nil {
 		listener = tls.NewListener(listener, secured)
 	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	server := newHTTPServer(handler)
 	d.servers = append(d.servers, server)
 	go func() {
 		d.waitCaughtUp()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			event.ListenerFailed.Emit(event.F("field", field), event.Err(err))
-		}
+		serve(server, field, listener)
 	}()
 	return nil
 }
 
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// serve serves a listener until the server is closed.
+func serve(server *http.Server, field string, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		event.ListenerFailed.Emit(event.F("field", field), event.Err(err))
+	}
+}
+
 // waitCaughtUp holds connections back until the state of a new member is as
 // new as it was when the member joined, for at most catchUpTimeout.
 func (d *Daemon) waitCaughtUp() {
--- a/internal/server/edge.go
+++ b/internal/server/edge.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/config"
 	"sapphirering/internal/event"
 	"sapphirering/internal/stepapi"
@@ -90,7 +90,7 @@
 	grace := e.settings.Bounds.ShutdownGrace.Duration - shutdownMargin
 	stop, cancelStop := context.WithTimeout(background, max(grace, shutdownMargin))
 	defer cancelStop()
-	pause(stop, min(balancerLeaves, grace))
+	clock.Sleep(stop, min(balancerLeaves, grace))
 	for _, server := range e.servers {
 		if err := server.Shutdown(stop); err != nil {
 			event.ShutdownCut.Emit(event.Err(err))
@@ -109,14 +109,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", field, err)
 	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			event.ListenerFailed.Emit(event.F("field", field), event.Err(err))
-		}
-	}()
+	server := newHTTPServer(handler)
+	go serve(server, field, &limitListener{Listener: listener, field: field, limit: maxConnections})
 	return server, nil
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"runtime"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -13,13 +12,8 @@
 // metricsHandler writes the process's counters and histograms as text.
 func metricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		var memory runtime.MemStats
-		runtime.ReadMemStats(&memory)
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-		err := metrics.Write(w, gometrics.DefaultRegistry, []metrics.Gauge{
-			{Name: "process_heap_bytes", Value: float64(memory.HeapAlloc)},
-			{Name: "process_goroutines", Value: float64(runtime.NumGoroutine())},
-		})
+		err := metrics.Write(w, gometrics.DefaultRegistry, metrics.ProcessGauges())
 		if err != nil {
 			event.MetricsFailed.Emit(event.Err(err))
 		}
--- a/internal/server/repair.go
+++ b/internal/server/repair.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/wire/wirepb"
@@ -19,7 +20,7 @@
 func (c *Core) repairLoop(ctx context.Context) {
 	absent := make(map[string]time.Time)
 	for ctx.Err() == nil {
-		pause(ctx, promoteInterval)
+		clock.Sleep(ctx, promoteInterval)
 		status, err := c.node.Status(ctx)
 		if err != nil || !status.LeaderReady || !status.MembershipCommitted {
 			continue
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
 )
 
@@ -26,7 +27,7 @@
 	defer cancel()
 	d.entry.Leave()
 	event.ShutdownDraining.Emit(event.F("delay", d.settings.ShutdownDelay))
-	pause(ctx, d.settings.ShutdownDelay.Duration)
+	clock.Sleep(ctx, d.settings.ShutdownDelay.Duration)
 	d.holder.SetLeaving()
 	if d.entry.Drain(ctx) {
 		event.ShutdownDrained.Emit()
@@ -52,15 +53,6 @@
 	closing.Wait()
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // closeSession gives the session back, so that its reservations are free at once.
 func (d *Daemon) closeSession() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeSessionTimeout)
--- a/internal/session/holder.go
+++ b/internal/session/holder.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
 	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
@@ -126,7 +127,7 @@
 
 // pause waits for the next renewal: the interval, or less when demand asks.
 func (h *Holder) pause(ctx context.Context, interval time.Duration) {
-	sleep(ctx, min(minRenewInterval, interval))
+	clock.Sleep(ctx, min(minRenewInterval, interval))
 	timer := time.NewTimer(interval - min(minRenewInterval, interval))
 	defer timer.Stop()
 	select {
@@ -174,7 +175,7 @@
 			event.SessionClosed.Emit(event.F("session", session))
 			return nil
 		}
-		sleep(ctx, closePause)
+		clock.Sleep(ctx, closePause)
 		if ctx.Err() != nil {
 			return fmt.Errorf("close session %s: %s", session, outcome.Message)
 		}
@@ -194,15 +195,6 @@
 	return h.session, true
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // renew opens a session when there is none and renews it. The lease counts
 // from before the request was sent, so that a slow answer never extends it.
 func (h *Holder) renew(ctx context.Context) error {
@@ -300,7 +292,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("open session: index %d is not applied here: %w", index, ctx.Err())
 		}
-		sleep(ctx, appliedPause)
+		clock.Sleep(ctx, appliedPause)
 	}
 	return nil
 }
