--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -100,7 +100,7 @@
 	r.fleet.Change("b", func(t *standin.StepTarget) { t.Work = 150 * time.Millisecond })
 	var once sync.Once
 	log := r.log
-	log.hold = func(command *pb.Command) {
+	log.holdCommits(func(command *pb.Command) {
 		if len(command.GetChangeTasks().GetEnds()) == 0 {
 			return
 		}
@@ -113,7 +113,7 @@
 				log.mu.Unlock()
 			})
 		})
-	}
+	})
 	r.submit("j", 8)
 	time.Sleep(900 * time.Millisecond)
 	r.lead()
@@ -155,7 +155,7 @@
 func TestStartOnEndedIncarnation(t *testing.T) {
 	r := newRig(t, "a")
 	var once sync.Once
-	r.log.hold = func(command *pb.Command) {
+	r.log.holdCommits(func(command *pb.Command) {
 		if len(command.GetChangeTasks().GetStarts()) == 0 {
 			return
 		}
@@ -164,7 +164,7 @@
 			r.driver.Deregister("a")
 			r.fleet.Add("b")
 		})
-	}
+	})
 	r.submit("j", 2)
 	r.waitDone("j")
 	r.judge()
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -33,8 +33,11 @@
 var errLost = errors.New("outcome unknown")
 
 func (l *fakeLog) Commit(_ context.Context, command *pb.Command) (*workflow.Outcome, error) {
-	if l.hold != nil {
-		l.hold(command)
+	l.mu.Lock()
+	hold := l.hold
+	l.mu.Unlock()
+	if hold != nil {
+		hold(command)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -49,6 +52,13 @@
 	return l.machine.Apply(l.index, data).(*workflow.Outcome), nil
 }
 
+// holdCommits calls f before each commit from here on.
+func (l *fakeLog) holdCommits(f func(*pb.Command)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hold = f
+}
+
 func (l *fakeLog) HoldsLease() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
