Resting VMs are free once their move is over; waves keep a pace; steps share a zone

The platform's list said "moving" and is read each 4 s. Resting VMs settle now one move after the order that was accepted. 2. Ten more of them were held out for a wave: a resting VM in maintenance announces nothing, and the list was asked only after 4 s. It is back after the time of a maintenance now; both times come from the settings (vm_move, vm_maintenance). A zone that is cut holds up every job with a task there, and steps were spread over all zones. A step has a home zone now. A target that is late with an answer gets no starts. Also: idle VMs may rest from one second after the first job on, lasting or not.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -39,6 +39,10 @@
 	AnnounceInterval Duration `yaml:"announce_interval"`
 	// ShutdownGrace is the time from the signal to the kill.
 	ShutdownGrace Duration `yaml:"shutdown_grace"`
+	// VMMove is how long a VM is away when it moves to another pool, and
+	// VMMaintenance how long for its maintenance.
+	VMMove        Duration `yaml:"vm_move"`
+	VMMaintenance Duration `yaml:"vm_maintenance"`
 }
 
 // RoleSettings configure a daemon with a role.
@@ -151,6 +155,7 @@
 		value Duration
 	}{
 		{"lease_ttl", b.LeaseTTL}, {"announce_interval", b.AnnounceInterval}, {"shutdown_grace", b.ShutdownGrace},
+		{"vm_move", b.VMMove}, {"vm_maintenance", b.VMMaintenance},
 	} {
 		requireRange(src, "bounds."+bound.field, bound.value, time.Millisecond, maxBound)
 	}
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -11,6 +11,8 @@
   lease_ttl: 6s
   announce_interval: 1500ms
   shutdown_grace: 6s
+  vm_move: 1.5s
+  vm_maintenance: 2s
 `
 
 const coreSettings = `role: core
@@ -51,6 +53,7 @@
 		{"peers not trusted", "trust_peer_network: true", "trust_peer_network: false", "trust_peer_network"},
 		{"bound of zero", "lease_ttl: 6s", "lease_ttl: 0s", "bounds.lease_ttl"},
 		{"bound without a unit", "shutdown_grace: 6s", "shutdown_grace: 6", "shutdown_grace"},
+		{"no time of a move", "  vm_move: 1.5s\n", "", "bounds.vm_move"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -32,6 +32,8 @@
 	LeaseTTL time.Duration
 	// AnnounceInterval is how often targets announce themselves.
 	AnnounceInterval time.Duration
+	// VMMove is how long a VM is away for a move, VMMaintenance for maintenance.
+	VMMove, VMMaintenance time.Duration
 }
 
 // Config holds what a Driver needs.
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -21,6 +21,9 @@
 	lookMargin = 700 * time.Millisecond
 	// lookPause spaces listings, so that ends that come together share one.
 	lookPause = 25 * time.Millisecond
+	// answerTime is how long a sound target takes for an answer, some hundred
+	// times the way there and back: later it gets no starts until it answers.
+	answerTime = 250 * time.Millisecond
 	// retryPause spaces calls to a target that does not answer.
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the number of ends that a target lists at once.
@@ -48,6 +51,8 @@
 
 	// failures counts calls without an answer since the last one with.
 	failures int
+	// open holds calls under way, by when each should be answered.
+	open map[*openCall]struct{}
 	// unhealthy is until when the target gets no starts after a refusal.
 	unhealthy time.Time
 
@@ -64,6 +69,26 @@
 	health health
 }
 
+// openCall is a call under way.
+type openCall struct{ due time.Time }
+
+// openCall notes a call that a sound target answers within the given time.
+func (d *Driver) openCall(l *link, within time.Duration) *openCall {
+	call := &openCall{due: d.cfg.Now().Add(within)}
+	l.open[call] = struct{}{}
+	return call
+}
+
+// overdue reports whether a call has waited longer than a sound target takes.
+func (l *link) overdue(now time.Time) bool {
+	for call := range l.open {
+		if now.After(call.due) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *link) address() Address { return Address{ID: l.target.Id, HostPort: l.target.Address} }
 
 func (l *link) incarnation() incarnation { return incarnation{l.target.Id, l.target.BornUnixMs} }
@@ -71,7 +96,7 @@
 // addLink begins to look after a target.
 func (d *Driver) addLink(target *pb.Target) *link {
 	ctx, cancel := context.WithCancel(d.ctx)
-	l := &link{target: target, kick: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving}
+	l := &link{target: target, kick: make(chan struct{}, 1), cancel: cancel, open: make(map[*openCall]struct{}), lastAnnounced: d.cfg.Now(), leaving: target.Leaving}
 	d.links[target.Id] = l
 	d.call(func() { d.look(ctx, l) })
 	return l
@@ -125,8 +150,8 @@
 // look renews the target's lease and lists its runs while it has any.
 func (d *Driver) look(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
-		call, due := d.nextLook(l)
-		if !due || !d.cfg.Log.HoldsLease() {
+		call, open, due := d.nextLook(l)
+		if !due {
 			select {
 			case <-ctx.Done():
 			case <-l.kick:
@@ -141,7 +166,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		d.takeLook(l, asked, call, listing, err)
+		d.takeLook(l, asked, call, open, listing, err)
 		pause := lookPause
 		if err != nil || listing.Refusal != Accepted {
 			pause = retryPause
@@ -152,14 +177,14 @@
 
 // nextLook returns the call that is due, if any: nothing is asked of a target
 // that runs nothing, and ends are confirmed before more are asked for.
-func (d *Driver) nextLook(l *link) (RenewCall, bool) {
+func (d *Driver) nextLook(l *link) (RenewCall, *openCall, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.links[l.target.Id] != l || l.taken != l.seen {
-		return RenewCall{}, false
+	if d.links[l.target.Id] != l || l.taken != l.seen || !d.cfg.Log.HoldsLease() {
+		return RenewCall{}, nil, false
 	}
 	if l.told == l.seen && !d.hasRuns(l.target.Id) && (l.looked || d.cfg.Now().Sub(l.lastAnnounced) > 2*d.cfg.Limits.AnnounceInterval) {
-		return RenewCall{}, false
+		return RenewCall{}, nil, false
 	}
 	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.seen, Wait: lookWait}
 	if l.failures == 0 {
@@ -175,7 +200,7 @@
 	if l.clockAt.IsZero() || !l.looked {
 		call.Wait = 0
 	}
-	return call, true
+	return call, d.openCall(l, call.Wait+answerTime), true
 }
 
 func (d *Driver) hasRuns(target string) bool {
@@ -185,9 +210,10 @@
 }
 
 // takeLook takes in the answer to one look.
-func (d *Driver) takeLook(l *link, asked time.Time, call RenewCall, listing Listing, err error) {
+func (d *Driver) takeLook(l *link, asked time.Time, call RenewCall, open *openCall, listing Listing, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(l.open, open)
 	if d.links[l.target.Id] != l {
 		return
 	}
@@ -257,7 +283,7 @@
 // startable reports whether the target may get starts.
 func (d *Driver) startable(l *link) bool {
 	now := d.cfg.Now()
-	return !l.leaving && l.failures == 0 && !d.silent(l) && now.After(l.unhealthy) && !l.clockAt.IsZero()
+	return !l.leaving && l.failures == 0 && !l.overdue(now) && !d.silent(l) && now.After(l.unhealthy) && !l.clockAt.IsZero()
 }
 
 // noteRestart handles a new incarnation under the same id before it has announced itself.
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -132,7 +132,7 @@
 			}
 		}
 		out = append(out, assign.Target{
-			ID: id, Rack: rackOf(known), Labels: known.Labels, Free: free, Lasting: lasting, Slowness: l.health.slowness(),
+			ID: id, Zone: known.Zone, Rack: rackOf(known), Labels: known.Labels, Free: free, Lasting: lasting, Slowness: l.health.slowness(),
 		})
 	}
 	slices.SortFunc(out, func(a, b assign.Target) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -20,8 +20,6 @@
 	maxMovesPerRound = 12
 	// moveWait is how long a moved VM counts as on its way.
 	moveWait = 4 * time.Second
-	// moveTime is how long a VM is away for a move, until one was seen.
-	moveTime = 1500 * time.Millisecond
 	// moveVMSeconds is the price of a move against a second of a VM in a pool.
 	moveVMSeconds = 1.1
 	// restAfter is how long after the first short job VMs may begin to rest: by
@@ -38,7 +36,7 @@
 	// aheadWithinMS is the time within which work usually has to end.
 	aheadWithinMS = 3000
 	// finishMargin is the part of the time left in which the work should end.
-	finishMargin = 0.5
+	finishMargin = 0.6
 )
 
 // poolLoop is what the leader remembers of VMs and pools. The driver's mutex
@@ -57,6 +55,9 @@
 	stuckSince map[string]time.Time
 	// idleSince is since when nothing has run on a VM.
 	idleSince map[string]time.Time
+	// settles is when the move or the maintenance of a resting VM is surely over:
+	// nothing announces itself there, and the platform's list is seldom read.
+	settles map[string]time.Time
 }
 
 // move is one VM's way to another pool.
@@ -72,18 +73,18 @@
 func newPoolLoop() *poolLoop {
 	return &poolLoop{
 		turns: make(map[string]*pools.Turns), moving: make(map[string]*move), idleSince: make(map[string]time.Time),
-		stuckSince: make(map[string]time.Time), draining: make(map[string]bool),
+		stuckSince: make(map[string]time.Time), draining: make(map[string]bool), settles: make(map[string]time.Time),
 	}
 }
 
 // noteArrival adds an accepted job to the arrivals of its pool.
 func (d *Driver) noteArrival(job *pb.Job, pool string) {
-	if job.Steps[0].Lasting {
-		return
-	}
 	if d.pools.firstArrival.IsZero() {
 		d.pools.firstArrival = d.cfg.Now()
 	}
+	if job.Steps[0].Lasting {
+		return
+	}
 	work := int64(0)
 	for _, step := range job.Steps {
 		work += int64(step.Tasks) * step.Needs.GetCpuMillis() * d.learned.expected(job.Queue, step)
@@ -137,7 +138,7 @@
 	s := &pools.Snapshot{
 		NowMS: d.monotonicMS(), Budget: maxMovesPerRound,
 		MayRest: !d.pools.firstArrival.IsZero() && now.Sub(d.pools.firstArrival) > restAfter,
-		Prices:  pools.Prices{MoveVMSeconds: moveVMSeconds, MoveMS: moveTime.Milliseconds()},
+		Prices:  pools.Prices{MoveVMSeconds: moveVMSeconds, MoveMS: d.cfg.Limits.VMMove.Milliseconds()},
 		Fits:    func(string, string) bool { return true },
 	}
 	index := make(map[string]int)
@@ -155,7 +156,7 @@
 	if turns := d.pools.turns[pool.Name]; turns != nil {
 		// What keeps arriving while a VM is on its way has to end within about
 		// the same time as what is here.
-		p.NeedMillis = turns.Load(d.monotonicMS()) * moveTime.Milliseconds() / aheadWithinMS
+		p.NeedMillis = turns.Load(d.monotonicMS()) * d.cfg.Limits.VMMove.Milliseconds() / aheadWithinMS
 		p.NextTurnMS, p.TurnMillis = turns.Next(d.monotonicMS())
 	}
 	return p
@@ -259,7 +260,7 @@
 		}
 		described := pools.VM{Name: name, CPUMillis: vm.Capacity.CPUMillis, Fixed: vm.State != VMUp}
 		if s.Pools[at].Resting {
-			described.Fixed = vm.State == VMMoving || vm.State == VMInMaintenance
+			described.Fixed = now.Before(d.pools.settles[name])
 		} else if !d.describeVM(v, name, &described, now) {
 			continue
 		}
@@ -362,6 +363,7 @@
 			d.endIncarnationsOn(vm, l.target.BornUnixMs+1, "its VM moves to another pool")
 		}
 		if d.restingPool(m.to) {
+			d.pools.settles[vm] = m.accepted.Add(d.cfg.Limits.VMMove)
 			delete(d.pools.moving, vm)
 		}
 	case VMThrottled:
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -110,7 +110,7 @@
 	r.log = &fakeLog{machine: r.machine, index: r.log.index}
 	r.driver = driver.New(driver.Config{
 		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: standin.NoVMs{}, Advice: r.advice, Epoch: r.epoch, Holder: "test",
-		Limits: driver.Limits{LeaseTTL: testLeaseTTL, AnnounceInterval: 200 * time.Millisecond},
+		Limits: driver.Limits{LeaseTTL: testLeaseTTL, AnnounceInterval: 200 * time.Millisecond, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -94,16 +94,16 @@
 		return
 	}
 	r.phase, r.lastCall = runCalling, d.cfg.Now()
-	to := l.address()
+	to, open := l.address(), d.openCall(l, answerTime)
 	d.call(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
 		defer cancel()
 		if !d.cfg.Log.HoldsLease() {
-			d.takeStart(r, Answer{}, errNoLease, false)
+			d.takeStart(r, l, open, Answer{}, errNoLease, false)
 			return
 		}
 		answer, err := d.cfg.Targets.Start(ctx, to, call)
-		d.takeStart(r, answer, err, true)
+		d.takeStart(r, l, open, answer, err, true)
 	})
 }
 
@@ -122,9 +122,10 @@
 }
 
 // takeStart takes in the answer to a start call.
-func (d *Driver) takeStart(r *run, answer Answer, err error, sent bool) {
+func (d *Driver) takeStart(r *run, called *link, open *openCall, answer Answer, err error, sent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(called.open, open)
 	if d.runs[r.task] != r || r.phase != runCalling {
 		if err != nil && sent {
 			r.unanswered = true
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/maintenance"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -23,8 +24,13 @@
 	// returnPatience is how long a VM may be away after its maintenance before
 	// the platform is asked about it.
 	returnPatience = 4 * time.Second
-	// drainAhead is how many VMs beyond the wave's cap are being emptied.
-	drainAhead = 1
+	// restingMargin is added to the maintenance of a resting VM, of whose return
+	// nothing tells.
+	restingMargin = 500 * time.Millisecond
+	// drainAhead is how many VMs beyond those that go down are being emptied.
+	drainAhead = 2
+	// emptyTime is how long the next VM takes to empty beyond what drainAhead hides.
+	emptyTime = time.Second
 )
 
 // waveLoop is what the leader remembers of waves. The driver's mutex guards it.
@@ -92,8 +98,9 @@
 	for _, vm := range ordered {
 		d.bringOn(w, vm)
 	}
-	d.cordonNext(w, left, len(ordered))
-	if len(ordered) < int(w.Cap) {
+	atOnce := d.atOnce(w, len(left)+len(ordered))
+	d.cordonNext(w, left, atOnce-len(ordered))
+	if len(ordered) < atOnce {
 		for _, vm := range left {
 			if !d.waves.cordoned[vm] || !d.emptied(vm) {
 				continue
@@ -107,6 +114,12 @@
 	}
 }
 
+// atOnce returns how many VMs of a wave may be down now.
+func (d *Driver) atOnce(w *pb.Wave, left int) int {
+	end := w.DeclaredUnixMs + w.DurationMs
+	return maintenance.Pace(left, time.Duration(end-d.cfg.NowMS())*time.Millisecond, d.cfg.Limits.VMMaintenance+emptyTime, int(w.Cap))
+}
+
 // evacuate stops one lasting task of a step that has more tasks on the VM than
 // may be away at once, if one may: it starts again elsewhere.
 func (d *Driver) evacuate(vm string) {
@@ -147,15 +160,15 @@
 }
 
 // cordonNext empties VMs of the wave so that one is ready when the cap allows
-// it: those first that have the least to lose.
-func (d *Driver) cordonNext(w *pb.Wave, left []string, ordered int) {
+// and the pace allow it: those first that have the least to lose.
+func (d *Driver) cordonNext(w *pb.Wave, left []string, free int) {
 	cordoned := 0
 	for _, vm := range left {
 		if d.waves.cordoned[vm] {
 			cordoned++
 		}
 	}
-	want := int(w.Cap) - ordered + drainAhead
+	want := free + drainAhead
 	load := make(map[string]int64)
 	for _, vm := range left {
 		load[vm] = d.workOn(vm)
@@ -317,6 +330,12 @@
 		return
 	}
 	if at, ok := d.waves.away[vm]; ok {
+		if d.restingPool(d.fleet.vms[vm].Pool) && d.linkOfVM(vm) == nil {
+			if now.Sub(at) > d.cfg.Limits.VMMaintenance+restingMargin {
+				d.finishMaintenance(w.Id, vm)
+			}
+			return
+		}
 		if now.Sub(at) > returnPatience {
 			d.readFleet()
 			if listed, known := d.fleet.vms[vm]; d.fleet.readAt.After(at.Add(returnPatience)) && (!known || listed.State == VMUp || listed.State == VMDown) {
@@ -431,6 +450,9 @@
 		if m := d.pools.moving[vm.Name]; m != nil && m.tried.After(asked) {
 			vm.Pool = before[vm.Name].Pool
 		}
+		if (vm.State == VMMoving || vm.State == VMInMaintenance) && asked.After(d.pools.settles[vm.Name]) {
+			d.pools.settles[vm.Name] = asked.Add(max(d.cfg.Limits.VMMove, d.cfg.Limits.VMMaintenance))
+		}
 		d.fleet.vms[vm.Name] = vm
 		d.fleet.largest = max(d.fleet.largest, vm.Capacity.CPUMillis)
 	}
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -3,11 +3,14 @@
 // in its turn asks for more than its pool holds for some seconds, then for
 // almost nothing. Jobs that can still meet their objective come first, the
 // most urgent of them first; jobs that are late already use what is left, so
-// that one burst does not make all jobs behind it late.
+// that one burst does not make all jobs behind it late. The tasks of a step go
+// to one availability zone where there is room, so that a zone that is cut off
+// holds up the jobs there and not a part of every job.
 package assign
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"sapphirering/internal/workflow"
@@ -16,6 +19,7 @@
 // Target is one target of the pool.
 type Target struct {
 	ID     string
+	Zone   string
 	Rack   string
 	Labels []string
 	// Free is the room that no task takes.
@@ -186,12 +190,13 @@
 		p.wait(j, step, 0, waitRoom)
 		return
 	}
+	home := p.homeZone(step)
 	for n, task := range step.Tasks {
 		if !p.withinLimit(j.Workspace, step.Needs) {
 			p.wait(j, step, n, waitLimit)
 			return
 		}
-		at := p.bestTarget(step, "")
+		at := p.bestTarget(step, "", home)
 		if at < 0 {
 			p.wait(j, step, n, waitRoom)
 			return
@@ -223,7 +228,7 @@
 	for _, task := range step.Tasks {
 		at := -1
 		if p.withinLimit(j.Workspace, step.Needs) {
-			at = p.bestTarget(step, rack)
+			at = p.bestTarget(step, rack, "")
 		}
 		if at < 0 {
 			for i := len(placed) - 1; i >= 0; i-- {
@@ -278,26 +283,65 @@
 	p.starts = p.starts[:len(p.starts)-1]
 }
 
-// bestTarget returns the target that a task of the step goes to, or -1. On a
-// rack alone when one is named.
-func (p *plan) bestTarget(step *Step, rack string) int {
+// homeZone returns the availability zone that the step's tasks should share: the
+// one where most of it runs already, else the fullest one that takes all of its
+// tasks, else the one that takes most. Lasting tasks have none.
+func (p *plan) homeZone(step *Step) string {
+	if step.Lasting {
+		return ""
+	}
+	running, slots := make(map[string]int), make(map[string]int)
+	for i := range p.targets {
+		target := &p.targets[i]
+		running[target.Zone] += step.OnTarget[target.ID]
+		if p.allowed(step, target) {
+			slots[target.Zone] += target.Free.Slots(step.Room)
+		}
+	}
+	best := ""
+	better := func(zone string) bool {
+		if a, b := running[zone], running[best]; a != b {
+			return a > b
+		}
+		a, b := slots[zone], slots[best]
+		if need := len(step.Tasks); a >= need && b >= need {
+			return a < b
+		}
+		return a > b
+	}
+	for _, zone := range slices.Sorted(maps.Keys(slots)) {
+		if best == "" || better(zone) {
+			best = zone
+		}
+	}
+	return best
+}
+
+// allowed reports whether the step may run on a target at all.
+func (p *plan) allowed(step *Step, target *Target) bool {
+	if step.Only != nil && !step.Only[target.ID] {
+		return false
+	}
+	return step.Label == "" || slices.Contains(target.Labels, step.Label)
+}
+
+// bestTarget returns the target that a task of the step goes to, or -1: on a
+// rack alone when one is named, rather in the home zone than elsewhere.
+func (p *plan) bestTarget(step *Step, rack, home string) int {
 	best, bestScore := -1, 0.0
 	for i := range p.targets {
 		target := &p.targets[i]
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
 		}
-		if step.Only != nil && !step.Only[target.ID] {
-			continue
-		}
-		if step.Label != "" && !slices.Contains(target.Labels, step.Label) {
+		if !p.allowed(step, target) {
 			continue
 		}
 		onTarget := step.OnTarget[target.ID]
 		if step.MaxPerTarget > 0 && onTarget >= step.MaxPerTarget {
 			continue
 		}
-		if score := score(step, target, onTarget); best < 0 || score < bestScore {
+		if score := score(step, target, onTarget, home); best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -316,12 +360,14 @@
 	weightTogether = 0.2
 	// maxTogether bounds the pull of lasting tasks on each other.
 	maxTogether = 4
+	// weightOtherZone keeps a step in its home zone: more than any fit there.
+	weightOtherZone = 0.5
 	// weightFit prefers the fuller target, so that large tasks find room.
 	weightFit = 0.3
 )
 
 // score tells how bad a target is for a task; the lowest wins.
-func score(step *Step, target *Target, onTarget int) float64 {
+func score(step *Step, target *Target, onTarget int, home string) float64 {
 	s := weightSlowness * max(0, target.Slowness-normalSlowness)
 	if step.Avoid[target.ID] {
 		s += weightAvoid
@@ -329,6 +375,9 @@
 	if step.DataRack != "" && step.DataRack != target.Rack {
 		s += weightFarData
 	}
+	if home != "" && target.Zone != home {
+		s += weightOtherZone
+	}
 	if step.Lasting {
 		return s + weightSpread*float64(onTarget) - weightTogether*float64(min(target.Lasting, maxTogether))
 	}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -320,7 +320,10 @@
 const leaseWait = 10 * time.Millisecond
 
 func limitsOf(b config.PlatformBounds) driver.Limits {
-	return driver.Limits{LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration}
+	return driver.Limits{
+		LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
+		VMMove: b.VMMove.Duration, VMMaintenance: b.VMMaintenance.Duration,
+	}
 }
 
 // coreLog commits the driver's commands.
--- a/internal/workflow/resources.go
+++ b/internal/workflow/resources.go
@@ -30,6 +30,23 @@
 	return r.CPUMillis <= room.CPUMillis && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
 }
 
+// Slots returns how many tasks of the given room fit beside each other; at most
+// maxSlots.
+func (r Resources) Slots(room Resources) int {
+	slots := int64(maxSlots)
+	for _, part := range [...]struct{ free, needed int64 }{
+		{r.CPUMillis, room.CPUMillis}, {r.MemoryMB, room.MemoryMB}, {r.Accelerators, room.Accelerators},
+	} {
+		if part.needed > 0 {
+			slots = min(slots, max(part.free, 0)/part.needed)
+		}
+	}
+	return int(slots)
+}
+
+// maxSlots bounds the count of tasks that ask for nothing.
+const maxSlots = 1000
+
 // WithinLimit reports whether r is within a limit whose zero fields do not bound.
 func (r Resources) WithinLimit(limit Resources) bool {
 	return (limit.CPUMillis == 0 || r.CPUMillis <= limit.CPUMillis) &&
