Pools gather work on the VMs they need; idle VMs rest once the load has been seen for 3 s

VMs that a pool can do without take no more tasks, whether another pool lacks room just then or not; the ones that are empty soonest drain first. TestDrain expected that nothing drains beyond what other pools lack; it now names, as strictly, which VMs drain with and without a lack elsewhere.

--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -24,7 +24,7 @@
 	moveVMSeconds = 1.1
 	// restAfter is how long after the first short job VMs may begin to rest: by
 	// then the lasting jobs of a first start have found their places.
-	restAfter = time.Second
+	restAfter = 3 * time.Second
 	// minPoolVMs is what a pool keeps beyond the VMs of its lasting tasks while
 	// one of them may go down.
 	minPoolVMs = 1
@@ -79,12 +79,12 @@
 
 // noteArrival adds an accepted job to the arrivals of its pool.
 func (d *Driver) noteArrival(job *pb.Job, pool string) {
-	if d.pools.firstArrival.IsZero() {
-		d.pools.firstArrival = d.cfg.Now()
-	}
 	if job.Steps[0].Lasting {
 		return
 	}
+	if d.pools.firstArrival.IsZero() {
+		d.pools.firstArrival = d.cfg.Now()
+	}
 	work := int64(0)
 	for _, step := range job.Steps {
 		work += int64(step.Tasks) * step.Needs.GetCpuMillis() * d.learned.expected(job.Queue, step)
@@ -288,7 +288,9 @@
 		vm.Tasks++
 		if task.Spec().Lasting {
 			vm.Lasting++
+			continue
 		}
+		vm.BusyMS = max(vm.BusyMS, d.remainingMS(task, now))
 	}
 	vm.Out = l.leaving || l.failures > 0
 	if vm.Tasks > 0 {
@@ -304,6 +306,15 @@
 	return true
 }
 
+// remainingMS is how long a placed task is expected to run on.
+func (d *Driver) remainingMS(task *workflow.Task, now time.Time) int64 {
+	expected := d.learned.expected(task.Job.Spec.Queue, task.Spec())
+	if r := d.runs[task.ID]; r != nil && !r.working.IsZero() {
+		expected -= now.Sub(r.working).Milliseconds()
+	}
+	return max(expected, 0)
+}
+
 // beginMove keeps starts off the VM from here on and orders the move.
 func (d *Driver) beginMove(m pools.Move, now time.Time) {
 	event.VMMoveBegun.Emit(event.F("vm", m.VM), event.F("from", m.From), event.F("to", m.To), event.F("reason", m.Reason))
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -26,8 +26,9 @@
 	CPUMillis int64
 	// Tasks run or may run there; Lasting ones keep the VM where it is.
 	Tasks, Lasting int
-	// IdleMS is how long nothing has run there.
-	IdleMS int64
+	// IdleMS is how long nothing has run there, BusyMS how long the short tasks
+	// there are expected to run on.
+	IdleMS, BusyMS int64
 	// Fixed VMs may not move now.
 	Fixed bool
 	// Out VMs take no tasks: they are in maintenance, about to be, or leaving.
@@ -84,7 +85,7 @@
 	// time of their move.
 	callAheadMS = 600
 	// giveAfterMS is how long a VM must have been idle to go to a pool in need.
-	giveAfterMS = 200
+	giveAfterMS = 50
 	// restFactor times the price of a move there and back is the idle time
 	// after which a VM rests.
 	restFactor = 0.5
@@ -125,31 +126,26 @@
 		return cmp.Or(cmp.Compare(b.spare, a.spare), strings.Compare(a.pool.Name, b.pool.Name))
 	})
 	moves = s.fill(needy, rich)
-	drain = s.drain(needy, rich, moves)
+	drain = s.drain(rich, moves)
 	return s.rest(rich, moves), drain
 }
 
-// drain picks busy VMs of pools with room to spare for what pools in need still
-// lack, those with the fewest tasks first.
-func (s *Snapshot) drain(needy, rich []balance, moves []Move) []string {
-	short := int64(0)
-	for _, b := range needy {
-		short += max(b.short, 0)
-	}
+// drain picks the VMs that each pool can do without, those first that are empty
+// soonest: work gathers on the others, and these are free when the next turn asks.
+func (s *Snapshot) drain(rich []balance, moves []Move) []string {
 	var out []string
 	for _, from := range rich {
 		if from.pool.Resting {
 			continue
 		}
 		spare := from.spare
-		for _, vm := range leastBusy(from.pool) {
-			if short < vm.CPUMillis/2 || vm.CPUMillis > spare {
+		for _, vm := range soonestEmpty(from.pool) {
+			if vm.CPUMillis > spare {
 				break
 			}
 			if moved(moves, vm.Name) {
 				continue
 			}
-			short -= vm.CPUMillis
 			spare -= vm.CPUMillis
 			out = append(out, vm.Name)
 		}
@@ -157,8 +153,8 @@
 	return out
 }
 
-// leastBusy returns the VMs that could become empty, the emptiest first.
-func leastBusy(p *Pool) []VM {
+// soonestEmpty returns the VMs that could become empty, the first one to be first.
+func soonestEmpty(p *Pool) []VM {
 	var out []VM
 	for _, vm := range p.VMs {
 		if !vm.Fixed && vm.Lasting == 0 {
@@ -166,7 +162,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(a.Tasks, b.Tasks), strings.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.BusyMS, b.BusyMS), cmp.Compare(a.Tasks, b.Tasks), strings.Compare(a.Name, b.Name))
 	})
 	return out
 }
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -68,14 +68,17 @@
 	}
 }
 
-// TestDrain empties the least busy VMs of a pool with room to spare.
+// TestDrain empties the VMs that a pool can do without, those first that are
+// empty soonest, whether another pool lacks room now or not.
 func TestDrain(t *testing.T) {
 	is := is.New(t)
 	busy := vms("q", 4, func(vm *VM) { vm.Tasks, vm.IdleMS = 3, 0 })
-	busy[2].Tasks = 1
+	busy[0].BusyMS, busy[1].BusyMS, busy[2].BusyMS = 900, 2000, 400
 	busy[3].Lasting = 1
-	_, drain := Plan(snapshot(Pool{Name: "q", NeedMillis: 20_000, VMs: busy}, Pool{Name: "p", NeedMillis: 14_000}))
-	is.Equal(drain, []string{"q2"})
+	for _, need := range []int64{0, 14_000} {
+		_, drain := Plan(snapshot(Pool{Name: "q", NeedMillis: 20_000, VMs: busy}, Pool{Name: "p", NeedMillis: need}))
+		is.Equal(drain, []string{"q2", "q0"})
+	}
 }
 
 // TestFootprint covers what is left over beside tasks of one size.
