Edges that are cut off leave the balancer sooner, and callers come back within their deadline

And such an edge was ready for up to 2.5 s after its last answer. Change: the member list is asked for each 0.4 s, an edge without an answer for 0.9 s is not ready, callers come back after 1 s. A read without an answer is refused (503), since it changes nothing; a change without an answer has an event of its own (7006): 7004 said "nothing was run" of requests that may have run.

--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -9,6 +9,7 @@
 	JobHopeless    = define(7003, log.WarnLevel, "job can never run, ended as failed", "Correct what the job needs, then submit it again.")
 	JobWaits       = define(7005, log.InfoLevel, "tasks of a job wait", "")
 	RequestRefused = define(7004, log.InfoLevel, "request refused, nothing was run", "")
+	RequestUnknown = define(7006, log.InfoLevel, "request got no answer in time, it may have been carried out", "")
 
 	TasksStarted         = define(7008, log.InfoLevel, "tasks of a job placed: occurrence.step.index/attempt@target", "")
 	TasksEnded           = define(7009, log.InfoLevel, "runs of a job ended", "")
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -20,18 +20,21 @@
 	gatewayTry = 900 * time.Millisecond
 	// gatewayPause spaces tries.
 	gatewayPause = 40 * time.Millisecond
-	// connectedFor is how long an answer shows that the core is within reach.
-	connectedFor = 1500 * time.Millisecond
-	// probeTime bounds one look at a core daemon.
-	coreProbeTime = 400 * time.Millisecond
+	// connectedFor is how long an answer shows that the core is within reach: with
+	// the two seconds in which the balancer leaves a daemon that is not ready, a
+	// caller's first request still has its usual three.
+	connectedFor = 900 * time.Millisecond
+	// coreProbeTime bounds one look at a core daemon.
+	coreProbeTime = 300 * time.Millisecond
 	// electionWait is when a caller should come back while no leader answers: an
 	// election takes about as long.
 	electionWait = time.Second
-	// cutWait is when a caller should come back to a daemon that is cut off: by
-	// then the balancer has left it.
-	cutWait = 2500 * time.Millisecond
-	// memberInterval is how often the member list is asked for.
-	memberInterval = time.Second
+	// cutWait is when a caller should come back while this daemon is cut off: the
+	// next connection may go to another daemon, or to another zone.
+	cutWait = time.Second
+	// memberInterval is how often the member list is asked for, memberTry bounds
+	// one call.
+	memberInterval, memberTry = 400 * time.Millisecond, 300 * time.Millisecond
 )
 
 // Gateway brings requests to the leader of the core. It finds the leader from
@@ -138,7 +141,7 @@
 		response, maySend, err := g.try(ctx, r)
 		switch {
 		case err != nil:
-			unknown = unknown || maySend
+			unknown = unknown || maySend && changes(r.Operation)
 			last = err.Error()
 		case response.Answer == workflowpb.Answer_ANSWER_UNKNOWN:
 			unknown, last = true, response.Reason
@@ -161,17 +164,29 @@
 	}
 }
 
+// changes reports whether an operation changes anything, so that its outcome
+// matters when no answer came.
+func changes(operation workflowpb.Operation) bool {
+	switch operation {
+	case workflowpb.Operation_OPERATION_STATUS, workflowpb.Operation_OPERATION_COUNT, workflowpb.Operation_OPERATION_EXPLAIN,
+		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS:
+		return false
+	}
+	return true
+}
+
 func (g *Gateway) giveUp(r *workflowpb.Request, unknown bool, reason string) *workflowpb.Response {
-	answer := workflowpb.Answer_ANSWER_NOT_READY
+	response := &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_NOT_READY, Reason: reason, RetryAfterMs: electionWait.Milliseconds()}
+	line := event.RequestRefused
 	if unknown {
-		answer = workflowpb.Answer_ANSWER_UNKNOWN
+		response.Answer, line = workflowpb.Answer_ANSWER_UNKNOWN, event.RequestUnknown
 	}
-	event.RequestRefused.Emit(event.F("job", r.Job.GetId()), event.F("operation", r.Operation.String()),
-		event.F("answer", answer.String()), event.F("reason", reason))
-	response := &workflowpb.Response{Answer: answer, Reason: reason, RetryAfterMs: electionWait.Milliseconds()}
-	if g.cutOff() {
+	cut := g.cutOff()
+	if cut {
 		response.RetryAfterMs = cutWait.Milliseconds()
 	}
+	line.Emit(event.F("job", r.Job.GetId()), event.F("operation", r.Operation.String()),
+		event.F("cut_off", cut), event.F("retry_after_ms", response.RetryAfterMs), event.F("reason", reason))
 	return response
 }
 
@@ -181,6 +196,7 @@
 	defer cancel()
 	if g.local != nil {
 		if response, isLeader := g.local(ctx, r); isLeader {
+			g.noteConnected()
 			return response, true, nil
 		}
 	}
@@ -205,7 +221,7 @@
 // before a request needs it.
 func (g *Gateway) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		step, cancel := context.WithTimeout(ctx, memberInterval)
+		step, cancel := context.WithTimeout(ctx, memberTry)
 		response, _, err := g.try(step, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS})
 		cancel()
 		pause := memberInterval
@@ -251,16 +267,20 @@
 	}
 	probes.Wait()
 	if int(answers.Load()) > len(cores)/2 {
-		g.mu.Lock()
-		g.connected = time.Now()
-		g.mu.Unlock()
+		g.noteConnected()
 	}
 }
 
+func (g *Gateway) noteConnected() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connected = time.Now()
+}
+
 // noteLost reports once that the leader is out of reach.
 func (g *Gateway) noteLost(err error) {
 	g.mu.Lock()
-	report := !g.lost && time.Since(g.reached) > memberInterval
+	report := !g.lost && time.Since(g.reached) > connectedFor
 	g.lost = g.lost || report
 	g.mu.Unlock()
 	if report {
