A pool keeps its VMs over many racks, and lasting tasks of a step go over racks

The VMs that a pool kept were those with the last names. Change: which idle VMs leave, rest or drain is chosen so that both pools keep VMs over many racks; lasting tasks avoid racks with tasks of their step. Tests: TestRacks, TestLastingOverRacks.

--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -156,12 +156,16 @@
 	return room
 }
 
-// rackOf returns the last label of a target: the labels are its kind and its rack.
-func rackOf(t *pb.Target) string {
-	if len(t.Labels) == 0 {
+// rackOf returns the rack of a target.
+func rackOf(t *pb.Target) string { return lastLabel(t.Labels) }
+
+// lastLabel returns the rack among the labels of a target or a VM: they are its
+// kind and its rack.
+func lastLabel(labels []string) string {
+	if len(labels) == 0 {
 		return ""
 	}
-	return t.Labels[len(t.Labels)-1]
+	return labels[len(labels)-1]
 }
 
 // snapshots returns the jobs that have tasks to start, by pool.
@@ -233,7 +237,7 @@
 	step := assign.Step{
 		Room: workflow.StepRoom(spec), Needs: workflow.ResourcesOf(spec.Needs), Gang: spec.Gang, SameRack: spec.SameRack,
 		Label: spec.Label, DataRack: spec.DataRack, MaxPerTarget: int(spec.MaxPerTarget), Lasting: spec.Lasting,
-		OnTarget: make(map[string]int),
+		OnTarget: make(map[string]int), OnRack: make(map[string]int),
 	}
 	tasks := job.Tasks[occurrence][number]
 	for _, task := range tasks {
@@ -248,6 +252,9 @@
 			}
 		case pb.TaskState_TASK_STATE_PLACED:
 			step.OnTarget[task.Target]++
+			if target := v.Target(task.Target); target != nil {
+				step.OnRack[rackOf(target)]++
+			}
 		}
 	}
 	if spec.Gang && len(step.Tasks) < len(tasks) {
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -258,7 +258,7 @@
 		if !ok {
 			continue
 		}
-		described := pools.VM{Name: name, CPUMillis: vm.Capacity.CPUMillis, Fixed: vm.State != VMUp}
+		described := pools.VM{Name: name, Rack: lastLabel(vm.Labels), CPUMillis: vm.Capacity.CPUMillis, Fixed: vm.State != VMUp}
 		if s.Pools[at].Resting {
 			described.Fixed = now.Before(d.pools.settles[name])
 		} else if !d.describeVM(v, name, &described, now) {
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -42,8 +42,8 @@
 	DataRack    string
 	// MaxPerTarget bounds the tasks of the step on one target; 0 for no bound.
 	MaxPerTarget int
-	// OnTarget counts tasks of the step by target.
-	OnTarget map[string]int
+	// OnTarget and OnRack count tasks of the step by target and by rack.
+	OnTarget, OnRack map[string]int
 	// Avoid holds targets where tasks of the step failed.
 	Avoid map[string]bool
 	// Only holds the targets that may run the step; nil for all.
@@ -267,6 +267,10 @@
 		step.OnTarget = make(map[string]int)
 	}
 	step.OnTarget[target.ID]++
+	if step.OnRack == nil {
+		step.OnRack = make(map[string]int)
+	}
+	step.OnRack[target.Rack]++
 	if w := p.snapshot.Workspaces[j.Workspace]; w != nil {
 		w.Used = w.Used.Add(step.Needs)
 	}
@@ -277,6 +281,7 @@
 	target := &p.targets[at]
 	target.Free = target.Free.Add(step.Room)
 	step.OnTarget[target.ID]--
+	step.OnRack[target.Rack]--
 	if w := p.snapshot.Workspaces[j.Workspace]; w != nil {
 		w.Used = w.Used.Sub(step.Needs)
 	}
@@ -357,7 +362,9 @@
 	weightAvoid    = 8.0
 	weightFarData  = 4.0
 	weightSpread   = 2.0
-	weightTogether = 0.2
+	// weightRackSpread keeps lasting tasks of a step from being lost together.
+	weightRackSpread = 0.5
+	weightTogether   = 0.2
 	// maxTogether bounds the pull of lasting tasks on each other.
 	maxTogether = 4
 	// weightOtherZone keeps a step in its home zone: more than any fit there.
@@ -379,7 +386,7 @@
 		s += weightOtherZone
 	}
 	if step.Lasting {
-		return s + weightSpread*float64(onTarget) - weightTogether*float64(min(target.Lasting, maxTogether))
+		return s + weightSpread*float64(onTarget) + weightRackSpread*float64(step.OnRack[target.Rack]) - weightTogether*float64(min(target.Lasting, maxTogether))
 	}
 	left := target.Free.CPUMillis - step.Room.CPUMillis
 	return s + weightFit*float64(left)/float64(max(target.Free.CPUMillis, 1))
--- a/internal/policy/assign/assign_test.go
+++ b/internal/policy/assign/assign_test.go
@@ -75,6 +75,27 @@
 	}
 }
 
+// TestLastingOverRacks places lasting tasks so that a rack that is lost takes
+// few tasks of a step, also where other lasting tasks draw them together.
+func TestLastingOverRacks(t *testing.T) {
+	is := is.New(t)
+	var targets []Target
+	for _, at := range []struct {
+		id, rack string
+		lasting  int
+	}{{"a1", "r1", 2}, {"a2", "r1", 2}, {"a3", "r1", 2}, {"b1", "r2", 0}, {"c1", "r3", 0}} {
+		targets = append(targets, Target{ID: at.id, Rack: at.rack, Lasting: at.lasting, Free: room(8000), Slowness: 1})
+	}
+	j := simple("j", 3, 1000)
+	j.Lasting, j.Steps[0].Lasting = true, true
+	starts, _ := Plan(&Snapshot{Targets: targets, Jobs: []Job{j}})
+	racks := make(map[string]int)
+	for _, s := range starts {
+		racks[s.Target[:1]]++
+	}
+	is.Equal(racks, map[string]int{"a": 1, "b": 1, "c": 1})
+}
+
 // TestLimit starts no more than a workspace may run.
 func TestLimit(t *testing.T) {
 	is := is.New(t)
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -23,6 +23,7 @@
 // VM is one VM of a pool.
 type VM struct {
 	Name      string
+	Rack      string
 	CPUMillis int64
 	// Tasks run or may run there; Lasting ones keep the VM where it is.
 	Tasks, Lasting int
@@ -155,16 +156,16 @@
 
 // soonestEmpty returns the VMs that could become empty, the first one to be first.
 func soonestEmpty(p *Pool) []VM {
-	var out []VM
+	var busy []VM
 	for _, vm := range p.VMs {
-		if !vm.Fixed && vm.Lasting == 0 {
-			out = append(out, vm)
+		if !vm.Fixed && vm.Lasting == 0 && vm.Tasks > 0 {
+			busy = append(busy, vm)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b VM) int {
+	slices.SortStableFunc(busy, func(a, b VM) int {
 		return cmp.Or(cmp.Compare(a.BusyMS, b.BusyMS), cmp.Compare(a.Tasks, b.Tasks), strings.Compare(a.Name, b.Name))
 	})
-	return out
+	return append(idlest(p, nil), busy...)
 }
 
 // Footprint returns the room that a task takes of a VM when only tasks of its
@@ -239,7 +240,7 @@
 }
 
 func (s *Snapshot) give(to, from *balance, moves []Move) []Move {
-	for _, vm := range idlest(from.pool) {
+	for _, vm := range idlest(from.pool, to.pool) {
 		if to.short <= 0 || len(moves) >= s.Budget {
 			return moves
 		}
@@ -275,7 +276,7 @@
 		if from.pool.Resting || from.pool.TurnMillis > 0 && from.pool.NextTurnMS-s.NowMS < keepBeforeTurnMS && from.pool.NextTurnMS > s.NowMS-keepBeforeTurnMS {
 			continue
 		}
-		for _, vm := range idlest(from.pool) {
+		for _, vm := range idlest(from.pool, nil) {
 			if len(moves) >= s.Budget || vm.CPUMillis > from.spare {
 				break
 			}
@@ -289,18 +290,50 @@
 	return moves
 }
 
-// idlest returns the VMs that may move, the longest idle first.
-func idlest(p *Pool) []VM {
-	var out []VM
-	for _, vm := range p.VMs {
+// idlest returns the VMs that may move to another pool, in an order that leaves
+// the VMs of both over many racks: a rack that is lost takes few of a pool's.
+func idlest(from, to *Pool) []VM {
+	var idle []VM
+	for _, vm := range from.VMs {
 		if !vm.Fixed && vm.Tasks == 0 && vm.Lasting == 0 {
-			out = append(out, vm)
+			idle = append(idle, vm)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b VM) int {
+	slices.SortStableFunc(idle, func(a, b VM) int {
 		return cmp.Or(cmp.Compare(b.IdleMS, a.IdleMS), strings.Compare(a.Name, b.Name))
 	})
-	return out
+	// crowd is by how many VMs a rack has more here than there.
+	crowd := make(map[string]int)
+	addRacks(crowd, from, 1)
+	addRacks(crowd, to, -1)
+	ordered := make([]VM, 0, len(idle))
+	for len(idle) > 0 {
+		next := 0
+		for i := range idle {
+			if crowd[idle[i].Rack] > crowd[idle[next].Rack] {
+				next = i
+			}
+		}
+		crowd[idle[next].Rack]--
+		if to != nil {
+			crowd[idle[next].Rack]--
+		}
+		ordered = append(ordered, idle[next])
+		idle = slices.Delete(idle, next, next+1)
+	}
+	return ordered
+}
+
+// addRacks counts a pool's VMs by rack. Where VMs rest does not matter.
+func addRacks(count map[string]int, p *Pool, by int) {
+	if p == nil || p.Resting {
+		return
+	}
+	for _, vm := range p.VMs {
+		if !vm.Out {
+			count[vm.Rack] += by
+		}
+	}
 }
 
 func moved(moves []Move, vm string) bool {
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -81,6 +81,35 @@
 	}
 }
 
+// TestRacks moves and drains VMs so that each pool keeps VMs in many racks.
+func TestRacks(t *testing.T) {
+	is := is.New(t)
+	inRacks := func(prefix string, racks ...string) []VM {
+		out := vms(prefix, len(racks), nil)
+		for i := range out {
+			out[i].Rack = racks[i]
+		}
+		return out
+	}
+	names := func(moves []Move) []string {
+		var out []string
+		for _, m := range moves {
+			out = append(out, m.VM)
+		}
+		return out
+	}
+	rest := Pool{Name: "rest", Resting: true}
+	moves, _ := Plan(snapshot(rest, Pool{Name: "q", MinVMs: 3, VMs: inRacks("q", "r1", "r1", "r1", "r1", "r2", "r3")}))
+	is.Equal(names(moves), []string{"q0", "q1", "q2"}) // one VM stays in each rack
+
+	rest.VMs = inRacks("r", "r1", "r1", "r2")
+	moves, _ = Plan(snapshot(rest, Pool{Name: "p", NeedMillis: 30_000, VMs: inRacks("p", "r1")}))
+	is.Equal(names(moves), []string{"r2"}) // the rack that the pool has no VM in
+
+	_, drain := Plan(snapshot(Pool{Name: "q", NeedMillis: 30_000, VMs: inRacks("q", "r1", "r2", "r2", "r2")}))
+	is.Equal(drain, []string{"q1", "q2"})
+}
+
 // TestFootprint covers what is left over beside tasks of one size.
 func TestFootprint(t *testing.T) {
 	is := is.New(t)
