A VM gone for good holds no wave up

Ruled out: the pace of waves (the same miss before it). Test: TestWaveWithVMGoneForGood; "gone" failed before.

--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -74,12 +74,13 @@
 	driver  *driver.Driver
 	epoch   uint64
 	advice  driver.AdviceClient
+	vms     driver.VMClient
 	stop    func()
 }
 
 func newRig(t *testing.T, targets ...string) *rig {
 	t.Helper()
-	r := &rig{t: t, fleet: standin.NewStepFleet(testLeaseTTL), machine: workflow.New()}
+	r := &rig{t: t, fleet: standin.NewStepFleet(testLeaseTTL), machine: workflow.New(), vms: standin.NoVMs{}}
 	r.log = &fakeLog{machine: r.machine}
 	for _, id := range targets {
 		r.fleet.Add(id)
@@ -109,7 +110,7 @@
 	r.epoch++
 	r.log = &fakeLog{machine: r.machine, index: r.log.index}
 	r.driver = driver.New(driver.Config{
-		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: standin.NoVMs{}, Advice: r.advice, Epoch: r.epoch, Holder: "test",
+		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test",
 		Limits: driver.Limits{LeaseTTL: testLeaseTTL, AnnounceInterval: 200 * time.Millisecond, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -43,15 +43,31 @@
 	tried   map[string]time.Time
 	// away holds VMs whose maintenance has begun and that are not back, with
 	// the time of the order.
-	away    map[string]time.Time
+	away map[string]time.Time
+	// busy holds ordered VMs that the platform would not take down.
+	busy    map[string]*busyVM
 	listing bool
 	listed  time.Time
 	// active tells that a wave is under way.
 	active bool
 }
 
+// busyVM is a VM that may be gone for good: the platform answers busy for it,
+// and no list names it any more.
+type busyVM struct {
+	// checked is the time of the last answer or list that was looked at.
+	checked time.Time
+	// missing counts the lists in a row without the VM.
+	missing int
+}
+
+// goneAfter is the number of lists in a row without a VM after which it is gone
+// for good; a VM that comes back is listed as down meanwhile.
+const goneAfter = 2
+
 func newWaveLoop() *waveLoop {
 	return &waveLoop{
+		busy:     make(map[string]*busyVM),
 		cordoned: make(map[string]bool), since: make(map[string]time.Time), calling: make(map[string]bool),
 		tried: make(map[string]time.Time), away: make(map[string]time.Time),
 	}
@@ -344,6 +360,11 @@
 		}
 		return
 	}
+	if d.goneForGood(vm) {
+		event.VMGone.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("lists", goneAfter))
+		d.finishMaintenance(w.Id, vm)
+		return
+	}
 	if now.Sub(d.waves.tried[vm]) < orderPause {
 		return
 	}
@@ -362,6 +383,26 @@
 	})
 }
 
+// goneForGood reports whether a VM that cannot be taken down does not exist any
+// more, and asks for the platform's list while that is open.
+func (d *Driver) goneForGood(vm string) bool {
+	busy := d.waves.busy[vm]
+	if busy == nil {
+		return false
+	}
+	if !d.fleet.readAt.After(busy.checked) {
+		d.readFleet()
+		return false
+	}
+	busy.checked = d.fleet.readAt
+	if _, listed := d.fleet.vms[vm]; listed {
+		busy.missing = 0
+	} else {
+		busy.missing++
+	}
+	return busy.missing >= goneAfter
+}
+
 func (d *Driver) takeOrder(wave uint64, vm string, refusal VMRefusal, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -371,7 +412,14 @@
 		return
 	}
 	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()))
+	if refusal != VMBusy {
+		delete(d.waves.busy, vm)
+	}
 	switch refusal {
+	case VMBusy:
+		if d.waves.busy[vm] == nil {
+			d.waves.busy[vm] = &busyVM{checked: d.cfg.Now()}
+		}
 	case VMAccepted:
 		d.waves.away[vm] = d.cfg.Now()
 		if l := d.linkOfVM(vm); l != nil {
@@ -413,6 +461,7 @@
 		}
 		delete(d.waves.cordoned, vm)
 		delete(d.waves.away, vm)
+		delete(d.waves.busy, vm)
 		event.VMBack.Emit(event.F("vm", vm), event.F("wave", wave))
 	})
 }
--- /dev/null
+++ b/internal/driver/waves_test.go
@@ -0,0 +1,58 @@
+package driver_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/driver"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// busyPlatform takes no VM down; it lists the given ones.
+type busyPlatform struct{ listed []driver.VM }
+
+func (p busyPlatform) List(context.Context) ([]driver.VM, error) { return p.listed, nil }
+
+func (p busyPlatform) Move(context.Context, driver.VMOrder, string) (driver.VMRefusal, error) {
+	return driver.VMBusy, nil
+}
+
+func (p busyPlatform) Maintain(context.Context, driver.VMOrder, uint64) (driver.VMRefusal, error) {
+	return driver.VMBusy, nil
+}
+
+// TestWaveWithVMGoneForGood declares a wave of one VM that the platform does not
+// take down: the wave ends without it once no list names it any more, and not
+// while a list does.
+func TestWaveWithVMGoneForGood(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		listed []driver.VM
+		done   bool
+	}{
+		{"gone", []driver.VM{{Name: "vm-other"}}, true},
+		{"down for now", []driver.VM{{Name: "vm-lost", State: driver.VMDown}}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := newRig(t, "a")
+			r.vms = busyPlatform{test.listed}
+			r.lead()
+			wave := &pb.Wave{Id: 1, Vms: []string{"vm-lost"}, Cap: 1, DurationMs: 20_000}
+			is.Equal(r.request(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}).Answer, pb.Answer_ANSWER_OK)
+			complete := func() bool {
+				return r.request(&pb.Request{Operation: pb.Operation_OPERATION_GET_WAVE, Wave: wave}).Complete
+			}
+			if test.done {
+				r.eventually("the wave ends", testWait, complete)
+				return
+			}
+			time.Sleep(testWait)
+			is.True(!complete())
+		})
+	}
+}
