Two restarted voters elect at once; a daemon without a log refuses links

A restarted voter grants no vote for one election timeout, since its former process may have answered a heartbeat; that time was counted by the timer that its own campaigns set back, so that two voters held each other up. The same flag was dropped early when a reply brought a higher term, before the time was over. It is counted by its own ticks now, from the restart on. Second: the wiped daemon listened before it had joined and answered nothing; calls of the others hung for 0.9 s each. It opens its listener once it can serve.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -66,10 +66,9 @@
 	peers  map[string]*progress
 	config []membershipAt
 
-	// mayHaveAnswered is set from a restart until the first election timeout:
-	// the former process may have answered a heartbeat that a leader's lease
-	// stands on, so that no vote is granted meanwhile.
-	mayHaveAnswered bool
+	// boundTicks is how long after a restart no vote is granted: the former
+	// process may have answered a heartbeat that a leader's lease stands on.
+	boundTicks int
 
 	elapsed   int
 	timeout   int
@@ -110,7 +109,9 @@
 		}
 	}
 	c.becomeFollower(c.term, "")
-	c.mayHaveAnswered = cfg.LeaderLease
+	if cfg.LeaderLease {
+		c.boundTicks = cfg.ElectionTicks
+	}
 	return c, nil
 }
 
@@ -145,6 +146,7 @@
 // Tick advances the logical clock by one.
 func (c *Core) Tick() {
 	c.elapsed++
+	c.boundTicks = max(c.boundTicks-1, 0)
 	if c.role == leader {
 		c.tickLeader()
 		return
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -401,6 +401,35 @@
 	is.Equal(leader.core.Commit(), leader.core.LastIndex())
 }
 
+// TestRestartedVotersElect restarts two of three voters together, the third is
+// gone: while either may have answered the former leader it grants no vote, and
+// its own campaigns do not make that time longer.
+func TestRestartedVotersElect(t *testing.T) {
+	// Every timeout is below two election timeouts; the first campaign may come
+	// before the other voter is free, and the second one may split the votes.
+	const bound = 3 * 2 * testElectionTicks
+	for seed := range int64(300) {
+		n := newNetwork(t, seed, "n1", "n2", "n3")
+		n.elect("n1")
+		for _, id := range n.ids {
+			n.crash(n.members[id])
+		}
+		n.leaderLease = true
+		n.start(n.members["n1"])
+		n.start(n.members["n2"])
+		ticks := 0
+		for n.leader() == nil {
+			if ticks++; ticks > bound {
+				t.Fatalf("seed %d: no leader after %d ticks", seed, bound)
+			}
+			n.run(1)
+		}
+		if ticks < testElectionTicks {
+			t.Fatalf("seed %d: a leader after %d ticks, the former one's lease may last", seed, ticks)
+		}
+	}
+}
+
 // TestVoteSurvivesRestart asks a voter twice for one term, with a restart in between.
 func TestVoteSurvivesRestart(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -23,7 +23,6 @@
 }
 
 func (c *Core) becomeFollower(term uint64, lead string) {
-	c.mayHaveAnswered = false
 	if term > c.term {
 		c.term = term
 		c.vote = ""
@@ -149,7 +148,7 @@
 // leader ignore both, so that a returning member does not disturb it.
 func (c *Core) handleVoteRequest(m *wirepb.ReplicaMessage) {
 	preVote := m.Type == wirepb.MessageType_MESSAGE_TYPE_PRE_VOTE
-	hearsLeader := (c.lead != "" || c.mayHaveAnswered) && c.elapsed < c.cfg.ElectionTicks
+	hearsLeader := c.lead != "" && c.elapsed < c.cfg.ElectionTicks || c.boundTicks > 0
 	if hearsLeader && !m.Forced || !c.cfg.Durable {
 		return
 	}
--- a/internal/replica/network_test.go
+++ b/internal/replica/network_test.go
@@ -78,6 +78,8 @@
 	committed map[uint64]string
 	last      uint64
 	commands  int
+	// leaderLease is the setting of members that start from here on.
+	leaderLease bool
 }
 
 func member(id string, voter bool) *wirepb.Member {
@@ -121,7 +123,7 @@
 	m.incarnation++
 	core, err := NewCore(Config{
 		ID: m.id, Incarnation: m.incarnation, Durable: true, ElectionTicks: testElectionTicks,
-		HeartbeatTicks: testHeartbeatTicks, Rand: rand.New(rand.NewSource(n.rng.Int63())),
+		HeartbeatTicks: testHeartbeatTicks, LeaderLease: n.leaderLease, Rand: rand.New(rand.NewSource(n.rng.Int63())),
 	}, Persisted{HardState: m.disk.hard, Snapshot: m.disk.snapshot, Entries: m.disk.entries})
 	if err != nil {
 		n.t.Fatalf("restart %s: %v", m.id, err)
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -81,14 +81,16 @@
 	c.background, c.cancel = context.WithCancel(context.Background())
 	c.gateway = newGateway(c.dialer, s.Listen.Peers, s.Seeds)
 	event.PeersTrusted.Emit()
-	listener, err := net.Listen("tcp", s.Listen.Peers)
-	if err != nil {
-		return nil, fmt.Errorf("listen.peers: %w", err)
-	}
 	loaded, err := c.identify(ctx)
 	if err != nil {
 		return nil, err
 	}
+	// Opened only once it can be served: others that call a daemon without a log
+	// are refused at once and try the next one.
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("listen.peers: %w", err)
+	}
 	if err := c.startReplica(loaded); err != nil {
 		return nil, err
 	}
