Latency histograms of the roles at the metrics address

Now: requests by operation and answer at each daemon, commits, calls to targets, time to a job's first start and to its end. The histogram of the older path moved to internal/metrics, so that there is one. Test: TestLatencyHistograms.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -235,6 +235,9 @@
 		change.Ends = append(change.Ends, e.end)
 	}
 	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
+	if err == nil {
+		d.observeEnds(ends)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
@@ -255,8 +258,7 @@
 func (d *Driver) commit(command *pb.Command) (*workflow.Outcome, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, commitTimeout)
 	defer cancel()
-	command.TimeUnixMs = d.cfg.NowMS()
-	return d.cfg.Log.Commit(ctx, command)
+	return d.commitIn(ctx, command)
 }
 
 // call runs f beside the loop until the leadership ends.
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	gometrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/driver"
+	"sapphirering/internal/metrics"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 	"sapphirering/test/standin"
@@ -301,3 +304,20 @@
 		})
 	}
 }
+
+// TestLatencyHistograms runs a job: its commits, calls, first start and end are
+// in the histograms that the metrics address serves.
+func TestLatencyHistograms(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a")
+	r.submit("j", 2, 1)
+	r.waitDone("j")
+	var text strings.Builder
+	is.NoErr(metrics.Write(&text, gometrics.DefaultRegistry, nil))
+	for _, series := range []string{
+		`driver_commit_us_count{outcome="committed"}`, `driver_target_call_us_count{call="start",outcome="answered"}`,
+		"driver_first_start_us_count", `driver_job_us_count{outcome="done"}`, `driver_job_us{outcome="done",quantile="0.99"}`,
+	} {
+		is.True(strings.Contains(text.String(), "sapphirering_"+series+" "))
+	}
+}
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -1,8 +1,69 @@
 package driver
 
-import gometrics "github.com/rcrowley/go-metrics"
+import (
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"sapphirering/internal/metrics"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
 
 // countStart counts the answer to a start call.
 func countStart(r Refusal) {
 	gometrics.GetOrRegisterCounter("driver_starts;answer="+r.String(), gometrics.DefaultRegistry).Inc(1)
 }
+
+// observeCall adds the time of a call to a target. Listings are left out: the
+// target holds them back.
+func observeCall(call string, began, now time.Time, err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = "silent"
+	}
+	metrics.Observe(metrics.Name("driver_target_call_us", metrics.L("call", call), metrics.L("outcome", outcome)), now.Sub(began))
+}
+
+// observeCommit adds the time of a commit.
+func observeCommit(began, now time.Time, err error) {
+	outcome := "committed"
+	if err != nil {
+		outcome = "failed"
+	}
+	metrics.Observe(metrics.Name("driver_commit_us", metrics.L("outcome", outcome)), now.Sub(began))
+}
+
+// observeFirstStart adds the time from acceptance to start of a job's first task.
+func (d *Driver) observeFirstStart(v *workflow.View, r *run) {
+	id := r.task
+	if r.attempt != 1 || id.Occurrence+id.Step+id.Index != 0 {
+		return
+	}
+	if task := v.Task(id); task != nil {
+		metrics.Observe("driver_first_start_us", time.Duration(d.cfg.NowMS()-task.Job.Spec.SubmittedUnixMs)*time.Millisecond)
+	}
+}
+
+// observeEnds adds the times from acceptance to end of the jobs that ended with
+// the ends just committed.
+func (d *Driver) observeEnds(ends []pendingEnd) {
+	nowMS := d.cfg.NowMS()
+	seen := make(map[string]bool)
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, e := range ends {
+			id := e.end.Task.GetJob()
+			job := v.Job(id)
+			if seen[id] || job == nil || !workflow.Ended(job.State) {
+				continue
+			}
+			seen[id] = true
+			outcome := "done"
+			if job.State != pb.JobState_JOB_STATE_DONE {
+				outcome = "not done"
+			}
+			metrics.Observe(metrics.Name("driver_job_us", metrics.L("outcome", outcome)),
+				time.Duration(nowMS-job.Spec.SubmittedUnixMs)*time.Millisecond)
+		}
+	})
+}
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -86,7 +86,10 @@
 
 func (d *Driver) commitIn(ctx context.Context, command *pb.Command) (*workflow.Outcome, error) {
 	command.TimeUnixMs = d.cfg.NowMS()
-	return d.cfg.Log.Commit(ctx, command)
+	began := d.cfg.Now()
+	out, err := d.cfg.Log.Commit(ctx, command)
+	observeCommit(began, d.cfg.Now(), err)
+	return out, err
 }
 
 func notReady(reason string) *pb.Response {
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -102,7 +102,9 @@
 			d.takeStart(r, l, open, Answer{}, errNoLease, false)
 			return
 		}
+		began := d.cfg.Now()
 		answer, err := d.cfg.Targets.Start(ctx, to, call)
+		observeCall("start", began, d.cfg.Now(), err)
 		d.takeStart(r, l, open, answer, err, true)
 	})
 }
@@ -150,6 +152,7 @@
 	switch answer.Refusal {
 	case Accepted:
 		r.phase, r.settled, r.working, r.movedAt = runConfirmed, now, now, now
+		d.cfg.Machine.View(func(v *workflow.View) { d.observeFirstStart(v, r) })
 		if l != nil {
 			l.wakeLook()
 		}
@@ -211,7 +214,9 @@
 		if !d.cfg.Log.HoldsLease() {
 			return
 		}
+		began := d.cfg.Now()
 		answer, err := d.cfg.Targets.Stop(ctx, to, call)
+		observeCall("stop", began, d.cfg.Now(), err)
 		d.takeStop(r, born, answer, err)
 	})
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -8,28 +8,20 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"sapphirering/internal/config"
+	"sapphirering/internal/metrics"
 	"sapphirering/internal/session"
 )
 
-const (
-	histogramSamples = 1028
-	histogramAlpha   = 0.015
-)
-
-// metrics keeps histograms per team and class.
-type metrics struct{}
+// requestMetrics keeps histograms per team and class.
+type requestMetrics struct{}
 
-func newMetrics() *metrics { return &metrics{} }
-
-func newHistogram() gometrics.Histogram {
-	return gometrics.NewHistogram(gometrics.NewExpDecaySample(histogramSamples, histogramAlpha))
-}
+func newMetrics() *requestMetrics { return &requestMetrics{} }
 
 // observe records the time and outcome of one request, in microseconds.
-func (m *metrics) observe(r *request, outcome string, took time.Duration) {
+func (m *requestMetrics) observe(r *request, outcome string, took time.Duration) {
 	class := config.ClassName(r.class)
 	name := fmt.Sprintf("request_us;team=%s;class=%s", r.team, class)
-	gometrics.GetOrRegister(name, newHistogram).(gometrics.Histogram).Update(took.Microseconds())
+	metrics.Observe(name, took)
 	counter := fmt.Sprintf("requests;team=%s;class=%s;outcome=%s", r.team, class, outcome)
 	gometrics.GetOrRegisterCounter(counter, nil).Inc(1)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -56,7 +56,7 @@
 // Server serves callers.
 type Server struct {
 	cfg     Config
-	metrics *metrics
+	metrics *requestMetrics
 	waiting *waitCounts
 	lines   *lines
 	budget  *retryBudget
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/metrics"
 	"sapphirering/internal/wire"
 	"sapphirering/internal/wire/wirepb"
 	"sapphirering/internal/workflow/workflowpb"
@@ -135,6 +136,14 @@
 // idempotent. At the end the answer says whether the request may have been
 // carried out.
 func (g *Gateway) Do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
+	began := time.Now()
+	response := g.do(ctx, r)
+	metrics.Observe(metrics.Name("gateway_request_us",
+		metrics.L("operation", r.Operation.String()), metrics.L("answer", response.Answer.String())), time.Since(began))
+	return response
+}
+
+func (g *Gateway) do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	unknown := false
 	var last string
 	for {
