--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -80,7 +80,13 @@
 
 func newRig(t *testing.T, targets ...string) *rig {
 	t.Helper()
-	r := &rig{t: t, fleet: standin.NewStepFleet(testLeaseTTL), machine: workflow.New(), vms: standin.NoVMs{}}
+	return newRigWithLease(t, testLeaseTTL, targets...)
+}
+
+// newRigWithLease is for what has to happen before a lease ends.
+func newRigWithLease(t *testing.T, ttl time.Duration, targets ...string) *rig {
+	t.Helper()
+	r := &rig{t: t, fleet: standin.NewStepFleet(ttl), machine: workflow.New(), vms: standin.NoVMs{}}
 	r.log = &fakeLog{machine: r.machine}
 	for _, id := range targets {
 		r.fleet.Add(id)
@@ -111,7 +117,7 @@
 	r.log = &fakeLog{machine: r.machine, index: r.log.index}
 	r.driver = driver.New(driver.Config{
 		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test",
-		Limits: driver.Limits{LeaseTTL: testLeaseTTL, AnnounceInterval: 200 * time.Millisecond, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond},
+		Limits: driver.Limits{LeaseTTL: r.fleet.LeaseTTL, AnnounceInterval: 200 * time.Millisecond, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/server/core_test.go
+++ b/internal/server/core_test.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// kill ends the daemon without a hand-over.
+func (n *coreNode) kill() {
+	n.core.links.Close()
+	n.core.peers.Close()
+	n.stop()
+}
+
 func (c *coreCluster) eventually(what string, within time.Duration, holds func() bool) {
 	c.t.Helper()
 	for end := time.Now().Add(within); !holds(); time.Sleep(20 * time.Millisecond) {
@@ -218,6 +225,32 @@
 	}
 }
 
+// recoverTime is how long after all daemons are back the system may take to
+// serve again, as the users state it.
+const recoverTime = 12 * time.Second
+
+// TestCoreAllStoppedRecovers stops all core daemons at once, right after a version
+// was acknowledged, and starts them again: they serve within the time, read that
+// version back, and take the next one.
+func TestCoreAllStoppedRecovers(t *testing.T) {
+	is := is.New(t)
+	c := newCoreCluster(t, 3)
+	for version := uint64(1); version < 6; version += 2 {
+		is.NoErr(c.put(c.nodes[version%3], version))
+		for _, n := range c.nodes {
+			n.kill()
+		}
+		began := time.Now()
+		for _, n := range c.nodes {
+			n.settings.Found = false
+			c.start(n)
+		}
+		c.eventually("the version is read back", recoverTime, func() bool { return c.read(c.nodes[0]) == fmt.Sprintf("version %d", version) })
+		is.NoErr(c.put(c.nodes[1], version+1))
+		is.True(time.Since(began) < recoverTime)
+	}
+}
+
 // TestLostVoter covers who is replaced and when.
 func TestLostVoter(t *testing.T) {
 	now := time.Now()
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -17,6 +17,8 @@
 type stepRun struct {
 	attempt uint32
 	begun   time.Time
+	// pace is the share of its speed at which the run works, in percent.
+	pace int
 }
 
 // StepTarget is a target for tasks of steps: fences, leases that
@@ -38,6 +40,8 @@
 	LateBy      time.Duration
 	// Gone tells that another target answers at the address.
 	Gone bool
+	// Gauge gives the tail of a lasting run beside runs at the given paces.
+	Gauge func(id workflow.TaskID, pace map[workflow.TaskID]int) float64
 
 	began     time.Time
 	fence     uint64
@@ -237,7 +241,7 @@
 	f.open[call.Task][t.id] = true
 	f.starts[call.Task]++
 	t.started++
-	t.running[call.Task] = stepRun{attempt: call.Attempt, begun: time.Now()}
+	t.running[call.Task] = stepRun{attempt: call.Attempt, begun: time.Now(), pace: 100}
 }
 
 // Stop stops a run, or keeps it from starting.
@@ -255,9 +259,30 @@
 	})
 }
 
-// Pace accepts every pace.
-func (f *StepFleet) Pace(ctx context.Context, to driver.Address, _ driver.PaceCall) (driver.Answer, error) {
-	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer { return t.answer(driver.Accepted) })
+// Pace sets the pace of a run.
+func (f *StepFleet) Pace(ctx context.Context, to driver.Address, call driver.PaceCall) (driver.Answer, error) {
+	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
+		if !t.checkFence(call.Fence) {
+			return t.answer(driver.RefusedFence)
+		}
+		if run, ok := t.running[call.Task]; ok && run.attempt == call.Attempt {
+			run.pace = call.Percent
+			t.running[call.Task] = run
+		}
+		return t.answer(driver.Accepted)
+	})
+}
+
+// gauge returns the tail of a lasting run, if the target has one.
+func (t *StepTarget) gauge(id workflow.TaskID) float64 {
+	if t.Gauge == nil {
+		return 0
+	}
+	pace := make(map[workflow.TaskID]int, len(t.running))
+	for other, run := range t.running {
+		pace[other] = run.pace
+	}
+	return t.Gauge(id, pace)
 }
 
 // Renew renews the lease and lists the runs.
@@ -285,7 +310,7 @@
 			}
 			listing = driver.Listing{BornUnixMS: t.born, Ended: slices.Clone(t.ends)}
 			for id, run := range t.running {
-				listing.Running = append(listing.Running, driver.Running{Task: id, Attempt: run.attempt, Percent: 100})
+				listing.Running = append(listing.Running, driver.Running{Task: id, Attempt: run.attempt, Percent: 100, Gauge: t.gauge(id)})
 			}
 			return t.answer(driver.Accepted)
 		})
