Slow targets have a line; a leader without its lease reads no catalogue, shown

Tests: TestSlownessIsReportedOnce; TestTwoLeadersOrder reads the catalogue at a leader without its lease (failed with the checks out, on a scratch copy).

--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -15,6 +15,9 @@
 	slownessRate = 0.25
 	// minRatio and maxRatio bound one run's part in what is learned.
 	minRatio, maxRatio = 0.1, 10
+	// slowAt is the learned run time, against that of its peers, from which on a
+	// target is reported as slow; below soundBelow it is sound again.
+	slowAt, soundBelow = 2.0, 1.5
 	// excludeAfter is the number of failed runs in a row after which a target
 	// gets no starts for a while.
 	excludeAfter = 3
@@ -55,6 +58,8 @@
 	failures  int
 	until     time.Time
 	excludeBy time.Duration
+	// reported tells that the target was reported as slow.
+	reported bool
 }
 
 // slowness returns the learned run time against the expected one; 1 is normal.
@@ -65,6 +70,17 @@
 	return h.slow
 }
 
+// crossed reports once when the target has become slow, and once when it is
+// sound again.
+func (h *health) crossed() bool {
+	slow := h.slowness()
+	if slow >= slowAt && !h.reported || slow < soundBelow && h.reported {
+		h.reported = !h.reported
+		return true
+	}
+	return false
+}
+
 // admits reports whether the target may get starts.
 func (h *health) admits(now time.Time) bool { return !now.Before(h.until) }
 
@@ -123,5 +139,9 @@
 		}
 		l.health.runs++
 		l.health.slow += slownessRate * (against - l.health.slow)
+		if l.health.crossed() {
+			event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reported),
+				event.F("slowness", l.health.slow), event.F("runs", l.health.runs))
+		}
 	})
 }
--- a/internal/driver/rules_test.go
+++ b/internal/driver/rules_test.go
@@ -94,7 +94,9 @@
 	r.log.mu.Unlock()
 	time.Sleep(100 * time.Millisecond) // a call under way may end
 	before := record.seen()
-	time.Sleep(1200 * time.Millisecond) // two orders would be due
+	read := r.request(&pb.Request{Operation: pb.Operation_OPERATION_GET_CATALOGUE})
+	is.Equal(read.Answer, pb.Answer_ANSWER_NOT_READY) // another leader may have taken a newer version
+	time.Sleep(1200 * time.Millisecond)               // two orders would be due
 	is.Equal(len(record.seen()), len(before))
 
 	r.lead()
