--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -15,8 +15,11 @@
 	slownessRate = 0.25
 	// minRatio and maxRatio bound one run's part in what is learned.
 	minRatio, maxRatio = 0.1, 10
-	// slowAt is the learned run time, against that of its peers, from which on a
-	// target is reported as slow; below soundBelow it is sound again.
+	// reportRate is the weight of the newest run time in what is reported of a
+	// target: less than for places, so that one long task does not show.
+	reportRate = 0.1
+	// slowAt is the reported run time, against that of its peers, from which on a
+	// target counts as slow; below soundBelow it is sound again.
 	slowAt, soundBelow = 2.0, 1.5
 	// excludeAfter is the number of failed runs in a row after which a target
 	// gets no starts for a while.
@@ -58,7 +61,8 @@
 	failures  int
 	until     time.Time
 	excludeBy time.Duration
-	// reported tells that the target was reported as slow.
+	// steady is the reported run time; reported tells that it was told as slow.
+	steady   float64
 	reported bool
 }
 
@@ -73,8 +77,7 @@
 // crossed reports once when the target has become slow, and once when it is
 // sound again.
 func (h *health) crossed() bool {
-	slow := h.slowness()
-	if slow >= slowAt && !h.reported || slow < soundBelow && h.reported {
+	if h.steady >= slowAt && !h.reported || h.steady < soundBelow && h.reported {
 		h.reported = !h.reported
 		return true
 	}
@@ -135,13 +138,14 @@
 		d.learned.ratio[queue] = known + learnRate*(ratio-known)
 		against := ratio / known
 		if l.health.runs == 0 {
-			l.health.slow = 1
+			l.health.slow, l.health.steady = 1, 1
 		}
 		l.health.runs++
 		l.health.slow += slownessRate * (against - l.health.slow)
+		l.health.steady += reportRate * (against - l.health.steady)
 		if l.health.crossed() {
 			event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reported),
-				event.F("slowness", l.health.slow), event.F("runs", l.health.runs))
+				event.F("slowness", l.health.steady), event.F("runs", l.health.runs))
 		}
 	})
 }
