--- a/internal/policy/assign/assign_test.go
+++ b/internal/policy/assign/assign_test.go
@@ -217,3 +217,36 @@
 		}
 	}
 }
+
+// BenchmarkPlan plans one round of the busiest pool at a size: its jobs and
+// targets grow together, as on the users' sites; one target in four has room.
+func BenchmarkPlan(b *testing.B) {
+	for _, targets := range []int{30, 100, 300, 530} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			snapshot := func() *Snapshot {
+				s := &Snapshot{NowMS: 5000, Workspaces: make(map[string]*Workspace)}
+				for i := range targets {
+					at := target(fmt.Sprintf("t%03d", i), 0)
+					at.Zone = fmt.Sprintf("zone-%d", i%3)
+					if i%4 == 0 {
+						at.Free = workflow.Resources{CPUMillis: 8000, MemoryMB: 1000}
+					}
+					s.Targets = append(s.Targets, at)
+				}
+				for i := range targets / 2 {
+					j := simple(fmt.Sprintf("j%03d", i), 8, 1000)
+					j.Workspace = fmt.Sprintf("w%d", i%20)
+					s.Workspaces[j.Workspace] = &Workspace{Limit: workflow.Resources{CPUMillis: 1 << 30}}
+					s.Jobs = append(s.Jobs, j)
+				}
+				return s
+			}
+			for range b.N {
+				b.StopTimer()
+				s := snapshot()
+				b.StartTimer()
+				Plan(s)
+			}
+		})
+	}
+}
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -99,6 +100,10 @@
 	pool *Pool
 	// short is the room that is missing, spare what could be given away.
 	short, spare int64
+	// idle VMs may leave, the longest idle first.
+	idle []VM
+	// racks counts the VMs by rack; where VMs rest does not matter.
+	racks map[string]int
 }
 
 // Plan returns the moves of one round, and the VMs that should take no more
@@ -127,26 +132,23 @@
 		return cmp.Or(cmp.Compare(b.spare, a.spare), strings.Compare(a.pool.Name, b.pool.Name))
 	})
 	moves = s.fill(needy, rich)
-	drain = s.drain(rich, moves)
+	drain = s.drain(rich)
 	return s.rest(rich, moves), drain
 }
 
 // drain picks the VMs that each pool can do without, those first that are empty
 // soonest: work gathers on the others, and these are free when the next turn asks.
-func (s *Snapshot) drain(rich []balance, moves []Move) []string {
+func (s *Snapshot) drain(rich []balance) []string {
 	var out []string
-	for _, from := range rich {
-		if from.pool.Resting {
+	for i := range rich {
+		if rich[i].pool.Resting {
 			continue
 		}
-		spare := from.spare
-		for _, vm := range soonestEmpty(from.pool) {
+		spare := rich[i].spare
+		for _, vm := range rich[i].soonestEmpty() {
 			if vm.CPUMillis > spare {
 				break
 			}
-			if moved(moves, vm.Name) {
-				continue
-			}
 			spare -= vm.CPUMillis
 			out = append(out, vm.Name)
 		}
@@ -155,17 +157,57 @@
 }
 
 // soonestEmpty returns the VMs that could become empty, the first one to be first.
-func soonestEmpty(p *Pool) []VM {
-	var busy []VM
-	for _, vm := range p.VMs {
-		if !vm.Fixed && vm.Lasting == 0 && vm.Tasks > 0 {
-			busy = append(busy, vm)
+func (b *balance) soonestEmpty() []VM {
+	left := balance{pool: b.pool, idle: slices.Clone(b.idle), racks: maps.Clone(b.racks)}
+	var out []VM
+	for len(left.idle) > 0 {
+		at := left.pick(nil, func(*VM) bool { return true })
+		out = append(out, left.idle[at])
+		left.take(at, nil)
+	}
+	idle := len(out)
+	for _, vm := range b.pool.VMs {
+		if vm.mayEmpty() && vm.Tasks > 0 {
+			out = append(out, vm)
 		}
 	}
-	slices.SortStableFunc(busy, func(a, b VM) int {
+	slices.SortStableFunc(out[idle:], func(a, b VM) int {
 		return cmp.Or(cmp.Compare(a.BusyMS, b.BusyMS), cmp.Compare(a.Tasks, b.Tasks), strings.Compare(a.Name, b.Name))
 	})
-	return append(idlest(p, nil), busy...)
+	return out
+}
+
+// mayEmpty reports whether the VM may leave the pool once its tasks have ended.
+func (vm *VM) mayEmpty() bool { return !vm.Fixed && vm.Lasting == 0 }
+
+// pick returns the idle VM to send to another pool, or -1: of the racks that have
+// more VMs here than there, so that a rack that is lost takes few of a pool's.
+func (b *balance) pick(to *balance, admits func(*VM) bool) int {
+	best, bestCrowd := -1, 0
+	for i := range b.idle {
+		vm := &b.idle[i]
+		crowd := b.racks[vm.Rack]
+		if to != nil {
+			crowd -= to.racks[vm.Rack]
+		}
+		if (best < 0 || crowd > bestCrowd) && admits(vm) {
+			best, bestCrowd = i, crowd
+		}
+	}
+	return best
+}
+
+// take moves an idle VM to another pool; to nowhere that matters without one.
+func (b *balance) take(at int, to *balance) VM {
+	vm := b.idle[at]
+	b.idle = slices.Delete(b.idle, at, at+1)
+	if b.racks != nil {
+		b.racks[vm.Rack]--
+	}
+	if to != nil && to.racks != nil {
+		to.racks[vm.Rack]++
+	}
+	return vm
 }
 
 // Footprint returns the room that a task takes of a VM when only tasks of its
@@ -177,9 +219,28 @@
 	return vm / (vm / room)
 }
 
+// list fills in the idle VMs and the racks.
+func (b *balance) list() {
+	if !b.pool.Resting {
+		b.racks = make(map[string]int)
+	}
+	for _, vm := range b.pool.VMs {
+		if vm.mayEmpty() && vm.Tasks == 0 {
+			b.idle = append(b.idle, vm)
+		}
+		if !vm.Out && b.racks != nil {
+			b.racks[vm.Rack]++
+		}
+	}
+	slices.SortStableFunc(b.idle, func(x, y VM) int {
+		return cmp.Or(cmp.Compare(y.IdleMS, x.IdleMS), strings.Compare(x.Name, y.Name))
+	})
+}
+
 // balance compares what a pool has with what it is asked for.
 func (s *Snapshot) balance(p *Pool) balance {
 	b := balance{pool: p}
+	b.list()
 	supply, vms, largest := p.IncomingMillis, p.Incoming, int64(0)
 	for _, vm := range p.VMs {
 		if !vm.Out {
@@ -240,17 +301,16 @@
 }
 
 func (s *Snapshot) give(to, from *balance, moves []Move) []Move {
-	for _, vm := range idlest(from.pool, to.pool) {
-		if to.short <= 0 || len(moves) >= s.Budget {
-			return moves
-		}
-		if vm.CPUMillis > from.spare || moved(moves, vm.Name) || !from.pool.Resting && vm.IdleMS < giveAfterMS || !s.Fits(vm.Name, to.pool.Name) {
-			continue
-		}
-		if to.short < vm.CPUMillis/4 {
+	admits := func(vm *VM) bool {
+		return vm.CPUMillis <= from.spare && (from.pool.Resting || vm.IdleMS >= giveAfterMS) && s.Fits(vm.Name, to.pool.Name)
+	}
+	for to.short > 0 && len(moves) < s.Budget {
+		at := from.pick(to, admits)
+		if at < 0 || to.short < from.idle[at].CPUMillis/4 {
 			// A small lack passes before the VM would be there.
-			return moves
+			break
 		}
+		vm := from.take(at, to)
 		to.short -= vm.CPUMillis
 		from.spare -= vm.CPUMillis
 		moves = append(moves, Move{VM: vm.Name, From: from.pool.Name, To: to.pool.Name, Reason: "the pool lacks room"})
@@ -276,66 +336,18 @@
 		if from.pool.Resting || from.pool.TurnMillis > 0 && from.pool.NextTurnMS-s.NowMS < keepBeforeTurnMS && from.pool.NextTurnMS > s.NowMS-keepBeforeTurnMS {
 			continue
 		}
-		for _, vm := range idlest(from.pool, nil) {
-			if len(moves) >= s.Budget || vm.CPUMillis > from.spare {
+		admits := func(vm *VM) bool {
+			return vm.CPUMillis <= from.spare && vm.IdleMS >= after && s.Fits(vm.Name, resting)
+		}
+		for len(moves) < s.Budget {
+			at := from.pick(nil, admits)
+			if at < 0 {
 				break
 			}
-			if vm.IdleMS < after || moved(moves, vm.Name) || !s.Fits(vm.Name, resting) {
-				continue
-			}
+			vm := from.take(at, nil)
 			from.spare -= vm.CPUMillis
 			moves = append(moves, Move{VM: vm.Name, From: from.pool.Name, To: resting, Reason: "idle"})
 		}
 	}
 	return moves
 }
-
-// idlest returns the VMs that may move to another pool, in an order that leaves
-// the VMs of both over many racks: a rack that is lost takes few of a pool's.
-func idlest(from, to *Pool) []VM {
-	var idle []VM
-	for _, vm := range from.VMs {
-		if !vm.Fixed && vm.Tasks == 0 && vm.Lasting == 0 {
-			idle = append(idle, vm)
-		}
-	}
-	slices.SortStableFunc(idle, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(b.IdleMS, a.IdleMS), strings.Compare(a.Name, b.Name))
-	})
-	// crowd is by how many VMs a rack has more here than there.
-	crowd := make(map[string]int)
-	addRacks(crowd, from, 1)
-	addRacks(crowd, to, -1)
-	ordered := make([]VM, 0, len(idle))
-	for len(idle) > 0 {
-		next := 0
-		for i := range idle {
-			if crowd[idle[i].Rack] > crowd[idle[next].Rack] {
-				next = i
-			}
-		}
-		crowd[idle[next].Rack]--
-		if to != nil {
-			crowd[idle[next].Rack]--
-		}
-		ordered = append(ordered, idle[next])
-		idle = slices.Delete(idle, next, next+1)
-	}
-	return ordered
-}
-
-// addRacks counts a pool's VMs by rack. Where VMs rest does not matter.
-func addRacks(count map[string]int, p *Pool, by int) {
-	if p == nil || p.Resting {
-		return
-	}
-	for _, vm := range p.VMs {
-		if !vm.Out {
-			count[vm.Rack] += by
-		}
-	}
-}
-
-func moved(moves []Move, vm string) bool {
-	return slices.ContainsFunc(moves, func(m Move) bool { return m.VM == vm })
-}
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -246,3 +246,22 @@
 		}
 	}
 }
+
+// BenchmarkPlan plans one round over pools of ten VMs, a third of them short of
+// room and as many with VMs to spare.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []int{5, 20, 83} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			s := snapshot(Pool{Name: "rest", Resting: true, VMs: vms("r", 2*size, nil)})
+			for i := range size {
+				s.Pools = append(s.Pools, Pool{
+					Name: fmt.Sprintf("p%02d", i), NeedMillis: int64(i%3) * 120_000,
+					VMs: vms(fmt.Sprintf("v%02d-", i), 10, func(vm *VM) { vm.Tasks = i % 2; vm.IdleMS *= int64(1 - i%2) }),
+				})
+			}
+			for range b.N {
+				Plan(s)
+			}
+		})
+	}
+}
