A leader with a slow disk hands over; nothing is proposed while it does

A leader whose saves took 90 ms or more three times in a row asks another voter to lead, at most once in 10 s. Found on the way: hand-overs under load failed. Nothing is proposed from the request on; proposals get "not leader", which is true. A request that nobody takes up ends the leadership after one election timeout, and no lease is held again in that term, since the request may still arrive. Ruled out: the links, votes of the slow voter (not needed), the log of the successor at the time of the request (it was complete).

--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -54,6 +54,10 @@
 	Machine StateMachine
 	Storage Storage
 	Sender  Sender
+	// SlowSave is the time from which on a save counts as slow; a leader whose saves
+	// stay slow hands over. 0 for never. OnSlowDisk is told of it.
+	SlowSave   time.Duration
+	OnSlowDisk func(saved time.Duration)
 	// TickInterval is the length of one tick.
 	TickInterval time.Duration
 	// SnapshotEntries is the number of applied entries between snapshots.
@@ -131,6 +135,10 @@
 
 	lease        leaderLease
 	transferring bool
+	// slowSaves counts slow saves in a row; handedOver is when this leader last
+	// asked another voter to lead because of them.
+	slowSaves  int
+	handedOver time.Time
 	// leaseUntil is a time of bootTime; 0 without a lease.
 	leaseUntil atomic.Int64
 
@@ -236,6 +244,12 @@
 }
 
 func (n *Node) propose(p proposal) {
+	if n.transferring {
+		// An entry appended now would reach the other voters and not the successor,
+		// who campaigns already: they would not vote for it.
+		p.reply <- proposalResult{err: ErrNotLeader}
+		return
+	}
 	var index uint64
 	var err error
 	if p.change != nil {
@@ -287,6 +301,7 @@
 	if err := n.core.Fault(); err != nil {
 		return err
 	}
+	n.leaveSlowDisk()
 	n.noteChanges()
 	n.noteRounds()
 	n.finishConfirmations()
@@ -305,12 +320,14 @@
 	if n.cfg.ConfirmedReads && len(r.Entries) == 0 && r.Snapshot == nil && !r.VoteChanged {
 		return nil
 	}
+	began := time.Now()
 	err := n.cfg.Storage.Save(store.Batch{
 		HardState: r.HardState, Entries: r.Entries, Snapshot: r.Snapshot, Reset: r.Snapshot != nil,
 	})
 	if err != nil {
 		return fmt.Errorf("persist: %w", err)
 	}
+	n.noteSave(time.Since(began))
 	return nil
 }
 
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -68,6 +68,12 @@
 
 // startGroup runs one node for each storage; a nil storage keeps nothing.
 func startGroup(t testing.TB, storages ...Storage) *group {
+	t.Helper()
+	return startGroupWith(t, func(*NodeConfig) {}, storages...)
+}
+
+// startGroupWith changes the settings of each node.
+func startGroupWith(t testing.TB, change func(*NodeConfig), storages ...Storage) *group {
 	t.Helper()
 	g := &group{cut: make(map[string]bool), nodes: make(map[string]*Node), leads: make(chan string, 100)}
 	first := &wirepb.Membership{}
@@ -79,7 +85,7 @@
 	}
 	for i, storage := range storages {
 		id := first.Members[i].Id
-		node, err := NewNode(NodeConfig{
+		config := NodeConfig{
 			Core: Config{
 				ID: id, Incarnation: 1, Durable: true, ElectionTicks: 10, HeartbeatTicks: 3,
 				Rand: rand.New(rand.NewSource(int64(i))),
@@ -92,7 +98,9 @@
 				}
 			},
 			OnFatal: func(err error) { t.Errorf("node %s: %v", id, err) },
-		}, store.Loaded{HardState: &wirepb.HardState{Term: 1, Commit: 1}, Snapshot: snapshot})
+		}
+		change(&config)
+		node, err := NewNode(config, store.Loaded{HardState: &wirepb.HardState{Term: 1, Commit: 1}, Snapshot: snapshot})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -37,6 +37,8 @@
 	// coreSnapshotEntries bounds the log kept in memory and on disk.
 	coreSnapshotEntries = 1500
 	coreSnapshotTail    = 500
+	// slowSave is ten times what a save takes on the users' slowest sound disk.
+	slowSave = 90 * time.Millisecond
 )
 
 // Core is a daemon that keeps the log and, while it leads, drives the targets.
@@ -252,8 +254,9 @@
 			ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: newRand(int64(incarnation)),
 		},
 		Machine: c.machine, Storage: c.log, Sender: coreSender{c}, TickInterval: coreTick,
-		SnapshotEntries: coreSnapshotEntries, SnapshotTail: coreSnapshotTail,
+		SlowSave: slowSave, SnapshotEntries: coreSnapshotEntries, SnapshotTail: coreSnapshotTail,
 		OnLeaderChange: c.onLeaderChange, ConfirmedReads: true,
+		OnSlowDisk: func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
 		OnFatal: func(err error) {
 			event.StorageFailed.Emit(event.Err(err))
 			c.fatal <- err
