--- a/internal/replica/slowdisk_test.go
+++ b/internal/replica/slowdisk_test.go
@@ -20,6 +20,14 @@
 	return nil
 }
 
+// slowDiskConfig has election timeouts of several slow saves, so that no voter
+// campaigns because of one.
+func slowDiskConfig(slowSave time.Duration) func(*NodeConfig) {
+	return func(c *NodeConfig) {
+		c.SlowSave, c.Core.LeaderLease, c.TickInterval = slowSave, true, 4*testTick
+	}
+}
+
 // TestLeaderLeavesSlowDisk makes the saves of the leader slow while proposals
 // keep coming: another voter leads in the next term, not after an election of its
 // own, and commits are fast again.
@@ -88,3 +96,31 @@
 	}
 	t.Fatal("the leadership did not end")
 }
+
+// TestAllDisksSlow makes every disk slow: each voter hands over at most once in
+// handOverPause, and proposals still commit.
+func TestAllDisksSlow(t *testing.T) {
+	is := is.New(t)
+	const slow = 25 * time.Millisecond
+	disks := []*slowDisk{{}, {}, {}}
+	g := startGroupWith(t, func(c *NodeConfig) { c.SlowSave, c.Core.LeaderLease = slow/2, true }, disks[0], disks[1], disks[2])
+	first := g.leader(t)
+	term := uint64(0)
+	is.NoErr(first.do(context.Background(), func() { term = first.core.Term() }))
+	for _, disk := range disks {
+		disk.takes.Store(int64(slow))
+	}
+	committed := 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if _, err := g.leader(t).Propose(ctx, []byte("x")); err == nil {
+			committed++
+		}
+		cancel()
+	}
+	is.True(committed > 10)
+	last := g.leader(t)
+	is.NoErr(last.do(context.Background(), func() { term = last.core.Term() - term }))
+	t.Logf("%d commits, %d terms", committed, term)
+	is.True(term <= uint64(2*len(disks))) // a hand-over that fails costs two terms
+}
