--- /dev/null
+++ b/internal/driver/fleet_rules_test.go
@@ -0,0 +1,91 @@
+package driver
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// bareDriver has targets t0, t1 and t2 on VMs of their own and a lasting job with
+// one task at work on each, of which one may be away.
+func bareDriver(t *testing.T, now func() time.Time) *Driver {
+	t.Helper()
+	machine := workflow.New()
+	index := uint64(0)
+	apply := func(command *pb.Command) {
+		data, err := proto.Marshal(command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		index++
+		if out := machine.Apply(index, data).(*workflow.Outcome); out.Code != workflow.OK || len(out.Refused) > 0 {
+			t.Fatalf("command %d: %s %v", index, out.Reason, out.Refused)
+		}
+	}
+	apply(&pb.Command{Body: &pb.Command_PutCatalogue{PutCatalogue: &pb.PutCatalogue{Catalogue: &pb.Catalogue{
+		Version: 1, Pools: []*pb.Pool{{Name: "p"}},
+		Queues: []*pb.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", Pool: "p", TimeoutMs: 1000, MaxAttempts: 2, Open: true}},
+	}}}})
+	job := &pb.Job{Id: "j", Queue: "q", Steps: []*pb.Step{{Tasks: 3, Lasting: true, MaxUnavailable: 1, Needs: &pb.Resources{CpuMillis: 100}}}}
+	apply(&pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: job}}})
+	d := New(Config{Machine: machine, Now: now, NowMS: func() int64 { return now().UnixMilli() }})
+	d.ctx = context.Background()
+	var starts []*pb.Start
+	for i, id := range []string{"t0", "t1", "t2"} {
+		target := &pb.Target{Id: id, BornUnixMs: 1, Pool: "p", Vm: "vm-" + id, Capacity: &pb.Resources{CpuMillis: 1000}}
+		apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}})
+		task := workflow.TaskID{Job: "j", Index: uint32(i)}
+		starts = append(starts, &pb.Start{Task: task.Ref(1), Target: id, TargetBornUnixMs: 1})
+		d.links[id] = &link{target: target, answeredAt: now(), looked: true}
+		d.runs[task] = &run{
+			task: task, attempt: 1, target: id, born: 1, phase: runConfirmed,
+			percent: fullPace, movedAt: now().Add(-time.Minute),
+		}
+	}
+	apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: starts}}})
+	return d
+}
+
+// TestOrderNeedsFreshListings lets a VM go down only while the other tasks of a
+// step are known to be at work by listings that are fresh: a rack that has just
+// gone dark has not failed a call yet.
+func TestOrderNeedsFreshListings(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		name   string
+		change func(d *Driver)
+		may    bool
+	}{
+		{"all at work", func(*Driver) {}, true},
+		{"an old listing", func(d *Driver) { d.links["t1"].answeredAt = now.Add(-2 * freshListing) }, false},
+		{"a call without an answer", func(d *Driver) { d.links["t1"].failures = 1 }, false},
+		{"a task that has only begun", func(d *Driver) { d.runs[workflow.TaskID{Job: "j", Index: 1}].movedAt = now }, false},
+		{"a task that is not at work", func(d *Driver) { d.runs[workflow.TaskID{Job: "j", Index: 2}].percent = 40 }, false},
+		{"an order for another VM under way", func(d *Driver) { d.waves.calling["vm-t2"] = true }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := bareDriver(t, func() time.Time { return now })
+			test.change(d)
+			if got := d.mayGoDown("vm-t0"); got != test.may {
+				t.Errorf("may go down: %t, want %t", got, test.may)
+			}
+		})
+	}
+}
+
+// TestNewestTargetOnVM tells a VM by the target that began last: an older one that
+// is still known is idle because it is gone.
+func TestNewestTargetOnVM(t *testing.T) {
+	is := is.New(t)
+	d := bareDriver(t, time.Now)
+	d.links["former"] = &link{target: &pb.Target{Id: "former", BornUnixMs: 0, Vm: "vm-t0"}}
+	for range 20 { // the order of a map differs
+		is.Equal(d.linkOfVM("vm-t0").target.Id, "t0")
+	}
+}
