--- a/internal/replica/slowdisk_test.go
+++ b/internal/replica/slowdisk_test.go
@@ -36,7 +36,7 @@
 		is := is.New(t)
 		const slow = 40 * time.Millisecond
 		disks := []*slowDisk{{}, {}, {}}
-		g := startGroupWith(t, func(c *NodeConfig) { c.SlowSave, c.Core.LeaderLease = slow/2, true }, disks[0], disks[1], disks[2])
+		g := startGroupWith(t, slowDiskConfig(slow/2), disks[0], disks[1], disks[2])
 		first := g.leader(t)
 		for i, id := range []string{"n1", "n2", "n3"} {
 			if g.nodes[id] == first {
@@ -78,7 +78,7 @@
 func TestHandOverThatNobodyTakesUp(t *testing.T) {
 	is := is.New(t)
 	disks := []*slowDisk{{}, {}, {}}
-	g := startGroupWith(t, func(c *NodeConfig) { c.SlowSave, c.Core.LeaderLease = 20*time.Millisecond, true }, disks[0], disks[1], disks[2])
+	g := startGroupWith(t, slowDiskConfig(20*time.Millisecond), disks[0], disks[1], disks[2])
 	leader := g.leader(t)
 	term := uint64(0)
 	is.NoErr(leader.do(context.Background(), func() {
@@ -103,7 +103,7 @@
 	is := is.New(t)
 	const slow = 25 * time.Millisecond
 	disks := []*slowDisk{{}, {}, {}}
-	g := startGroupWith(t, func(c *NodeConfig) { c.SlowSave, c.Core.LeaderLease = slow/2, true }, disks[0], disks[1], disks[2])
+	g := startGroupWith(t, slowDiskConfig(slow/2), disks[0], disks[1], disks[2])
 	first := g.leader(t)
 	term := uint64(0)
 	is.NoErr(first.do(context.Background(), func() { term = first.core.Term() }))
