One way to hand over, to send orders for VMs, and to answer reads

Mended: - A leader handed over in two places, by a graceful shutdown and from a slow disk, and only the second ended a leadership that nobody took over; the first could hold its lease again after a second try that found no successor, with the first request still under way. handOver and endLostHandOver serve both.

--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -87,5 +87,6 @@
 	d.links["former"] = &link{target: &pb.Target{Id: "former", BornUnixMs: 0, Vm: "vm-t0"}}
 	for range 20 { // the order of a map differs
 		is.Equal(d.linkOfVM("vm-t0").target.Id, "t0")
+		is.Equal(d.linksByVM()["vm-t0"].target.Id, "t0")
 	}
 }
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -247,6 +247,7 @@
 
 // addVMs adds the VMs where they are, and those on their way to where they go.
 func (d *Driver) addVMs(v *workflow.View, s *pools.Snapshot, index map[string]int, now time.Time) {
+	links := d.linksByVM()
 	for name, vm := range d.fleet.vms {
 		if m := d.pools.moving[name]; m != nil {
 			if at, ok := index[m.to]; ok && !s.Pools[at].Resting {
@@ -262,7 +263,7 @@
 		described := pools.VM{Name: name, Rack: lastLabel(vm.Labels), CPUMillis: vm.Capacity.CPUMillis, Fixed: vm.State != VMUp}
 		if s.Pools[at].Resting {
 			described.Fixed = now.Before(d.pools.settles[name])
-		} else if !d.describeVM(v, name, &described, now) {
+		} else if !d.describeVM(v, links[name], &described, now) {
 			continue
 		}
 		described.Out = described.Out || d.waves.cordoned[name] || v.Ordered(name)
@@ -280,8 +281,7 @@
 }
 
 // describeVM adds what runs on a VM; false for one without a target that works.
-func (d *Driver) describeVM(v *workflow.View, name string, vm *pools.VM, now time.Time) bool {
-	l := d.linkOfVM(name)
+func (d *Driver) describeVM(v *workflow.View, l *link, vm *pools.VM, now time.Time) bool {
 	if l == nil {
 		return false
 	}
@@ -295,13 +295,13 @@
 	}
 	vm.Out = l.leaving || l.failures > 0
 	if vm.Tasks > 0 {
-		delete(d.pools.idleSince, name)
+		delete(d.pools.idleSince, vm.Name)
 		return true
 	}
-	since, ok := d.pools.idleSince[name]
+	since, ok := d.pools.idleSince[vm.Name]
 	if !ok {
 		since = now
-		d.pools.idleSince[name] = now
+		d.pools.idleSince[vm.Name] = now
 	}
 	vm.IdleMS = now.Sub(since).Milliseconds()
 	return true
@@ -342,17 +342,9 @@
 func (d *Driver) orderMove(vm string, now time.Time) {
 	m := d.pools.moving[vm]
 	m.calling, m.tried = true, now
-	order := VMOrder{VM: vm, Holder: d.cfg.Holder, Fence: d.cfg.Epoch}
-	d.call(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
-		defer cancel()
-		if !d.cfg.Log.HoldsLease() {
-			d.takeMove(vm, m, VMFence, errNoLease)
-			return
-		}
-		refusal, err := d.cfg.VMs.Move(ctx, order, m.to)
-		d.takeMove(vm, m, refusal, err)
-	})
+	d.callPlatform(vm, func(ctx context.Context, order VMOrder) (VMRefusal, error) {
+		return d.cfg.VMs.Move(ctx, order, m.to)
+	}, func(refusal VMRefusal, err error) { d.takeMove(vm, m, refusal, err) })
 }
 
 func (d *Driver) takeMove(vm string, m *move, refusal VMRefusal, err error) {
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -108,7 +108,8 @@
 	return &pb.Response{Answer: pb.Answer_ANSWER_UNKNOWN, Reason: err.Error()}
 }
 
-func (d *Driver) status(r *pb.Request) *pb.Response {
+// read answers an admitted request from the committed state.
+func (d *Driver) read(r *pb.Request, answer func(*workflow.View, *pb.Queue) *pb.Response) *pb.Response {
 	var response *pb.Response
 	d.cfg.Machine.View(func(v *workflow.View) {
 		queue, _, refused := admit(v, r)
@@ -116,14 +117,19 @@
 			response = refused
 			return
 		}
+		response = answer(v, queue)
+	})
+	return response
+}
+
+func (d *Driver) status(r *pb.Request) *pb.Response {
+	return d.read(r, func(v *workflow.View, queue *pb.Queue) *pb.Response {
 		job := v.Job(r.Job.GetId())
 		if job == nil || job.Spec.Queue != queue.Name {
-			response = &pb.Response{Answer: pb.Answer_ANSWER_GONE}
-			return
+			return &pb.Response{Answer: pb.Answer_ANSWER_GONE}
 		}
-		response = &pb.Response{Answer: pb.Answer_ANSWER_OK, State: job.State, Reason: job.Reason}
+		return &pb.Response{Answer: pb.Answer_ANSWER_OK, State: job.State, Reason: job.Reason}
 	})
-	return response
 }
 
 func (d *Driver) cancel(ctx context.Context, r *pb.Request) *pb.Response {
@@ -144,21 +150,15 @@
 
 // count returns the jobs of a queue of which nothing has started.
 func (d *Driver) count(r *pb.Request) *pb.Response {
-	var response *pb.Response
-	d.cfg.Machine.View(func(v *workflow.View) {
-		queue, _, refused := admit(v, r)
-		if refused != nil {
-			response = refused
-			return
-		}
-		response = &pb.Response{Answer: pb.Answer_ANSWER_OK}
+	return d.read(r, func(v *workflow.View, queue *pb.Queue) *pb.Response {
+		response := &pb.Response{Answer: pb.Answer_ANSWER_OK}
 		for _, job := range v.OpenJobs() {
 			if job.Spec.Queue == queue.Name && job.State == pb.JobState_JOB_STATE_QUEUED {
 				response.Waiting++
 			}
 		}
+		return response
 	})
-	return response
 }
 
 // putCatalogue answers only once the version, or a later one, is committed.
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -207,13 +207,31 @@
 func (d *Driver) linkOfVM(vm string) *link {
 	var newest *link
 	for _, l := range d.links {
-		if l.target.Vm == vm && (newest == nil || l.target.BornUnixMs > newest.target.BornUnixMs) {
-			newest = l
+		if l.target.Vm == vm {
+			newest = newer(newest, l)
 		}
 	}
 	return newest
 }
 
+// linksByVM returns the link of the newest target on each VM, for who looks at
+// all VMs.
+func (d *Driver) linksByVM() map[string]*link {
+	out := make(map[string]*link, len(d.links))
+	for _, l := range d.links {
+		out[l.target.Vm] = newer(out[l.target.Vm], l)
+	}
+	return out
+}
+
+// newer returns the link of the target that began last; a may be nil.
+func newer(a, b *link) *link {
+	if a == nil || b.target.BornUnixMs > a.target.BornUnixMs {
+		return b
+	}
+	return a
+}
+
 // endIncarnationsOn ends the incarnations on a VM that began before a time: a VM runs one
 // target, and what it ran before is gone.
 func (d *Driver) endIncarnationsOn(vm string, before int64, reason string) {
@@ -370,16 +388,23 @@
 	}
 	d.waves.calling[vm], d.waves.tried[vm] = true, now
 	id := w.Id
+	d.callPlatform(vm, func(ctx context.Context, order VMOrder) (VMRefusal, error) {
+		return d.cfg.VMs.Maintain(ctx, order, id)
+	}, func(refusal VMRefusal, err error) { d.takeOrder(id, vm, refusal, err) })
+}
+
+// callPlatform sends an order for a VM beside the loop, under the leader's lease
+// alone, and hands on the answer.
+func (d *Driver) callPlatform(vm string, send func(context.Context, VMOrder) (VMRefusal, error), take func(VMRefusal, error)) {
 	order := VMOrder{VM: vm, Holder: d.cfg.Holder, Fence: d.cfg.Epoch}
 	d.call(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
-		defer cancel()
 		if !d.cfg.Log.HoldsLease() {
-			d.takeOrder(id, vm, VMFence, errNoLease)
+			take(VMFence, errNoLease)
 			return
 		}
-		refusal, err := d.cfg.VMs.Maintain(ctx, order, id)
-		d.takeOrder(id, vm, refusal, err)
+		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
+		defer cancel()
+		take(send(ctx, order))
 	})
 }
 
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -133,12 +133,13 @@
 	lastMembers   *wirepb.Membership
 	snapshotAt    uint64
 
-	lease        leaderLease
+	lease leaderLease
+	// transferring is set from a request to another voter to lead until somebody
+	// does; handedOver is when the last such request was first sent.
 	transferring bool
-	// slowSaves counts slow saves in a row; handedOver is when this leader last
-	// asked another voter to lead because of them.
-	slowSaves  int
-	handedOver time.Time
+	handedOver   time.Time
+	// slowSaves counts slow saves in a row.
+	slowSaves int
 	// leaseUntil is a time of bootTime; 0 without a lease.
 	leaseUntil atomic.Int64
 
@@ -302,6 +303,7 @@
 		return err
 	}
 	n.leaveSlowDisk()
+	n.endLostHandOver()
 	n.noteChanges()
 	n.noteRounds()
 	n.finishConfirmations()
@@ -609,13 +611,7 @@
 // TransferLeadership asks another voter to take over.
 func (n *Node) TransferLeadership(ctx context.Context) (bool, error) {
 	started := false
-	err := n.do(ctx, func() {
-		// The successor campaigns at once: from here on this lease keeps nobody out.
-		n.transferring = true
-		n.leaseUntil.Store(0)
-		started = n.core.TransferLeadership()
-		n.transferring = started
-	})
+	err := n.do(ctx, func() { started = n.handOver() })
 	return started, err
 }
 
--- a/internal/replica/slowdisk.go
+++ b/internal/replica/slowdisk.go
@@ -24,26 +24,10 @@
 }
 
 // leaveSlowDisk lets another voter lead while the saves of this leader are slow:
-// every commit waits for them. A hand-over that nobody takes up ends the
-// leadership: the request may still arrive, so that no lease may be held again
-// in this term.
+// every commit waits for them.
 func (n *Node) leaveSlowDisk() {
-	if n.handedOver.IsZero() || time.Since(n.handedOver) > handOverPause {
-		if n.slowSaves < slowSavesInRow || !n.core.LeaderReady() || !n.core.TransferLeadership() {
-			return
-		}
-		// The request leaves with the next messages: from here on this lease keeps
-		// nobody out.
-		n.handedOver, n.transferring = time.Now(), true
-		n.leaseUntil.Store(0)
-		return
-	}
-	if n.transferring && n.core.IsLeader() && time.Since(n.handedOver) > n.electionTimeout() {
-		n.core.becomeFollower(n.core.Term(), "")
+	recently := !n.handedOver.IsZero() && time.Since(n.handedOver) <= handOverPause
+	if !recently && n.slowSaves >= slowSavesInRow && n.core.LeaderReady() {
+		n.handOver()
 	}
 }
-
-// electionTimeout is the shortest time after which a voter campaigns.
-func (n *Node) electionTimeout() time.Duration {
-	return time.Duration(n.cfg.Core.ElectionTicks) * n.cfg.TickInterval
-}
