A start taken by the next incarnation; silent targets are asked again

A start that the next incarnation under the same id took was held for one of the former incarnation and given up without a stop. Now only a run that its own incarnation has listed is given up at once; for any other a stop goes to the new incarnation first. TestStartTakenByNextIncarnation fails without it. A new incarnation that stays silent holds such a run no longer than the lease that the start can have given it.

Cause 2 (found beside it): a start without an answer, whose run ended by a later one, may reach the next incarnation, which knows neither its end nor its stop. TestLateStartOfEndedRun fails without.

Cause 3 (found by the trace of 2's test): a target whose runs were lost with its lease while it was silent was not asked again, since nothing was placed there; as a target gets starts only after an answer, it got none until it restarted. Now an announced target whose last call got no answer is asked. TestSilentTarget goes on after the loss and fails without it.

Ruled out for 1: a start carried out by the former incarnation (its end is committed before the next start), and a lapse (leases were held).

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -78,6 +78,8 @@
 	mu    sync.Mutex
 	links map[string]*link
 	runs  map[workflow.TaskID]*run
+	// lateStarts holds unanswered starts of runs that are over, by target.
+	lateStarts map[string][]lateStart
 	// ended holds incarnations of targets that are surely over, so that late
 	// announcements do not bring them back.
 	ended map[incarnation]bool
@@ -117,7 +119,7 @@
 func New(cfg Config) *Driver {
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
-		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run),
+		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run), lateStarts: make(map[string][]lateStart),
 		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time),
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -78,6 +78,15 @@
 	is.True(time.Since(began) > testLeaseTTL) // the lease of the silent target ran out first
 	r.fleet.Running("a")
 	r.judge()
+
+	// Once it can be heard again it is asked, and gets starts.
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.Silent, t.Resets, t.Work = false, false, 50*time.Millisecond })
+	r.fleet.Change("b", func(t *standin.StepTarget) { t.Resets = true })
+	before := r.fleet.Started("a")
+	r.submit("k", 2)
+	r.waitDone("k")
+	is.Equal(r.fleet.Started("a"), before+2)
+	r.judge()
 }
 
 // TestLateStart delays starts past the death of their target: a start that
@@ -94,6 +103,58 @@
 	r.judge()
 }
 
+// TestStartTakenByNextIncarnation restarts a target between the commit of a start and
+// the call: the next incarnation under the same id takes the start before it has
+// announced itself. The task does not start elsewhere while that run goes on.
+func TestStartTakenByNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a", "b")
+	r.fleet.Change("b", func(t *standin.StepTarget) { t.Full = true })
+	r.lead()
+	var once sync.Once
+	r.log.holdCommits(func(command *pb.Command) {
+		if len(command.GetChangeTasks().GetStarts()) == 0 {
+			return
+		}
+		once.Do(func() {
+			r.quiet.Store(true)
+			time.Sleep(50 * time.Millisecond) // announcements under way arrive
+			r.fleet.Restart("a")
+			r.fleet.Change("a", func(t *standin.StepTarget) {
+				t.Full, t.Work, t.StopsLateBy = true, time.Second, 300*time.Millisecond
+			})
+			r.fleet.Change("b", func(t *standin.StepTarget) { t.Full = false })
+		})
+	})
+	r.submit("j", 2)
+	r.eventually("the next incarnation takes the starts", testWait, func() bool { return r.fleet.Started("a") == 2 })
+	r.quiet.Store(false)
+	r.waitDone("j")
+	is.Equal(r.fleet.Started("b"), 2)
+	r.judge()
+}
+
+// TestLateStartOfEndedRun delays one start past a second one for the same run, the end
+// of that run and the restart of the target: the next incarnation does not begin it.
+func TestLateStartOfEndedRun(t *testing.T) {
+	const late = 4 * time.Second
+	is := is.New(t)
+	r := newRigWithLease(t, time.Minute, "a")
+	time.Sleep(1500 * time.Millisecond) // its clock is ahead of that of its next incarnation
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.LateBy = late })
+	r.submit("j", 1)
+	arrives := time.Now().Add(late)
+	time.Sleep(500 * time.Millisecond) // the start is under way
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.LateBy = 0 })
+	r.waitDone("j")
+	is.Equal(r.fleet.Started("a"), 1)
+	time.Sleep(100 * time.Millisecond) // the end is confirmed to the target
+	r.fleet.Restart("a")
+	time.Sleep(time.Until(arrives) + 300*time.Millisecond)
+	is.Equal(r.fleet.Started("a"), 0)
+	r.judge()
+}
+
 // TestEndConfirmedAfterItsOwnCommit holds up the commit of one target's ends
 // while another target lists its own, then loses the leadership before these
 // are committed: they are not confirmed, and the next leader takes them.
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -189,7 +189,7 @@
 	if d.links[l.target.Id] != l || l.taken != l.seen || !d.cfg.Log.HoldsLease() {
 		return RenewCall{}, nil, false
 	}
-	if l.told == l.seen && !d.hasRuns(l.target.Id) && (l.looked || d.cfg.Now().Sub(l.lastAnnounced) > 2*d.cfg.Limits.AnnounceInterval) {
+	if l.told == l.seen && !d.hasRuns(l.target.Id) && !d.owesAnswer(l) {
 		return RenewCall{}, nil, false
 	}
 	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.seen, Wait: lookWait}
@@ -209,6 +209,13 @@
 	return call, d.openCall(l, call.Wait+answerTime), true
 }
 
+// owesAnswer reports whether an announced target without runs is to be asked: one that
+// was never heard, or whose last call got no answer and that gets no starts until one does.
+func (d *Driver) owesAnswer(l *link) bool {
+	announced := d.cfg.Now().Sub(l.lastAnnounced) <= 2*d.cfg.Limits.AnnounceInterval
+	return announced && (!l.looked || l.failures > 0)
+}
+
 func (d *Driver) hasRuns(target string) bool {
 	any := false
 	d.cfg.Machine.View(func(v *workflow.View) { any = len(v.Placed(target)) > 0 })
@@ -315,6 +322,7 @@
 			d.loseToRestart(l, r)
 		}
 	}
+	d.refuseLateStarts(l)
 	d.call(func() { d.register(target) })
 	return l
 }
@@ -349,6 +357,12 @@
 	d.kick()
 }
 
+// lapsedAnywhere reports whether the lease that a run began with has lapsed on
+// whichever incarnation took its start: no start of it is under way any more.
+func (d *Driver) lapsedAnywhere(r *run, now time.Time) bool {
+	return !r.unanswered && !r.settled.IsZero() && now.Sub(r.settled) > d.leaseBound()
+}
+
 // checkLinks ends the runs of targets whose leases have surely lapsed while
 // they gave no answer.
 func (d *Driver) checkLinks() {
@@ -359,7 +373,7 @@
 		}
 		lost := 0
 		for _, r := range d.runs {
-			if r.target == l.target.Id && r.born == l.target.BornUnixMs && r.phase != runEnded {
+			if r.target == l.target.Id && r.phase != runEnded && (r.born == l.target.BornUnixMs || d.lapsedAnywhere(r, now)) {
 				d.endRun(r, pb.EndKind_END_KIND_LOST, "the lease has lapsed without an answer")
 				lost++
 			}
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,7 +76,9 @@
 	epoch   uint64
 	advice  driver.AdviceClient
 	vms     driver.VMClient
-	stop    func()
+	// quiet keeps announcements back.
+	quiet atomic.Bool
+	stop  func()
 }
 
 func newRig(t *testing.T, targets ...string) *rig {
@@ -150,6 +153,9 @@
 
 // announceAll sends the announcement of every target that can be heard.
 func (r *rig) announceAll() {
+	if r.quiet.Load() {
+		return
+	}
 	for _, request := range r.fleet.Announcements("render") {
 		r.request(request)
 	}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -44,6 +44,9 @@
 	phase   runPhase
 	// unanswered tells that some start call may still be carried out.
 	unanswered bool
+	// listed tells that its own incarnation has listed it. The answer to a start does
+	// not tell which incarnation gave it.
+	listed bool
 	// adopted runs were placed under a former leader.
 	adopted bool
 	// begun is when the run was placed, settled when its phase last changed by
@@ -250,12 +253,13 @@
 }
 
 // loseToRestart ends a run whose target has begun a new incarnation. A start that is
-// still under way could reach the new incarnation, so that a stop goes there first.
+// still under way could reach the new incarnation, and one that was answered may have
+// been taken by it, so that a stop goes there first.
 func (d *Driver) loseToRestart(l *link, r *run) {
 	if r.phase == runEnded {
 		return
 	}
-	if r.phase == runConfirmed && !r.unanswered {
+	if r.phase == runConfirmed && r.listed && !r.unanswered {
 		d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was restarted")
 		return
 	}
@@ -288,6 +292,7 @@
 func (d *Driver) forgetRun(end *pb.End) {
 	id := workflow.RefID(end.Task)
 	if r := d.runs[id]; r != nil && r.attempt == end.Task.Attempt {
+		d.noteLateStart(r)
 		delete(d.runs, id)
 	}
 }
@@ -304,6 +309,7 @@
 			d.stopUnplaced(l, running)
 			continue
 		}
+		r.listed = true
 		if r.phase == runCalling || r.phase == runUnanswered {
 			r.phase, r.settled = runConfirmed, now
 			if r.working.IsZero() {
@@ -356,6 +362,7 @@
 			task := v.Task(r.task)
 			if task == nil || task.State != pb.TaskState_TASK_STATE_PLACED || task.Attempt != r.attempt {
 				if r.phase == runEnded || now.Sub(r.begun) > time.Second {
+					d.noteLateStart(r)
 					delete(d.runs, r.task)
 				}
 				continue
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -38,6 +38,8 @@
 	// LoseAnswers carries calls out and answers nothing; LateBy delays them too.
 	LoseAnswers bool
 	LateBy      time.Duration
+	// StopsLateBy delays stops alone.
+	StopsLateBy time.Duration
 	// Gone tells that another target answers at the address.
 	Gone bool
 	// Gauge gives the tail of a lasting run beside runs at the given paces.
@@ -246,6 +248,13 @@
 
 // Stop stops a run, or keeps it from starting.
 func (f *StepFleet) Stop(ctx context.Context, to driver.Address, call driver.StopCall) (driver.Answer, error) {
+	if late := f.stopsLateBy(to.ID); late > 0 {
+		select {
+		case <-ctx.Done():
+			return driver.Answer{}, ctx.Err()
+		case <-time.After(late):
+		}
+	}
 	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
 		f.advance(t)
 		if !t.checkFence(call.Fence) {
@@ -325,6 +334,15 @@
 	}
 }
 
+func (f *StepFleet) stopsLateBy(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil {
+		return t.StopsLateBy
+	}
+	return 0
+}
+
 func (f *StepFleet) incarnation(id string) *StepTarget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
