Copies of tasks: a second run beside one that is late

Steps that allow copies were accepted and run once. A task now holds up to two placed runs: the newest and an earlier one, checked at apply (own flag on the start, another target, both in the limit and the spread). The run that is done first counts; the other holds its room until its stop is answered. Runs are kept by task and attempt in the leader's memory.

internal/policy/copies decides: beside a target that has owed an answer for 0.3 s, or where the speed of a run, seen over half of the expected time, makes its job late and a new run would end first. Copies come after all waiting work in assign.Plan and do not count as waiting.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -77,7 +77,7 @@
 
 	mu    sync.Mutex
 	links map[string]*link
-	runs  map[workflow.TaskID]*run
+	runs  map[runID]*run
 	// lateStarts holds unanswered starts of runs that are over, by target.
 	lateStarts map[string][]lateStart
 	// ended holds incarnations of targets that are surely over, so that late
@@ -119,7 +119,7 @@
 func New(cfg Config) *Driver {
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
-		links: make(map[string]*link), runs: make(map[workflow.TaskID]*run), lateStarts: make(map[string][]lateStart),
+		links: make(map[string]*link), runs: make(map[runID]*run), lateStarts: make(map[string][]lateStart),
 		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time),
@@ -169,10 +169,10 @@
 			l := d.addLink(target)
 			l.lapseAt = d.began.Add(d.leaseBound())
 			for _, task := range v.Placed(target.Id) {
-				d.runs[task.ID] = &run{
-					task: task.ID, attempt: task.Attempt, target: target.Id, born: target.BornUnixMs,
+				d.addRun(&run{
+					task: task.ID, attempt: task.AttemptOn(target.Id), target: target.Id, born: target.BornUnixMs,
 					phase: runUnanswered, unanswered: true, begun: d.began, adopted: true,
-				}
+				})
 			}
 		}
 	})
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -55,8 +55,11 @@
 			waiting++
 		case pb.TaskState_TASK_STATE_DONE:
 			done++
-		case pb.TaskState_TASK_STATE_PLACED:
-			on = append(on, task.Target+d.explainRun(task))
+		}
+		for _, target := range []string{task.Target, task.Copy.Target} {
+			if target != "" {
+				on = append(on, target+d.explainRun(task, target))
+			}
 		}
 	}
 	slices.Sort(on)
@@ -70,8 +73,8 @@
 	return line
 }
 
-func (d *Driver) explainRun(task *workflow.Task) string {
-	r := d.runs[task.ID]
+func (d *Driver) explainRun(task *workflow.Task, target string) string {
+	r := d.runOn(task, target)
 	if r == nil {
 		return ""
 	}
--- a/internal/driver/fillers.go
+++ b/internal/driver/fillers.go
@@ -39,7 +39,7 @@
 	var fillers []*run
 	worst := 0.0
 	for _, task := range v.Placed(id) {
-		r := d.runs[task.ID]
+		r := d.runOn(task, id)
 		if r == nil || r.phase != runConfirmed {
 			continue
 		}
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -51,6 +51,8 @@
 
 	// failures counts calls without an answer since the last one with.
 	failures int
+	// silentSince is when the first of them was noticed.
+	silentSince time.Time
 	// open holds calls under way, by when each should be answered.
 	open map[*openCall]struct{}
 	// unhealthy is until when the target gets no starts after a refusal.
@@ -95,6 +97,18 @@
 	return false
 }
 
+// owesFor returns how long the target has owed an answer; 0 if it owes none.
+func (l *link) owesFor(now time.Time) time.Duration {
+	owed := time.Duration(0)
+	for call := range l.open {
+		owed = max(owed, now.Sub(call.due))
+	}
+	if l.failures > 0 {
+		owed = max(owed, now.Sub(l.silentSince))
+	}
+	return owed
+}
+
 func (l *link) address() Address { return Address{ID: l.target.Id, HostPort: l.target.Address} }
 
 func (l *link) incarnation() incarnation { return incarnation{l.target.Id, l.target.BornUnixMs} }
@@ -278,6 +292,9 @@
 	if l.failures == 0 && d.pools.moving[l.target.Vm] == nil && !d.orderedDown(l.target.Vm) {
 		event.TargetSilent.Emit(event.F("target", l.target.Id), event.F("step", step), event.Err(err))
 	}
+	if l.failures == 0 {
+		l.silentSince = d.cfg.Now()
+	}
 	l.failures++
 }
 
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -39,6 +39,9 @@
 			planned, waits := assign.Plan(snapshot)
 			d.noteWaits(pool, snapshot, waits)
 			for _, start := range planned {
+				if start.Copy {
+					d.reportCopy(v, start)
+				}
 				starts = append(starts, startOf(v, start))
 			}
 			if len(starts) >= maxStartsPerRound {
@@ -98,7 +101,7 @@
 	task := v.Task(s.Task)
 	return &pb.Start{
 		Task: s.Task.Ref(task.Attempt + 1), Target: s.Target,
-		TargetBornUnixMs: v.Target(s.Target).BornUnixMs,
+		TargetBornUnixMs: v.Target(s.Target).BornUnixMs, Copy: s.Copy,
 	}
 }
 
@@ -180,16 +183,17 @@
 		if queue == nil {
 			continue
 		}
-		planned := d.planJob(v, job, queue, nowMS)
-		if len(planned.Steps) == 0 {
-			continue
-		}
-		s := out[queue.Pool]
-		if s == nil {
-			s = &assign.Snapshot{NowMS: nowMS}
-			out[queue.Pool] = s
+		for _, planned := range []assign.Job{d.planJob(v, job, queue, nowMS), d.planCopies(v, job, queue, nowMS)} {
+			if len(planned.Steps) == 0 {
+				continue
+			}
+			s := out[queue.Pool]
+			if s == nil {
+				s = &assign.Snapshot{NowMS: nowMS}
+				out[queue.Pool] = s
+			}
+			s.Jobs = append(s.Jobs, planned)
 		}
-		s.Jobs = append(s.Jobs, planned)
 	}
 	return out
 }
@@ -233,34 +237,45 @@
 
 // planStep returns the waiting tasks of one step.
 func (d *Driver) planStep(v *workflow.View, job *workflow.Job, occurrence, number int) assign.Step {
-	spec := job.Spec.Steps[number]
+	spec, tasks := job.Spec.Steps[number], job.Tasks[occurrence][number]
+	step := stepPlaces(v, spec, tasks)
+	for _, task := range tasks {
+		if task.State != pb.TaskState_TASK_STATE_WAITING || task.Copy.Target != "" {
+			continue
+		}
+		step.Tasks = append(step.Tasks, task.ID)
+		if failed := d.learned.failedOn(task.ID); failed != "" {
+			if step.Avoid == nil {
+				step.Avoid = make(map[string]bool)
+			}
+			step.Avoid[failed] = true
+		}
+	}
+	if spec.Gang && len(step.Tasks) < len(tasks) {
+		// A gang starts whole, once all members of its former run have ended.
+		step.Tasks = nil
+	}
+	return step
+}
+
+// stepPlaces returns what a step asks of targets and where its tasks run.
+func stepPlaces(v *workflow.View, spec *pb.Step, tasks []*workflow.Task) assign.Step {
 	step := assign.Step{
 		Room: workflow.StepRoom(spec), Needs: workflow.ResourcesOf(spec.Needs), Gang: spec.Gang, SameRack: spec.SameRack,
 		Label: spec.Label, DataRack: spec.DataRack, MaxPerTarget: int(spec.MaxPerTarget), Lasting: spec.Lasting,
 		OnTarget: make(map[string]int), OnRack: make(map[string]int),
 	}
-	tasks := job.Tasks[occurrence][number]
 	for _, task := range tasks {
-		switch task.State {
-		case pb.TaskState_TASK_STATE_WAITING:
-			step.Tasks = append(step.Tasks, task.ID)
-			if failed := d.learned.failedOn(task.ID); failed != "" {
-				if step.Avoid == nil {
-					step.Avoid = make(map[string]bool)
-				}
-				step.Avoid[failed] = true
+		for _, id := range []string{task.Target, task.Copy.Target} {
+			if id == "" {
+				continue
 			}
-		case pb.TaskState_TASK_STATE_PLACED:
-			step.OnTarget[task.Target]++
-			if target := v.Target(task.Target); target != nil {
+			step.OnTarget[id]++
+			if target := v.Target(id); target != nil {
 				step.OnRack[rackOf(target)]++
 			}
 		}
 	}
-	if spec.Gang && len(step.Tasks) < len(tasks) {
-		// A gang starts whole, once all members of its former run have ended.
-		step.Tasks = nil
-	}
 	return step
 }
 
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -291,7 +291,7 @@
 			vm.Lasting++
 			continue
 		}
-		vm.BusyMS = max(vm.BusyMS, d.remainingMS(task, now))
+		vm.BusyMS = max(vm.BusyMS, d.remainingMS(task, l.target.Id, now))
 	}
 	vm.Out = l.leaving || l.failures > 0
 	if vm.Tasks > 0 {
@@ -307,10 +307,10 @@
 	return true
 }
 
-// remainingMS is how long a placed task is expected to run on.
-func (d *Driver) remainingMS(task *workflow.Task, now time.Time) int64 {
+// remainingMS is how long a task placed on a target is expected to run on there.
+func (d *Driver) remainingMS(task *workflow.Task, target string, now time.Time) int64 {
 	expected := d.learned.expected(task.Job.Spec.Queue, task.Spec())
-	if r := d.runs[task.ID]; r != nil && !r.working.IsZero() {
+	if r := d.runOn(task, target); r != nil && !r.working.IsZero() {
 		expected -= now.Sub(r.working).Milliseconds()
 	}
 	return max(expected, 0)
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -35,7 +35,13 @@
 	runEnded
 )
 
-// run is the newest run of a placed task. The driver's mutex guards it.
+// runID names one run of a task.
+type runID struct {
+	task    workflow.TaskID
+	attempt uint32
+}
+
+// run is one run of a placed task. The driver's mutex guards it.
 type run struct {
 	task    workflow.TaskID
 	attempt uint32
@@ -62,6 +68,19 @@
 	gauge  float64
 }
 
+func (r *run) id() runID { return runID{r.task, r.attempt} }
+
+// addRun begins to look after a run.
+func (d *Driver) addRun(r *run) { d.runs[r.id()] = r }
+
+// runOn returns the run of a task on a target, or nil.
+func (d *Driver) runOn(task *workflow.Task, target string) *run {
+	return d.runs[runID{task.ID, task.AttemptOn(target)}]
+}
+
+// knows reports whether the run is still looked after.
+func (d *Driver) knows(r *run) bool { return d.runs[r.id()] == r }
+
 // beginRuns calls the targets for committed starts.
 func (d *Driver) beginRuns(starts []*pb.Start, refused map[workflow.TaskID]bool) {
 	d.mu.Lock()
@@ -76,7 +95,7 @@
 			task: id, attempt: start.Task.Attempt, target: start.Target, born: start.TargetBornUnixMs,
 			phase: runCalling, begun: now, pace: fullPace,
 		}
-		d.runs[id] = r
+		d.addRun(r)
 		d.callStart(r)
 	}
 }
@@ -118,7 +137,7 @@
 	found := false
 	d.cfg.Machine.View(func(v *workflow.View) {
 		task := v.Task(r.task)
-		if task == nil || task.Attempt != r.attempt || task.State != pb.TaskState_TASK_STATE_PLACED || workflow.Ended(task.Job.State) {
+		if task == nil || task.TargetOf(r.attempt) == "" || !wanted(task) {
 			return
 		}
 		call.Payload, call.Checkpoint, found = task.Job.Spec.Payload, task.Checkpoint, true
@@ -131,7 +150,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	open.close()
-	if d.runs[r.task] != r || r.phase != runCalling {
+	if !d.knows(r) || r.phase != runCalling {
 		if err != nil && sent {
 			r.unanswered = true
 		}
@@ -229,7 +248,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.links[r.target]
-	if d.runs[r.task] != r || r.phase != runStopping || l == nil || l.target.BornUnixMs != born {
+	if !d.knows(r) || r.phase != runStopping || l == nil || l.target.BornUnixMs != born {
 		return
 	}
 	if err != nil {
@@ -280,8 +299,8 @@
 
 // noteEnd marks a run as ended by its target's listing.
 func (d *Driver) noteEnd(l *link, task workflow.TaskID, attempt uint32, kind pb.EndKind) {
-	r := d.runs[task]
-	if r == nil || r.attempt != attempt || r.target != l.target.Id || r.phase == runEnded {
+	r := d.runs[runID{task, attempt}]
+	if r == nil || r.target != l.target.Id || r.phase == runEnded {
 		return
 	}
 	r.phase = runEnded
@@ -290,8 +309,8 @@
 
 // forgetRun drops a run whose end is committed.
 func (d *Driver) forgetRun(end *pb.End) {
-	id := workflow.RefID(end.Task)
-	if r := d.runs[id]; r != nil && r.attempt == end.Task.Attempt {
+	id := runID{workflow.RefID(end.Task), end.Task.Attempt}
+	if r := d.runs[id]; r != nil {
 		d.noteLateStart(r)
 		delete(d.runs, id)
 	}
@@ -300,12 +319,13 @@
 // takeRunning compares a listing with the runs that should be there.
 func (d *Driver) takeRunning(l *link) {
 	now := d.cfg.Now()
-	listed := make(map[workflow.TaskID]*Running, len(l.listing.Running))
+	listed := make(map[runID]bool, len(l.listing.Running))
 	for i := range l.listing.Running {
 		running := &l.listing.Running[i]
-		listed[running.Task] = running
-		r := d.runs[running.Task]
-		if r == nil || r.attempt != running.Attempt || r.target != l.target.Id || r.born != l.target.BornUnixMs {
+		id := runID{running.Task, running.Attempt}
+		listed[id] = true
+		r := d.runs[id]
+		if r == nil || r.target != l.target.Id || r.born != l.target.BornUnixMs {
 			d.stopUnplaced(l, running)
 			continue
 		}
@@ -325,7 +345,7 @@
 		return
 	}
 	for _, r := range d.runs {
-		if r.target != l.target.Id || r.born != l.target.BornUnixMs || listed[r.task] != nil {
+		if r.target != l.target.Id || r.born != l.target.BornUnixMs || listed[r.id()] {
 			continue
 		}
 		if (r.phase == runConfirmed || r.phase == runStopped) && r.settled.Before(l.listedAt) {
@@ -360,14 +380,14 @@
 		d.adoptPlaced(v, now)
 		for _, r := range d.runs {
 			task := v.Task(r.task)
-			if task == nil || task.State != pb.TaskState_TASK_STATE_PLACED || task.Attempt != r.attempt {
+			if task == nil || task.TargetOf(r.attempt) == "" {
 				if r.phase == runEnded || now.Sub(r.begun) > time.Second {
 					d.noteLateStart(r)
-					delete(d.runs, r.task)
+					delete(d.runs, r.id())
 				}
 				continue
 			}
-			unwanted := task.Superseded || workflow.Ended(task.Job.State) || v.Queue(task.Job.Spec.Queue) == nil
+			unwanted := !wanted(task) || v.Queue(task.Job.Spec.Queue) == nil
 			if r.phase == runConfirmed && d.stalled(task, r, now) {
 				unwanted = true
 			}
@@ -387,6 +407,11 @@
 	}
 }
 
+// wanted reports whether runs of a task are still needed.
+func wanted(task *workflow.Task) bool {
+	return !task.Superseded && task.State != pb.TaskState_TASK_STATE_DONE && !workflow.Ended(task.Job.State)
+}
+
 // runAction is what is due for a run.
 type runAction int
 
@@ -401,13 +426,14 @@
 	for id, l := range d.links {
 		placed := v.Placed(id)
 		for _, task := range placed {
-			if r := d.runs[task.ID]; r != nil && r.attempt == task.Attempt {
+			attempt := task.AttemptOn(id)
+			if d.runs[runID{task.ID, attempt}] != nil {
 				continue
 			}
-			d.runs[task.ID] = &run{
-				task: task.ID, attempt: task.Attempt, target: id, born: l.target.BornUnixMs,
+			d.addRun(&run{
+				task: task.ID, attempt: attempt, target: id, born: l.target.BornUnixMs,
 				phase: runUnanswered, begun: now, adopted: true, unanswered: true, pace: fullPace,
-			}
+			})
 		}
 	}
 }
--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -33,7 +33,7 @@
 // elsewhere.
 func (d *Driver) stalled(task *workflow.Task, r *run, now time.Time) bool {
 	spec := task.Spec()
-	if spec.Lasting || spec.Fills || spec.Gang || task.Attempt > maxStalls || spec.EstimateMs <= 0 {
+	if spec.Lasting || spec.Fills || spec.Gang || task.Copy.Target != "" || task.Attempt > maxStalls || spec.EstimateMs <= 0 {
 		return false
 	}
 	expected := time.Duration(d.learned.expected(task.Job.Spec.Queue, spec)) * time.Millisecond
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -150,7 +150,7 @@
 				continue
 			}
 			for _, task := range v.Placed(l.target.Id) {
-				r := d.runs[task.ID]
+				r := d.runOn(task, l.target.Id)
 				if gang := task.ID; r != nil && r.phase == runConfirmed && gang.Job == first.Job && gang.Step == first.Step && gang.Occurrence == first.Occurrence {
 					event.TaskEvacuated.Emit(event.F("task", task.ID.String()), event.F("vm", vm), event.F("here", here), event.F("may_be_away", most))
 					d.callStop(r)
@@ -307,7 +307,7 @@
 		if task.State == pb.TaskState_TASK_STATE_PLACED && vm == except {
 			continue
 		}
-		r := d.runs[task.ID]
+		r := d.runOn(task, task.Target)
 		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
 			r.percent >= fullPace && d.fresh(task.Target)
 		if !atWork || now.Sub(r.movedAt) < backMargin || d.waves.calling[vm] || v.Ordered(vm) {
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -50,6 +50,7 @@
 	VMBack              = define(7053, log.InfoLevel, "maintenance of a VM is over for its wave", "")
 	TargetSlowness      = define(7073, log.InfoLevel, "target works slower than its peers, or as they do again", "")
 	LateStartRefused    = define(7074, log.InfoLevel, "new incarnation told to refuse a late start of the former one", "")
+	CopyPlanned         = define(7075, log.InfoLevel, "second run of a task beside one that is late", "")
 	VMGone              = define(7071, log.WarnLevel, "VM of a wave is gone for good, it needs no maintenance", "")
 	WaveStepFailed      = define(7054, log.WarnLevel, "step of a wave failed, it is tried again", "")
 	VMMoveBegun         = define(7056, log.InfoLevel, "VM is ordered to another pool", "")
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -48,6 +48,8 @@
 	Avoid map[string]bool
 	// Only holds the targets that may run the step; nil for all.
 	Only map[string]bool
+	// Beside is the target of the run that a copy runs beside: it never goes there too.
+	Beside string
 	// Lasting tasks go where other lasting tasks are, so that the other VMs may move.
 	Lasting bool
 }
@@ -67,7 +69,9 @@
 	SubmittedMS    int64
 	// Lasting jobs go first: they earn for as long as they run.
 	Lasting bool
-	Steps   []Step
+	// Copy jobs hold second runs of tasks: they take what room is left by all others.
+	Copy  bool
+	Steps []Step
 }
 
 // Workspace is what a workspace may still start.
@@ -87,6 +91,8 @@
 type Start struct {
 	Task   workflow.TaskID
 	Target string
+	// Copy tells that another run of the task goes on.
+	Copy bool
 }
 
 // Wait tells why tasks of a job did not start.
@@ -136,11 +142,14 @@
 	classInTime
 	classLate
 	classWorthless
+	classCopy
 )
 
 func (p *plan) class(j *Job) int {
 	end := p.snapshot.NowMS + j.RemainingMS
 	switch {
+	case j.Copy:
+		return classCopy
 	case j.Lasting:
 		return classLasting
 	case end <= j.DeadlineMS:
@@ -205,8 +214,12 @@
 	}
 }
 
-// wait notes that the tasks of a step from a place on wait.
+// wait notes that the tasks of a step from a place on wait. Copies do not: they are
+// no work that is owed.
 func (p *plan) wait(j *Job, step *Step, from int, reason string) {
+	if j.Copy {
+		return
+	}
 	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason})
 }
 
@@ -274,7 +287,7 @@
 	if w := p.snapshot.Workspaces[j.Workspace]; w != nil {
 		w.Used = w.Used.Add(step.Needs)
 	}
-	p.starts = append(p.starts, Start{Task: task, Target: target.ID})
+	p.starts = append(p.starts, Start{Task: task, Target: target.ID, Copy: j.Copy})
 }
 
 func (p *plan) undo(j *Job, step *Step, at int) {
@@ -324,7 +337,7 @@
 
 // allowed reports whether the step may run on a target at all.
 func (p *plan) allowed(step *Step, target *Target) bool {
-	if step.Only != nil && !step.Only[target.ID] {
+	if step.Only != nil && !step.Only[target.ID] || step.Beside == target.ID {
 		return false
 	}
 	return step.Label == "" || slices.Contains(target.Labels, step.Label)
--- a/internal/policy/assign/assign_test.go
+++ b/internal/policy/assign/assign_test.go
@@ -75,6 +75,33 @@
 	}
 }
 
+// TestCopiesTakeWhatIsLeft places a copy after every waiting task, never beside its own
+// first run, and does not count it as waiting.
+func TestCopiesTakeWhatIsLeft(t *testing.T) {
+	copied := simple("c", 1, 1000)
+	copied.Copy, copied.Steps[0].Beside = true, "a"
+	for _, test := range []struct {
+		name  string
+		free  int64
+		first int
+		want  []Start
+	}{
+		{"room for both", 2000, 1, []Start{{Task: tasks("j", 1)[0], Target: "b"}, {Task: tasks("c", 1)[0], Target: "b", Copy: true}}},
+		{"room for one", 1000, 1, []Start{{Task: tasks("j", 1)[0], Target: "b"}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			late := simple("j", test.first, 1000)
+			late.DeadlineMS, late.LateDeadlineMS = -1, -1 // worth nothing any more
+			full := target("a", 8000)
+			late.Steps[0].Only = map[string]bool{"b": true}
+			starts, waits := Plan(&Snapshot{Targets: []Target{full, target("b", test.free)}, Jobs: []Job{copied, late}})
+			is.Equal(starts, test.want)
+			is.Equal(len(waits), 0)
+		})
+	}
+}
+
 // TestLastingOverRacks places lasting tasks so that a rack that is lost takes
 // few tasks of a step, also where other lasting tasks draw them together.
 func TestLastingOverRacks(t *testing.T) {
--- /dev/null
+++ b/internal/policy/copies/copies.go
@@ -0,0 +1,62 @@
+// Package copies decides which runs get a second one beside them. It is pure. The load it
+// answers: a zone is cut off or a target stops, so that nobody knows whether its runs go
+// on until their leases end, several times the run time of a task; and a target turns so
+// slow that a task which starts anew elsewhere ends first, and its job in time. Only steps whose callers allow
+// copies have them, and only room that no waiting task takes is used.
+package copies
+
+import "time"
+
+const (
+	// SilenceBound is how long a target must have owed an answer: longer than calls take
+	// while a target or its link is only busy.
+	SilenceBound = 300 * time.Millisecond
+	// lagFactor is how many expected run times the rest of a run must still take: a copy
+	// pays twice for its work, and its own run time is not known exactly.
+	lagFactor = 1.5
+	// lagMargin covers the way of a start and of its end.
+	lagMargin = 300 * time.Millisecond
+	// seenShare is the part of the expected run time, and seenLeast the time, after which
+	// the progress of a run tells its speed: targets report whole percents, late by the
+	// time between two listings.
+	seenShare = 0.5
+	seenLeast = 250 * time.Millisecond
+	// percentStep is what a report may lag behind.
+	percentStep = 1
+)
+
+// Run is what is known of one run.
+type Run struct {
+	// Expected is the learned run time of the task on a sound target.
+	Expected time.Duration
+	// Silent is how long the target has owed an answer; 0 if it owes none.
+	Silent time.Duration
+	// Worked is how long the run had been known to work when it last showed progress,
+	// and Percent how far it had come by then.
+	Worked  time.Duration
+	Percent float64
+	// Quiet is how long ago that was.
+	Quiet time.Duration
+	// Slack is how long the run may still take without making its job late.
+	Slack time.Duration
+}
+
+// Reason returns why a run should get a copy, or "".
+func Reason(r Run) string {
+	if r.Silent > SilenceBound {
+		return "its target is silent"
+	}
+	if rest, known := r.rest(); known && rest > r.Slack && rest > time.Duration(lagFactor*float64(r.Expected))+lagMargin {
+		return "it is slower than a new run"
+	}
+	return ""
+}
+
+// rest returns how long the run still takes at its own speed.
+func (r Run) rest() (time.Duration, bool) {
+	if r.Worked < max(seenLeast, time.Duration(seenShare*float64(r.Expected))) {
+		return 0, false
+	}
+	whole := float64(r.Worked) * 100 / (r.Percent + percentStep)
+	return time.Duration(whole) - r.Worked - r.Quiet, true
+}
--- /dev/null
+++ b/internal/policy/copies/copies_test.go
@@ -0,0 +1,79 @@
+package copies
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// TestReason covers which runs get a copy.
+func TestReason(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		run  Run
+		want string
+	}{
+		{"at work", Run{Expected: time.Second, Worked: 500 * ms, Percent: 50}, ""},
+		{"just begun", Run{Expected: time.Second}, ""},
+		{"a late answer", Run{Expected: time.Second, Silent: 200 * ms, Worked: 500 * ms, Percent: 50}, ""},
+		{"a silent target", Run{Expected: time.Second, Silent: 400 * ms, Worked: 500 * ms, Percent: 50}, "its target is silent"},
+		{"slow from the start", Run{Expected: time.Second, Worked: 500 * ms, Percent: 10}, "it is slower than a new run"},
+		{"a first report of a run that has begun", Run{Expected: time.Second, Worked: 50 * ms, Percent: 1}, ""},
+		{"a short run, reported late", Run{Expected: 130 * ms, Worked: 60 * ms, Percent: 9}, ""},
+		{"slow, but its job has time", Run{Expected: time.Second, Worked: 500 * ms, Percent: 10, Slack: 6 * time.Second}, ""},
+		{"slow, but soon over", Run{Expected: time.Second, Worked: 4 * time.Second, Percent: 80}, ""},
+		{"longer than expected, yet at its speed", Run{Expected: time.Second, Worked: 1200 * ms, Percent: 50}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := Reason(test.run); got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestCutZone replays a zone that is cut off for longer than its leases hold: runs of one
+// to two seconds, a third of them out of reach. With copies the late third ends in half
+// the time that it takes when every run waits for the end of its lease.
+func TestCutZone(t *testing.T) {
+	const lease = 6400 * ms
+	rng := rand.New(rand.NewSource(1))
+	waited, copied := time.Duration(0), time.Duration(0)
+	for range 100 {
+		expected := time.Second + time.Duration(rng.Intn(1000))*ms
+		waited += lease + expected
+		copied += endWithCopies(t, expected, lease)
+	}
+	if copied > waited/2 {
+		t.Errorf("the runs end after %s in all, %s without copies", copied, waited)
+	}
+}
+
+// endWithCopies steps through one run from the cut on and returns when its work is done.
+func endWithCopies(t *testing.T, expected, lease time.Duration) time.Duration {
+	t.Helper()
+	for at := time.Duration(0); at < lease; at += 50 * ms {
+		// An answer is owed from the next call on, half a second on average.
+		if Reason(Run{Expected: expected, Silent: max(0, at-500*ms), Worked: expected / 2, Percent: 50, Quiet: at}) != "" {
+			return at + expected
+		}
+	}
+	return lease + expected
+}
+
+// TestBusyTargets replays calm targets whose answers take up to a quarter of a second and
+// whose runs differ by half: none gets a copy.
+func TestBusyTargets(t *testing.T) {
+	rng := rand.New(rand.NewSource(2))
+	for range 1000 {
+		expected := time.Second
+		whole := time.Duration(float64(expected) * (0.5 + rng.Float64()))
+		worked := time.Duration(rng.Float64() * float64(whole))
+		run := Run{Expected: expected, Silent: time.Duration(rng.Intn(250)) * ms, Worked: worked, Percent: 100 * float64(worked) / float64(whole)}
+		if reason := Reason(run); reason != "" {
+			t.Fatalf("%+v gets a copy: %s", run, reason)
+		}
+	}
+}
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -82,7 +82,51 @@
 	// Superseded tells that a former run, which began late, has ended as done
 	// while the newest one may run: the task is done once that one has ended.
 	Superseded bool
-	Job        *Job
+	// Copy is an earlier run that may go on beside the newest one, or after the task
+	// is done; the zero Run if there is none.
+	Copy Run
+	Job  *Job
+}
+
+// Run is one run of a task on a target.
+type Run struct {
+	Attempt uint32
+	Target  string
+}
+
+// TargetOf returns where a run of the task runs or may run, or "".
+func (t *Task) TargetOf(attempt uint32) string {
+	switch {
+	case t.State == pb.TaskState_TASK_STATE_PLACED && attempt == t.Attempt:
+		return t.Target
+	case attempt == t.Copy.Attempt:
+		return t.Copy.Target
+	}
+	return ""
+}
+
+// AttemptOn returns the run of the task that runs or may run on a target, or 0.
+func (t *Task) AttemptOn(target string) uint32 {
+	switch target {
+	case "":
+		return 0
+	case t.Target:
+		return t.Attempt
+	case t.Copy.Target:
+		return t.Copy.Attempt
+	}
+	return 0
+}
+
+// MayCopy reports whether the task may have one more run beside the one it has: its
+// step allows copies, and one of at most two runs goes on.
+func (t *Task) MayCopy() bool {
+	step := t.Spec()
+	if !step.Copies || step.Gang || step.Lasting || t.Superseded {
+		return false
+	}
+	placed, copied := t.State == pb.TaskState_TASK_STATE_PLACED, t.Copy.Target != ""
+	return t.State != pb.TaskState_TASK_STATE_DONE && placed != copied
 }
 
 // Spec returns the step of the task.
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -47,6 +47,7 @@
 	Target  string
 	// TargetBornUnixMS is the incarnation of the target that was meant.
 	TargetBornUnixMS int64
+	Copy             bool
 	Reason           string
 }
 
--- a/internal/workflow/rules_test.go
+++ b/internal/workflow/rules_test.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -95,6 +96,86 @@
 	}
 }
 
+// TestFirstCopyCounts runs a task twice: whichever run is done first, the task is done
+// at once, the other run holds its room until it has ended, and nothing starts anew.
+func TestFirstCopyCounts(t *testing.T) {
+	for _, first := range []uint32{1, 2} {
+		t.Run(fmt.Sprintf("run %d is first", first), func(t *testing.T) {
+			is := is.New(t)
+			m := copiesMachine(t)
+			is.Equal(m.start(1, "a", false), "")
+			is.Equal(m.start(2, "a", true), "the other run is on the target")
+			is.Equal(m.start(2, "b", false), "task is TASK_STATE_PLACED")
+			is.Equal(m.start(2, "b", true), "")
+			is.Equal(m.start(3, "c", true), "task may have no copy now")
+			on := map[uint32]string{1: "a", 2: "b"}
+			m.end(first, on[first], pb.EndKind_END_KIND_DONE)
+			m.machine.View(func(v *View) {
+				is.Equal(v.Job("j").State, pb.JobState_JOB_STATE_DONE)
+				is.Equal(len(v.Placed(on[3-first])), 1)
+				is.Equal(len(v.OpenJobs()), 1)
+			})
+			is.True(m.start(3, "c", true) != "")
+			m.end(3-first, on[3-first], pb.EndKind_END_KIND_STOPPED)
+			m.machine.View(func(v *View) {
+				is.Equal(len(v.Placed(on[3-first])), 0)
+				is.Equal(len(v.OpenJobs()), 0)
+			})
+		})
+	}
+}
+
+// TestCopyOutlivesNewestRun loses the newer of two runs: the earlier one goes on, and
+// may be copied again. Once a former run has done the work, it may not.
+func TestCopyOutlivesNewestRun(t *testing.T) {
+	is := is.New(t)
+	m := copiesMachine(t)
+	is.Equal(m.start(1, "a", false), "")
+	is.Equal(m.start(2, "b", true), "")
+	m.end(2, "b", pb.EndKind_END_KIND_LOST)
+	is.Equal(m.start(3, "b", false), "task is TASK_STATE_WAITING")
+	is.Equal(m.start(3, "b", true), "")
+	m.end(1, "a", pb.EndKind_END_KIND_LOST)
+	m.end(2, "b", pb.EndKind_END_KIND_DONE) // it began late
+	is.Equal(m.start(4, "c", true), "task may have no copy now")
+}
+
+// copiesMachine holds a job of one task that may be copied, and three targets.
+func copiesMachine(t *testing.T) *testMachine {
+	m := &testMachine{t: t, machine: New()}
+	m.put(&pb.Catalogue{
+		Version: 1, Pools: []*pb.Pool{{Name: "p"}},
+		Queues: []*pb.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", Pool: "p", TimeoutMs: 1000, MaxAttempts: 2, Open: true}},
+	})
+	for _, id := range []string{"a", "b", "c"} {
+		m.apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{
+			{Id: id, BornUnixMs: 1, Pool: "p", Vm: "vm-" + id, Capacity: &pb.Resources{CpuMillis: 16000}},
+		}}}})
+	}
+	job := &pb.Job{Id: "j", Queue: "q", Steps: []*pb.Step{{Tasks: 1, Copies: true, Needs: &pb.Resources{CpuMillis: 1000}}}}
+	m.apply(&pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: job}}})
+	return m
+}
+
+// start starts a run of the only task and returns why it was refused, or "".
+func (m *testMachine) start(attempt uint32, target string, copied bool) string {
+	m.t.Helper()
+	out := m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: []*pb.Start{
+		{Task: TaskID{Job: "j"}.Ref(attempt), Target: target, TargetBornUnixMs: 1, Copy: copied},
+	}}}})
+	if len(out.Refused) > 0 {
+		return out.Refused[0].Reason
+	}
+	return ""
+}
+
+func (m *testMachine) end(attempt uint32, target string, kind pb.EndKind) {
+	m.t.Helper()
+	m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Ends: []*pb.End{
+		{Task: TaskID{Job: "j"}.Ref(attempt), Target: target, Kind: kind},
+	}}}})
+}
+
 // TestWaveIsCompleteOnlyWhenAllHaveBegun orders the VMs of a wave down one after
 // the other: an order alone does not complete it.
 func TestWaveIsCompleteOnlyWhenAllHaveBegun(t *testing.T) {
--- a/internal/workflow/snapshot.go
+++ b/internal/workflow/snapshot.go
@@ -33,6 +33,7 @@
 	j.EachTask(func(t *Task) {
 		stored.Tasks = append(stored.Tasks, &pb.StoredTask{
 			State: t.State, Attempt: t.Attempt, Failed: t.Failed, Target: t.Target, Checkpoint: t.Checkpoint, Superseded: t.Superseded,
+			CopyAttempt: t.Copy.Attempt, CopyTarget: t.Copy.Target,
 		})
 	})
 	return stored
@@ -80,12 +81,16 @@
 		next++
 		t.State, t.Attempt, t.Failed = from.State, from.Attempt, from.Failed
 		t.Target, t.Checkpoint, t.Superseded = from.Target, from.Checkpoint, from.Superseded
+		t.Copy = Run{from.CopyAttempt, from.CopyTarget}
+		if t.Copy.Target != "" {
+			m.notePlaced(t, t.Copy.Target)
+		}
 		switch t.State {
 		case pb.TaskState_TASK_STATE_DONE:
 			job.left[t.ID.Occurrence][t.ID.Step]--
 			job.done++
 		case pb.TaskState_TASK_STATE_PLACED:
-			m.notePlaced(t)
+			m.notePlaced(t, t.Target)
 		}
 	})
 	m.jobs[job.Spec.Id] = job
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -28,7 +28,7 @@
 func refusedStart(start *pb.Start, reason string) RefusedStart {
 	return RefusedStart{
 		Task: RefID(start.GetTask()), Attempt: start.GetTask().GetAttempt(), Target: start.Target,
-		TargetBornUnixMS: start.TargetBornUnixMs, Reason: reason,
+		TargetBornUnixMS: start.TargetBornUnixMs, Copy: start.Copy, Reason: reason,
 	}
 }
 
@@ -50,7 +50,7 @@
 		if !broken[gangOf(task.ID)] {
 			continue
 		}
-		m.release(task)
+		m.release(task, task.Target)
 		task.Attempt--
 		out.Refused = append(out.Refused, refusedStart(start, "another member of the gang was refused"))
 	}
@@ -73,7 +73,7 @@
 	if target == nil || target.BornUnixMs != start.TargetBornUnixMs {
 		return fmt.Sprintf("target %q is not registered in this incarnation", start.Target)
 	}
-	if reason := m.checkStart(task, start.Task.Attempt, target); reason != "" {
+	if reason := m.checkStart(task, start, target); reason != "" {
 		return reason
 	}
 	m.place(task, start.Task.Attempt, target.Id)
@@ -81,13 +81,17 @@
 }
 
 // checkStart returns the rule that the start of a task on a target breaks, or "".
-func (m *Machine) checkStart(task *Task, attempt uint32, target *pb.Target) string {
-	job, step := task.Job, task.Spec()
+func (m *Machine) checkStart(task *Task, start *pb.Start, target *pb.Target) string {
+	job, step, attempt := task.Job, task.Spec(), start.Task.Attempt
 	queue := m.routes.queues[job.Spec.Queue]
 	switch {
 	case Ended(job.State):
 		return fmt.Sprintf("job is %s", job.State)
-	case task.State != pb.TaskState_TASK_STATE_WAITING:
+	case start.Copy && !task.MayCopy():
+		return "task may have no copy now"
+	case start.Copy && task.AttemptOn(target.Id) > 0:
+		return "the other run is on the target"
+	case !start.Copy && (task.State != pb.TaskState_TASK_STATE_WAITING || task.Copy.Target != ""):
 		return fmt.Sprintf("task is %s", task.State)
 	case attempt != task.Attempt+1:
 		return fmt.Sprintf("attempt %d follows attempt %d", attempt, task.Attempt)
@@ -121,7 +125,7 @@
 func (m *Machine) stepOnTarget(task *Task, target string) int {
 	count := 0
 	for _, other := range task.Job.Tasks[task.ID.Occurrence][task.ID.Step] {
-		if other.State == pb.TaskState_TASK_STATE_PLACED && other.Target == target {
+		if other.AttemptOn(target) > 0 {
 			count++
 		}
 	}
@@ -134,18 +138,26 @@
 }
 
 func (m *Machine) place(task *Task, attempt uint32, target string) {
+	m.keepAsCopy(task)
 	task.State, task.Attempt, task.Target = pb.TaskState_TASK_STATE_PLACED, attempt, target
-	m.notePlaced(task)
+	m.notePlaced(task, target)
 	if task.Job.State == pb.JobState_JOB_STATE_QUEUED {
 		task.Job.State = pb.JobState_JOB_STATE_RUNNING
 	}
 }
 
-func (m *Machine) notePlaced(task *Task) {
-	onTarget := m.placed[task.Target]
+// keepAsCopy keeps the newest run of a task, if it is placed, as the earlier one.
+func (m *Machine) keepAsCopy(task *Task) {
+	if task.State == pb.TaskState_TASK_STATE_PLACED {
+		task.Copy, task.Target = Run{task.Attempt, task.Target}, ""
+	}
+}
+
+func (m *Machine) notePlaced(task *Task, target string) {
+	onTarget := m.placed[target]
 	if onTarget == nil {
 		onTarget = make(map[TaskID]*Task)
-		m.placed[task.Target] = onTarget
+		m.placed[target] = onTarget
 	}
 	onTarget[task.ID] = task
 	workspace := task.Job.Spec.Workspace
@@ -153,25 +165,31 @@
 	task.Job.placed++
 }
 
-// endRun ends the newest run of a task. The end of a former run, which a target
+// endRun ends a placed run of a task. The end of a former run, which a target
 // began late, counts only if it did the work: then the task must not start again.
 func (m *Machine) endRun(end *pb.End) {
 	task := m.task(RefID(end.GetTask()))
 	if task == nil || end.Task.Attempt > task.Attempt {
 		return
 	}
-	if task.State != pb.TaskState_TASK_STATE_PLACED || task.Attempt != end.Task.Attempt || task.Target != end.Target {
+	newest := task.Attempt == end.Task.Attempt
+	if target := task.TargetOf(end.Task.Attempt); target == "" || target != end.Target {
 		if end.Kind == pb.EndKind_END_KIND_DONE && end.Task.Attempt > 0 {
 			m.formerDone(task)
 		}
 		return
 	}
-	m.release(task)
+	m.release(task, end.Target)
+	if task.State == pb.TaskState_TASK_STATE_DONE {
+		// The other run was first.
+		m.closeIfOver(task.Job)
+		return
+	}
 	if end.Checkpoint != "" {
 		task.Checkpoint = end.Checkpoint
 	}
 	switch {
-	case end.Kind == pb.EndKind_END_KIND_DONE, task.Superseded:
+	case end.Kind == pb.EndKind_END_KIND_DONE, task.Superseded && newest:
 		m.taskDone(task)
 	case end.Kind == pb.EndKind_END_KIND_FAILED:
 		m.taskFailed(task)
@@ -200,12 +218,12 @@
 	m.closeIfOver(task.Job)
 }
 
-// release takes a placed task off its target.
-func (m *Machine) release(task *Task) {
-	if onTarget := m.placed[task.Target]; onTarget != nil {
+// release takes a placed run of a task off its target.
+func (m *Machine) release(task *Task, target string) {
+	if onTarget := m.placed[target]; onTarget != nil {
 		delete(onTarget, task.ID)
 		if len(onTarget) == 0 {
-			delete(m.placed, task.Target)
+			delete(m.placed, target)
 		}
 	}
 	workspace := task.Job.Spec.Workspace
@@ -214,6 +232,10 @@
 		delete(m.used, workspace)
 	}
 	task.Job.placed--
+	if task.Copy.Target == target {
+		task.Copy = Run{}
+		return
+	}
 	task.State, task.Target = pb.TaskState_TASK_STATE_WAITING, ""
 }
 
@@ -233,14 +255,17 @@
 			continue
 		}
 		if member.State == pb.TaskState_TASK_STATE_PLACED {
-			m.release(member)
+			m.release(member, member.Target)
 		}
 		m.markDone(member)
 	}
 }
 
+// markDone counts a task as done. A run that goes on is not needed any more; it holds
+// its room until it has ended.
 func (m *Machine) markDone(task *Task) {
 	job := task.Job
+	m.keepAsCopy(task)
 	task.State, task.Checkpoint, task.Superseded = pb.TaskState_TASK_STATE_DONE, "", false
 	job.left[task.ID.Occurrence][task.ID.Step]--
 	job.done++
