assign: full targets are not looked at

Cause: each task of a plan looked at every target of its pool, most of them full under load. Targets without processor room are dropped between steps; tasks without a need of it (fillers) look at all, as before. Choices are unchanged; a test covers targets that get no starts and count for no zone.

--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -105,7 +105,7 @@
 
 // Plan returns the starts of one round, and why other tasks wait.
 func Plan(s *Snapshot) ([]Start, []Wait) {
-	p := &plan{snapshot: s, targets: s.Targets}
+	p := newPlan(s)
 	slices.SortStableFunc(s.Jobs, p.compare)
 	for i := range s.Jobs {
 		p.placeJob(&s.Jobs[i])
@@ -116,8 +116,39 @@
 type plan struct {
 	snapshot *Snapshot
 	targets  []Target
-	starts   []Start
-	waits    []Wait
+	// open and all index targets: those that had processor room when the step began, and
+	// every one. Most targets are full under load, and each task looks at all it may go to.
+	open, all []int
+	zones     map[string]string
+	starts    []Start
+	waits     []Wait
+}
+
+func newPlan(s *Snapshot) *plan {
+	p := &plan{snapshot: s, targets: s.Targets, zones: make(map[string]string, len(s.Targets))}
+	for i := range s.Targets {
+		p.all = append(p.all, i)
+		p.zones[s.Targets[i].ID] = s.Targets[i].Zone
+	}
+	p.open = slices.Clone(p.all)
+	return p
+}
+
+// closeFull drops targets without processor room; between steps only, since a gang may
+// give back what it took.
+func (p *plan) closeFull() {
+	p.open = slices.DeleteFunc(p.open, func(at int) bool {
+		free := p.targets[at].Free
+		return free.CPUMillis <= 0 || free.MemoryMB <= 0
+	})
+}
+
+// mayHold returns the targets that a task of the step may fit on.
+func (p *plan) mayHold(step *Step) []int {
+	if step.Room.CPUMillis > 0 {
+		return p.open
+	}
+	return p.all
 }
 
 // Reasons of waits.
@@ -126,16 +157,6 @@
 	waitRoom  = "it fits on no target now"
 )
 
-// anyRoom reports whether any target has processor room left.
-func (p *plan) anyRoom() bool {
-	for i := range p.targets {
-		if p.targets[i].Free.CPUMillis > 0 && p.targets[i].Free.MemoryMB > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Classes of jobs by what an early start still earns.
 const (
 	classLasting = iota
@@ -184,6 +205,7 @@
 func (p *plan) placeJob(j *Job) {
 	for i := range j.Steps {
 		step := &j.Steps[i]
+		p.closeFull()
 		if step.Gang {
 			if !p.placeGang(j, step) {
 				p.wait(j, step, 0, waitRoom)
@@ -195,7 +217,7 @@
 }
 
 func (p *plan) placeTasks(j *Job, step *Step) {
-	if !p.anyRoom() {
+	if len(p.open) == 0 {
 		p.wait(j, step, 0, waitRoom)
 		return
 	}
@@ -309,9 +331,15 @@
 		return ""
 	}
 	running, slots := make(map[string]int), make(map[string]int)
-	for i := range p.targets {
+	for id, tasks := range step.OnTarget {
+		if zone, known := p.zones[id]; known {
+			running[zone] += tasks
+			// A full zone may be the home all the same: the rest then goes where it fits best.
+			slots[zone] += 0
+		}
+	}
+	for _, i := range p.mayHold(step) {
 		target := &p.targets[i]
-		running[target.Zone] += step.OnTarget[target.ID]
 		if p.allowed(step, target) {
 			slots[target.Zone] += target.Free.Slots(step.Room)
 		}
@@ -347,7 +375,7 @@
 // rack alone when one is named, rather in the home zone than elsewhere.
 func (p *plan) bestTarget(step *Step, rack, home string) int {
 	best, bestScore := -1, 0.0
-	for i := range p.targets {
+	for _, i := range p.mayHold(step) {
 		target := &p.targets[i]
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
--- a/internal/policy/assign/assign_test.go
+++ b/internal/policy/assign/assign_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// TestHomeZoneOfGoneTargets plans a step of which tasks run on targets that get no starts
+// now: their zone is not known, and the others share one home zone.
+func TestHomeZoneOfGoneTargets(t *testing.T) {
+	is := is.New(t)
+	j := simple("j", 4, 1000)
+	j.Steps[0].OnTarget = map[string]int{"gone": 3}
+	var targets []Target
+	for i, zone := range []string{"z1", "z2", "z1", "z2"} {
+		at := target(fmt.Sprint("t", i), 2000)
+		at.Zone = zone
+		targets = append(targets, at)
+	}
+	starts, _ := Plan(&Snapshot{Targets: targets, Jobs: []Job{j}})
+	is.Equal(onTargets(starts), map[string]int{"t0": 2, "t2": 2})
+}
+
 // TestLastingOverRacks places lasting tasks so that a rack that is lost takes
 // few tasks of a step, also where other lasting tasks draw them together.
 func TestLastingOverRacks(t *testing.T) {
@@ -248,8 +264,9 @@
 // BenchmarkPlan plans one round of the busiest pool at a size: its jobs and
 // targets grow together, as on the users' sites; one target in four has room.
 func BenchmarkPlan(b *testing.B) {
-	for _, targets := range []int{30, 100, 300, 530} {
-		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+	for _, size := range []struct{ targets, workspaces int }{{30, 20}, {100, 20}, {300, 20}, {530, 20}, {530, 340}} {
+		targets := size.targets
+		b.Run(fmt.Sprintf("targets=%d/workspaces=%d", targets, size.workspaces), func(b *testing.B) {
 			snapshot := func() *Snapshot {
 				s := &Snapshot{NowMS: 5000, Workspaces: make(map[string]*Workspace)}
 				for i := range targets {
@@ -262,7 +279,7 @@
 				}
 				for i := range targets / 2 {
 					j := simple(fmt.Sprintf("j%03d", i), 8, 1000)
-					j.Workspace = fmt.Sprintf("w%d", i%20)
+					j.Workspace = fmt.Sprintf("w%d", i%size.workspaces)
 					s.Workspaces[j.Workspace] = &Workspace{Limit: workflow.Resources{CPUMillis: 1 << 30}}
 					s.Jobs = append(s.Jobs, j)
 				}
