Explain: a task, a VM with its moves, and a refused job

`steps explain QUEUE ID TASK` tells one task's runs, `steps explain-vm VM` where a VM is, what runs there, why it takes no starts and what was decided about it. Decisions are unchanged.

--- a/internal/command/steps.go
+++ b/internal/command/steps.go
@@ -10,10 +10,11 @@
 )
 
 var stepsCommand = subcommand{
-	name: "steps", args: "submit QUEUE ID FILE | show QUEUE ID | explain QUEUE ID | cancel QUEUE ID | waiting QUEUE",
-	help: "jobs of steps: submit, show, explain, cancel; count those that wait (the address is a role's listen.api)",
+	name: "steps", args: "submit QUEUE ID FILE | show QUEUE ID | explain QUEUE ID [TASK] | explain-vm VM | cancel QUEUE ID | waiting QUEUE",
+	help: "jobs of steps: submit, show, explain, cancel; count those that wait; explain a VM (the address is a role's listen.api)",
 	examples: []string{
 		"steps submit proofs 5c0e7a21d94b36f8 job.json", "steps explain proofs 5c0e7a21d94b36f8   # where it runs, why the rest waits",
+		"steps explain proofs 5c0e7a21d94b36f8 0.1.17   # one task: occurrence, step, index", "steps explain-vm m-50a08   # its pool, why it moved, why it takes no starts",
 		"steps cancel proofs 5c0e7a21d94b36f8", "steps waiting proofs",
 	},
 	run: runSteps,
@@ -29,7 +30,10 @@
 
 func runSteps(env *Env, args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("%w: want submit, show, explain or cancel with QUEUE and ID, or waiting QUEUE", errUsage)
+		return fmt.Errorf("%w: want submit, show, explain or cancel with QUEUE and ID, waiting QUEUE, or explain-vm VM", errUsage)
+	}
+	if args[0] == "explain-vm" && len(args) == 2 {
+		return explainSteps(env, "/v1/vms/"+url.PathEscape(args[1]))
 	}
 	base := "/v1/queues/" + url.PathEscape(args[1]) + "/jobs"
 	if args[0] == "waiting" && len(args) == 2 {
@@ -51,7 +55,9 @@
 	case args[0] == "show" && len(args) == 3:
 		return printSteps(env, path, func(a stepsAnswer) string { return strings.TrimSpace(stepsState(a.State) + " " + a.Reason) })
 	case args[0] == "explain" && len(args) == 3:
-		return printSteps(env, path+"/explain", func(a stepsAnswer) string { return strings.Join(a.Lines, "\n") })
+		return explainSteps(env, path)
+	case args[0] == "explain" && len(args) == 4:
+		return explainSteps(env, path+"/tasks/"+url.PathEscape(args[3]))
 	}
 	return fmt.Errorf("%w: %q with %d arguments", errUsage, args[0], len(args)-1)
 }
@@ -72,6 +78,11 @@
 	return nil
 }
 
+// explainSteps prints the lines of an explanation.
+func explainSteps(env *Env, path string) error {
+	return printSteps(env, path+"/explain", func(a stepsAnswer) string { return strings.Join(a.Lines, "\n") })
+}
+
 func printSteps(env *Env, path string, show func(stepsAnswer) string) error {
 	var answer stepsAnswer
 	if err := env.client.get(path, &answer); err != nil {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -92,6 +92,8 @@
 	advice      map[workflow.TaskID]*stepAdvice
 	adviceCalls int
 	fleet       fleetView
+	// decided holds decisions about VMs, refused those about jobs that were not accepted.
+	decided, refused *history
 	// prunedAt is when old jobs were last looked for; only the loop uses it.
 	prunedAt time.Time
 	// waitsReported is when waits of a pool were reported last.
@@ -120,7 +122,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
 		links: make(map[string]*link), runs: make(map[runID]*run), lateStarts: make(map[string][]lateStart),
-		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
+		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(), decided: newHistory(), refused: newHistory(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time),
 	}
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -9,9 +9,16 @@
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
-// explain tells what a job runs, where, and why the rest of it waits.
+// explain tells what a job runs, where, and why the rest of it waits; or one task of it,
+// or a VM. Of a job that was not accepted it tells why.
 func (d *Driver) explain(r *pb.Request) *pb.Response {
+	if r.Vm != "" {
+		return d.explainVM(r.Vm)
+	}
 	if response := d.status(r); response.Answer != pb.Answer_ANSWER_OK {
+		if refused := d.refused.of(r.Job.GetId()); len(refused) > 0 && response.Answer == pb.Answer_ANSWER_GONE {
+			response.Reason = strings.Join(refused, "; ")
+		}
 		return response
 	}
 	d.mu.Lock()
@@ -20,7 +27,11 @@
 	d.cfg.Machine.View(func(v *workflow.View) {
 		job := v.Job(r.Job.Id)
 		response.State, response.Reason = job.State, job.Reason
-		response.Lines = append(response.Lines, d.explainJob(v, job)...)
+		if r.Task != nil {
+			response.Lines = d.explainTask(v, workflow.TaskID{Job: r.Job.Id, Occurrence: r.Task.Occurrence, Step: r.Task.Step, Index: r.Task.Index})
+			return
+		}
+		response.Lines = d.explainJob(v, job)
 	})
 	return response
 }
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -319,6 +319,7 @@
 // beginMove keeps starts off the VM from here on and orders the move.
 func (d *Driver) beginMove(m pools.Move, now time.Time) {
 	event.VMMoveBegun.Emit(event.F("vm", m.VM), event.F("from", m.From), event.F("to", m.To), event.F("reason", m.Reason))
+	d.decided.note(now, m.VM, "moves from pool %s to %s: %s", m.From, m.To, m.Reason)
 	d.pools.moving[m.VM] = &move{to: m.To, cpu: d.fleet.vms[m.VM].Capacity.CPUMillis, begun: now}
 	d.orderMove(m.VM, now)
 }
@@ -356,6 +357,7 @@
 		return
 	}
 	event.VMMoveAnswered.Emit(event.F("vm", vm), event.F("to", m.to), event.F("answer", refusal.String()))
+	d.decided.note(d.cfg.Now(), vm, "the platform answered the move to %s: %s", m.to, refusal)
 	switch refusal {
 	case VMAccepted:
 		m.accepted = d.cfg.Now()
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -78,7 +78,7 @@
 		r.Job.Queue, r.Job.Workspace, pool = queue.Name, workspace.GetName(), queue.Pool
 	})
 	if refused != nil {
-		event.RequestRefused.Emit(event.F("job", r.Job.GetId()), event.F("answer", refused.Answer.String()), event.F("reason", refused.Reason))
+		d.noteRefused(r, refused.Answer.String(), refused.Reason)
 		return refused
 	}
 	if known {
@@ -89,7 +89,7 @@
 		return commitFailed(err)
 	}
 	if out.Code != workflow.OK {
-		event.RequestRefused.Emit(event.F("job", r.Job.Id), event.F("answer", "invalid"), event.F("reason", out.Reason))
+		d.noteRefused(r, "invalid", out.Reason)
 		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: out.Reason}
 	}
 	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("index", out.Index))
@@ -100,6 +100,12 @@
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
 }
 
+// noteRefused reports and remembers that a job was refused.
+func (d *Driver) noteRefused(r *pb.Request, answer, reason string) {
+	event.RequestRefused.Emit(event.F("job", r.Job.GetId()), event.F("answer", answer), event.F("reason", reason))
+	d.refused.note(d.cfg.Now(), r.Job.GetId(), "refused: %s", reason)
+}
+
 // commitFailed tells whether a command that was not seen committed may take effect.
 func commitFailed(err error) *pb.Response {
 	if errors.Is(err, replica.ErrNotLeader) {
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -199,6 +199,7 @@
 			d.waves.since[vm] = d.cfg.Now()
 			cordoned++
 			event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
+			d.decided.note(d.cfg.Now(), vm, "takes no starts ahead of its maintenance in wave %d", w.Id)
 		}
 	}
 }
@@ -437,6 +438,7 @@
 		return
 	}
 	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()))
+	d.decided.note(d.cfg.Now(), vm, "the platform answered the maintenance of wave %d: %s", wave, refusal)
 	if refusal != VMBusy {
 		delete(d.waves.busy, vm)
 	}
@@ -488,6 +490,7 @@
 		delete(d.waves.away, vm)
 		delete(d.waves.busy, vm)
 		event.VMBack.Emit(event.F("vm", vm), event.F("wave", wave))
+		d.decided.note(d.cfg.Now(), vm, "is back from the maintenance of wave %d", wave)
 	})
 }
 
--- a/internal/stepapi/stepapi.go
+++ b/internal/stepapi/stepapi.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
@@ -47,6 +48,8 @@
 	jobs.HandleFunc("/jobs/{id}", a.job(pb.Operation_OPERATION_STATUS)).Methods(http.MethodGet)
 	jobs.HandleFunc("/jobs/{id}", a.job(pb.Operation_OPERATION_CANCEL)).Methods(http.MethodDelete)
 	jobs.HandleFunc("/jobs/{id}/explain", a.job(pb.Operation_OPERATION_EXPLAIN)).Methods(http.MethodGet)
+	jobs.HandleFunc("/jobs/{id}/tasks/{task}/explain", a.explainTask).Methods(http.MethodGet)
+	r.HandleFunc("/v1/vms/{vm}/explain", a.explainVM).Methods(http.MethodGet)
 	r.HandleFunc("/v1/catalogue", a.putCatalogue).Methods(http.MethodPut)
 	r.HandleFunc("/v1/catalogue", a.getCatalogue).Methods(http.MethodGet)
 	r.HandleFunc("/v1/waves/{wave}", a.putWave).Methods(http.MethodPut)
@@ -133,6 +136,27 @@
 	}
 }
 
+// explainTask explains one task, named as OCCURRENCE.STEP.INDEX.
+func (a *api) explainTask(w http.ResponseWriter, r *http.Request) {
+	vars := mux.Vars(r)
+	id, err := workflow.ParseTaskID(vars["id"] + "." + vars["task"])
+	if err != nil || id.Job != vars["id"] {
+		http.Error(w, fmt.Sprintf("task %q: want OCCURRENCE.STEP.INDEX", vars["task"]), http.StatusBadRequest)
+		return
+	}
+	request := &pb.Request{Operation: pb.Operation_OPERATION_EXPLAIN, QueueName: vars["queue"], Job: &pb.Job{Id: id.Job}, Task: id.Ref(0)}
+	if response := a.do(w, r, request); response != nil {
+		write(w, response)
+	}
+}
+
+// explainVM explains where a VM is and what was decided about it.
+func (a *api) explainVM(w http.ResponseWriter, r *http.Request) {
+	if response := a.do(w, r, &pb.Request{Operation: pb.Operation_OPERATION_EXPLAIN, Vm: mux.Vars(r)["vm"]}); response != nil {
+		write(w, response)
+	}
+}
+
 // job answers the calls that name a job and carry no body.
 func (a *api) job(operation pb.Operation) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
