--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -122,7 +122,8 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
 		links: make(map[string]*link), runs: make(map[runID]*run), lateStarts: make(map[string][]lateStart),
-		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(), decided: newHistory(), refused: newHistory(),
+		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
+		decided: newHistory(), refused: newHistory(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time),
 	}
--- a/internal/driver/explainvm.go
+++ b/internal/driver/explainvm.go
@@ -93,14 +93,14 @@
 func (d *Driver) noStarts(v *workflow.View, vm string) []string {
 	now := d.cfg.Now()
 	var reasons []string
+	if m := d.pools.moving[vm]; m != nil {
+		reasons = append(reasons, fmt.Sprintf("it moves to pool %s since %s", m.to, since(now, m.begun)))
+	}
 	add := func(holds bool, format string, args ...any) {
 		if holds {
 			reasons = append(reasons, fmt.Sprintf(format, args...))
 		}
 	}
-	if m := d.pools.moving[vm]; m != nil {
-		add(true, "it moves to pool %s since %s", m.to, since(now, m.begun))
-	}
 	add(d.pools.draining[vm], "its pool does without it, it is to become empty")
 	add(d.waves.cordoned[vm], "its maintenance is next")
 	add(v.Ordered(vm), "its maintenance is ordered")
--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -90,3 +90,26 @@
 		is.Equal(d.linksByVM()["vm-t0"].target.Id, "t0")
 	}
 }
+
+// TestLateStartsAreForgotten prunes the starts that no call can carry out any more.
+func TestLateStartsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := bareDriver(t, func() time.Time { return now })
+	note := func(target string, index uint32) {
+		d.noteLateStart(&run{task: workflow.TaskID{Job: "j", Index: index}, attempt: 1, target: target, unanswered: true})
+	}
+	note("t0", 0)
+	d.noteLateStart(&run{target: "t2"}) // answered
+	now = now.Add(lateCallBound - time.Second)
+	note("t0", 1)
+	note("t1", 2)
+	now = now.Add(2 * time.Second)
+	d.pruneLateStarts(now)
+	is.Equal(len(d.lateStarts["t0"]), 1)
+	is.Equal(d.lateStarts["t0"][0].task.Index, uint32(1))
+	is.Equal(len(d.lateStarts["t1"]), 1)
+	now = now.Add(lateCallBound)
+	d.pruneLateStarts(now)
+	is.Equal(len(d.lateStarts), 0)
+}
--- a/internal/driver/latestarts.go
+++ b/internal/driver/latestarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sapphirering/internal/clock"
@@ -26,14 +27,19 @@
 	if !r.unanswered {
 		return
 	}
-	now := d.cfg.Now()
-	kept := d.lateStarts[r.target][:0]
-	for _, late := range d.lateStarts[r.target] {
-		if now.Before(late.until) {
-			kept = append(kept, late)
+	late := lateStart{r.task, r.attempt, d.cfg.Now().Add(lateCallBound)}
+	d.lateStarts[r.target] = append(d.lateStarts[r.target], late)
+}
+
+// pruneLateStarts forgets starts that are not carried out any more.
+func (d *Driver) pruneLateStarts(now time.Time) {
+	for target, starts := range d.lateStarts {
+		starts = slices.DeleteFunc(starts, func(late lateStart) bool { return now.After(late.until) })
+		d.lateStarts[target] = starts
+		if len(starts) == 0 {
+			delete(d.lateStarts, target)
 		}
 	}
-	d.lateStarts[r.target] = append(kept, lateStart{r.task, r.attempt, now.Add(lateCallBound)})
 }
 
 // refuseLateStarts has the new incarnation of a target refuse late starts that were
@@ -46,15 +52,17 @@
 	}
 }
 
-// refuseLateStart sends the stop of one run until it is answered.
+// refuseLateStart sends the stop of one run until it is answered. Any answer is the last
+// word: the target has taken it, is another one by now, or hears a newer leader.
 func (d *Driver) refuseLateStart(l *link, late lateStart) {
 	call := StopCall{Task: late.task, Attempt: late.attempt, Fence: d.cfg.Epoch}
 	for d.cfg.Now().Before(late.until) && d.ctx.Err() == nil && d.cfg.Log.HoldsLease() {
 		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
-		_, err := d.cfg.Targets.Stop(ctx, l.address(), call)
+		answer, err := d.cfg.Targets.Stop(ctx, l.address(), call)
 		cancel()
 		if err == nil {
-			event.LateStartRefused.Emit(event.F("task", late.task.String()), event.F("attempt", late.attempt), event.F("target", l.target.Id))
+			event.LateStartRefused.Emit(event.F("task", late.task.String()), event.F("attempt", late.attempt),
+				event.F("target", l.target.Id), event.F("answer", answer.Refusal.String()))
 			return
 		}
 		clock.Sleep(d.ctx, retryPause)
--- a/internal/driver/prune.go
+++ b/internal/driver/prune.go
@@ -24,6 +24,9 @@
 		return
 	}
 	d.prunedAt = now
+	d.mu.Lock()
+	d.pruneLateStarts(now)
+	d.mu.Unlock()
 	var old []string
 	d.cfg.Machine.View(func(v *workflow.View) { old = v.EndedBefore(d.cfg.NowMS()-retention.Milliseconds(), maxPruned) })
 	if len(old) == 0 {
--- a/internal/policy/copies/copies.go
+++ b/internal/policy/copies/copies.go
@@ -8,9 +8,9 @@
 import "time"
 
 const (
-	// SilenceBound is how long a target must have owed an answer: longer than calls take
+	// silenceBound is how long a target must have owed an answer: longer than calls take
 	// while a target or its link is only busy.
-	SilenceBound = 300 * time.Millisecond
+	silenceBound = 300 * time.Millisecond
 	// lagFactor is how many expected run times the rest of a run must still take: a copy
 	// pays twice for its work, and its own run time is not known exactly.
 	lagFactor = 1.5
@@ -43,7 +43,7 @@
 
 // Reason returns why a run should get a copy, or "".
 func Reason(r Run) string {
-	if r.Silent > SilenceBound {
+	if r.Silent > silenceBound {
 		return "its target is silent"
 	}
 	if rest, known := r.rest(); known && rest > r.Slack && rest > time.Duration(lagFactor*float64(r.Expected))+lagMargin {
