A leader without its lease is left at once

Edge daemons in all zones kept to the leader that answered for as long, although another led after 0.3 s: submits refused and of unknown outcome while targets were free, announcements refused.

Ruled out: a cut (no 7066, links whole), the election (2001 at once).

Mend: an answer that the leader is not ready lets the gateway ask the others, and does not count as connected; the stalled daemon's own gateway asks them too. Both new tests fail before.

--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -204,7 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gatewayTry)
 	defer cancel()
 	if g.local != nil {
-		if response, isLeader := g.local(ctx, r); isLeader {
+		if response, isLeader := g.local(ctx, r); isLeader && response.Answer != workflowpb.Answer_ANSWER_NOT_READY {
 			g.noteConnected()
 			return response, true, nil
 		}
@@ -222,8 +222,15 @@
 		g.forgetLeader(address)
 		return nil, sent, err
 	}
+	response = answer.GetWorkflow()
+	if response.GetAnswer() == workflowpb.Answer_ANSWER_NOT_READY {
+		// A leader whose disk stalls goes on answering that it holds no lease, and does
+		// not notice that another leads: the next try asks the others.
+		g.forgetLeader(address)
+		return response, true, nil
+	}
 	g.noteReached(address)
-	return answer.GetWorkflow(), true, nil
+	return response, true, nil
 }
 
 // watch asks for the member list until ctx ends, so that the leader is known
@@ -233,6 +240,9 @@
 		step, cancel := context.WithTimeout(ctx, memberTry)
 		response, _, err := g.try(step, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS})
 		cancel()
+		if err == nil && response.Answer == workflowpb.Answer_ANSWER_NOT_READY {
+			err = errors.New(response.Reason)
+		}
 		pause := memberInterval
 		if err == nil {
 			g.mu.Lock()
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"sapphirering/internal/wire"
+	"sapphirering/internal/wire/wirepb"
 	"sapphirering/internal/workflow/workflowpb"
 )
 
@@ -65,6 +66,66 @@
 	}
 }
 
+// TestLeaderWithoutLeaseIsLeft calls a leader whose disk stalls, which goes on answering
+// that it holds no lease, while another daemon leads: requests go there at once, from an
+// edge daemon and from the stalled one itself.
+func TestLeaderWithoutLeaseIsLeft(t *testing.T) {
+	const soon = 500 * time.Millisecond
+	notReady := &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_NOT_READY, Reason: "the leader's lease is not held"}
+	stalled := answeringListener(t, notReady)
+	leading := answeringListener(t, &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_OK, CoreAddresses: []string{stalled}})
+	for _, test := range []struct {
+		name  string
+		local func(context.Context, *workflowpb.Request) (*workflowpb.Response, bool)
+	}{
+		{"edge", nil},
+		{"the stalled daemon", func(context.Context, *workflowpb.Request) (*workflowpb.Response, bool) { return notReady, true }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			gateway := newGateway(&wire.Dialer{}, "caller", []string{stalled, leading})
+			gateway.local = test.local
+			gateway.setLeader(stalled)
+			ctx, cancel := context.WithTimeout(t.Context(), soon)
+			defer cancel()
+			response := gateway.Do(ctx, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_SUBMIT, Job: &workflowpb.Job{Id: "j"}})
+			is.Equal(response.Answer, workflowpb.Answer_ANSWER_OK)
+		})
+	}
+}
+
+// TestEdgeBesideLeaderWithoutLease reaches one leader without its lease, and no other core
+// daemon: the edge is not ready, as if it reached none.
+func TestEdgeBesideLeaderWithoutLease(t *testing.T) {
+	is := is.New(t)
+	members := []string{"", silentListener(t), silentListener(t)}
+	members[0] = answeringListener(t, &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_NOT_READY, CoreAddresses: members})
+	gateway := newGateway(&wire.Dialer{}, "edge", members)
+	gateway.noteReached(members[0])
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go gateway.watch(ctx)
+	time.Sleep(callerDeadline - balancerTime)
+	is.True(!gateway.Connected())
+}
+
+// answeringListener is a core daemon that gives one answer to every request.
+func answeringListener(t *testing.T, response *workflowpb.Response) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &wire.Server{Listener: listener, Handler: func(_ *wirepb.Hello, stream net.Conn) {
+		wire.ServeCall(stream, func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse {
+			return &wirepb.CallResponse{Body: &wirepb.CallResponse_Workflow{Workflow: response}}
+		})
+	}}
+	go server.Serve()
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
 // silentListener accepts connections and answers nothing on them.
 func silentListener(t *testing.T) string {
 	t.Helper()
