TestSilentTarget: the lost target comes back once its last call has ended

Trace: the lease (0.7 s in this test) lapsed by missed announcements while the last listing still hung (up to 2.2 s); the target came back, was given the two tasks, and the hanging listing renewed nothing, so that the lease lapsed again, the tasks were lost and started there anew. No task ran twice at once. Allowed: a lease shorter than a listing is this test's alone (6 s against 2.2 s in service). The test now waits until that call has ended; the exact number of runs stays.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -61,6 +61,9 @@
 	t.Run("resets", func(t *testing.T) { testLostTarget(t, func(t *standin.StepTarget) { t.Resets = true }) })
 }
 
+// lastCallEnds is longer than any call to a target takes, with its wait.
+const lastCallEnds = 2500 * time.Millisecond
+
 func testLostTarget(t *testing.T, lose func(*standin.StepTarget)) {
 	is := is.New(t)
 	r := newRig(t, "a", "b")
@@ -79,7 +82,10 @@
 	r.fleet.Running("a")
 	r.judge()
 
-	// Once it can be heard again it is asked, and gets starts.
+	// Once it can be heard again it is asked, and gets starts. Its last call has ended
+	// without an answer by then: a listing that still hangs renews no lease, and this
+	// test's leases are shorter than a listing.
+	time.Sleep(lastCallEnds)
 	r.fleet.Change("a", func(t *standin.StepTarget) { t.Silent, t.Resets, t.Work = false, false, 50*time.Millisecond })
 	r.fleet.Change("b", func(t *standin.StepTarget) { t.Resets = true })
 	before := r.fleet.Started("a")
