Tests: one way to choose ports, none given twice

Ruled out: another program (all three addresses were taken, by the daemons of this test), the daemons (they say so and end).

--- a/test/bench/entry_test.go
+++ b/test/bench/entry_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +19,7 @@
 	"sapphirering/internal/config"
 	"sapphirering/internal/server"
 	"sapphirering/internal/target"
+	"sapphirering/test/linktest"
 	"sapphirering/test/standin"
 )
 
@@ -42,19 +42,10 @@
 	secret  string
 }
 
-func freePort(tb testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func startEntry(tb testing.TB) *entryVM {
 	tb.Helper()
 	folder := tb.TempDir()
-	callers, targets, operators, peers := freePort(tb), freePort(tb), freePort(tb), freePort(tb)
+	callers, targets, operators, peers := linktest.FreeAddress(tb), linktest.FreeAddress(tb), linktest.FreeAddress(tb), linktest.FreeAddress(tb)
 	settings, err := config.ParseSettings([]byte(fmt.Sprintf(
 		"name: entry-1\nzone: a\nvoter: true\ndata_folder: %q\nshutdown_delay: 1ms\nlisten: {callers: %q, targets: %q, operators: %q, peers: %q}\n",
 		filepath.Join(folder, "data"), callers, targets, operators, peers)))
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -14,11 +14,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"sapphirering/test/linktest"
 	"sapphirering/test/standin"
 )
 
@@ -74,31 +74,6 @@
 	extra string
 }
 
-// Listeners use ports below the range from which the system picks ports of
-// outgoing connections, so that no connection takes one in between.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-var nextPort atomic.Uint32
-
-// freePort returns a loopback address that nothing listens on.
-func freePort(t *testing.T) string {
-	t.Helper()
-	for range portCount {
-		offset := (uint32(os.Getpid())*64 + nextPort.Add(1)) % portCount
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			listener.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // startCluster starts one daemon per zone given, the first one bootstrapped.
 // The first five vote. Links run through proxies when cuttable.
 func startCluster(t *testing.T, zones []string, cuttable bool) *cluster {
@@ -117,7 +92,7 @@
 	for i, zone := range zones {
 		c.nodes = append(c.nodes, &node{
 			t: t, name: fmt.Sprintf("entry-%s%d", zone, i+1), zone: zone,
-			callers: freePort(t), targets: freePort(t), operator: freePort(t), peers: freePort(t),
+			callers: linktest.FreeAddress(t), targets: linktest.FreeAddress(t), operator: linktest.FreeAddress(t), peers: linktest.FreeAddress(t),
 		})
 	}
 	if cuttable {
--- a/test/process/operate_tls_test.go
+++ b/test/process/operate_tls_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"sapphirering/internal/operator"
+	"sapphirering/test/linktest"
 )
 
 // foreignTries is how often a foreign daemon is looked for in the member list.
@@ -117,7 +118,7 @@
 	for _, name := range []string{"first", "second", "foreign", "plain"} {
 		c.nodes = append(c.nodes, &node{
 			t: t, name: name, zone: "a",
-			callers: freePort(t), targets: freePort(t), operator: freePort(t), peers: freePort(t),
+			callers: linktest.FreeAddress(t), targets: linktest.FreeAddress(t), operator: linktest.FreeAddress(t), peers: linktest.FreeAddress(t),
 		})
 	}
 	t.Cleanup(c.stop)
--- a/test/process/replica_tls_test.go
+++ b/test/process/replica_tls_test.go
@@ -24,7 +24,7 @@
 	for i, zone := range []string{"a", "b", "c", "foreign"} {
 		c.nodes = append(c.nodes, &node{
 			t: t, name: fmt.Sprintf("entry-%s%d", zone, i+1), zone: zone,
-			callers: freePort(t), targets: freePort(t), operator: freePort(t), peers: freePort(t),
+			callers: linktest.FreeAddress(t), targets: linktest.FreeAddress(t), operator: linktest.FreeAddress(t), peers: linktest.FreeAddress(t),
 		})
 	}
 	foreign := c.nodes[3]
