Pools: VMs are called for what still needs them when they have come

What comes was taken as ending within three seconds, whatever the queue. Change: pools.Work tells what passes until a called VM serves; arrivals count by what their like asked for when it came. VMs are kept, as before, for all that is there. Ruled out: passing work alone, with arrivals as before: short jobs were left with half of the room that their rate asks for.

--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -233,9 +233,9 @@
 
 func (d *Driver) timesOf(job *workflow.Job, queue *pb.Queue) jobTimes {
 	total, left := d.chain(job)
-	objective := int64(queue.SlackFactor*float64(total)) + queue.ObjectiveMs
+	within := objective(queue, total)
 	return jobTimes{
-		remainingMS: left, deadlineMS: job.Spec.SubmittedUnixMs + objective, lateDeadlineMS: job.Spec.SubmittedUnixMs + lateFactor*objective,
+		remainingMS: left, deadlineMS: job.Spec.SubmittedUnixMs + within, lateDeadlineMS: job.Spec.SubmittedUnixMs + lateFactor*within,
 	}
 }
 
@@ -283,22 +283,28 @@
 // chain returns the longest chain of the job's steps and of what is left of
 // them, in learned milliseconds.
 func (d *Driver) chain(job *workflow.Job) (total, left int64) {
-	steps := job.Spec.Steps
-	whole, rest := make([]int64, len(steps)), make([]int64, len(steps))
-	for i, step := range steps {
-		length := d.learned.expected(job.Spec.Queue, step)
-		open := int64(0)
-		if job.StepLeft(len(job.Tasks)-1, i) > 0 {
-			open = length
-		}
-		whole[i], rest[i] = length, open
+	last := len(job.Tasks) - 1
+	return d.longest(job.Spec, func(int) bool { return true }), d.longest(job.Spec, func(step int) bool { return job.StepLeft(last, step) > 0 })
+}
+
+// longest returns the longest chain of the steps that are open.
+func (d *Driver) longest(spec *pb.Job, open func(step int) bool) int64 {
+	longest, ends := int64(0), make([]int64, len(spec.Steps))
+	for i, step := range spec.Steps {
 		for _, before := range step.After {
-			whole[i] = max(whole[i], whole[before]+length)
-			rest[i] = max(rest[i], rest[before]+open)
+			ends[i] = max(ends[i], ends[before])
 		}
-		total, left = max(total, whole[i]), max(left, rest[i])
+		if open(i) {
+			ends[i] += d.learned.expected(spec.Queue, step)
+		}
+		longest = max(longest, ends[i])
 	}
-	return total, left
+	return longest
+}
+
+// objective returns how long a job may take, by its longest chain.
+func objective(queue *pb.Queue, chain int64) int64 {
+	return int64(queue.SlackFactor*float64(chain)) + queue.ObjectiveMs
 }
 
 // failHopeless ends jobs with a task that no known target could run even when
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -32,12 +32,6 @@
 	// stuckAfter is how long a waiting task may fit nowhere before its pool gets
 	// another VM.
 	stuckAfter = 300 * time.Millisecond
-	// lateWithinMS is the time within which work that is late should end.
-	lateWithinMS = 12_000
-	// aheadWithinMS is the time within which work usually has to end.
-	aheadWithinMS = 3000
-	// finishMargin is the part of the time left in which the work should end.
-	finishMargin = 0.6
 )
 
 // poolLoop is what the leader remembers of VMs and pools. The driver's mutex
@@ -79,21 +73,24 @@
 }
 
 // noteArrival adds an accepted job to the arrivals of its pool.
-func (d *Driver) noteArrival(job *pb.Job, pool string) {
+func (d *Driver) noteArrival(job *pb.Job, queue *pb.Queue) {
 	if job.Steps[0].Lasting {
 		return
 	}
 	if d.pools.firstArrival.IsZero() {
 		d.pools.firstArrival = d.cfg.Now()
 	}
-	work := int64(0)
+	var work pools.Work
 	for _, step := range job.Steps {
-		work += int64(step.Tasks) * step.Needs.GetCpuMillis() * d.learned.expected(job.Queue, step)
+		room := pools.Footprint(step.Needs.GetCpuMillis(), d.fleet.largest)
+		work.MillisMS += int64(step.Tasks) * room * d.learned.expected(job.Queue, step)
 	}
-	turns := d.pools.turns[pool]
+	work.ChainMS = d.longest(job, func(int) bool { return true })
+	work.LeftMS = objective(queue, work.ChainMS)
+	turns := d.pools.turns[queue.Pool]
 	if turns == nil {
 		turns = new(pools.Turns)
-		d.pools.turns[pool] = turns
+		d.pools.turns[queue.Pool] = turns
 	}
 	turns.Note(d.monotonicMS(), work)
 }
@@ -155,9 +152,7 @@
 func (d *Driver) poolDemand(pool *pb.Pool) pools.Pool {
 	p := pools.Pool{Name: pool.Name, Resting: pool.Resting}
 	if turns := d.pools.turns[pool.Name]; turns != nil {
-		// What keeps arriving while a VM is on its way has to end within about
-		// the same time as what is here.
-		p.NeedMillis = turns.Load(d.monotonicMS()) * d.cfg.Limits.VMMove.Milliseconds() / aheadWithinMS
+		p.NeedMillis = turns.Arriving(d.monotonicMS(), d.cfg.Limits.VMMove.Milliseconds())
 		p.NextTurnMS, p.TurnMillis = turns.Next(d.monotonicMS())
 	}
 	return p
@@ -165,7 +160,7 @@
 
 // addNeeds adds the room with which each open job ends in time.
 func (d *Driver) addNeeds(v *workflow.View, s *pools.Snapshot, index map[string]int) {
-	nowMS := d.cfg.NowMS()
+	now := d.cfg.Now()
 	for _, job := range v.OpenJobs() {
 		queue := v.Queue(job.Spec.Queue)
 		if queue == nil || workflow.Ended(job.State) {
@@ -184,9 +179,10 @@
 		if vms > 0 {
 			pool.MinVMs = max(pool.MinVMs, vms+d.spareVMs())
 		}
-		pool.NeedMillis += d.shortNeed(job, queue, nowMS)
+		need, passing := d.shortWork(job, queue, now).Need(d.cfg.Limits.VMMove.Milliseconds())
+		pool.NeedMillis += need
+		pool.PassingMillis += passing
 	}
-	now := d.cfg.Now()
 	for i := range s.Pools {
 		since, ok := d.pools.stuckSince[s.Pools[i].Name]
 		s.Pools[i].Stuck = ok && now.Sub(since) > stuckAfter
@@ -217,32 +213,46 @@
 	return millis, vms
 }
 
-// shortNeed returns the room with which the rest of a job ends in the time that
-// its objective leaves, or as fast as its chain allows when that is over.
-func (d *Driver) shortNeed(job *workflow.Job, queue *pb.Queue, nowMS int64) int64 {
-	work := int64(0)
+// shortWork returns what is left of a job besides its lasting tasks.
+func (d *Driver) shortWork(job *workflow.Job, queue *pb.Queue, now time.Time) pools.Work {
+	var work pools.Work
+	nowMS := d.cfg.NowMS()
 	for k := range job.Tasks {
 		if job.DueMS(k) > nowMS {
 			continue
 		}
 		for n, step := range job.Spec.Steps {
-			if !step.Lasting {
-				room := pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest)
-				work += int64(job.StepLeft(k, n)) * room * d.learned.expected(job.Spec.Queue, step)
+			if step.Lasting || job.StepLeft(k, n) == 0 {
+				continue
+			}
+			room := pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest)
+			expected := d.learned.expected(job.Spec.Queue, step)
+			work.MillisMS += int64(job.StepLeft(k, n)) * room * expected
+			if job.Ready(k, n) {
+				d.addProgress(&work, job.Tasks[k][n], expected, now)
 			}
 		}
 	}
-	if work == 0 {
-		return 0
+	if work.MillisMS > 0 {
+		times := d.timesOf(job, queue)
+		work.ChainMS, work.LeftMS = times.remainingMS, times.deadlineMS-nowMS
 	}
-	times := d.timesOf(job, queue)
-	left, deadline := times.remainingMS, times.deadlineMS
-	if nowMS+left > deadline {
-		// Late already: what is left of its worth does not justify VMs that jobs
-		// in time could use.
-		return work / max(lateWithinMS, left)
+	return work
+}
+
+// addProgress adds how far the tasks of a step that may run are: the one that has
+// longest to go decides.
+func (d *Driver) addProgress(work *pools.Work, tasks []*workflow.Task, expected int64, now time.Time) {
+	remaining := int64(0)
+	for _, task := range tasks {
+		switch task.State {
+		case pb.TaskState_TASK_STATE_WAITING:
+			work.Waits = true
+		case pb.TaskState_TASK_STATE_PLACED:
+			remaining = max(remaining, d.remainingMS(task, task.Target, now))
+		}
 	}
-	return work / max(int64(finishMargin*float64(deadline-nowMS)), left, 1)
+	work.RunMS = max(work.RunMS, expected-remaining)
 }
 
 // addVMs adds the VMs where they are, and those on their way to where they go.
@@ -419,7 +429,7 @@
 			}
 		}
 		event.PoolState.Emit(event.F("pool", p.Name), event.F("vms", len(p.VMs)), event.F("idle", idle), event.F("out", out),
-			event.F("incoming", p.Incoming), event.F("need_millis", p.NeedMillis), event.F("min_vms", p.MinVMs),
+			event.F("incoming", p.Incoming), event.F("need_millis", p.NeedMillis), event.F("passing_millis", p.PassingMillis), event.F("min_vms", p.MinVMs),
 			event.F("turn_in_ms", p.NextTurnMS-s.NowMS), event.F("turn_millis", p.TurnMillis))
 	}
 }
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -65,17 +65,16 @@
 
 func (d *Driver) submit(ctx context.Context, r *pb.Request) *pb.Response {
 	var refused *pb.Response
-	var pool string
+	var queue *pb.Queue
 	known := false
 	d.cfg.Machine.View(func(v *workflow.View) {
-		var queue *pb.Queue
 		var workspace *pb.Workspace
 		queue, workspace, refused = admit(v, r)
 		if refused != nil {
 			return
 		}
 		known = v.Job(r.Job.Id) != nil
-		r.Job.Queue, r.Job.Workspace, pool = queue.Name, workspace.GetName(), queue.Pool
+		r.Job.Queue, r.Job.Workspace = queue.Name, workspace.GetName()
 	})
 	if refused != nil {
 		d.noteRefused(r, refused.Answer.String(), refused.Reason)
@@ -94,7 +93,7 @@
 	}
 	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("index", out.Index))
 	d.mu.Lock()
-	d.noteArrival(r.Job, pool)
+	d.noteArrival(r.Job, queue)
 	d.mu.Unlock()
 	d.kick()
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
--- a/internal/policy/pools/balance.go
+++ b/internal/policy/pools/balance.go
@@ -52,20 +52,20 @@
 		b.spare = supply - p.IncomingMillis
 		return b
 	}
-	demand := int64(float64(s.demand(p)) / usable)
 	// The least number of VMs counts as the room of so many of the largest.
-	demand = max(demand, supply+int64(p.MinVMs-vms)*largest)
+	least := supply + int64(p.MinVMs-vms)*largest
 	if p.Stuck && p.Incoming == 0 {
-		demand = max(demand, supply+s.largest())
+		least = max(least, supply+s.largest())
 	}
 	if vms == 0 && p.MinVMs > 0 {
-		demand = max(demand, int64(p.MinVMs)*s.largest())
-	}
-	if demand > supply {
-		b.short = demand - supply
-	} else {
-		b.spare = supply - demand
+		least = max(least, int64(p.MinVMs)*s.largest())
 	}
+	// VMs are called for what will still need them when they have come; they are
+	// kept for all that is there now.
+	lasting := max(int64(float64(s.demand(p, p.NeedMillis-p.PassingMillis))/usable), least)
+	present := max(int64(float64(s.demand(p, p.NeedMillis))/usable), least)
+	b.short = max(lasting-supply, 0)
+	b.spare = max(supply-present, 0)
 	return b
 }
 
@@ -80,8 +80,9 @@
 	return largest
 }
 
-func (s *Snapshot) demand(p *Pool) int64 {
-	demand := p.NeedMillis
+// demand returns a need, or what an expected turn asks for if that is more.
+func (s *Snapshot) demand(p *Pool, needMillis int64) int64 {
+	demand := needMillis
 	if p.TurnMillis > 0 && p.NextTurnMS-s.NowMS < s.Prices.MoveMS+callAheadMS {
 		demand = max(demand, p.TurnMillis)
 	}
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -43,6 +43,9 @@
 	Resting bool
 	// NeedMillis is the processor room with which the work at hand ends in time.
 	NeedMillis int64
+	// PassingMillis is the part of it that will have ended before a VM that is
+	// called now can serve.
+	PassingMillis int64
 	// Stuck tells that a waiting task has fitted on no VM for a while.
 	Stuck bool
 	// MinVMs is how many VMs the pool needs however little room is asked for.
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -128,9 +128,9 @@
 		if now%15_000 < 4000 {
 			load = 8000
 		}
-		even.Note(now, load*100)
+		even.Note(now, Work{MillisMS: load * 100})
 		if now > 10_000 && now < 19_000 && now%2000 < 1200 {
-			once.Note(now, 8000*100)
+			once.Note(now, Work{MillisMS: 8000 * 100})
 		}
 	}
 	at, peak := even.Next(60_000 - 5000)
--- a/internal/policy/pools/turns.go
+++ b/internal/policy/pools/turns.go
@@ -22,7 +22,9 @@
 // Turns learns when the turns of a queue come and what they ask for.
 type Turns struct {
 	// bins holds the arrived work by binMS, in thousandths of a core times milliseconds.
-	bins  [historyBins]int64
+	bins [historyBins]int64
+	// needs holds the room that the work of each bin asked for when it came.
+	needs [historyBins]int64
 	first int64
 	last  int64
 	total int64
@@ -35,14 +37,26 @@
 	quietSince int64
 }
 
-// Note adds work that has arrived: processor room times run time.
-func (t *Turns) Note(nowMS, cpuMillisMS int64) {
+// Note adds work that has arrived.
+func (t *Turns) Note(nowMS int64, work Work) {
 	t.advance(nowMS)
-	t.bins[t.last%historyBins] += cpuMillisMS
-	t.total += cpuMillisMS
+	t.bins[t.last%historyBins] += work.MillisMS
+	t.needs[t.last%historyBins] += work.need()
+	t.total += work.MillisMS
 	t.noteOnset(nowMS)
 }
 
+// Arriving returns the room that the work will ask for which comes within
+// aheadMS: as much as came in the same time before.
+func (t *Turns) Arriving(nowMS, aheadMS int64) int64 {
+	t.advance(nowMS)
+	sum := int64(0)
+	for bin := max(t.last-aheadMS/binMS+1, t.first); bin <= t.last; bin++ {
+		sum += t.needs[bin%historyBins]
+	}
+	return sum
+}
+
 // advance clears the bins between the last note and now.
 func (t *Turns) advance(nowMS int64) {
 	bin := nowMS / binMS
@@ -53,7 +67,7 @@
 		t.last++
 		at := t.last % historyBins
 		t.total -= t.bins[at]
-		t.bins[at] = 0
+		t.bins[at], t.needs[at] = 0, 0
 		if bin-t.last > historyBins {
 			t.last = bin - historyBins
 		}
