Pools: while a turn sets in, its newest half second counts

Cause: what comes while a VM moves was taken from the last 1.5 s, half of them from before the turn. Change: where the newer half is higher and has four jobs or more, its rate counts. From the call of a VM to its announcement 1.51 s of 72 calls, to its first task 0.06 s more: nothing to gain there.

--- a/internal/policy/pools/turns.go
+++ b/internal/policy/pools/turns.go
@@ -15,6 +15,8 @@
 	endShare = 0.3
 	// minOnsets is the number of turns after which their pace counts as known.
 	minOnsets = 3
+	// minRising is the number of jobs from which on a rise is more than chance.
+	minRising = 4
 	// maxOnsets bounds what is remembered of turns.
 	maxOnsets = 8
 )
@@ -25,6 +27,8 @@
 	bins [historyBins]int64
 	// needs holds the room that the work of each bin asked for when it came.
 	needs [historyBins]int64
+	// jobs counts what came.
+	jobs  [historyBins]int64
 	first int64
 	last  int64
 	total int64
@@ -42,19 +46,32 @@
 	t.advance(nowMS)
 	t.bins[t.last%historyBins] += work.MillisMS
 	t.needs[t.last%historyBins] += work.need()
+	t.jobs[t.last%historyBins]++
 	t.total += work.MillisMS
 	t.noteOnset(nowMS)
 }
 
 // Arriving returns the room that the work will ask for which comes within
-// aheadMS: as much as came in the same time before.
+// aheadMS: as much as came in the same time before, or at the rate of the newer
+// half of it while a turn sets in.
 func (t *Turns) Arriving(nowMS, aheadMS int64) int64 {
 	t.advance(nowMS)
-	sum := int64(0)
-	for bin := max(t.last-aheadMS/binMS+1, t.first); bin <= t.last; bin++ {
-		sum += t.needs[bin%historyBins]
+	half := max(aheadMS/binMS/2, 1)
+	older, _ := t.arrived(t.last-2*half+1, t.last-half)
+	newer, jobs := t.arrived(t.last-half+1, t.last)
+	if jobs >= minRising && newer > older {
+		return 2 * newer
+	}
+	return older + newer
+}
+
+// arrived returns what came in the bins from first to last.
+func (t *Turns) arrived(first, last int64) (needMillis, jobs int64) {
+	for bin := max(first, t.first); bin <= last; bin++ {
+		needMillis += t.needs[bin%historyBins]
+		jobs += t.jobs[bin%historyBins]
 	}
-	return sum
+	return needMillis, jobs
 }
 
 // advance clears the bins between the last note and now.
@@ -67,7 +84,7 @@
 		t.last++
 		at := t.last % historyBins
 		t.total -= t.bins[at]
-		t.bins[at], t.needs[at] = 0, 0
+		t.bins[at], t.needs[at], t.jobs[at] = 0, 0, 0
 		if bin-t.last > historyBins {
 			t.last = bin - historyBins
 		}
