Waves: a VM comes before one with lasting tasks goes down, none stands by

Change: none stands by; a cordoned VM is no supply, so that another one is called for it, and one with lasting tasks goes down once that has come, or after drainPatience.

--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/policy/pools"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -113,3 +114,21 @@
 	d.pruneLateStarts(now)
 	is.Equal(len(d.lateStarts), 0)
 }
+
+// TestLastingTasksFindAnotherVM lets a VM with lasting tasks go down only once its pool
+// has the VMs over which they must spread, or the wait for one is over.
+func TestLastingTasksFindAnotherVM(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := bareDriver(t, func() time.Time { return now })
+	d.waves.since["vm-t0"] = now
+	serving := []pools.VM{{Name: "vm-t0", Out: true}, {Name: "vm-t1"}, {Name: "vm-t2"}}
+	d.noteThin(&pools.Snapshot{Pools: []pools.Pool{{Name: "p", MinVMs: 3, VMs: serving}}})
+	is.True(!d.emptied("vm-t0")) // two VMs serve, three are to
+	now = now.Add(drainPatience + time.Millisecond)
+	is.True(d.emptied("vm-t0")) // no VM has come
+	d.waves.since["vm-t0"] = now
+	d.noteThin(&pools.Snapshot{Pools: []pools.Pool{{Name: "p", MinVMs: 3, VMs: append(serving, pools.VM{Name: "vm-new"})}}})
+	is.True(d.emptied("vm-t0"))
+	is.True(d.emptied("vm-other")) // nothing runs there
+}
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -26,9 +26,6 @@
 	// then lasting jobs have found their places, and the first turn of a queue has
 	// shown what it asks for.
 	restAfter = 3 * time.Second
-	// minPoolVMs is what a pool keeps beyond the VMs of its lasting tasks while
-	// one of them may go down.
-	minPoolVMs = 1
 	// stuckAfter is how long a waiting task may fit nowhere before its pool gets
 	// another VM.
 	stuckAfter = 300 * time.Millisecond
@@ -48,6 +45,9 @@
 	draining map[string]bool
 	// stuckSince is since when tasks of a pool have fitted nowhere.
 	stuckSince map[string]time.Time
+	// thin holds pools with fewer VMs that take starts than their lasting tasks
+	// must spread over.
+	thin map[string]bool
 	// idleSince is since when nothing has run on a VM.
 	idleSince map[string]time.Time
 	// settles is when the move or the maintenance of a resting VM is surely over:
@@ -68,7 +68,7 @@
 func newPoolLoop() *poolLoop {
 	return &poolLoop{
 		turns: make(map[string]*pools.Turns), moving: make(map[string]*move), idleSince: make(map[string]time.Time),
-		stuckSince: make(map[string]time.Time), draining: make(map[string]bool), settles: make(map[string]time.Time),
+		stuckSince: make(map[string]time.Time), draining: make(map[string]bool), thin: make(map[string]bool), settles: make(map[string]time.Time),
 	}
 }
 
@@ -120,6 +120,7 @@
 		}
 		snapshot := d.poolSnapshot(v, now)
 		d.reportPools(snapshot, now)
+		d.noteThin(snapshot)
 		moves, drain := pools.Plan(snapshot)
 		for _, m := range moves {
 			d.beginMove(m, now)
@@ -131,6 +132,22 @@
 	})
 }
 
+// noteThin remembers the pools from which no VM with lasting tasks should go down
+// before another one has come.
+func (d *Driver) noteThin(s *pools.Snapshot) {
+	clear(d.pools.thin)
+	for i := range s.Pools {
+		p := &s.Pools[i]
+		serving := 0
+		for _, vm := range p.VMs {
+			if !vm.Out {
+				serving++
+			}
+		}
+		d.pools.thin[p.Name] = serving < p.MinVMs
+	}
+}
+
 // poolSnapshot describes every pool to the policy.
 func (d *Driver) poolSnapshot(v *workflow.View, now time.Time) *pools.Snapshot {
 	s := &pools.Snapshot{
@@ -177,7 +194,7 @@
 			pool.TurnMillis += lasting
 		}
 		if vms > 0 {
-			pool.MinVMs = max(pool.MinVMs, vms+d.spareVMs())
+			pool.MinVMs = max(pool.MinVMs, vms)
 		}
 		need, passing := d.shortWork(job, queue, now).Need(d.cfg.Limits.VMMove.Milliseconds())
 		pool.NeedMillis += need
@@ -189,15 +206,6 @@
 	}
 }
 
-// spareVMs is how many VMs a pool keeps beyond those of its lasting tasks: while
-// a wave goes on, one of them is about to go down.
-func (d *Driver) spareVMs() int {
-	if d.waves.active {
-		return minPoolVMs
-	}
-	return 0
-}
-
 // lastingNeed returns the room of a job's lasting tasks and the VMs over which
 // they must spread.
 func lastingNeed(job *workflow.Job) (millis int64, vms int) {
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -261,8 +261,8 @@
 	return total
 }
 
-// emptied reports whether no short task runs on the VM any more, or the wait
-// for them is over.
+// emptied reports whether no short task runs on the VM any more and its lasting ones
+// find another VM, or the wait for that is over.
 func (d *Driver) emptied(vm string) bool {
 	if d.cfg.Now().Sub(d.waves.since[vm]) > drainPatience {
 		return true
@@ -271,13 +271,13 @@
 	if l == nil {
 		return true
 	}
-	short := false
+	held := false
 	d.cfg.Machine.View(func(v *workflow.View) {
 		for _, task := range v.Placed(l.target.Id) {
-			short = short || !task.Spec().Lasting
+			held = held || !task.Spec().Lasting || d.pools.thin[l.target.Pool]
 		}
 	})
-	return !short
+	return !held
 }
 
 // mayGoDown reports whether every lasting step with tasks on the VM keeps its
--- /dev/null
+++ b/internal/policy/pools/need_test.go
@@ -0,0 +1,156 @@
+package pools
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestNeed covers what a job asks for now and what of it passes within 1.5 s.
+func TestNeed(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		work         Work
+		now, passing int64
+	}{
+		{"ends before a VM could serve", Work{MillisMS: 5_000_000, ChainMS: 1000, LeftMS: 2000}, 4166, 4166},
+		{"runs and goes on", Work{MillisMS: 320_000_000, ChainMS: 4000, LeftMS: 6000}, 80_000, 5926},
+		{"has run for a while", Work{MillisMS: 320_000_000, ChainMS: 4000, RunMS: 1000, LeftMS: 5000}, 80_000, 22_858},
+		{"ends while a VM comes", Work{MillisMS: 160_000_000, ChainMS: 2000, RunMS: 500, LeftMS: 3000}, 80_000, 80_000},
+		{"waits for room", Work{MillisMS: 5_000_000, ChainMS: 1000, LeftMS: 2000, Waits: true}, 4166, 0},
+		{"late, within the time that late work may take", Work{MillisMS: 24_000_000, ChainMS: 1000, LeftMS: 500, Waits: true}, 2000, 0},
+		{"late by its objective long ago", Work{MillisMS: 24_000_000, ChainMS: 4000, LeftMS: -9000}, 2000, 750},
+		{"nothing left", Work{LeftMS: 1000}, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now, passing := test.work.Need(1500)
+			if now != test.now || passing != test.passing {
+				t.Errorf("need %d, of it passing %d; want %d, %d", now, passing, test.now, test.passing)
+			}
+		})
+	}
+}
+
+// TestArriving counts what came in the time before, and the newer half of it twice
+// once enough jobs show a rise.
+func TestArriving(t *testing.T) {
+	work := Work{MillisMS: 8_000_000, ChainMS: 1000, LeftMS: 1000} // asks for 8 cores
+	for _, test := range []struct {
+		name     string
+		arriveMS []int64
+		want     int64
+	}{
+		{"nothing", nil, 0},
+		{"evenly", []int64{600, 1100, 1600, 1900}, 4 * 8000},
+		{"rising with few jobs", []int64{1600, 1700, 1900}, 3 * 8000},
+		{"rising", []int64{700, 1500, 1600, 1700, 1900}, 2 * 4 * 8000},
+		{"falling", []int64{600, 700, 800, 900, 1800}, 5 * 8000},
+		{"over", []int64{10, 20, 30}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var turns Turns
+			turns.Note(1, Work{}) // the history begins here
+			for _, at := range test.arriveMS {
+				turns.Note(at, work)
+			}
+			is.Equal(turns.Arriving(1999, 1500), test.want)
+		})
+	}
+}
+
+// steadyTurn replays the load that Need answers: a queue in the middle of its turn
+// gets jobs of two wide steps, one after the other, at an even rate, while as many
+// end. It returns the share of jobs in time and the VM-seconds in the pool.
+func steadyTurn(seed int64, need func(Work) (now, passing int64)) (inTime, vmSeconds float64) {
+	const (
+		stepMS, turnMS, moveMS  = 100, 30_000, 1500
+		vmMillis                = 64_000
+		width, stepTime, within = 80_000, 2100, 7300
+	)
+	type job struct{ came, begun, left int64 }
+	rng := rand.New(rand.NewSource(seed))
+	where, idle, arrives := make(map[string]string), make(map[string]int64), make(map[string]int64)
+	for i := range 60 {
+		where[fmt.Sprintf("v%02d", i)] = "rest"
+	}
+	var turns Turns
+	var jobs []job
+	var done, late int
+	for now := int64(1); now < turnMS; now += stepMS {
+		if rng.Intn(1000) < 300 { // three a second
+			jobs = append(jobs, job{came: now, left: 2})
+			turns.Note(now, Work{MillisMS: 2 * width * stepTime, ChainMS: 2 * stepTime, LeftMS: within})
+		}
+		p, rest := Pool{Name: "p", NeedMillis: turns.Arriving(now, moveMS)}, Pool{Name: "rest", Resting: true}
+		room := int64(0)
+		for i := range 60 {
+			vm := VM{Name: fmt.Sprintf("v%02d", i), CPUMillis: vmMillis}
+			switch {
+			case where[vm.Name] == "rest":
+				rest.VMs = append(rest.VMs, vm)
+			case arrives[vm.Name] > now:
+				p.Incoming, p.IncomingMillis = p.Incoming+1, p.IncomingMillis+vmMillis
+			default:
+				p.VMs = append(p.VMs, vm)
+				room += vmMillis
+			}
+		}
+		vmSeconds += float64(len(p.VMs)+p.Incoming) * stepMS / 1000
+		used, open := int64(0), jobs[:0]
+		for _, j := range jobs {
+			if j.begun > 0 && now-j.begun >= stepTime {
+				j.begun, j.left = 0, j.left-1
+			}
+			if j.left == 0 {
+				done++
+				if now-j.came > within {
+					late++
+				}
+				continue
+			}
+			work := Work{MillisMS: j.left * width * stepTime, ChainMS: j.left * stepTime, LeftMS: j.came + within - now, Waits: true}
+			if j.begun > 0 || used+width <= room {
+				if j.begun == 0 {
+					j.begun = now
+				}
+				used += width
+				work.Waits, work.RunMS = false, now-j.begun
+			}
+			asks, passing := need(work)
+			p.NeedMillis, p.PassingMillis = p.NeedMillis+asks, p.PassingMillis+passing
+			open = append(open, j)
+		}
+		jobs = open
+		for i := range p.VMs {
+			vm := &p.VMs[i]
+			if int64(i)*vmMillis < used {
+				idle[vm.Name], vm.Tasks = now, 1
+			}
+			vm.IdleMS = now - idle[vm.Name]
+		}
+		moves, _ := Plan(&Snapshot{NowMS: now, Budget: 12, MayRest: true, Pools: []Pool{p, rest}, Prices: Prices{MoveVMSeconds: 1.1, MoveMS: moveMS},
+			Fits: func(string, string) bool { return true }})
+		for _, m := range moves {
+			where[m.VM], idle[m.VM], arrives[m.VM] = m.To, now+moveMS, now+moveMS
+		}
+	}
+	return 1 - float64(late)/float64(done), vmSeconds
+}
+
+// TestReplaySteadyTurn compares the need with one that counts all that is there and
+// all that comes: a tenth fewer VM-seconds over five turns, and as many jobs in time.
+func TestReplaySteadyTurn(t *testing.T) {
+	var inTime, inTimeAll, vmSeconds, vmSecondsAll float64
+	for seed := range int64(5) {
+		a, b := steadyTurn(seed, func(w Work) (int64, int64) { return w.Need(1500) })
+		c, d := steadyTurn(seed, func(w Work) (int64, int64) { return w.need(), 0 })
+		inTime, vmSeconds, inTimeAll, vmSecondsAll = inTime+a/5, vmSeconds+b, inTimeAll+c/5, vmSecondsAll+d
+	}
+	t.Logf("in time %.3f against %.3f, VM-seconds %.0f against %.0f", inTime, inTimeAll, vmSeconds, vmSecondsAll)
+	if inTime < inTimeAll-0.02 || vmSeconds > 0.9*vmSecondsAll {
+		t.Error("the need is no better than all that is there and comes")
+	}
+}
