Run times by a line through the logarithms of estimates

Cause: what a queue learned was the mean of run time against estimate. Deadlines, order, room needed and the slowness of targets rest on it.

--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -4,16 +4,15 @@
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/runtimes"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
 const (
-	// learnRate is the weight of the newest run time of a queue.
-	learnRate = 0.05
 	// slownessRate is the weight of the newest run time of a target.
 	slownessRate = 0.25
-	// minRatio and maxRatio bound one run's part in what is learned.
+	// minRatio and maxRatio bound one run's part in what is learned of a target.
 	minRatio, maxRatio = 0.1, 10
 	// reportRate is the weight of the newest run time in what is reported of a
 	// target: less than for places, so that one long task does not show.
@@ -31,8 +30,8 @@
 
 // learner holds learned run times. The driver's mutex guards it.
 type learner struct {
-	// ratio is the learned run time against the estimate, by queue.
-	ratio map[string]float64
+	// runTimes predicts run times, by queue.
+	runTimes map[string]*runtimes.Model
 	// failed is the last target that failed a task.
 	failed map[workflow.TaskID]string
 	// checked holds open jobs that some target can run.
@@ -40,16 +39,21 @@
 }
 
 func newLearner() *learner {
-	return &learner{ratio: make(map[string]float64), failed: make(map[workflow.TaskID]string), checked: make(map[string]bool)}
+	return &learner{runTimes: make(map[string]*runtimes.Model), failed: make(map[workflow.TaskID]string), checked: make(map[string]bool)}
 }
 
 // expected returns the learned run time of a task of a step, in milliseconds.
 func (l *learner) expected(queue string, step *pb.Step) int64 {
-	ratio, ok := l.ratio[queue]
-	if !ok {
-		ratio = 1
+	return int64(l.model(queue).Expected(float64(step.EstimateMs)))
+}
+
+func (l *learner) model(queue string) *runtimes.Model {
+	m := l.runTimes[queue]
+	if m == nil {
+		m = new(runtimes.Model)
+		l.runTimes[queue] = m
 	}
-	return int64(ratio * float64(step.EstimateMs))
+	return m
 }
 
 func (l *learner) failedOn(task workflow.TaskID) string { return l.failed[task] }
@@ -128,15 +132,9 @@
 		if task == nil || task.Spec().EstimateMs <= 0 || task.Spec().Lasting || task.Checkpoint != "" {
 			return
 		}
-		queue := task.Job.Spec.Queue
-		took := float64(now.Sub(r.working).Milliseconds())
-		ratio := min(max(took/float64(task.Spec().EstimateMs), minRatio), maxRatio)
-		known, ok := d.learned.ratio[queue]
-		if !ok {
-			known = 1
-		}
-		d.learned.ratio[queue] = known + learnRate*(ratio-known)
-		against := ratio / known
+		model, estimate, took := d.learned.model(task.Job.Spec.Queue), float64(task.Spec().EstimateMs), float64(now.Sub(r.working).Milliseconds())
+		against := min(max(took/model.Expected(estimate), minRatio), maxRatio)
+		model.Note(estimate, took)
 		if l.health.runs == 0 {
 			l.health.slow, l.health.steady = 1, 1
 		}
