The tasks of a step predict each other, runs by their own pace

Change: runtimes.Step; a step that is done counts with its true length, so that deadlines of later steps are right; the rest of a run follows its own pace. Failed try, taken back: a step as long as the longest of its tasks to be expected (1.2 to 1.45 of the mean): need and order then trust on time that short jobs do not have.

--- a/internal/driver/copies.go
+++ b/internal/driver/copies.go
@@ -65,7 +65,7 @@
 // copyInputs is what the decision about a copy looks at.
 func (d *Driver) copyInputs(task *workflow.Task, times jobTimes, r *run, now time.Time) copies.Run {
 	in := copies.Run{
-		Expected: time.Duration(d.learned.expected(task.Job.Spec.Queue, task.Spec())) * time.Millisecond,
+		Expected: time.Duration(d.learned.expectedOf(task)) * time.Millisecond,
 		Silent:   d.links[r.target].owesFor(now),
 	}
 	if !r.working.IsZero() && !r.movedAt.IsZero() {
--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"math"
 	"time"
 
 	"sapphirering/internal/event"
@@ -32,6 +33,8 @@
 type learner struct {
 	// runTimes predicts run times, by queue.
 	runTimes map[string]*runtimes.Model
+	// steps holds what runs of open jobs have told, by the first task of the step.
+	steps map[workflow.TaskID]*runtimes.Step
 	// failed is the last target that failed a task.
 	failed map[workflow.TaskID]string
 	// checked holds open jobs that some target can run.
@@ -39,12 +42,55 @@
 }
 
 func newLearner() *learner {
-	return &learner{runTimes: make(map[string]*runtimes.Model), failed: make(map[workflow.TaskID]string), checked: make(map[string]bool)}
+	return &learner{runTimes: make(map[string]*runtimes.Model), steps: make(map[workflow.TaskID]*runtimes.Step), failed: make(map[workflow.TaskID]string), checked: make(map[string]bool)}
 }
 
 // expected returns the learned run time of a task of a step, in milliseconds.
 func (l *learner) expected(queue string, step *pb.Step) int64 {
-	return int64(l.model(queue).Expected(float64(step.EstimateMs)))
+	return wholeMS(l.model(queue).Expected(float64(step.EstimateMs)))
+}
+
+// expectedOf returns the run time to expect of a task, by those of its step that are done.
+func (l *learner) expectedOf(task *workflow.Task) int64 {
+	return l.expectedIn(task.Job, int(task.ID.Occurrence), int(task.ID.Step))
+}
+
+func (l *learner) expectedIn(job *workflow.Job, occurrence, step int) int64 {
+	spec := job.Spec.Steps[step]
+	return wholeMS(l.model(job.Spec.Queue).ExpectedIn(float64(spec.EstimateMs), l.steps[stepID(job, occurrence, step)]))
+}
+
+// longestOf returns how long a step is expected to take from its start.
+func (l *learner) longestOf(job *workflow.Job, occurrence, step int) int64 {
+	spec := job.Spec.Steps[step]
+	return wholeMS(l.model(job.Spec.Queue).Longest(float64(spec.EstimateMs), int(spec.Tasks), l.steps[stepID(job, occurrence, step)]))
+}
+
+func wholeMS(ms float64) int64 { return int64(math.Round(ms)) }
+
+// stepID names a step by its first task.
+func stepID(job *workflow.Job, occurrence, step int) workflow.TaskID {
+	return workflow.TaskID{Job: job.Spec.Id, Occurrence: uint32(occurrence), Step: uint32(step)}
+}
+
+// noteStep remembers a run for the other tasks of its step.
+func (l *learner) noteStep(task *workflow.Task, tookMS float64) {
+	id := stepID(task.Job, int(task.ID.Occurrence), int(task.ID.Step))
+	step := l.steps[id]
+	if step == nil {
+		step = new(runtimes.Step)
+		l.steps[id] = step
+	}
+	step.Note(tookMS)
+}
+
+// pruneSteps forgets the steps of jobs that are not open any more.
+func (l *learner) pruneSteps(open map[string]*workflow.Job) {
+	for id := range l.steps {
+		if open[id.Job] == nil {
+			delete(l.steps, id)
+		}
+	}
 }
 
 func (l *learner) model(queue string) *runtimes.Model {
@@ -133,8 +179,10 @@
 			return
 		}
 		model, estimate, took := d.learned.model(task.Job.Spec.Queue), float64(task.Spec().EstimateMs), float64(now.Sub(r.working).Milliseconds())
-		against := min(max(took/model.Expected(estimate), minRatio), maxRatio)
+		against := min(max(took/float64(max(d.learned.expectedOf(task), 1)), minRatio), maxRatio)
 		model.Note(estimate, took)
+		// On a slow target a task tells of the target, not of its step.
+		d.learned.noteStep(task, took/max(l.health.slowness(), 1))
 		if l.health.runs == 0 {
 			l.health.slow, l.health.steady = 1, 1
 		}
--- a/internal/driver/learn_test.go
+++ b/internal/driver/learn_test.go
@@ -3,8 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"sapphirering/internal/workflow"
 )
 
 // TestSlownessIsReportedOnce follows a target through slow runs and back: one
@@ -27,3 +30,24 @@
 	follow(slices.Repeat([]float64{1}, 40)...)
 	is.Equal(reports, []bool{true, false})
 }
+
+// TestOwnPace expects the rest of a run by its own pace once it has come far enough,
+// by the tasks of its step that are done before, and else by the estimate.
+func TestOwnPace(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := bareDriver(t, func() time.Time { return now })
+	d.cfg.Machine.View(func(v *workflow.View) {
+		task := v.Task(workflow.TaskID{Job: "j"})
+		task.Spec().EstimateMs = 1000
+		r := d.runOn(task, "t0")
+		r.working, r.movedAt, r.percent = now.Add(-200*time.Millisecond), now, 10
+		is.Equal(d.remainingMS(task, "t0", now), int64(800))
+		d.learned.noteStep(task, 3000)
+		is.Equal(d.remainingMS(task, "t0", now), int64(2400)) // (0.25 x 1000 + 3000) / 1.25, less 200
+		r.percent = 40
+		is.Equal(d.remainingMS(task, "t0", now), int64(300)) // 500 ms in all
+	})
+	d.learned.pruneSteps(nil)
+	is.Equal(len(d.learned.steps), 0) // its job is not open any more
+}
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -284,19 +284,25 @@
 // them, in learned milliseconds.
 func (d *Driver) chain(job *workflow.Job) (total, left int64) {
 	last := len(job.Tasks) - 1
-	return d.longest(job.Spec, func(int) bool { return true }), d.longest(job.Spec, func(step int) bool { return job.StepLeft(last, step) > 0 })
+	length := func(step int) int64 { return d.learned.longestOf(job, last, step) }
+	total = longestChain(job.Spec.Steps, length)
+	left = longestChain(job.Spec.Steps, func(step int) int64 {
+		if job.StepLeft(last, step) == 0 {
+			return 0
+		}
+		return length(step)
+	})
+	return total, left
 }
 
-// longest returns the longest chain of the steps that are open.
-func (d *Driver) longest(spec *pb.Job, open func(step int) bool) int64 {
-	longest, ends := int64(0), make([]int64, len(spec.Steps))
-	for i, step := range spec.Steps {
+// longestChain returns the longest chain of steps of the given lengths.
+func longestChain(steps []*pb.Step, length func(step int) int64) int64 {
+	longest, ends := int64(0), make([]int64, len(steps))
+	for i, step := range steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		if open(i) {
-			ends[i] += d.learned.expected(spec.Queue, step)
-		}
+		ends[i] += length(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -85,7 +85,7 @@
 		room := pools.Footprint(step.Needs.GetCpuMillis(), d.fleet.largest)
 		work.MillisMS += int64(step.Tasks) * room * d.learned.expected(job.Queue, step)
 	}
-	work.ChainMS = d.longest(job, func(int) bool { return true })
+	work.ChainMS = longestChain(job.Steps, func(step int) int64 { return d.learned.expected(job.Queue, job.Steps[step]) })
 	work.LeftMS = objective(queue, work.ChainMS)
 	turns := d.pools.turns[queue.Pool]
 	if turns == nil {
@@ -234,7 +234,7 @@
 				continue
 			}
 			room := pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest)
-			expected := d.learned.expected(job.Spec.Queue, step)
+			expected := d.learned.expectedIn(job, k, n)
 			work.MillisMS += int64(job.StepLeft(k, n)) * room * expected
 			if job.Ready(k, n) {
 				d.addProgress(&work, job.Tasks[k][n], expected, now)
@@ -325,13 +325,21 @@
 	return true
 }
 
-// remainingMS is how long a task placed on a target is expected to run on there.
+// tellsPercent is how far a run must have come for its own pace to count.
+const tellsPercent = 20
+
+// remainingMS is how long a task placed on a target is expected to run on there, by
+// its own pace once that is known.
 func (d *Driver) remainingMS(task *workflow.Task, target string, now time.Time) int64 {
-	expected := d.learned.expected(task.Job.Spec.Queue, task.Spec())
-	if r := d.runOn(task, target); r != nil && !r.working.IsZero() {
-		expected -= now.Sub(r.working).Milliseconds()
+	expected := d.learned.expectedOf(task)
+	r := d.runOn(task, target)
+	if r == nil || r.working.IsZero() {
+		return expected
+	}
+	if worked := r.movedAt.Sub(r.working).Milliseconds(); r.percent >= tellsPercent && worked > 0 {
+		expected = int64(float64(worked) * fullPace / r.percent)
 	}
-	return max(expected, 0)
+	return max(expected-now.Sub(r.working).Milliseconds(), 0)
 }
 
 // beginMove keeps starts off the VM from here on and orders the move.
--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -36,7 +36,7 @@
 	if spec.Lasting || spec.Fills || spec.Gang || task.Copy.Target != "" || task.Attempt > maxStalls || spec.EstimateMs <= 0 {
 		return false
 	}
-	expected := time.Duration(d.learned.expected(task.Job.Spec.Queue, spec)) * time.Millisecond
+	expected := time.Duration(d.learned.expectedOf(task)) * time.Millisecond
 	reason := stallReason(r, expected, now)
 	if reason == "" || now.Sub(r.lastCall) < retryPause {
 		return false
--- a/internal/policy/runtimes/runtimes.go
+++ b/internal/policy/runtimes/runtimes.go
@@ -14,6 +14,10 @@
 	priorRuns = 10
 	// priorSpread is the variance of the logarithm of estimates that the prior assumes.
 	priorSpread = 0.25
+	// siblingWeight is what the model's prediction counts against one run of the same
+	// step: the tasks of a step differ by 0.15 to 0.3 in the logarithm of their time,
+	// predictions by 0.45.
+	siblingWeight = 0.25
 	// maxSurprise bounds one run's part: the logarithm of its time against the prediction.
 	maxSurprise = 1.4
 )
@@ -28,6 +32,41 @@
 	residual float64
 }
 
+// Step is what the runs of one step have told.
+type Step struct {
+	runs             int
+	sumMS, longestMS float64
+}
+
+// Note adds a run that was done.
+func (s *Step) Note(tookMS float64) {
+	s.runs++
+	s.sumMS += tookMS
+	s.longestMS = max(s.longestMS, tookMS)
+}
+
+// ExpectedIn returns the mean run time to expect of a step's tasks, in milliseconds;
+// s is nil before any was done.
+func (m *Model) ExpectedIn(estimateMS float64, s *Step) float64 {
+	expected := m.Expected(estimateMS)
+	if s == nil {
+		return expected
+	}
+	return (siblingWeight*expected + s.sumMS) / (siblingWeight + float64(s.runs))
+}
+
+// Longest returns the run time to expect of a step of so many tasks: that of the
+// longest one once all are done.
+func (m *Model) Longest(estimateMS float64, tasks int, s *Step) float64 {
+	switch {
+	case s == nil:
+		return m.Expected(estimateMS)
+	case s.runs >= tasks:
+		return s.longestMS
+	}
+	return max(m.ExpectedIn(estimateMS, s), s.longestMS)
+}
+
 // Note learns from a run that took tookMS, with an estimate of estimateMS.
 func (m *Model) Note(estimateMS, tookMS float64) {
 	if estimateMS <= 0 || tookMS <= 0 {
--- a/internal/policy/runtimes/runtimes_test.go
+++ b/internal/policy/runtimes/runtimes_test.go
@@ -92,3 +92,18 @@
 		}
 	}
 }
+
+// TestSiblings predicts the tasks of a step by those of it that are done.
+func TestSiblings(t *testing.T) {
+	is := is.New(t)
+	var m Model
+	is.Equal(m.ExpectedIn(1000, nil), m.Expected(1000))
+	is.Equal(m.Longest(1000, 3, nil), m.Expected(1000))
+	s := new(Step)
+	s.Note(400)
+	is.True(m.ExpectedIn(1000, s) > 400 && m.ExpectedIn(1000, s) < 600) // one run says more than the estimate
+	s.Note(500)
+	is.True(m.Longest(1000, 3, s) >= 500) // no step is shorter than its longest task
+	s.Note(700)
+	is.Equal(m.Longest(1000, 3, s), 700.0) // all are done
+}
