Preemption, and work that is saved before a target goes

Cause: a lasting task that lost its target waited in a full pool for as long as its neighbours ran, and a urgent one likewise; priorities only ordered who waits. Tasks that save their work lost it when their target left or went into maintenance. Runs that save their work stop 1.5 s before their target goes (announced time left, patience of a wave). Events 7076, 7077. Found by TestLastingTaskTakesRoom, which took 12 s at first: a run that had taken longer than expected counted as about to end, however long it went on; it goes on for as long again, or by its own pace. Without the preemption the test fails.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -98,6 +98,8 @@
 	prunedAt time.Time
 	// waitsReported is when waits of a pool were reported last.
 	waitsReported map[string]time.Time
+	// waiting holds since when steps have waited for room, by their first task.
+	waiting map[workflow.TaskID]waitSpan
 
 	ctx     context.Context
 	running sync.WaitGroup
@@ -125,7 +127,7 @@
 		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
 		decided: newHistory(), refused: newHistory(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
-		waitsReported: make(map[string]time.Time),
+		waitsReported: make(map[string]time.Time), waiting: make(map[workflow.TaskID]waitSpan),
 	}
 }
 
--- a/internal/driver/learn_test.go
+++ b/internal/driver/learn_test.go
@@ -47,6 +47,10 @@
 		is.Equal(d.remainingMS(task, "t0", now), int64(2400)) // (0.25 x 1000 + 3000) / 1.25, less 200
 		r.percent = 40
 		is.Equal(d.remainingMS(task, "t0", now), int64(300)) // 500 ms in all
+		r.working, r.movedAt, r.percent = now.Add(-3*time.Second), now, 5
+		is.Equal(d.remainingMS(task, "t0", now), int64(57_000)) // late, and slow
+		r.movedAt = r.working
+		is.Equal(d.remainingMS(task, "t0", now), int64(3000)) // late, and nothing is known
 	})
 	d.learned.pruneSteps(nil)
 	is.Equal(len(d.learned.steps), 0) // its job is not open any more
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -46,8 +46,9 @@
 
 	lastAnnounced time.Time
 	sequence      uint64
-	// leaving targets get no starts.
-	leaving bool
+	// leaving targets get no starts; leavesAt is when it may be gone, if it says so.
+	leaving  bool
+	leavesAt time.Time
 
 	// failures counts calls without an answer since the last one with.
 	failures int
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -325,21 +325,28 @@
 	return true
 }
 
-// tellsPercent is how far a run must have come for its own pace to count.
+// tellsPercent is how far a run must have come for its own pace to count while it is
+// within the time that its like take.
 const tellsPercent = 20
 
 // remainingMS is how long a task placed on a target is expected to run on there, by
-// its own pace once that is known.
+// its own pace once that is known. One that has taken longer than expected goes on for
+// as long again.
 func (d *Driver) remainingMS(task *workflow.Task, target string, now time.Time) int64 {
 	expected := d.learned.expectedOf(task)
 	r := d.runOn(task, target)
 	if r == nil || r.working.IsZero() {
 		return expected
 	}
-	if worked := r.movedAt.Sub(r.working).Milliseconds(); r.percent >= tellsPercent && worked > 0 {
-		expected = int64(float64(worked) * fullPace / r.percent)
+	elapsed, worked := now.Sub(r.working).Milliseconds(), r.movedAt.Sub(r.working).Milliseconds()
+	late := elapsed >= expected
+	switch {
+	case worked > 0 && r.percent > 0 && (late || r.percent >= tellsPercent):
+		return max(int64(float64(worked)*fullPace/r.percent)-elapsed, 0)
+	case late:
+		return elapsed
 	}
-	return max(expected-now.Sub(r.working).Milliseconds(), 0)
+	return expected - elapsed
 }
 
 // beginMove keeps starts off the VM from here on and orders the move.
--- /dev/null
+++ b/internal/driver/preempt.go
@@ -0,0 +1,121 @@
+package driver
+
+import (
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/policy/assign"
+	"sapphirering/internal/policy/preempt"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	// waitGap is how long a step may not have been seen waiting while it still counts
+	// as the same wait: rounds come at least that often.
+	waitGap = 500 * time.Millisecond
+	// restoreTime is what a task that saves its work loses by a stop: the platform
+	// takes that long to load the checkpoint.
+	restoreTime = 250 * time.Millisecond
+)
+
+// waitSpan is one wait of a step for room.
+type waitSpan struct{ since, seen time.Time }
+
+// preempt stops running tasks of a pool for tasks that wait for room there.
+func (d *Driver) preempt(v *workflow.View, s *assign.Snapshot, waits []assign.Wait) {
+	var waiting []preempt.Waiting
+	for i := range waits {
+		waiting = append(waiting, d.waitingTasks(s, &waits[i])...)
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	now := d.cfg.Now()
+	targets := make([]preempt.Target, len(s.Targets))
+	for i := range s.Targets {
+		targets[i] = preempt.Target{ID: s.Targets[i].ID, Free: s.Targets[i].Free, Runs: d.preemptible(v, s.Targets[i].ID, now)}
+	}
+	for _, victim := range preempt.Plan(waiting, targets) {
+		task := v.Task(victim.Run)
+		event.TaskPreempted.Emit(event.F("task", victim.Run.String()), event.F("attempt", task.Attempt), event.F("target", victim.Target),
+			event.F("for", victim.For.String()), event.F("waited", now.Sub(d.waiting[firstOf(victim.For)].since).String()),
+			event.F("loss_core_ms", victim.LossMillisMS/1000))
+		d.callStop(d.runOn(task, victim.Target))
+	}
+}
+
+// waitingTasks describes the tasks of one wait, and remembers since when it lasts.
+func (d *Driver) waitingTasks(s *assign.Snapshot, wait *assign.Wait) []preempt.Waiting {
+	step, job := wait.At, wait.On
+	if wait.Reason != assign.WaitRoom || step.Gang {
+		return nil
+	}
+	now, id := d.cfg.Now(), firstOf(wait.Step)
+	span, known := d.waiting[id]
+	if !known || now.Sub(span.seen) > waitGap {
+		span.since = now
+	}
+	span.seen = now
+	d.waiting[id] = span
+	places := make(map[string]bool)
+	for i := range s.Targets {
+		if t := &s.Targets[i]; step.MayRunOn(t) && step.HasPlaceOn(t) {
+			places[t.ID] = true
+		}
+	}
+	tasks := step.Tasks[len(step.Tasks)-wait.Tasks:]
+	if step.MaxPerTarget > 0 {
+		// Where one of them goes the next one may find its step's places taken.
+		tasks = tasks[:1]
+	}
+	out := make([]preempt.Waiting, 0, len(tasks))
+	for _, task := range tasks {
+		out = append(out, preempt.Waiting{
+			Task: task, Room: step.Room, Priority: job.Priority, Lasting: step.Lasting, WaitsMS: now.Sub(span.since).Milliseconds(),
+			SlackMS: job.DeadlineMS - job.RemainingMS - s.NowMS, RunMS: job.RemainingMS,
+			Admits: func(target string) bool { return places[target] },
+		})
+	}
+	return out
+}
+
+// firstOf names the step of a task by its first task.
+func firstOf(task workflow.TaskID) workflow.TaskID {
+	task.Index = 0
+	return task
+}
+
+// preemptible describes what runs on a target.
+func (d *Driver) preemptible(v *workflow.View, target string, now time.Time) []preempt.Run {
+	var out []preempt.Run
+	for _, task := range v.Placed(target) {
+		spec, r := task.Spec(), d.runOn(task, target)
+		run := preempt.Run{
+			ID: task.ID, Room: workflow.StepRoom(spec), EndsInMS: d.remainingMS(task, target, now),
+			Fixed: spec.Lasting || spec.Gang || spec.Fills || task.Copy.Target != "" || task.State != pb.TaskState_TASK_STATE_PLACED ||
+				r == nil || r.phase != runConfirmed,
+			Stopping: r != nil && (r.phase == runStopping || r.phase == runStopped),
+		}
+		if queue := v.Queue(task.Job.Spec.Queue); queue != nil {
+			run.Priority = queue.Priority
+		}
+		if r != nil && !r.working.IsZero() {
+			run.UnsavedMS = now.Sub(r.working).Milliseconds()
+		}
+		if spec.Checkpoints {
+			run.UnsavedMS = min(run.UnsavedMS, restoreTime.Milliseconds())
+		}
+		out = append(out, run)
+	}
+	return out
+}
+
+// pruneWaits forgets waits that are over.
+func (d *Driver) pruneWaits(now time.Time) {
+	for id, span := range d.waiting {
+		if now.Sub(span.seen) > waitGap {
+			delete(d.waiting, id)
+		}
+	}
+}
--- a/internal/driver/prune.go
+++ b/internal/driver/prune.go
@@ -26,6 +26,7 @@
 	d.prunedAt = now
 	d.mu.Lock()
 	d.pruneLateStarts(now)
+	d.pruneWaits(now)
 	d.cfg.Machine.View(func(v *workflow.View) { d.learned.pruneSteps(v.OpenJobs()) })
 	d.mu.Unlock()
 	var old []string
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"sapphirering/internal/event"
 	"sapphirering/internal/workflow"
@@ -61,6 +62,9 @@
 		event.TargetLeaves.Emit(event.F("target", target.Id))
 	}
 	l.leaving = l.leaving || target.Leaving
+	if target.Leaving && r.StaysMs > 0 {
+		l.leavesAt = l.lastAnnounced.Add(time.Duration(r.StaysMs) * time.Millisecond)
+	}
 	return d.differs(target)
 }
 
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -389,7 +389,7 @@
 				continue
 			}
 			unwanted := !wanted(task) || v.Queue(task.Job.Spec.Queue) == nil
-			if r.phase == runConfirmed && d.stalled(task, r, now) {
+			if r.phase == runConfirmed && (d.stalled(task, r, now) || d.savesNow(task, r, now)) {
 				unwanted = true
 			}
 			switch d.checkRun(r, unwanted, now) {
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -51,6 +51,8 @@
 	TargetSlowness      = define(7073, log.InfoLevel, "target works slower than its peers, or as they do again", "")
 	LateStartRefused    = define(7074, log.InfoLevel, "new incarnation told to refuse a late start of the former one", "")
 	CopyPlanned         = define(7075, log.InfoLevel, "second run of a task beside one that is late", "")
+	TaskPreempted       = define(7076, log.InfoLevel, "task stopped to make room for one that is more urgent", "")
+	TaskSaved           = define(7077, log.InfoLevel, "task stopped to save its work before its target goes", "")
 	VMGone              = define(7071, log.WarnLevel, "VM of a wave is gone for good, it needs no maintenance", "")
 	WaveStepFailed      = define(7054, log.WarnLevel, "step of a wave failed, it is tried again", "")
 	VMMoveBegun         = define(7056, log.InfoLevel, "VM is ordered to another pool", "")
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -101,6 +101,9 @@
 	Step   workflow.TaskID
 	Tasks  int
 	Reason string
+	// At and On point into the snapshot: the step whose last tasks wait, and its job.
+	At *Step
+	On *Job
 }
 
 // Plan returns the starts of one round, and why other tasks wait.
@@ -154,7 +157,7 @@
 // Reasons of waits.
 const (
 	waitLimit = "its workspace is at its limit"
-	waitRoom  = "it fits on no target now"
+	WaitRoom  = "it fits on no target now"
 )
 
 // Classes of jobs by what an early start still earns.
@@ -208,7 +211,7 @@
 		p.closeFull()
 		if step.Gang {
 			if !p.placeGang(j, step) {
-				p.wait(j, step, 0, waitRoom)
+				p.wait(j, step, 0, WaitRoom)
 			}
 			continue
 		}
@@ -218,7 +221,7 @@
 
 func (p *plan) placeTasks(j *Job, step *Step) {
 	if len(p.open) == 0 {
-		p.wait(j, step, 0, waitRoom)
+		p.wait(j, step, 0, WaitRoom)
 		return
 	}
 	home := p.homeZone(step)
@@ -229,7 +232,7 @@
 		}
 		at := p.bestTarget(step, "", home)
 		if at < 0 {
-			p.wait(j, step, n, waitRoom)
+			p.wait(j, step, n, WaitRoom)
 			return
 		}
 		p.take(j, step, task, at)
@@ -242,7 +245,7 @@
 	if j.Copy {
 		return
 	}
-	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason})
+	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason, At: step, On: j})
 }
 
 // placeGang places all tasks of a gang or none. Racks are tried first when the
@@ -340,7 +343,7 @@
 	}
 	for _, i := range p.mayHold(step) {
 		target := &p.targets[i]
-		if p.allowed(step, target) {
+		if step.MayRunOn(target) {
 			slots[target.Zone] += target.Free.Slots(step.Room)
 		}
 	}
@@ -363,12 +366,17 @@
 	return best
 }
 
-// allowed reports whether the step may run on a target at all.
-func (p *plan) allowed(step *Step, target *Target) bool {
-	if step.Only != nil && !step.Only[target.ID] || step.Beside == target.ID {
+// MayRunOn reports whether the step may run on a target at all.
+func (s *Step) MayRunOn(target *Target) bool {
+	if s.Only != nil && !s.Only[target.ID] || s.Beside == target.ID {
 		return false
 	}
-	return step.Label == "" || slices.Contains(target.Labels, step.Label)
+	return s.Label == "" || slices.Contains(target.Labels, s.Label)
+}
+
+// HasPlaceOn reports whether its spread lets one more task run on a target.
+func (s *Step) HasPlaceOn(target *Target) bool {
+	return s.MaxPerTarget <= 0 || s.OnTarget[target.ID] < s.MaxPerTarget
 }
 
 // bestTarget returns the target that a task of the step goes to, or -1: on a
@@ -380,14 +388,10 @@
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
 		}
-		if !p.allowed(step, target) {
-			continue
-		}
-		onTarget := step.OnTarget[target.ID]
-		if step.MaxPerTarget > 0 && onTarget >= step.MaxPerTarget {
+		if !step.MayRunOn(target) || !step.HasPlaceOn(target) {
 			continue
 		}
-		if score := score(step, target, onTarget, home); best < 0 || score < bestScore {
+		if score := score(step, target, step.OnTarget[target.ID], home); best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
