A run on a silent target does not stand still

Change: progress is judged by listings; none, or a target that owes an answer, tells nothing. TestSilentTargetsRunsDoNotStandStill fails without.

--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -18,12 +18,13 @@
 	maxStalls = 2
 )
 
-// stallReason returns why a run should be stopped and started elsewhere, or "".
-func stallReason(r *run, expected time.Duration, now time.Time) string {
+// stallReason returns why a run should be stopped and started elsewhere, or "", by what
+// its target listed last.
+func stallReason(r *run, expected time.Duration, listed time.Time) string {
 	if r.working.IsZero() || r.movedAt.IsZero() {
 		return ""
 	}
-	if now.Sub(r.movedAt) > standsStill+time.Duration(standsStillShare*float64(expected)) {
+	if listed.Sub(r.movedAt) > standsStill+time.Duration(standsStillShare*float64(expected)) {
 		return "it stands still"
 	}
 	return ""
@@ -37,7 +38,12 @@
 		return false
 	}
 	expected := time.Duration(d.learned.expectedOf(task)) * time.Millisecond
-	reason := stallReason(r, expected, now)
+	l := d.links[r.target]
+	if l == nil || l.failures > 0 {
+		// Whether a run on a silent target gets on is not known.
+		return false
+	}
+	reason := stallReason(r, expected, l.answeredAt)
 	if reason == "" || now.Sub(r.lastCall) < retryPause {
 		return false
 	}
