--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -38,7 +38,7 @@
 			snapshot.Workspaces = workspaces
 			planned, waits := assign.Plan(snapshot)
 			d.noteWaits(pool, snapshot, waits)
-			d.preempt(v, snapshot, waits)
+			d.preempt(v, pool, snapshot, waits)
 			for _, start := range planned {
 				if start.Copy {
 					d.reportCopy(v, start)
--- a/internal/driver/preempt.go
+++ b/internal/driver/preempt.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"slices"
 	"time"
 
 	"sapphirering/internal/event"
@@ -23,11 +24,13 @@
 type waitSpan struct{ since, seen time.Time }
 
 // preempt stops running tasks of a pool for tasks that wait for room there.
-func (d *Driver) preempt(v *workflow.View, s *assign.Snapshot, waits []assign.Wait) {
+func (d *Driver) preempt(v *workflow.View, pool string, s *assign.Snapshot, waits []assign.Wait) {
 	var waiting []preempt.Waiting
 	for i := range waits {
 		waiting = append(waiting, d.waitingTasks(s, &waits[i])...)
 	}
+	lowest := lowestPriority(v, pool)
+	waiting = slices.DeleteFunc(waiting, func(w preempt.Waiting) bool { return !w.MayStop(lowest) })
 	if len(waiting) == 0 {
 		return
 	}
@@ -45,6 +48,17 @@
 	}
 }
 
+// lowestPriority returns the largest number of priority among the queues of a pool.
+func lowestPriority(v *workflow.View, pool string) uint32 {
+	lowest := uint32(0)
+	for _, queue := range v.Catalogue().GetQueues() {
+		if queue.Pool == pool {
+			lowest = max(lowest, queue.Priority)
+		}
+	}
+	return lowest
+}
+
 // waitingTasks describes the tasks of one wait, and remembers since when it lasts.
 func (d *Driver) waitingTasks(s *assign.Snapshot, wait *assign.Wait) []preempt.Waiting {
 	step, job := wait.At, wait.On
--- a/internal/policy/preempt/preempt.go
+++ b/internal/policy/preempt/preempt.go
@@ -81,7 +81,7 @@
 	var out []Victim
 	for i := range waiting {
 		w := &waiting[i]
-		if w.Lasting && w.WaitsMS < patienceMS || !w.Lasting && w.SlackMS < 0 {
+		if !w.due() {
 			continue
 		}
 		at, victims := w.cheapest(targets)
@@ -93,6 +93,20 @@
 	return out
 }
 
+// due reports whether anything should stop for the task by now.
+func (w *Waiting) due() bool {
+	if w.Lasting {
+		return w.WaitsMS >= patienceMS
+	}
+	return w.SlackMS >= 0
+}
+
+// MayStop reports whether the task could make a run stop, where the runs of lowest
+// priority have the given one. It spares a look at all runs.
+func (w *Waiting) MayStop(lowest uint32) bool {
+	return w.due() && (w.Lasting || w.Priority < lowest)
+}
+
 // cheapest returns the target where least is thrown away, and the indexes of the runs to
 // stop there; none if room is about to become free there. The index is -1 if nothing
 // should stop.
