Copies beside slow targets, not beside long tasks

Change: what a run takes beyond the slowness of its target is the task's own; a target is slow as its least slow run shows, while two or more tell, else as its ended runs have.

--- a/internal/driver/copies.go
+++ b/internal/driver/copies.go
@@ -31,7 +31,7 @@
 			}
 			for _, task := range tasks {
 				r := d.lonelyRun(task)
-				if r == nil || copies.Reason(d.copyInputs(task, times, r, now)) == "" {
+				if r == nil || copies.Reason(d.copyInputs(v, task, times, r, now)) == "" {
 					continue
 				}
 				step := stepPlaces(v, task.Spec(), tasks)
@@ -63,19 +63,50 @@
 }
 
 // copyInputs is what the decision about a copy looks at.
-func (d *Driver) copyInputs(task *workflow.Task, times jobTimes, r *run, now time.Time) copies.Run {
-	in := copies.Run{
-		Expected: time.Duration(d.learned.expectedOf(task)) * time.Millisecond,
-		Silent:   d.links[r.target].owesFor(now),
+func (d *Driver) copyInputs(v *workflow.View, task *workflow.Task, times jobTimes, r *run, now time.Time) copies.Run {
+	in := d.progressOf(task, r, now)
+	in.Silent = d.links[r.target].owesFor(now)
+	after := time.Duration(times.remainingMS)*time.Millisecond - in.Expected
+	in.Slack = time.Duration(times.deadlineMS-d.cfg.NowMS())*time.Millisecond - max(after, 0)
+	if in.MissesSlack() {
+		in.TargetSlowness = d.slownessOf(v, r.target, now)
 	}
+	return in
+}
+
+// progressOf tells how far a run is against what is expected of it.
+func (d *Driver) progressOf(task *workflow.Task, r *run, now time.Time) copies.Run {
+	in := copies.Run{Expected: time.Duration(d.learned.expectedOf(task)) * time.Millisecond}
 	if !r.working.IsZero() && !r.movedAt.IsZero() {
 		in.Worked, in.Percent, in.Quiet = r.movedAt.Sub(r.working), r.percent, now.Sub(r.movedAt)
 	}
-	after := time.Duration(times.remainingMS)*time.Millisecond - in.Expected
-	in.Slack = time.Duration(times.deadlineMS-d.cfg.NowMS())*time.Millisecond - max(after, 0)
 	return in
 }
 
+// minTelling is how many runs of a target must be late to blame the target.
+const minTelling = 2
+
+// slownessOf returns by how much a target is slow: as its least slow run shows while
+// several tell, else as its ended runs have.
+func (d *Driver) slownessOf(v *workflow.View, target string, now time.Time) float64 {
+	least, telling := 0.0, 0
+	for _, task := range v.Placed(target) {
+		r := d.runOn(task, target)
+		if r == nil || task.Spec().Lasting || task.Spec().Fills {
+			continue
+		}
+		if factor, known := d.progressOf(task, r, now).Factor(); known {
+			if telling++; telling == 1 || factor < least {
+				least = factor
+			}
+		}
+	}
+	if telling < minTelling {
+		return d.links[target].health.slowness()
+	}
+	return least
+}
+
 // reportCopy writes a line about a copy that is to start.
 func (d *Driver) reportCopy(v *workflow.View, start assign.Start) {
 	task := v.Task(start.Task)
@@ -83,8 +114,8 @@
 	if r == nil {
 		return
 	}
-	in := d.copyInputs(task, d.timesOf(task.Job, v.Queue(task.Job.Spec.Queue)), r, d.cfg.Now())
+	in := d.copyInputs(v, task, d.timesOf(task.Job, v.Queue(task.Job.Spec.Queue)), r, d.cfg.Now())
 	event.CopyPlanned.Emit(event.F("task", start.Task.String()), event.F("attempt", task.Attempt+1), event.F("target", start.Target),
 		event.F("beside", r.target), event.F("reason", copies.Reason(in)), event.F("silent", in.Silent.String()),
-		event.F("worked", in.Worked.String()), event.F("percent", in.Percent), event.F("quiet", in.Quiet.String()), event.F("expected", in.Expected.String()), event.F("slack", in.Slack.String()))
+		event.F("worked", in.Worked.String()), event.F("percent", in.Percent), event.F("target_slowness", in.TargetSlowness), event.F("quiet", in.Quiet.String()), event.F("expected", in.Expected.String()), event.F("slack", in.Slack.String()))
 }
--- a/internal/policy/copies/copies.go
+++ b/internal/policy/copies/copies.go
@@ -39,6 +39,9 @@
 	Quiet time.Duration
 	// Slack is how long the run may still take without making its job late.
 	Slack time.Duration
+	// TargetSlowness is by how much all runs known of the target take longer than
+	// expected; 1 or less is normal. Without it the task itself may be the long one.
+	TargetSlowness float64
 }
 
 // Reason returns why a run should get a copy, or "".
@@ -46,17 +49,37 @@
 	if r.Silent > silenceBound {
 		return "its target is silent"
 	}
-	if rest, known := r.rest(); known && rest > r.Slack && rest > time.Duration(lagFactor*float64(r.Expected))+lagMargin {
+	if r.MissesSlack() && r.rest() > time.Duration(lagFactor*float64(r.elsewhere()))+lagMargin {
 		return "it is slower than a new run"
 	}
 	return ""
 }
 
-// rest returns how long the run still takes at its own speed.
-func (r Run) rest() (time.Duration, bool) {
-	if r.Worked < max(seenLeast, time.Duration(seenShare*float64(r.Expected))) {
+// MissesSlack reports whether the run makes its job late at its own speed.
+func (r Run) MissesSlack() bool { return r.tells() && r.rest() > r.Slack }
+
+// Factor returns by how much the run takes longer than expected, once that shows.
+func (r Run) Factor() (factor float64, known bool) {
+	if !r.tells() || r.Expected <= 0 {
 		return 0, false
 	}
-	whole := float64(r.Worked) * 100 / (r.Percent + percentStep)
-	return time.Duration(whole) - r.Worked - r.Quiet, true
+	return float64(r.whole()) / float64(r.Expected), true
+}
+
+// tells reports whether the run has worked for long enough to tell its speed.
+func (r Run) tells() bool {
+	return r.Worked >= max(seenLeast, time.Duration(seenShare*float64(r.Expected)))
+}
+
+// whole is how long the run takes in all at its own speed, rest how long it still does.
+func (r Run) whole() time.Duration {
+	return time.Duration(float64(r.Worked) * 100 / (r.Percent + percentStep))
+}
+
+func (r Run) rest() time.Duration { return r.whole() - r.Worked - r.Quiet }
+
+// elsewhere is how long a new run takes on a sound target: what this one takes beyond the
+// slowness of its target is the task's own.
+func (r Run) elsewhere() time.Duration {
+	return max(r.Expected, time.Duration(float64(r.whole())/max(r.TargetSlowness, 1)))
 }
