--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -82,7 +82,7 @@
 	}
 	var work pools.Work
 	for _, step := range job.Steps {
-		room := pools.Footprint(step.Needs.GetCpuMillis(), d.fleet.largest)
+		room := pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest)
 		work.MillisMS += int64(step.Tasks) * room * d.learned.expected(job.Queue, step)
 	}
 	work.ChainMS = longestChain(job.Steps, func(step int) int64 { return d.learned.expected(job.Queue, job.Steps[step]) })
--- a/internal/policy/pools/balance.go
+++ b/internal/policy/pools/balance.go
@@ -62,10 +62,10 @@
 	}
 	// VMs are called for what will still need them when they have come; they are
 	// kept for all that is there now.
-	lasting := max(int64(float64(s.demand(p, p.NeedMillis-p.PassingMillis))/usable), least)
-	present := max(int64(float64(s.demand(p, p.NeedMillis))/usable), least)
-	b.short = max(lasting-supply, 0)
-	b.spare = max(supply-present, 0)
+	then := max(int64(float64(s.demand(p, p.NeedMillis-p.PassingMillis))/usable), least)
+	now := max(int64(float64(s.demand(p, p.NeedMillis))/usable), least)
+	b.short = max(then-supply, 0)
+	b.spare = max(supply-now, 0)
 	return b
 }
 
