--- a/internal/driver/copies.go
+++ b/internal/driver/copies.go
@@ -83,7 +83,8 @@
 	return in
 }
 
-// minTelling is how many runs of a target must be late to blame the target.
+// minTelling is how many runs of a target must tell their speed for it to be theirs in
+// common: one may just be long.
 const minTelling = 2
 
 // slownessOf returns by how much a target is slow: as its least slow run shows while
--- a/internal/driver/preempt.go
+++ b/internal/driver/preempt.go
@@ -15,8 +15,8 @@
 	// waitGap is how long a step may not have been seen waiting while it still counts
 	// as the same wait: rounds come at least that often.
 	waitGap = 500 * time.Millisecond
-	// restoreTime is what a task that saves its work loses by a stop: the platform
-	// takes that long to load the checkpoint.
+	// restoreTime is what a task that saves its work loses by a stop: targets take about
+	// that long to load a checkpoint.
 	restoreTime = 250 * time.Millisecond
 )
 
--- a/internal/policy/preempt/preempt.go
+++ b/internal/policy/preempt/preempt.go
@@ -58,8 +58,8 @@
 	Lasting  bool
 	// WaitsMS is how long it has waited for room.
 	WaitsMS int64
-	// SlackMS is how much longer it may wait without making its job late, RunMS its
-	// run time.
+	// SlackMS is how much longer it may wait without making its job late, RunMS what its
+	// job still takes from its start on.
 	SlackMS, RunMS int64
 	// Admits reports whether it may run on a target at all.
 	Admits func(target string) bool
