TestStartTakenByNextIncarnation: both targets are heard before the job comes

The new leader had heard b and not yet a: announcements go out in the order of a map. Ruled out: the change under test (the placement came before any wait), load (the order alone decides). Now the leader has heard both, and a comes first; all checks stay.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -117,6 +117,7 @@
 	r := newRig(t, "a", "b")
 	r.fleet.Change("b", func(t *standin.StepTarget) { t.Full = true })
 	r.lead()
+	r.announceAll() // the new leader has heard both targets: of two alike, a comes first
 	var once sync.Once
 	r.log.holdCommits(func(command *pb.Command) {
 		if len(command.GetChangeTasks().GetStarts()) == 0 {
