After reading the change: one name for a step, one look at what stands alone, nothing worked out twice

- The first task of a step was named in five places (gangOf, stepOf, firstOf, two by hand): TaskID.FirstOfStep.
- Whether a run can be stopped and started elsewhere without others stood in three conditions: standsAlone.
- The run times of a job's steps were worked out twice for its chain, and twice for an arriving job; the rest of each run that saves its work in every round, though its target stays nearly always; the expected time of runs on silent targets.
No decision changes.

--- a/internal/driver/advice.go
+++ b/internal/driver/advice.go
@@ -51,15 +51,10 @@
 	until time.Time
 }
 
-func stepOf(id workflow.TaskID) workflow.TaskID {
-	id.Index = 0
-	return id
-}
-
 // advisedTargets returns the targets of a step with a ticket, and asks for more
 // when there are none.
 func (d *Driver) advisedTargets(v *workflow.View, id workflow.TaskID, pool string) map[string]bool {
-	step := stepOf(id)
+	step := id.FirstOfStep()
 	known := d.advice[step]
 	if known == nil {
 		known = &stepAdvice{tickets: make(map[incarnation]ticket), denied: make(map[string]bool)}
@@ -137,7 +132,7 @@
 
 // ticketFor returns the ticket for a start on a target, if one is known.
 func (d *Driver) ticketFor(id workflow.TaskID, l *link) string {
-	if known := d.advice[stepOf(id)]; known != nil {
+	if known := d.advice[id.FirstOfStep()]; known != nil {
 		return known.tickets[l.incarnation()].text
 	}
 	return ""
@@ -145,7 +140,7 @@
 
 // dropTicket forgets a ticket that a target refused.
 func (d *Driver) dropTicket(id workflow.TaskID, l *link) {
-	if known := d.advice[stepOf(id)]; known != nil {
+	if known := d.advice[id.FirstOfStep()]; known != nil {
 		delete(known.tickets, l.incarnation())
 	}
 }
--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -75,7 +75,7 @@
 
 // noteStep remembers a run for the other tasks of its step.
 func (l *learner) noteStep(task *workflow.Task, tookMS float64) {
-	id := stepID(task.Job, int(task.ID.Occurrence), int(task.ID.Step))
+	id := task.ID.FirstOfStep()
 	step := l.steps[id]
 	if step == nil {
 		step = new(runtimes.Step)
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -285,25 +285,24 @@
 // them, in learned milliseconds.
 func (d *Driver) chain(job *workflow.Job) (total, left int64) {
 	last := len(job.Tasks) - 1
-	length := func(step int) int64 { return d.learned.longestOf(job, last, step) }
-	total = longestChain(job.Spec.Steps, length)
-	left = longestChain(job.Spec.Steps, func(step int) int64 {
-		if job.StepLeft(last, step) == 0 {
-			return 0
+	whole, rest := make([]int64, len(job.Spec.Steps)), make([]int64, len(job.Spec.Steps))
+	for i := range whole {
+		whole[i] = d.learned.longestOf(job, last, i)
+		if job.StepLeft(last, i) > 0 {
+			rest[i] = whole[i]
 		}
-		return length(step)
-	})
-	return total, left
+	}
+	return longestChain(job.Spec.Steps, whole), longestChain(job.Spec.Steps, rest)
 }
 
-// longestChain returns the longest chain of steps of the given lengths.
-func longestChain(steps []*pb.Step, length func(step int) int64) int64 {
+// longestChain returns the longest chain of steps that take the given times.
+func longestChain(steps []*pb.Step, takes []int64) int64 {
 	longest, ends := int64(0), make([]int64, len(steps))
 	for i, step := range steps {
 		for _, before := range step.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += length(i)
+		ends[i] += takes[i]
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -81,11 +81,12 @@
 		d.pools.firstArrival = d.cfg.Now()
 	}
 	var work pools.Work
-	for _, step := range job.Steps {
-		room := pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest)
-		work.MillisMS += int64(step.Tasks) * room * d.learned.expected(job.Queue, step)
+	takes := make([]int64, len(job.Steps))
+	for i, step := range job.Steps {
+		takes[i] = d.learned.expected(job.Queue, step)
+		work.MillisMS += int64(step.Tasks) * pools.Footprint(workflow.StepRoom(step).CPUMillis, d.fleet.largest) * takes[i]
 	}
-	work.ChainMS = longestChain(job.Steps, func(step int) int64 { return d.learned.expected(job.Queue, job.Steps[step]) })
+	work.ChainMS = longestChain(job.Steps, takes)
 	work.LeftMS = objective(queue, work.ChainMS)
 	turns := d.pools.turns[queue.Pool]
 	if turns == nil {
--- a/internal/driver/preempt.go
+++ b/internal/driver/preempt.go
@@ -40,7 +40,7 @@
 	for _, victim := range preempt.Plan(waiting, targets) {
 		task := v.Task(victim.Run)
 		event.TaskPreempted.Emit(event.F("task", victim.Run.String()), event.F("attempt", task.Attempt), event.F("target", victim.Target),
-			event.F("for", victim.For.String()), event.F("waited", now.Sub(d.waiting[firstOf(victim.For)].since).String()),
+			event.F("for", victim.For.String()), event.F("waited", now.Sub(d.waiting[victim.For.FirstOfStep()].since).String()),
 			event.F("loss_core_ms", victim.LossMillisMS/1000))
 		d.callStop(d.runOn(task, victim.Target))
 	}
@@ -64,7 +64,7 @@
 	if wait.Reason != assign.WaitRoom || step.Gang {
 		return nil
 	}
-	now, id := d.cfg.Now(), firstOf(wait.Step)
+	now, id := d.cfg.Now(), wait.Step.FirstOfStep()
 	span, known := d.waiting[id]
 	if !known || now.Sub(span.seen) > waitGap {
 		span.since = now
@@ -92,12 +92,6 @@
 	return out
 }
 
-// firstOf names the step of a task by its first task.
-func firstOf(task workflow.TaskID) workflow.TaskID {
-	task.Index = 0
-	return task
-}
-
 // preemptible describes what runs on a target.
 func (d *Driver) preemptible(v *workflow.View, target string, now time.Time) []preempt.Run {
 	var out []preempt.Run
@@ -105,7 +99,7 @@
 		spec, r := task.Spec(), d.runOn(task, target)
 		run := preempt.Run{
 			ID: task.ID, Room: workflow.StepRoom(spec), EndsInMS: d.remainingMS(task, target, now),
-			Fixed: spec.Lasting || spec.Gang || spec.Fills || task.Copy.Target != "" || task.State != pb.TaskState_TASK_STATE_PLACED ||
+			Fixed: !standsAlone(task) || spec.Fills || task.State != pb.TaskState_TASK_STATE_PLACED ||
 				r == nil || r.phase != runConfirmed,
 			Stopping: r != nil && (r.phase == runStopping || r.phase == runStopped),
 		}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -413,6 +413,12 @@
 	return !task.Superseded && task.State != pb.TaskState_TASK_STATE_DONE && !workflow.Ended(task.Job.State)
 }
 
+// standsAlone reports whether a run of the task can be stopped and started elsewhere
+// without a look at others: it is not lasting, no member of a gang, and the only run.
+func standsAlone(task *workflow.Task) bool {
+	return !task.Spec().Lasting && !task.Spec().Gang && task.Copy.Target == ""
+}
+
 // runAction is what is due for a run.
 type runAction int
 
--- a/internal/driver/savework.go
+++ b/internal/driver/savework.go
@@ -11,13 +11,15 @@
 // savesNow reports whether a run is to stop so that its work is saved before its target
 // goes.
 func (d *Driver) savesNow(task *workflow.Task, r *run, now time.Time) bool {
-	spec := task.Spec()
-	if !spec.Checkpoints || spec.Lasting || spec.Gang || task.Copy.Target != "" || r.working.IsZero() {
+	if !task.Spec().Checkpoints || !standsAlone(task) || r.working.IsZero() {
 		return false
 	}
 	goesIn, goes := d.goesIn(d.links[r.target], now)
+	if !goes {
+		return false
+	}
 	endsIn := time.Duration(d.remainingMS(task, r.target, now)) * time.Millisecond
-	if !goes || !preempt.MustSave(endsIn, goesIn) || now.Sub(r.lastCall) < retryPause {
+	if !preempt.MustSave(endsIn, goesIn) || now.Sub(r.lastCall) < retryPause {
 		return false
 	}
 	event.TaskSaved.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt), event.F("target", r.target),
--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -34,15 +34,15 @@
 // elsewhere.
 func (d *Driver) stalled(task *workflow.Task, r *run, now time.Time) bool {
 	spec := task.Spec()
-	if spec.Lasting || spec.Fills || spec.Gang || task.Copy.Target != "" || task.Attempt > maxStalls || spec.EstimateMs <= 0 {
+	if !standsAlone(task) || spec.Fills || task.Attempt > maxStalls || spec.EstimateMs <= 0 {
 		return false
 	}
-	expected := time.Duration(d.learned.expectedOf(task)) * time.Millisecond
 	l := d.links[r.target]
 	if l == nil || l.failures > 0 {
 		// Whether a run on a silent target gets on is not known.
 		return false
 	}
+	expected := time.Duration(d.learned.expectedOf(task)) * time.Millisecond
 	reason := stallReason(r, expected, l.answeredAt)
 	if reason == "" || now.Sub(r.lastCall) < retryPause {
 		return false
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -151,7 +151,7 @@
 			}
 			for _, task := range v.Placed(l.target.Id) {
 				r := d.runOn(task, l.target.Id)
-				if gang := task.ID; r != nil && r.phase == runConfirmed && gang.Job == first.Job && gang.Step == first.Step && gang.Occurrence == first.Occurrence {
+				if r != nil && r.phase == runConfirmed && task.ID.FirstOfStep() == first {
 					event.TaskEvacuated.Emit(event.F("task", task.ID.String()), event.F("vm", vm), event.F("here", here), event.F("may_be_away", most))
 					d.callStop(r)
 					return
@@ -167,9 +167,7 @@
 	steps := make(map[workflow.TaskID]int)
 	for _, task := range v.Placed(target) {
 		if task.Spec().Lasting && task.Spec().MaxUnavailable > 0 && !workflow.Ended(task.Job.State) {
-			first := task.ID
-			first.Index = 0
-			steps[first]++
+			steps[task.ID.FirstOfStep()]++
 		}
 	}
 	return steps
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -37,6 +37,13 @@
 	return string(b)
 }
 
+// FirstOfStep returns the first task of the same step and occurrence. It names the
+// step, and the gang where the step is one.
+func (t TaskID) FirstOfStep() TaskID {
+	t.Index = 0
+	return t
+}
+
 // ParseTaskID reads the text form.
 func ParseTaskID(text string) (TaskID, error) {
 	var id TaskID
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -39,7 +39,7 @@
 	broken := make(map[TaskID]bool)
 	for _, refused := range out.Refused {
 		if task := m.task(refused.Task); task != nil && task.Spec().Gang {
-			broken[gangOf(refused.Task)] = true
+			broken[refused.Task.FirstOfStep()] = true
 		}
 	}
 	if len(broken) == 0 {
@@ -47,7 +47,7 @@
 	}
 	for _, start := range accepted {
 		task := m.task(RefID(start.GetTask()))
-		if !broken[gangOf(task.ID)] {
+		if !broken[task.ID.FirstOfStep()] {
 			continue
 		}
 		m.release(task, task.Target)
@@ -56,12 +56,6 @@
 	}
 }
 
-// gangOf names the gang of a task by its first member.
-func gangOf(id TaskID) TaskID {
-	id.Index = 0
-	return id
-}
-
 // startRun places a task; it returns why the start breaks a rule, or "".
 func (m *Machine) startRun(start *pb.Start) string {
 	id := RefID(start.GetTask())
