--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -99,7 +99,8 @@
 	// waitsReported is when waits of a pool were reported last.
 	waitsReported map[string]time.Time
 	// waiting holds since when steps have waited for room, by their first task.
-	waiting map[workflow.TaskID]waitSpan
+	waiting  map[workflow.TaskID]waitSpan
+	outcomes *outcomes
 
 	ctx     context.Context
 	running sync.WaitGroup
@@ -128,6 +129,7 @@
 		decided: newHistory(), refused: newHistory(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
 		waitsReported: make(map[string]time.Time), waiting: make(map[workflow.TaskID]waitSpan),
+		outcomes: newOutcomes(),
 	}
 }
 
@@ -193,16 +195,22 @@
 	if !d.cfg.Log.HoldsLease() {
 		return
 	}
+	began := d.cfg.Now()
 	d.mu.Lock()
 	d.checkLinks()
 	d.checkRuns()
+	d.reportOutcomes(began)
 	d.mu.Unlock()
+	observeRound("check", began, d.cfg.Now())
 	d.changeTasks()
 	d.failHopeless()
 	d.runWaves()
+	moved := d.cfg.Now()
 	d.movePools()
+	observeRound("pools", moved, d.cfg.Now())
 	d.prune()
 	d.paceFillers()
+	observeRound("all", began, d.cfg.Now())
 }
 
 // changeTasks commits ends and starts in one command and carries out the starts.
@@ -214,7 +222,9 @@
 	if len(ends) > 0 && !d.commitEnds(ends) {
 		return
 	}
+	began := d.cfg.Now()
 	starts := d.plan()
+	observeRound("plan", began, d.cfg.Now())
 	if len(starts) == 0 {
 		return
 	}
@@ -233,6 +243,7 @@
 	}
 	reportStarts(starts, refused, out.Index)
 	d.beginRuns(starts, refused)
+	d.noteBegun(starts)
 }
 
 // commitEnds records ends; only then are they confirmed to the targets.
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -34,6 +34,11 @@
 	metrics.Observe(metrics.Name("driver_commit_us", metrics.L("outcome", outcome)), now.Sub(began))
 }
 
+// observeRound adds the time that a part of the loop's round took.
+func observeRound(part string, began, now time.Time) {
+	metrics.Observe(metrics.Name("driver_round_us", metrics.L("part", part)), now.Sub(began))
+}
+
 // observeFirstStart adds the time from acceptance to start of a job's first task.
 func (d *Driver) observeFirstStart(v *workflow.View, r *run) {
 	id := r.task
@@ -48,7 +53,9 @@
 // observeEnds adds the times from acceptance to end of the jobs that ended with
 // the ends just committed.
 func (d *Driver) observeEnds(ends []pendingEnd) {
-	nowMS := d.cfg.NowMS()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, nowMS := d.cfg.Now(), d.cfg.NowMS()
 	seen := make(map[string]bool)
 	d.cfg.Machine.View(func(v *workflow.View) {
 		for _, e := range ends {
@@ -58,6 +65,7 @@
 				continue
 			}
 			seen[id] = true
+			d.noteOutcome(job, v.Queue(job.Spec.Queue), now, nowMS)
 			outcome := "done"
 			if job.State != pb.JobState_JOB_STATE_DONE {
 				outcome = "not done"
--- a/internal/driver/prune.go
+++ b/internal/driver/prune.go
@@ -27,7 +27,10 @@
 	d.mu.Lock()
 	d.pruneLateStarts(now)
 	d.pruneWaits(now)
-	d.cfg.Machine.View(func(v *workflow.View) { d.learned.pruneSteps(v.OpenJobs()) })
+	d.cfg.Machine.View(func(v *workflow.View) {
+		d.learned.pruneSteps(v.OpenJobs())
+		d.pruneBegun(v.OpenJobs())
+	})
 	d.mu.Unlock()
 	var old []string
 	d.cfg.Machine.View(func(v *workflow.View) { old = v.EndedBefore(d.cfg.NowMS()-retention.Milliseconds(), maxPruned) })
--- a/internal/event/writer.go
+++ b/internal/event/writer.go
@@ -17,6 +17,11 @@
 	// maxLinesPerSecond bounds the log's volume; warnings and errors have a
 	// bound of their own of the same size.
 	maxLinesPerSecond = 400
+	// reservedPerEvent is how many lines of one event a second may have while others have
+	// used up the bound: a flood of one event hides no other.
+	reservedPerEvent = 20
+	// maxWriteBytes bounds one write: up to PIPE_BUF bytes a pipe takes whole.
+	maxWriteBytes = 4096
 	// maxPendingBytes bounds what waits to be written.
 	maxPendingBytes = 1 << 20
 	// flushInterval bounds how late a line is written.
@@ -24,7 +29,7 @@
 )
 
 // Writer writes log lines in logfmt without ever blocking who logs: lines wait
-// in memory and go out in one write an interval. Above the bounds they are
+// in memory and go out once an interval. Above the bounds they are
 // dropped, counted, and the count is written.
 type Writer struct {
 	out io.Writer
@@ -35,6 +40,8 @@
 	second  int64
 	info    int
 	warn    int
+	// events counts the lines of this second by event.
+	events  map[any]int
 	dropped int
 	closed  chan struct{}
 	done    chan struct{}
@@ -42,7 +49,7 @@
 
 // NewWriter returns a handler that writes to out until Close.
 func NewWriter(out io.Writer, now func() time.Time) *Writer {
-	w := &Writer{out: out, now: now, closed: make(chan struct{}), done: make(chan struct{})}
+	w := &Writer{out: out, now: now, events: make(map[any]int), closed: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -63,13 +70,16 @@
 func (w *Writer) admit(e *log.Entry) bool {
 	if second := e.Timestamp.Unix(); second != w.second {
 		w.second, w.info, w.warn = second, 0, 0
+		clear(w.events)
 	}
 	count := &w.info
 	if e.Level >= log.WarnLevel {
 		count = &w.warn
 	}
 	*count++
-	return *count <= maxLinesPerSecond && w.pending.Len() < maxPendingBytes
+	event := e.Fields["event"]
+	w.events[event]++
+	return (*count <= maxLinesPerSecond || w.events[event] <= reservedPerEvent) && w.pending.Len() < maxPendingBytes
 }
 
 func (w *Writer) append(e *log.Entry) {
@@ -132,12 +142,25 @@
 	data := bytes.Clone(w.pending.Bytes())
 	w.pending.Reset()
 	w.mu.Unlock()
-	if len(data) > 0 {
+	for len(data) > 0 {
+		lines := data[:wholeLines(data)]
+		data = data[len(lines):]
 		// Nobody is left to tell of a log that cannot be written.
-		_, _ = w.out.Write(data)
+		_, _ = w.out.Write(lines)
 	}
 }
 
+// wholeLines returns the length of the lines at the front that one write takes: at least one.
+func wholeLines(data []byte) int {
+	if len(data) <= maxWriteBytes {
+		return len(data)
+	}
+	if end := bytes.LastIndexByte(data[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	return bytes.IndexByte(data, '\n') + 1
+}
+
 // Close writes what waits.
 func (w *Writer) Close() {
 	close(w.closed)
--- a/internal/event/writer_test.go
+++ b/internal/event/writer_test.go
@@ -47,6 +47,39 @@
 	is.True(strings.Contains(text, "lines=3600"))
 }
 
+// TestWriterKeepsRareEvents floods the log with one event: lines of another one get through,
+// and none is torn between two writes.
+func TestWriterKeepsRareEvents(t *testing.T) {
+	is := is.New(t)
+	out := new(recordedWrites)
+	w := NewWriter(out, time.Now)
+	at := time.Now()
+	for range 3 * maxLinesPerSecond {
+		is.NoErr(w.HandleLog(&log.Entry{Level: log.InfoLevel, Message: "flood", Timestamp: at, Fields: log.Fields{"event": 1, "tasks": strings.Repeat("x", 100)}}))
+	}
+	for range 2 * reservedPerEvent {
+		is.NoErr(w.HandleLog(&log.Entry{Level: log.InfoLevel, Message: "rare", Timestamp: at, Fields: log.Fields{"event": 2}}))
+	}
+	is.NoErr(w.HandleLog(&log.Entry{Level: log.InfoLevel, Message: "long", Timestamp: at, Fields: log.Fields{"event": 3, "tasks": strings.Repeat("x", 2*maxWriteBytes)}}))
+	w.Close()
+	text := strings.Join(out.writes, "")
+	is.Equal(strings.Count(text, "msg=flood "), maxLinesPerSecond)
+	is.Equal(strings.Count(text, "msg=rare "), reservedPerEvent)
+	is.True(strings.Contains(text, "msg=long "))
+	for _, write := range out.writes {
+		is.True(strings.HasSuffix(write, "\n"))
+		is.True(len(write) <= maxWriteBytes || strings.Count(write, "\n") == 1)
+	}
+}
+
+// recordedWrites keeps each write apart.
+type recordedWrites struct{ writes []string }
+
+func (r *recordedWrites) Write(p []byte) (int, error) {
+	r.writes = append(r.writes, string(p))
+	return len(p), nil
+}
+
 // BenchmarkAppend is the cost of writing one line, as a placement has it.
 func BenchmarkAppend(b *testing.B) {
 	w := &Writer{}
