--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -101,6 +101,8 @@
 	// waiting holds since when steps have waited for room, by their first task.
 	waiting  map[workflow.TaskID]waitSpan
 	outcomes *outcomes
+	// rounds is only used by the loop.
+	rounds rounds
 
 	ctx     context.Context
 	running sync.WaitGroup
@@ -195,39 +197,48 @@
 	if !d.cfg.Log.HoldsLease() {
 		return
 	}
-	began := d.cfg.Now()
-	d.mu.Lock()
-	d.checkLinks()
-	d.checkRuns()
-	d.reportOutcomes(began)
-	d.mu.Unlock()
-	observeRound("check", began, d.cfg.Now())
+	d.timed(partCheck, d.check)
 	d.changeTasks()
 	d.failHopeless()
-	d.runWaves()
-	moved := d.cfg.Now()
-	d.movePools()
-	observeRound("pools", moved, d.cfg.Now())
+	d.timed(partWaves, d.runWaves)
+	d.timed(partPools, d.movePools)
 	d.prune()
-	d.paceFillers()
-	observeRound("all", began, d.cfg.Now())
+	d.timed(partPace, d.paceFillers)
+	d.rounds.report(d.cfg.Now())
 }
 
-// changeTasks commits ends and starts in one command and carries out the starts.
+// check looks after targets and runs, and reports what became of jobs.
+func (d *Driver) check() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkLinks()
+	d.checkRuns()
+	d.reportOutcomes(d.cfg.Now())
+}
+
+// changeTasks commits ends, then starts, and carries out the starts.
 func (d *Driver) changeTasks() {
 	d.mu.Lock()
 	ends := d.pending
 	d.pending = nil
 	d.mu.Unlock()
-	if len(ends) > 0 && !d.commitEnds(ends) {
-		return
+	if len(ends) > 0 {
+		committed := false
+		d.timed(partEnds, func() { committed = d.commitEnds(ends) })
+		if !committed {
+			return
+		}
+		d.rounds.ends += len(ends)
 	}
-	began := d.cfg.Now()
-	starts := d.plan()
-	observeRound("plan", began, d.cfg.Now())
-	if len(starts) == 0 {
-		return
+	var starts []*pb.Start
+	d.timed(partPlan, func() { starts = d.plan() })
+	if len(starts) > 0 {
+		d.timed(partStarts, func() { d.commitStarts(starts) })
 	}
+}
+
+// commitStarts records starts; only then are they sent to the targets.
+func (d *Driver) commitStarts(starts []*pb.Start) {
 	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: starts}}})
 	if err != nil {
 		// Starts that take effect later are found as placed tasks without a run.
@@ -241,6 +252,7 @@
 	for _, r := range out.Refused {
 		refused[r.Task] = true
 	}
+	d.rounds.starts += len(starts)
 	reportStarts(starts, refused, out.Index)
 	d.beginRuns(starts, refused)
 	d.noteBegun(starts)
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -34,11 +34,6 @@
 	metrics.Observe(metrics.Name("driver_commit_us", metrics.L("outcome", outcome)), now.Sub(began))
 }
 
-// observeRound adds the time that a part of the loop's round took.
-func observeRound(part string, began, now time.Time) {
-	metrics.Observe(metrics.Name("driver_round_us", metrics.L("part", part)), now.Sub(began))
-}
-
 // observeFirstStart adds the time from acceptance to start of a job's first task.
 func (d *Driver) observeFirstStart(v *workflow.View, r *run) {
 	id := r.task
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -54,6 +54,7 @@
 	TaskPreempted       = define(7076, log.InfoLevel, "task stopped to make room for one that is more urgent", "")
 	TaskSaved           = define(7077, log.InfoLevel, "task stopped to save its work before its target goes", "")
 	QueueOutcomes       = define(7078, log.InfoLevel, "what became of a queue's jobs that ended", "")
+	DriverRounds        = define(7079, log.InfoLevel, "how long the leader's rounds took", "")
 	VMGone              = define(7071, log.WarnLevel, "VM of a wave is gone for good, it needs no maintenance", "")
 	WaveStepFailed      = define(7054, log.WarnLevel, "step of a wave failed, it is tried again", "")
 	VMMoveBegun         = define(7056, log.InfoLevel, "VM is ordered to another pool", "")
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -24,7 +24,7 @@
 	"driver_starts":          "Start calls by the target's answer.",
 	"driver_target_call_us":  "Time of calls to targets by call and outcome, in microseconds; listings left out.",
 	"driver_commit_us":       "Time of the leader's commits by outcome, in microseconds.",
-	"driver_round_us":        "Time of the parts of the leader's rounds, in microseconds.",
+	"driver_round_us":        "Time of the leader's rounds by part, in microseconds.",
 	"driver_work_core_ms":    "Processor time of ended jobs by outcome, in core milliseconds.",
 	"driver_first_start_us":  "Time from a job's acceptance to the start of its first task, in microseconds.",
 	"driver_job_us":          "Time from a job's acceptance to its end by outcome, in microseconds.",
