--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -77,7 +77,7 @@
 
 	mu    sync.Mutex
 	links map[string]*link
-	runs  map[runID]*run
+	runs  runTable
 	// lateStarts holds unanswered starts of runs that are over, by target.
 	lateStarts map[string][]lateStart
 	// ended holds incarnations of targets that are surely over, so that late
@@ -126,7 +126,7 @@
 func New(cfg Config) *Driver {
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), began: cfg.Now(),
-		links: make(map[string]*link), runs: make(map[runID]*run), lateStarts: make(map[string][]lateStart),
+		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
 		ended: make(map[incarnation]bool), learned: newLearner(), waves: newWaveLoop(), pools: newPoolLoop(),
 		decided: newHistory(), refused: newHistory(),
 		advice:        make(map[workflow.TaskID]*stepAdvice),
--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -66,8 +66,8 @@
 		{"all at work", func(*Driver) {}, true},
 		{"an old listing", func(d *Driver) { d.links["t1"].answeredAt = now.Add(-2 * freshListing) }, false},
 		{"a call without an answer", func(d *Driver) { d.links["t1"].failures = 1 }, false},
-		{"a task that has only begun", func(d *Driver) { d.runs[runID{workflow.TaskID{Job: "j", Index: 1}, 1}].movedAt = now }, false},
-		{"a task that is not at work", func(d *Driver) { d.runs[runID{workflow.TaskID{Job: "j", Index: 2}, 1}].percent = 40 }, false},
+		{"a task that has only begun", func(d *Driver) { d.runs.of(workflow.TaskID{Job: "j", Index: 1}, 1).movedAt = now }, false},
+		{"a task that is not at work", func(d *Driver) { d.runs.of(workflow.TaskID{Job: "j", Index: 2}, 1).percent = 40 }, false},
 		{"an order for another VM under way", func(d *Driver) { d.waves.calling["vm-t2"] = true }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -326,8 +326,8 @@
 	d.dropLink(old)
 	l := d.addLink(target)
 	l.lastAnnounced = d.cfg.Now()
-	for _, r := range d.runs {
-		if r.target == target.Id && r.born != target.BornUnixMs {
+	for r := range d.runs.on(target.Id) {
+		if r.born != target.BornUnixMs {
 			d.loseToRestart(l, r)
 		}
 	}
@@ -349,8 +349,8 @@
 	event.TargetGone.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason))
 	d.ended[l.incarnation()] = true
 	d.dropLink(l)
-	for _, r := range d.runs {
-		if r.target == l.target.Id && r.born == l.target.BornUnixMs {
+	for r := range d.runs.on(l.target.Id) {
+		if r.born == l.target.BornUnixMs {
 			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
 		}
 	}
@@ -381,8 +381,8 @@
 			continue
 		}
 		lost := 0
-		for _, r := range d.runs {
-			if r.target == l.target.Id && r.phase != runEnded && (r.born == l.target.BornUnixMs || d.lapsedAnywhere(r, now)) {
+		for r := range d.runs.on(l.target.Id) {
+			if r.phase != runEnded && (r.born == l.target.BornUnixMs || d.lapsedAnywhere(r, now)) {
 				d.endRun(r, pb.EndKind_END_KIND_LOST, "the lease has lapsed without an answer")
 				lost++
 			}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -71,15 +71,15 @@
 func (r *run) id() runID { return runID{r.task, r.attempt} }
 
 // addRun begins to look after a run.
-func (d *Driver) addRun(r *run) { d.runs[r.id()] = r }
+func (d *Driver) addRun(r *run) { d.runs.add(r) }
 
 // runOn returns the run of a task on a target, or nil.
 func (d *Driver) runOn(task *workflow.Task, target string) *run {
-	return d.runs[runID{task.ID, task.AttemptOn(target)}]
+	return d.runs.of(task.ID, task.AttemptOn(target))
 }
 
 // knows reports whether the run is still looked after.
-func (d *Driver) knows(r *run) bool { return d.runs[r.id()] == r }
+func (d *Driver) knows(r *run) bool { return d.runs.of(r.task, r.attempt) == r }
 
 // beginRuns calls the targets for committed starts.
 func (d *Driver) beginRuns(starts []*pb.Start, refused map[workflow.TaskID]bool) {
@@ -303,7 +303,7 @@
 
 // noteEnd marks a run as ended by its target's listing.
 func (d *Driver) noteEnd(l *link, task workflow.TaskID, attempt uint32, kind pb.EndKind) {
-	r := d.runs[runID{task, attempt}]
+	r := d.runs.of(task, attempt)
 	if r == nil || r.target != l.target.Id || r.phase == runEnded {
 		return
 	}
@@ -313,10 +313,9 @@
 
 // forgetRun drops a run whose end is committed.
 func (d *Driver) forgetRun(end *pb.End) {
-	id := runID{workflow.RefID(end.Task), end.Task.Attempt}
-	if r := d.runs[id]; r != nil {
+	if r := d.runs.of(workflow.RefID(end.Task), end.Task.Attempt); r != nil {
 		d.noteLateStart(r)
-		delete(d.runs, id)
+		d.runs.remove(r.id())
 	}
 }
 
@@ -328,7 +327,7 @@
 		running := &l.listing.Running[i]
 		id := runID{running.Task, running.Attempt}
 		listed[id] = true
-		r := d.runs[id]
+		r := d.runs.of(running.Task, running.Attempt)
 		if r == nil || r.target != l.target.Id || r.born != l.target.BornUnixMs {
 			d.stopUnplaced(l, running)
 			continue
@@ -348,8 +347,8 @@
 	if len(l.listing.Ended) >= maxEndsListed {
 		return
 	}
-	for _, r := range d.runs {
-		if r.target != l.target.Id || r.born != l.target.BornUnixMs || listed[r.id()] {
+	for r := range d.runs.on(l.target.Id) {
+		if r.born != l.target.BornUnixMs || listed[r.id()] {
 			continue
 		}
 		if (r.phase == runConfirmed || r.phase == runStopped) && r.settled.Before(l.listedAt) {
@@ -379,12 +378,12 @@
 	var start, stop []*run
 	d.cfg.Machine.View(func(v *workflow.View) {
 		d.adoptPlaced(v, now)
-		for _, r := range d.runs {
+		for r := range d.runs.all() {
 			task := v.Task(r.task)
 			if task == nil || task.TargetOf(r.attempt) == "" {
 				if r.phase == runEnded || now.Sub(r.begun) > time.Second {
 					d.noteLateStart(r)
-					delete(d.runs, r.id())
+					d.runs.remove(r.id())
 				}
 				continue
 			}
@@ -434,7 +433,7 @@
 		placed := v.Placed(id)
 		for _, task := range placed {
 			attempt := task.AttemptOn(id)
-			if d.runs[runID{task.ID, attempt}] != nil {
+			if d.runs.of(task.ID, attempt) != nil {
 				continue
 			}
 			d.addRun(&run{
--- a/internal/driver/stuck_test.go
+++ b/internal/driver/stuck_test.go
@@ -44,11 +44,11 @@
 	stalled := func() (stalled bool) {
 		d.cfg.Machine.View(func(v *workflow.View) {
 			v.Task(task).Spec().Lasting, v.Task(task).Spec().EstimateMs = false, 500
-			stalled = d.stalled(v.Task(task), d.runs[runID{task, 1}], now)
+			stalled = d.stalled(v.Task(task), d.runs.of(task, 1), now)
 		})
 		return stalled
 	}
-	r := d.runs[runID{task, 1}]
+	r := d.runs.of(task, 1)
 	r.working, r.movedAt, r.percent = now.Add(-time.Minute), now.Add(-30*time.Second), 40
 	d.links["t0"].answeredAt = now.Add(-29 * time.Second)
 	is.True(!stalled()) // nothing was heard since
