--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -210,11 +210,15 @@
 			if job.StepLeft(k, s) == 0 || !job.Ready(k, s) {
 				continue
 			}
-			step := d.planStep(v, job, k, s)
-			if queue.Advised && len(step.Tasks) > 0 {
+			waiting := tasksToStart(job, k, s)
+			if len(waiting) == 0 {
+				continue
+			}
+			step := d.planStep(v, job, k, s, waiting)
+			if queue.Advised {
 				step.Only = d.advisedTargets(v, step.Tasks[0], queue.Pool)
 			}
-			if len(step.Tasks) > 0 && (!queue.Advised || len(step.Only) > 0) {
+			if !queue.Advised || len(step.Only) > 0 {
 				planned.Steps = append(planned.Steps, step)
 			}
 		}
@@ -240,26 +244,34 @@
 	}
 }
 
-// planStep returns the waiting tasks of one step.
-func (d *Driver) planStep(v *workflow.View, job *workflow.Job, occurrence, number int) assign.Step {
-	spec, tasks := job.Spec.Steps[number], job.Tasks[occurrence][number]
-	step := stepPlaces(v, spec, tasks)
+// tasksToStart returns the tasks of a step that may start.
+func tasksToStart(job *workflow.Job, occurrence, number int) []workflow.TaskID {
+	tasks := job.Tasks[occurrence][number]
+	var waiting []workflow.TaskID
 	for _, task := range tasks {
-		if task.State != pb.TaskState_TASK_STATE_WAITING || task.Copy.Target != "" {
-			continue
+		if task.State == pb.TaskState_TASK_STATE_WAITING && task.Copy.Target == "" {
+			waiting = append(waiting, task.ID)
 		}
-		step.Tasks = append(step.Tasks, task.ID)
-		if failed := d.learned.failedOn(task.ID); failed != "" {
+	}
+	if job.Spec.Steps[number].Gang && len(waiting) < len(tasks) {
+		// A gang starts whole, once all members of its former run have ended.
+		return nil
+	}
+	return waiting
+}
+
+// planStep returns what the waiting tasks of one step ask of targets.
+func (d *Driver) planStep(v *workflow.View, job *workflow.Job, occurrence, number int, waiting []workflow.TaskID) assign.Step {
+	step := stepPlaces(v, job.Spec.Steps[number], job.Tasks[occurrence][number])
+	step.Tasks = waiting
+	for _, id := range waiting {
+		if failed := d.learned.failedOn(id); failed != "" {
 			if step.Avoid == nil {
 				step.Avoid = make(map[string]bool)
 			}
 			step.Avoid[failed] = true
 		}
 	}
-	if spec.Gang && len(step.Tasks) < len(tasks) {
-		// A gang starts whole, once all members of its former run have ended.
-		step.Tasks = nil
-	}
 	return step
 }
 
