--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -389,3 +389,18 @@
 		is.True(strings.Contains(text.String(), "sapphirering_"+series+" "))
 	}
 }
+
+// TestStartsBehindSilentTarget gives starts to a target that has just gone silent: only those
+// that were sent wait for the end of its lease, the others start elsewhere at once.
+func TestStartsBehindSilentTarget(t *testing.T) {
+	// Each target has room for half of the tasks.
+	const tasks, sent = 8, 2
+	is := is.New(t)
+	r := newRigWithLease(t, time.Minute, "a", "b")
+	time.Sleep(300 * time.Millisecond) // both have answered a listing
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.Silent = true })
+	r.submit("j", tasks)
+	r.eventually("what was not sent starts elsewhere", 3*time.Second, func() bool { return r.fleet.Started("b") == tasks-sent })
+	is.Equal(r.fleet.Started("a"), 0)
+	r.judge()
+}
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -54,6 +54,9 @@
 	failures int
 	// silentSince is when the first of them was noticed.
 	silentSince time.Time
+	// starts holds runs whose start is to be sent, lanes counts the senders.
+	starts []*run
+	lanes  int
 	// open holds calls under way, by when each should be answered.
 	open map[*openCall]struct{}
 	// unhealthy is until when the target gets no starts after a refusal.
@@ -288,6 +291,7 @@
 		l.silentSince = d.cfg.Now()
 	}
 	l.failures++
+	d.dropStarts(l)
 }
 
 func (d *Driver) noteAnswer(l *link) {
@@ -372,11 +376,14 @@
 	return !r.unanswered && !r.settled.IsZero() && now.Sub(r.settled) > d.leaseBound()
 }
 
-// checkLinks ends the runs of targets whose leases have surely lapsed while
-// they gave no answer.
+// checkLinks gives back starts that no target takes, and ends the runs of targets whose
+// leases have surely lapsed while they gave no answer.
 func (d *Driver) checkLinks() {
 	now := d.cfg.Now()
 	for _, l := range d.links {
+		if len(l.starts) > 0 && l.owesFor(now) > 0 {
+			d.dropStarts(l)
+		}
 		if now.Before(l.lapseAt) || l.failures == 0 && !d.silent(l) {
 			continue
 		}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -100,7 +100,11 @@
 	}
 }
 
-// callStart sends one start call beside the loop.
+// startLanes bounds the start calls to one target at a time: starts come by the dozen, and
+// each call of its own would open a connection.
+const startLanes = 2
+
+// callStart queues a start call to the run's target.
 func (d *Driver) callStart(r *run) {
 	l := d.links[r.target]
 	if l == nil || l.target.BornUnixMs != r.born {
@@ -110,25 +114,73 @@
 	if l.failures > 0 && r.unanswered {
 		return
 	}
-	call, ok := d.startCall(r, l)
-	if !ok {
-		r.phase = runUnanswered
-		return
+	r.phase = runCalling
+	l.starts = append(l.starts, r)
+	if l.lanes < startLanes {
+		l.lanes++
+		d.call(func() { d.sendStarts(l) })
 	}
-	r.phase, r.lastCall = runCalling, d.cfg.Now()
-	to, open := l.address(), d.openCall(l, answerTime)
-	d.call(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
-		defer cancel()
+}
+
+// sendStarts sends the queued starts of a target, one after the other.
+func (d *Driver) sendStarts(l *link) {
+	for {
+		r, call, open := d.nextStart(l)
+		if r == nil {
+			return
+		}
 		if !d.cfg.Log.HoldsLease() {
 			d.takeStart(r, open, Answer{}, ErrNoLease, false)
-			return
+			continue
 		}
+		ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
 		began := d.cfg.Now()
-		answer, err := d.cfg.Targets.Start(ctx, to, call)
+		answer, err := d.cfg.Targets.Start(ctx, l.address(), call)
+		cancel()
 		observeCall("start", began, d.cfg.Now(), err)
 		d.takeStart(r, open, answer, err, true)
-	})
+	}
+}
+
+// nextStart takes the next start off a target's queue; nil ends the lane.
+func (d *Driver) nextStart(l *link) (*run, StartCall, *openCall) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(l.starts) > 0 {
+		r := l.starts[0]
+		l.starts = l.starts[1:]
+		if !d.knows(r) || r.phase != runCalling {
+			continue
+		}
+		if d.links[r.target] != l {
+			r.phase = runUnanswered
+			continue
+		}
+		call, ok := d.startCall(r, l)
+		if !ok {
+			r.phase = runUnanswered
+			continue
+		}
+		r.lastCall = d.cfg.Now()
+		return r, call, d.openCall(l, answerTime)
+	}
+	l.lanes--
+	return nil, StartCall{}, nil
+}
+
+// dropStarts gives back the tasks whose starts are queued behind a call that got no
+// answer: nothing was sent for them, and they may start elsewhere at once.
+func (d *Driver) dropStarts(l *link) {
+	for _, r := range l.starts {
+		switch {
+		case !d.knows(r) || r.phase != runCalling:
+		case r.unanswered:
+			r.phase = runUnanswered
+		default:
+			d.endRun(r, pb.EndKind_END_KIND_NOT_RUN, "its target is silent, no start was sent")
+		}
+	}
+	l.starts = nil
 }
 
 // startCall returns the call for a run that is still wanted.
