--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -60,6 +60,9 @@
 	// planInterval spaces planning rounds, so that ends and submits that come
 	// together share a commit.
 	planInterval = 5 * time.Millisecond
+	// checkInterval spaces looks at all runs, targets and waves: calls are sent again after
+	// longer pauses, and a round comes with every commit.
+	checkInterval = 100 * time.Millisecond
 	// commitTimeout bounds one commit of the loop.
 	commitTimeout = 3 * time.Second
 	// lapseMargin covers delays between a grant and its arrival.
@@ -94,8 +97,9 @@
 	fleet       fleetView
 	// decided holds decisions about VMs, refused those about jobs that were not accepted.
 	decided, refused *history
-	// prunedAt is when old jobs were last looked for; only the loop uses it.
-	prunedAt time.Time
+	// prunedAt is when old jobs were last looked for, checkedAt when runs and targets were;
+	// only the loop uses them.
+	prunedAt, checkedAt time.Time
 	// waitsReported is when waits of a pool were reported last.
 	waitsReported map[string]time.Time
 	// waiting holds since when steps have waited for room, by their first task.
@@ -197,13 +201,20 @@
 	if !d.cfg.Log.HoldsLease() {
 		return
 	}
-	d.timed(partCheck, d.check)
+	now := d.cfg.Now()
+	due := now.Sub(d.checkedAt) >= checkInterval
+	if due {
+		d.checkedAt = now
+		d.timed(partCheck, d.check)
+	}
 	d.changeTasks()
-	d.failHopeless()
-	d.timed(partWaves, d.runWaves)
 	d.timed(partPools, d.movePools)
-	d.prune()
-	d.timed(partPace, d.paceFillers)
+	if due {
+		d.failHopeless()
+		d.timed(partWaves, d.runWaves)
+		d.prune()
+		d.timed(partPace, d.paceFillers)
+	}
 	d.rounds.report(d.cfg.Now())
 }
 
