--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -160,6 +160,9 @@
 			clock.Sleep(ctx, planInterval)
 		}
 	}
+	if err := d.cfg.Targets.Close(); err != nil {
+		event.TargetSilent.Emit(event.F("step", "close connections"), event.Err(err))
+	}
 	d.running.Wait()
 	event.DriverStopped.Emit(event.F("epoch", d.cfg.Epoch))
 }
--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -126,6 +126,8 @@
 	Stop(ctx context.Context, to Address, call StopCall) (Answer, error)
 	Renew(ctx context.Context, to Address, call RenewCall) (Listing, error)
 	Pace(ctx context.Context, to Address, call PaceCall) (Answer, error)
+	// Close ends the calls under way, with errors; none is made after it.
+	Close() error
 }
 
 // VMState is the state of a VM at the platform.
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -454,3 +454,6 @@
 func (NoVMs) Maintain(context.Context, driver.VMOrder, uint64) (driver.VMRefusal, error) {
 	return driver.VMAccepted, nil
 }
+
+// Close does nothing: calls end with their contexts.
+func (f *StepFleet) Close() error { return nil }
