--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -111,7 +111,7 @@
 	if workspace != nil && !v.Used(workspace.Name).Add(workflow.ResourcesOf(spec.Needs)).WithinLimit(workflow.ResourcesOf(workspace.Limit)) {
 		return "its workspace is at its limit"
 	}
-	targets , _ := d.planTargets(v, queue.Pool)
+	targets, _ := d.planTargets(v, queue.Pool)
 	for _, target := range targets {
 		if workflow.StepRoom(spec).FitsIn(target.Free) {
 			return "it starts in the next round, or jobs before it take the room"
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -83,6 +84,11 @@
 	if err != nil || address.Scheme != "http" || address.Host == "" || address.Path != "" {
 		return fmt.Errorf("announcement of %s: address: %q is not http://host:port", a.VM, a.Address)
 	}
+	if port := address.Port(); port != "" {
+		if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+			return fmt.Errorf("announcement of %s: address: port %q is not within 1 to 65535", a.VM, port)
+		}
+	}
 	return nil
 }
 
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -207,3 +207,17 @@
 		is.True(!report.Ejected) // the fault is not in single targets
 	}
 }
+
+// TestAnnouncedPort refuses addresses that no target can have.
+func TestAnnouncedPort(t *testing.T) {
+	for address, sound := range map[string]bool{
+		"http://127.0.0.1:1": true, "http://127.0.0.1": true, "http://127.0.0.1:65535": true,
+		"http://127.0.0.1:0": false, "http://127.0.0.1:65536": false, "http://127.0.0.1:-1": false,
+	} {
+		a := announcement("vm-1", 1)
+		a.Address = address
+		if err := a.validate(); (err == nil) != sound {
+			t.Errorf("%s: %v", address, err)
+		}
+	}
+}
