--- a/cmd/sapphireringd/role.go
+++ b/cmd/sapphireringd/role.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,12 +27,6 @@
 	memoryShare = 0.6
 )
 
-// roleDaemon is a daemon that serves jobs of steps on a platform.
-type roleDaemon interface {
-	Run(ctx context.Context) error
-	Reload(s *config.RoleSettings)
-}
-
 // runRole runs a core or edge daemon until a signal ends it.
 func runRole(path string) error {
 	writer := event.NewWriter(os.Stdout, time.Now)
@@ -45,24 +41,31 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	daemon, err := newRole(ctx, settings)
+	loaded := func() {
+		event.SettingsLoaded.Emit(event.F("role", settings.Role), event.F("name", settings.Name), event.F("zone", settings.Zone))
+	}
+	if settings.Role == config.RoleCore {
+		var running atomic.Pointer[server.Core]
+		watch := sync.OnceFunc(func() {
+			loaded()
+			go watchSettings(ctx, path, func(s *config.RoleSettings) { running.Load().Reload(s) })
+		})
+		return server.RunCore(ctx, settings, platform.New, func(c *server.Core) {
+			running.Store(c)
+			watch()
+		})
+	}
+	edge, err := server.NewEdge(settings, platform.New)
 	if err != nil {
 		return err
 	}
-	event.SettingsLoaded.Emit(event.F("role", settings.Role), event.F("name", settings.Name), event.F("zone", settings.Zone))
-	go watchSettings(ctx, path, daemon)
-	return daemon.Run(ctx)
-}
-
-func newRole(ctx context.Context, s *config.RoleSettings) (roleDaemon, error) {
-	if s.Role == config.RoleCore {
-		return server.NewCore(ctx, s, platform.New)
-	}
-	return server.NewEdge(s, platform.New)
+	loaded()
+	go watchSettings(ctx, path, edge.Reload)
+	return edge.Run(ctx)
 }
 
 // watchSettings reloads the settings on SIGHUP and when the file changes.
-func watchSettings(ctx context.Context, path string, daemon roleDaemon) {
+func watchSettings(ctx context.Context, path string, reload func(*config.RoleSettings)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -93,7 +96,7 @@
 			event.SettingsInvalid.Emit(event.Err(err))
 			continue
 		}
-		daemon.Reload(settings)
+		reload(settings)
 		event.SettingsLoaded.Emit(event.F("role", settings.Role), event.F("name", settings.Name), event.F("zone", settings.Zone))
 	}
 }
--- a/internal/driver/rounds.go
+++ b/internal/driver/rounds.go
@@ -52,12 +52,9 @@
 	if now.Sub(r.reported) < roundsInterval {
 		return
 	}
-	fields := []event.Field{
-		event.F("rounds", r.count), event.F("starts", r.starts), event.F("ends", r.ends), event.F("longest_ms", r.longest.Milliseconds()),
-	}
-	for p, took := range r.parts {
-		fields = append(fields, event.F(partNames[p]+"_ms", took.Milliseconds()))
-	}
-	event.DriverRounds.Emit(fields...)
+	ms := func(p part) int64 { return r.parts[p].Milliseconds() }
+	event.DriverRounds.Emit(event.F("rounds", r.count), event.F("starts", r.starts), event.F("ends", r.ends), event.F("longest_ms", r.longest.Milliseconds()),
+		event.F("check_ms", ms(partCheck)), event.F("ends_ms", ms(partEnds)), event.F("plan_ms", ms(partPlan)), event.F("starts_ms", ms(partStarts)),
+		event.F("waves_ms", ms(partWaves)), event.F("pools_ms", ms(partPools)), event.F("pace_ms", ms(partPace)))
 	*r = rounds{reported: now}
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,7 @@
 	MemberAdded       = define(2006, log.InfoLevel, "member joined as learner", "")
 	VoterPromoted     = define(2007, log.InfoLevel, "member promoted to voter", "")
 	MemberRemoved     = define(2008, log.InfoLevel, "member removed", "")
+	MemberGivesUpLog  = define(2010, log.WarnLevel, "member was removed while it was away, it gives up its log and joins anew", "")
 	ClusterRecovered  = define(2009, log.WarnLevel, "data folder made the only voter of a new cluster", "Wipe the former members' data folders and let them join.")
 )
 
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -41,6 +41,32 @@
 	slowSave = 90 * time.Millisecond
 )
 
+// errRemoved tells that the daemon is no member any more: a spare has replaced it while it
+// was away.
+var errRemoved = errors.New("the member was removed while it was away")
+
+// RunCore serves as a core daemon until ctx ends; started is told of each Core. A member that
+// was removed while it was away gives up its log, which counts for nothing any more, and joins
+// anew.
+func RunCore(ctx context.Context, s *config.RoleSettings, newAdapter NewAdapter, started func(*Core)) error {
+	settings := *s
+	for {
+		c, err := NewCore(ctx, &settings, newAdapter)
+		if err != nil {
+			return err
+		}
+		started(c)
+		if err = c.Run(ctx); !errors.Is(err, errRemoved) {
+			return err
+		}
+		event.MemberGivesUpLog.Emit(event.F("member", c.identity.MemberID))
+		if err := os.RemoveAll(settings.DataFolder); err != nil {
+			return fmt.Errorf("give up the log of a removed member: %w", err)
+		}
+		settings.Seeds, settings.Found = c.gateway.knownSeeds(), false
+	}
+}
+
 // Core is a daemon that keeps the log and, while it leads, drives the targets.
 type Core struct {
 	settings *config.RoleSettings
@@ -97,6 +123,13 @@
 		return nil, err
 	}
 	c.gateway.local = c.serveLocal
+	c.gateway.member = func() string { return c.identity.MemberID }
+	c.gateway.removed = func() {
+		select {
+		case c.fatal <- errRemoved:
+		default:
+		}
+	}
 	c.links = &wire.Server{Listener: listener, Handler: c.serveStream}
 	return c, c.listen()
 }
@@ -228,7 +261,7 @@
 		}
 		var refused *wire.CallError
 		if errors.As(err, &refused) {
-			c.gateway.setLeader(refused.LeaderAddress)
+			c.gateway.takeRefusal(refused)
 		} else {
 			c.gateway.forgetLeader(address)
 		}
@@ -357,14 +390,16 @@
 		return nil, false
 	}
 	if r.Operation == workflowpb.Operation_OPERATION_MEMBERS {
-		return c.memberList(), true
+		return c.memberList(ctx, r.Member), true
 	}
 	response := d.Serve(ctx, r)
 	response.AnnounceAddress = c.settings.Listen.Control
 	return response, true
 }
 
-func (c *Core) memberList() *workflowpb.Response {
+// memberList answers the list of members, and whether the one that asks was removed: only
+// once that cannot be undone, since it gives up its log then.
+func (c *Core) memberList(ctx context.Context, asks string) *workflowpb.Response {
 	response := &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_OK}
 	if !c.node.HoldsLease() {
 		response.Answer, response.Reason = workflowpb.Answer_ANSWER_NOT_READY, driver.ErrNoLease.Error()
@@ -372,6 +407,10 @@
 	for _, member := range c.membership.Load().GetMembers() {
 		response.CoreAddresses = append(response.CoreAddresses, member.Address)
 	}
+	if asks != "" && response.Answer == workflowpb.Answer_ANSWER_OK && replica.WasRemoved(c.membership.Load(), asks) {
+		status, err := c.node.Status(ctx)
+		response.Removed = err == nil && status.MembershipCommitted && replica.WasRemoved(status.Membership, asks)
+	}
 	return response
 }
 
@@ -420,6 +459,9 @@
 
 func (c *Core) notLeader() *wirepb.CallResponse {
 	response := failure(wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, replica.ErrNotLeader)
+	for _, member := range c.membership.Load().GetMembers() {
+		response.MemberAddresses = append(response.MemberAddresses, member.Address)
+	}
 	if id := c.leader.Load(); id != nil && *id != c.identity.MemberID {
 		response.LeaderAddress = replica.FindMember(c.membership.Load(), *id).GetAddress()
 	}
@@ -461,7 +503,7 @@
 	c.cancel()
 	c.running.Wait()
 	c.log.Interrupt()
-	if err == nil {
+	if err == nil || errors.Is(err, errRemoved) {
 		c.node.Stop()
 	}
 	for _, server := range c.servers {
--- a/internal/server/core_test.go
+++ b/internal/server/core_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 func (nullAdapter) Callers(Requester) http.Handler       { return http.NotFoundHandler() }
 func (nullAdapter) Control(Requester) http.Handler       { return http.NotFoundHandler() }
 func (nullAdapter) Health(func() bool) http.Handler      { return http.NotFoundHandler() }
-func (nullAdapter) Targets() driver.TargetClient         { return nil }
+func (nullAdapter) Targets() driver.TargetClient         { return standin.NewStepFleet(time.Second) }
 func (nullAdapter) Advice() driver.AdviceClient          { return nil }
 func (nullAdapter) VMs() driver.VMClient                 { return standin.NoVMs{} }
 func newNullAdapter(*config.RoleSettings) (none Adapter) { return nullAdapter{} }
@@ -34,7 +35,7 @@
 // coreNode is one core daemon of a test.
 type coreNode struct {
 	settings *config.RoleSettings
-	core     *Core
+	core     atomic.Pointer[Core]
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
@@ -80,23 +81,31 @@
 	return c
 }
 
+// start returns once the daemon is up: one with an empty disk when it has joined.
 func (c *coreCluster) start(n *coreNode) {
 	c.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel, n.done = cancel, make(chan struct{})
-	core, err := NewCore(ctx, n.settings, newNullAdapter)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	n.core = core
+	done, up := make(chan struct{}), make(chan struct{}, 2)
+	n.cancel, n.done = cancel, done
 	go func() {
-		defer close(n.done)
-		if err := core.Run(ctx); err != nil {
+		defer close(done)
+		err := RunCore(ctx, n.settings, newNullAdapter, func(core *Core) {
+			n.core.Store(core)
+			up <- struct{}{}
+		})
+		if err != nil && ctx.Err() == nil {
 			c.t.Error(err)
 		}
 	}()
+	select {
+	case <-up:
+	case <-done:
+	}
 }
 
+// running is the daemon as it runs now: one that joins anew is another one.
+func (n *coreNode) running() *Core { return n.core.Load() }
+
 func (n *coreNode) stop() {
 	if n.cancel != nil {
 		n.cancel()
@@ -107,8 +116,8 @@
 
 // kill ends the daemon without a hand-over.
 func (n *coreNode) kill() {
-	n.core.links.Close()
-	n.core.peers.Close()
+	n.running().links.Close()
+	n.running().peers.Close()
 	n.stop()
 }
 
@@ -125,7 +134,7 @@
 func (c *coreCluster) put(n *coreNode, version uint64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	response := n.core.gateway.Do(ctx, &workflowpb.Request{
+	response := n.running().gateway.Do(ctx, &workflowpb.Request{
 		Operation: workflowpb.Operation_OPERATION_PUT_CATALOGUE,
 		Catalogue: &workflowpb.Catalogue{Version: version, Source: fmt.Appendf(nil, "version %d", version)},
 	})
@@ -139,14 +148,14 @@
 func (c *coreCluster) read(n *coreNode) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	response := n.core.gateway.Do(ctx, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_GET_CATALOGUE})
+	response := n.running().gateway.Do(ctx, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_GET_CATALOGUE})
 	return string(response.Source)
 }
 
 // voters returns the identities of the voters as a node knows them.
 func (n *coreNode) voters() map[string]bool {
 	out := make(map[string]bool)
-	for _, member := range n.core.membership.Load().GetMembers() {
+	for _, member := range n.running().membership.Load().GetMembers() {
 		if member.Role == wirepb.Role_ROLE_VOTER {
 			out[member.Id] = true
 		}
@@ -181,7 +190,7 @@
 		is.NoErr(os.RemoveAll(n.settings.DataFolder))
 		n.settings.Found = false
 		c.start(n)
-		id := n.core.identity.MemberID
+		id := n.running().identity.MemberID
 		c.eventually("the wiped voter votes again", 10*time.Second, func() bool {
 			voters := n.voters()
 			return voters[id] && len(voters) == 3
@@ -209,7 +218,7 @@
 		n.settings.Found = false
 		c.eventually("the others have a leader", 10*time.Second, func() bool {
 			for _, other := range c.nodes {
-				if other != n && other.core.node.HoldsLease() {
+				if other != n && other.running().node.HoldsLease() {
 					return true
 				}
 			}
@@ -217,7 +226,7 @@
 		})
 		began := time.Now()
 		c.start(n)
-		id := n.core.identity.MemberID
+		id := n.running().identity.MemberID
 		c.eventually("the wiped voter votes again", catchUpTarget-time.Since(began), func() bool {
 			voters := n.voters()
 			return voters[id] && len(voters) == 3
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -33,6 +33,8 @@
 	// cutWait is when a caller should come back while this daemon is cut off: the
 	// next connection may go to another daemon, or to another zone.
 	cutWait = time.Second
+	// maxHearsay bounds the addresses learned from daemons that do not lead.
+	maxHearsay = 32
 	// memberInterval is how often the member list is asked for, memberTry bounds
 	// one call.
 	memberInterval, memberTry = 400 * time.Millisecond, 300 * time.Millisecond
@@ -44,14 +46,21 @@
 	dialer *wire.Dialer
 	// name tells core daemons who calls.
 	name string
+	// member returns the identity of a core daemon, and removed is told once that the leader
+	// has taken it out of the member list; nil at the edge.
+	member  func() string
+	removed func()
 	// local serves requests of a core daemon to itself; nil at the edge.
 	local func(context.Context, *workflowpb.Request) (*workflowpb.Response, bool)
 
-	mu     sync.Mutex
-	seeds  []string
-	cores  []string
-	leader string
-	next   int
+	mu    sync.Mutex
+	seeds []string
+	cores []string
+	// hearsay holds addresses of core daemons from those that do not lead: where seeds have
+	// lost their disks, nobody else tells of the leader.
+	hearsay []string
+	leader  string
+	next    int
 	// reached is when the leader last answered, connected when it or a majority
 	// of the core daemons did.
 	reached   time.Time
@@ -71,6 +80,20 @@
 	g.seeds = slices.Clone(seeds)
 }
 
+// knownSeeds returns the newest seeds, with all else that is known of the core: a daemon that
+// joins anew may find a leader that is none of the seeds.
+func (g *Gateway) knownSeeds() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	seeds := slices.Clone(g.seeds)
+	for _, address := range slices.Concat(g.cores, g.hearsay) {
+		if !slices.Contains(seeds, address) {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
+}
+
 // cutOff reports whether this daemon was connected and is not any more.
 func (g *Gateway) cutOff() bool {
 	g.mu.Lock()
@@ -86,7 +109,7 @@
 	if g.leader != "" {
 		return g.leader
 	}
-	known := append(slices.Clone(g.cores), g.seeds...)
+	known := slices.Concat(g.cores, g.seeds, g.hearsay)
 	if others := slices.DeleteFunc(slices.Clone(known), func(address string) bool { return address == g.name }); len(others) > 0 {
 		known = others
 	}
@@ -100,6 +123,19 @@
 	g.leader = address
 }
 
+// takeRefusal learns from a daemon that does not lead.
+func (g *Gateway) takeRefusal(refused *wire.CallError) {
+	g.setLeader(refused.LeaderAddress)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, address := range refused.MemberAddresses {
+		known := slices.Contains(g.hearsay, address) || slices.Contains(g.cores, address) || slices.Contains(g.seeds, address)
+		if !known && len(g.hearsay) < maxHearsay {
+			g.hearsay = append(g.hearsay, address)
+		}
+	}
+}
+
 // forgetLeader drops a leader that did not answer, unless another is known by now.
 func (g *Gateway) forgetLeader(address string) {
 	g.mu.Lock()
@@ -215,7 +251,7 @@
 	})
 	var refused *wire.CallError
 	if errors.As(err, &refused) {
-		g.setLeader(refused.LeaderAddress)
+		g.takeRefusal(refused)
 		return nil, false, err
 	}
 	if err != nil {
@@ -238,7 +274,11 @@
 func (g *Gateway) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		step, cancel := context.WithTimeout(ctx, memberTry)
-		response, _, err := g.try(step, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS})
+		request := &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS}
+		if g.member != nil {
+			request.Member = g.member()
+		}
+		response, _, err := g.try(step, request)
 		cancel()
 		if err == nil && response.Answer == workflowpb.Answer_ANSWER_NOT_READY {
 			err = errors.New(response.Reason)
@@ -246,8 +286,11 @@
 		pause := memberInterval
 		if err == nil {
 			g.mu.Lock()
-			g.cores = response.CoreAddresses
+			g.cores, g.hearsay = response.CoreAddresses, nil
 			g.mu.Unlock()
+			if response.Removed && g.removed != nil {
+				g.removed()
+			}
 		} else {
 			pause = 3 * gatewayPause
 			g.noteLost(err)
--- /dev/null
+++ b/internal/server/lost_seeds_test.go
@@ -0,0 +1,118 @@
+package server
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/config"
+)
+
+// withSpares adds core daemons that are no seeds: one a zone, as on the users' grown sites.
+func (c *coreCluster) withSpares() {
+	for _, n := range c.nodes[:3] {
+		settings := *n.settings
+		settings.Name += "-spare"
+		settings.DataFolder = filepath.Join(c.t.TempDir(), "data")
+		settings.Listen = config.RoleListen{Control: freeAddress(c.t), Peers: freeAddress(c.t)}
+		settings.Found = false
+		spare := &coreNode{settings: &settings}
+		c.nodes = append(c.nodes, spare)
+		c.start(spare)
+	}
+	c.eventually("five of six vote", 10*time.Second, func() bool { return len(c.leader().voters()) == 5 })
+}
+
+// leader returns the daemon that leads, or the first one.
+func (c *coreCluster) leader() *coreNode {
+	for _, n := range c.nodes {
+		if n.cancel != nil && n.running().node.HoldsLease() {
+			return n
+		}
+	}
+	return c.nodes[0]
+}
+
+// startAll starts the daemons that are stopped, all at once: one with an empty disk comes up
+// only when it has joined.
+func (c *coreCluster) startAll(within time.Duration, nodes ...*coreNode) {
+	c.t.Helper()
+	up := make(chan struct{}, len(nodes))
+	for _, n := range nodes {
+		go func() {
+			c.start(n)
+			up <- struct{}{}
+		}()
+	}
+	deadline := time.After(within)
+	for range nodes {
+		select {
+		case <-up:
+		case <-deadline:
+			c.t.Fatalf("not all daemons are up within %s", within)
+		}
+	}
+}
+
+// TestLostSeedsFindTheLeader loses one seed for long enough that a spare replaces it, then
+// all power and with it the disks of the two other seeds: the seed that kept its disk is no
+// member any more, and no seed knows a leader. All find it, and nothing is lost.
+func TestLostSeedsFindTheLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCoreCluster(t, 3)
+	c.withSpares()
+	is.NoErr(c.put(c.nodes[0], 1))
+	former := c.nodes[0].running().identity.MemberID
+	c.nodes[0].kill()
+	c.eventually("a spare votes in place of the lost seed", replaceAfter+10*time.Second, func() bool {
+		voters := c.leader().voters()
+		return len(voters) == 5 && !voters[former]
+	})
+	is.NoErr(c.put(c.nodes[1], 2))
+	for _, n := range c.nodes[1:] {
+		n.kill()
+	}
+	for _, n := range c.nodes[1:3] {
+		is.NoErr(os.RemoveAll(n.settings.DataFolder))
+	}
+	for _, n := range c.nodes {
+		n.settings.Found = false
+	}
+	began := time.Now()
+	c.startAll(recoverTime, c.nodes...)
+	for _, n := range c.nodes {
+		c.eventually("the version is read back", recoverTime-time.Since(began), func() bool { return c.read(n) == "version 2" })
+	}
+	is.NoErr(c.put(c.nodes[1], 3))
+	c.eventually("all are members", recoverTime, func() bool {
+		list := c.leader().running().membership.Load().GetMembers()
+		return len(list) == 6 && len(c.leader().voters()) == 5
+	})
+}
+
+// TestRemovedMemberJoinsAnew keeps a voter away until a spare has replaced it: it comes back as
+// a new member without a hand at its disk.
+func TestRemovedMemberJoinsAnew(t *testing.T) {
+	is := is.New(t)
+	c := newCoreCluster(t, 3)
+	c.withSpares()
+	is.NoErr(c.put(c.nodes[0], 1))
+	away := c.nodes[0]
+	former := away.running().identity.MemberID
+	away.kill()
+	c.eventually("a spare votes in its place", replaceAfter+10*time.Second, func() bool {
+		voters := c.leader().voters()
+		return len(voters) == 5 && !voters[former]
+	})
+	away.settings.Found = false
+	c.startAll(recoverTime, away)
+	c.eventually("it is a member again", recoverTime, func() bool {
+		list := c.leader().running().membership.Load().GetMembers()
+		return len(list) == 6
+	})
+	c.eventually("it reads what was accepted", recoverTime, func() bool { return c.read(away) == "version 1" })
+	is.True(away.running().identity.MemberID != former)
+}
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -22,6 +22,8 @@
 	Message       string
 	Peer          string
 	LeaderAddress string
+	// MemberAddresses are those of the members that the peer knows if it does not lead.
+	MemberAddresses []string
 }
 
 // Error names the peer and the reason.
@@ -50,7 +52,7 @@
 	if response.ErrorCode != wirepb.ErrorCode_ERROR_CODE_NONE {
 		return nil, true, &CallError{
 			Code: response.ErrorCode, Message: response.ErrorMessage, Peer: address,
-			LeaderAddress: response.LeaderAddress,
+			LeaderAddress: response.LeaderAddress, MemberAddresses: response.MemberAddresses,
 		}
 	}
 	return response, true, nil
