--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -116,17 +116,26 @@
 	}
 	atOnce := d.atOnce(w, len(left)+len(ordered))
 	d.cordonNext(w, left, atOnce-len(ordered))
-	if len(ordered) < atOnce {
-		for _, vm := range left {
-			if !d.waves.cordoned[vm] || !d.emptied(vm) {
-				continue
-			}
-			if d.mayGoDown(vm) {
-				d.order(w, vm)
-				break
-			}
-			d.evacuate(vm)
+	down := len(ordered)
+	for _, vm := range left {
+		if d.waves.calling[vm] {
+			down++
+		}
+	}
+	for _, vm := range left {
+		if down >= atOnce {
+			return
+		}
+		if !d.waves.cordoned[vm] || d.waves.calling[vm] || !d.emptied(vm) {
+			continue
+		}
+		// VMs that are being ordered count as away, also for the next one here.
+		if d.mayGoDown(vm) {
+			d.order(w, vm)
+			down++
+			continue
 		}
+		d.evacuate(vm)
 	}
 }
 
--- a/internal/driver/waves_test.go
+++ b/internal/driver/waves_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -56,3 +58,42 @@
 		})
 	}
 }
+
+// countingPlatform takes every VM down and remembers when the last order came.
+type countingPlatform struct {
+	busyPlatform
+	mu      sync.Mutex
+	ordered map[string]bool
+	last    time.Time
+}
+
+func (p *countingPlatform) Maintain(_ context.Context, order driver.VMOrder, _ uint64) (driver.VMRefusal, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ordered[order.VM], p.last = true, time.Now()
+	return driver.VMAccepted, nil
+}
+
+// TestWideWaveIsOrderedInTime declares a wave that only ends in time if all its VMs go down
+// together: one order a round would take four seconds.
+func TestWideWaveIsOrderedInTime(t *testing.T) {
+	const vms, durationMS = 40, 1500
+	is := is.New(t)
+	r := newRig(t, "a")
+	platform := &countingPlatform{ordered: make(map[string]bool)}
+	r.vms = platform
+	r.lead()
+	wave := &pb.Wave{Id: 1, Cap: vms, DurationMs: durationMS}
+	for i := range vms {
+		wave.Vms = append(wave.Vms, fmt.Sprintf("vm-%d", i))
+	}
+	began := time.Now()
+	is.Equal(r.request(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}).Answer, pb.Answer_ANSWER_OK)
+	ordered := func() int {
+		platform.mu.Lock()
+		defer platform.mu.Unlock()
+		return len(platform.ordered)
+	}
+	r.eventually("all VMs are ordered down", testWait, func() bool { return ordered() == vms })
+	is.True(platform.last.Sub(began) < durationMS*time.Millisecond)
+}
