--- a/internal/policy/pools/need_test.go
+++ b/internal/policy/pools/need_test.go
@@ -154,3 +154,29 @@
 		t.Error("the need is no better than all that is there and comes")
 	}
 }
+
+// TestTurnOfLargeQueueShowsAtOnce begins a turn of 93 jobs a second: what will come is known
+// within two bins to three quarters at least, and a queue of few jobs is not taken for more than it is.
+func TestTurnOfLargeQueueShowsAtOnce(t *testing.T) {
+	const aheadMS, jobNeed = 1500, 7_000
+	arriving := func(perSecond, forMS int64) float64 {
+		var turns Turns
+		for at := int64(10_000); at < 20_000; at += 1000 {
+			turns.Note(at, Work{MillisMS: jobNeed * 1000, ChainMS: 1000, LeftMS: 1500})
+		}
+		begin := int64(20_000)
+		for at := begin; at < begin+forMS; at += 1000 / perSecond {
+			turns.Note(at, Work{MillisMS: jobNeed * 1000, ChainMS: 1000, LeftMS: 1500})
+		}
+		one := Work{MillisMS: jobNeed * 1000, ChainMS: 1000, LeftMS: 1500}.need()
+		return float64(turns.Arriving(begin+forMS, aheadMS)) / float64(one*perSecond*aheadMS/1000)
+	}
+	for _, test := range []struct {
+		perSecond, forMS int64
+		least, most      float64
+	}{{93, 400, 0.75, 1.2}, {93, 700, 0.8, 1.2}, {5, 700, 0, 1.5}, {25, 700, 0.5, 1.3}} {
+		if got := arriving(test.perSecond, test.forMS); got < test.least || got > test.most {
+			t.Errorf("%d jobs a second for %d ms: %.2f of what comes is expected", test.perSecond, test.forMS, got)
+		}
+	}
+}
--- a/internal/policy/pools/turns.go
+++ b/internal/policy/pools/turns.go
@@ -17,6 +17,8 @@
 	minOnsets = 3
 	// minRising is the number of jobs from which on a rise is more than chance.
 	minRising = 4
+	// minTelling is the number of jobs whose rate is known to a third by chance.
+	minTelling = 10
 	// maxOnsets bounds what is remembered of turns.
 	maxOnsets = 8
 )
@@ -53,16 +55,23 @@
 
 // Arriving returns the room that the work will ask for which comes within
 // aheadMS: as much as came in the same time before, or at the rate of the newer
-// half of it while a turn sets in.
+// half of it while a turn sets in. Where many jobs came in less than that, theirs is
+// the rate: a turn of a large queue shows within a bin.
 func (t *Turns) Arriving(nowMS, aheadMS int64) int64 {
 	t.advance(nowMS)
 	half := max(aheadMS/binMS/2, 1)
 	older, _ := t.arrived(t.last-2*half+1, t.last-half)
 	newer, jobs := t.arrived(t.last-half+1, t.last)
-	if jobs >= minRising && newer > older {
-		return 2 * newer
+	if jobs < minRising || newer <= older {
+		return older + newer
 	}
-	return older + newer
+	most := 2 * newer
+	for bins := half - 1; bins > 0; bins-- {
+		if newest, jobs := t.arrived(t.last-bins+1, t.last); jobs >= minTelling {
+			most = max(most, newest*2*half/bins)
+		}
+	}
+	return most
 }
 
 // arrived returns what came in the bins from first to last.
