--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -60,13 +61,27 @@
 			return err
 		}
 		event.MemberGivesUpLog.Emit(event.F("member", c.identity.MemberID))
-		if err := os.RemoveAll(settings.DataFolder); err != nil {
+		if err := removeContents(settings.DataFolder); err != nil {
 			return fmt.Errorf("give up the log of a removed member: %w", err)
 		}
 		settings.Seeds, settings.Found = c.gateway.knownSeeds(), false
 	}
 }
 
+// removeContents empties a folder that may be a mount.
+func removeContents(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Core is a daemon that keeps the log and, while it leads, drives the targets.
 type Core struct {
 	settings *config.RoleSettings
