--- a/figures.sh
+++ b/figures.sh
@@ -25,5 +25,7 @@
   go test -count=1 -v -run TestReplayShare ./test/replay
 section "buffer cost, roll-out time, VM moves, policy against baseline, per deployment and at target size" \
   go test -count=1 -v -run TestFleetTraces ./test/replay
+section "processor time of a task at the leader in a turn" \
+  go test -run '^$' -bench LeaderTurn -benchtime 1x -cpu 1 ./platform
 section "cost of one planning round" \
   go test -run '^$' -bench . ./internal/policy/placement ./internal/control ./test/replay
