--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -2,8 +2,9 @@
 // pure: the same snapshot gives the same plan. The load it answers: each queue
 // in its turn asks for more than its pool holds for some seconds, then for
 // almost nothing. Jobs that can still meet their objective come first, the
-// most urgent of them first; jobs that are late already use what is left, so
-// that one burst does not make all jobs behind it late. The tasks of a step go
+// most urgent of them first, as far as the pool has room for them (shed); jobs
+// that are late already use what is left, so that one burst does not make all
+// jobs behind it late. The tasks of a step go
 // to one availability zone where there is room, so that a zone that is cut off
 // holds up the jobs there and not a part of every job.
 package assign
