One list of member addresses for both answers that name them

The answer to who asks for the members and the refusal of a daemon that does not lead built the same list in two loops. A comment said that a removal is told once; it is told with each answer. No behaviour changes.

--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -419,9 +419,7 @@
 	if !c.node.HoldsLease() {
 		response.Answer, response.Reason = workflowpb.Answer_ANSWER_NOT_READY, driver.ErrNoLease.Error()
 	}
-	for _, member := range c.membership.Load().GetMembers() {
-		response.CoreAddresses = append(response.CoreAddresses, member.Address)
-	}
+	response.CoreAddresses = c.memberAddresses()
 	if asks != "" && response.Answer == workflowpb.Answer_ANSWER_OK && replica.WasRemoved(c.membership.Load(), asks) {
 		status, err := c.node.Status(ctx)
 		response.Removed = err == nil && status.MembershipCommitted && replica.WasRemoved(status.Membership, asks)
@@ -429,6 +427,15 @@
 	return response
 }
 
+// memberAddresses returns the addresses of the members that this daemon knows.
+func (c *Core) memberAddresses() []string {
+	var addresses []string
+	for _, member := range c.membership.Load().GetMembers() {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 // serveStream serves one stream of another daemon.
 func (c *Core) serveStream(hello *wirepb.Hello, stream net.Conn) {
 	switch hello.Kind {
@@ -474,9 +481,7 @@
 
 func (c *Core) notLeader() *wirepb.CallResponse {
 	response := failure(wirepb.ErrorCode_ERROR_CODE_NOT_LEADER, replica.ErrNotLeader)
-	for _, member := range c.membership.Load().GetMembers() {
-		response.MemberAddresses = append(response.MemberAddresses, member.Address)
-	}
+	response.MemberAddresses = c.memberAddresses()
 	if id := c.leader.Load(); id != nil && *id != c.identity.MemberID {
 		response.LeaderAddress = replica.FindMember(c.membership.Load(), *id).GetAddress()
 	}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -46,8 +46,8 @@
 	dialer *wire.Dialer
 	// name tells core daemons who calls.
 	name string
-	// member returns the identity of a core daemon, and removed is told once that the leader
-	// has taken it out of the member list; nil at the edge.
+	// member returns the identity of a core daemon, and removed is called each time that the
+	// leader answers that it was taken out of the member list; nil at the edge.
 	member  func() string
 	removed func()
 	// local serves requests of a core daemon to itself; nil at the edge.
