Log what the end of a run rests on: ages of grant, clock, listing and order

The hypotheses of the incident could not be told apart: 7034 did not say when the target was last heard of, 7040 not how old grant and clock were, 7052 and 7057 not when the order was sent, and 7013 not where the task is placed meanwhile. Announcements of an incarnation that counts as ended were dropped without a line; the first of them is 7090.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -90,7 +90,7 @@
 	lateStarts map[string][]lateStart
 	// endedIncarnations holds incarnations of targets that are certainly over, so that late
 	// announcements do not bring them back.
-	endedIncarnations map[incarnation]bool
+	endedIncarnations map[incarnation]*endedIncarnation
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
@@ -138,7 +138,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), startedAt: cfg.Now(),
 		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
-		endedIncarnations: make(map[incarnation]bool), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
+		endedIncarnations: make(map[incarnation]*endedIncarnation), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice:          make(map[workflow.TaskID]*stepAdvice),
 		waitsReportedAt: make(map[string]time.Time), waitSpans: make(map[workflow.TaskID]waitSpan),
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -126,6 +126,14 @@
 	}
 }
 
+// ageMS returns the time since an event in milliseconds; -1 if it has not happened.
+func ageMS(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 // requestListing ends the pause of listRuns while no listing is due.
 func (l *link) requestListing() {
 	select {
@@ -328,7 +336,7 @@
 // are over; a stop keeps the new one from accepting starts that are still in progress.
 func (d *Driver) beginIncarnation(old *link, target *pb.Target) *link {
 	event.TargetRestarted.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs), event.F("former", old.target.BornUnixMs))
-	d.endedIncarnations[old.incarnation()] = true
+	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
 	l.lastAnnounced = d.cfg.Now()
@@ -350,10 +358,17 @@
 	d.requestRound()
 }
 
+// noteEnded remembers that the incarnation of a link has ended.
+func (d *Driver) noteEnded(l *link) {
+	d.endedIncarnations[l.incarnation()] = &endedIncarnation{at: d.cfg.Now(), sequence: l.sequence}
+}
+
 // endIncarnation handles an incarnation that is certainly over, with all its runs.
 func (d *Driver) endIncarnation(l *link, reason string) {
-	event.IncarnationEnded.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason))
-	d.endedIncarnations[l.incarnation()] = true
+	now := d.cfg.Now()
+	event.IncarnationEnded.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason),
+		event.F("runs", d.runs.count(l.target.Id)), event.F("announced_age_ms", ageMS(l.lastAnnounced, now)), event.F("listed_age_ms", ageMS(l.answeredAt, now)))
+	d.noteEnded(l)
 	d.dropLink(l)
 	for r := range d.runs.on(l.target.Id) {
 		if r.born == l.target.BornUnixMs {
@@ -389,15 +404,19 @@
 		if now.Before(l.lapseAt) || l.failures == 0 && !d.missedAnnouncements(l) {
 			continue
 		}
-		lost := 0
+		lost, unanswered := 0, 0
 		for r := range d.runs.on(l.target.Id) {
 			if r.phase != runEnded && (r.born == l.target.BornUnixMs || d.startLeaseLapsed(r, now)) {
 				d.endRun(r, pb.EndKind_END_KIND_LOST, "the lease has lapsed without an answer")
 				lost++
+				if r.unanswered {
+					unanswered++
+				}
 			}
 		}
 		if lost > 0 {
-			event.LeaseLapsed.Emit(event.F("target", l.target.Id), event.F("runs", lost), event.F("failures", l.failures))
+			event.LeaseLapsed.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("runs", lost), event.F("failures", l.failures),
+				event.F("unanswered", unanswered), event.F("grant_age_ms", ageMS(l.lapseAt.Add(-d.leaseBound()), now)), event.F("clock_age_ms", ageMS(l.clockAt, now)))
 		}
 	}
 }
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -392,7 +392,7 @@
 		event.PlatformSilent.Emit(event.F("step", "move"), event.F("vm", vm), event.Err(err))
 		return
 	}
-	event.VMMoveAnswered.Emit(event.F("vm", vm), event.F("to", m.to), event.F("answer", refusal.String()))
+	event.VMMoveAnswered.Emit(event.F("vm", vm), event.F("to", m.to), event.F("answer", refusal.String()), event.F("sent_ms_ago", ageMS(m.sentAt, d.cfg.Now())))
 	d.vmDecisions.note(d.cfg.Now(), vm, "the platform answered the move to %s: %s", m.to, refusal)
 	switch refusal {
 	case VMAccepted:
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -34,7 +34,8 @@
 // committed target must change.
 func (d *Driver) handleAnnouncement(r *pb.Request) bool {
 	target := r.Target
-	if d.endedIncarnations[incarnation{target.Id, target.BornUnixMs}] {
+	if ended := d.endedIncarnations[incarnation{target.Id, target.BornUnixMs}]; ended != nil {
+		d.noteEndedSeen(ended, target, r.Sequence)
 		return false
 	}
 	l := d.links[target.Id]
@@ -68,6 +69,26 @@
 	return d.targetChanged(target)
 }
 
+// endedIncarnation is what is remembered of an incarnation that was taken to have ended.
+type endedIncarnation struct {
+	at time.Time
+	// sequence is the number of its last announcement before its end.
+	sequence uint64
+	// seen is set once a later announcement of it was logged.
+	seen bool
+}
+
+// noteEndedSeen logs the first announcement that an incarnation sent after the one that was
+// the last before its end.
+func (d *Driver) noteEndedSeen(ended *endedIncarnation, target *pb.Target, sequence uint64) {
+	if ended.seen || sequence <= ended.sequence {
+		return
+	}
+	ended.seen = true
+	event.EndedIncarnationSeen.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs),
+		event.F("ended_ms_ago", ageMS(ended.at, d.cfg.Now())), event.F("leaving", target.Leaving), event.F("sequence", sequence), event.F("last_sequence", ended.sequence))
+}
+
 // targetChanged reports whether the committed target differs from the announced one.
 func (d *Driver) targetChanged(target *pb.Target) bool {
 	changed := false
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"sapphirering/internal/event"
@@ -424,7 +425,15 @@
 // stopUnplaced stops a run that the state does not place on the target: its start took
 // effect late, when the task was already placed elsewhere.
 func (d *Driver) stopUnplaced(l *link, running *Running) {
-	event.UnplacedStopped.Emit(event.F("task", running.Task.String()), event.F("attempt", running.Attempt), event.F("target", l.target.Id))
+	var placedOn []string
+	newest := uint32(0)
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if task := v.Task(running.Task); task != nil {
+			placedOn, newest = task.Targets(), task.Attempt
+		}
+	})
+	event.UnplacedStopped.Emit(event.F("task", running.Task.String()), event.F("attempt", running.Attempt), event.F("target", l.target.Id),
+		event.F("born", l.target.BornUnixMs), event.F("percent", running.Percent), event.F("newest_attempt", newest), event.F("placed_on", strings.Join(placedOn, " ")))
 	to, id := l.address(), runID{running.Task, running.Attempt}
 	d.background(func() {
 		// A failed stop is sent again after the next listing.
@@ -515,7 +524,7 @@
 	}
 	l := d.links[r.target]
 	if l == nil {
-		if d.endedIncarnations[incarnation{r.target, r.born}] {
+		if d.endedIncarnations[incarnation{r.target, r.born}] != nil {
 			// The start was committed while the target's incarnation was ending.
 			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
 		}
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -448,7 +448,8 @@
 		event.PlatformSilent.Emit(event.F("step", "maintenance"), event.F("vm", vm), event.Err(err))
 		return
 	}
-	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()))
+	now := d.cfg.Now()
+	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()), event.F("sent_ms_ago", ageMS(d.waves.lastOrderAt[vm], now)))
 	d.vmDecisions.note(d.cfg.Now(), vm, "the platform answered the maintenance of wave %d: %s", wave, refusal)
 	if refusal != VMBusy {
 		delete(d.waves.busy, vm)
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -28,18 +28,19 @@
 
 // Events of the driver and its targets.
 var (
-	DriverStarted       = define(7030, log.InfoLevel, "driver started, this daemon leads", "")
-	DriverStopped       = define(7031, log.InfoLevel, "driver stopped, this daemon no longer leads", "")
-	TargetFound         = define(7032, log.InfoLevel, "target announced itself to the leader", "")
-	TargetRestarted     = define(7033, log.InfoLevel, "target was restarted as a new incarnation", "")
-	IncarnationEnded    = define(7034, log.InfoLevel, "incarnation of a target has ended", "")
-	TargetLeaves        = define(7035, log.InfoLevel, "target is leaving, no more tasks are started on it", "")
-	TargetSilent        = define(7036, log.WarnLevel, "target gave no answer, no tasks are started on it until it answers", "")
-	TargetAnswers       = define(7037, log.InfoLevel, "target answers again", "")
-	TargetExcluded      = define(7038, log.WarnLevel, "target fails the tasks placed on it, excluded from placement for a while", "Check the target's own log.")
-	ListingRefused      = define(7039, log.WarnLevel, "target refused to list its runs", "")
-	LeaseLapsed         = define(7040, log.WarnLevel, "lease of a target without an answer has expired, its runs are lost", "")
-	RegisterUncommitted = define(7041, log.WarnLevel, "registration or removal of a target could not be committed", "")
+	DriverStarted        = define(7030, log.InfoLevel, "driver started, this daemon leads", "")
+	DriverStopped        = define(7031, log.InfoLevel, "driver stopped, this daemon no longer leads", "")
+	TargetFound          = define(7032, log.InfoLevel, "target announced itself to the leader", "")
+	TargetRestarted      = define(7033, log.InfoLevel, "target was restarted as a new incarnation", "")
+	IncarnationEnded     = define(7034, log.InfoLevel, "incarnation of a target has ended", "")
+	TargetLeaves         = define(7035, log.InfoLevel, "target is leaving, no more tasks are started on it", "")
+	TargetSilent         = define(7036, log.WarnLevel, "target gave no answer, no tasks are started on it until it answers", "")
+	TargetAnswers        = define(7037, log.InfoLevel, "target answers again", "")
+	TargetExcluded       = define(7038, log.WarnLevel, "target fails the tasks placed on it, excluded from placement for a while", "Check the target's own log.")
+	ListingRefused       = define(7039, log.WarnLevel, "target refused to list its runs", "")
+	EndedIncarnationSeen = define(7090, log.WarnLevel, "incarnation of a target that was taken to have ended announces itself", "")
+	LeaseLapsed          = define(7040, log.WarnLevel, "lease of a target without an answer has expired, its runs are lost", "")
+	RegisterUncommitted  = define(7041, log.WarnLevel, "registration or removal of a target could not be committed", "")
 )
 
 // Events of maintenance waves, moves and pools of the platform's VMs.
