--- /dev/null
+++ b/internal/driver/orders_test.go
@@ -0,0 +1,83 @@
+package driver
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// slowPlatform answers each order for a VM once it is released; it accepts all of them.
+type slowPlatform struct{ release chan struct{} }
+
+func (p slowPlatform) List(context.Context) ([]VM, error) { return nil, nil }
+
+func (p slowPlatform) Move(context.Context, VMOrder, string) (VMRefusal, error) {
+	<-p.release
+	return VMAccepted, nil
+}
+
+func (p slowPlatform) Maintain(context.Context, VMOrder, uint64) (VMRefusal, error) {
+	<-p.release
+	return VMAccepted, nil
+}
+
+// leaseOnlyLog holds the leader's lease and commits nothing.
+type leaseOnlyLog struct{}
+
+func (leaseOnlyLog) Commit(context.Context, *pb.Command) (*workflow.Outcome, error) {
+	return nil, context.DeadlineExceeded
+}
+
+func (leaseOnlyLog) HoldsLease() bool { return true }
+
+// TestOrderAnswerAfterNextIncarnation answers an order for a VM after the VM's next
+// incarnation has announced itself and got a run: only the incarnation that the order was for
+// is over.
+func TestOrderAnswerAfterNextIncarnation(t *testing.T) {
+	const vm, former, next = "vm-t0", "t0", "next"
+	wave := &pb.Wave{Id: 1, Vms: []string{vm}, Ordered: []string{vm}}
+	for _, test := range []struct {
+		name  string
+		order func(d *Driver, now time.Time)
+		// formerEnds is whether the answer shows that the former incarnation is over.
+		formerEnds bool
+	}{
+		{"move", func(d *Driver, now time.Time) {
+			d.pools.moving[vm] = &move{to: "other"}
+			d.orderMove(vm, now)
+		}, true},
+		// A former leader may have ordered it, so that it may be over already: the platform
+		// accepts the order again.
+		{"maintenance that a former leader ordered", func(d *Driver, _ time.Time) {
+			d.advanceMaintenance(wave, vm)
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newTestDriver(t, time.Now)
+			platform := slowPlatform{make(chan struct{})}
+			d.cfg.VMs, d.cfg.Log, d.fleet.vms = platform, leaseOnlyLog{}, make(map[string]VM)
+			for _, l := range d.links {
+				l.cancel = func() {}
+			}
+			d.mu.Lock()
+			test.order(d, time.Now())
+			d.links[next] = &link{target: &pb.Target{Id: next, BornUnixMs: 2, Pool: "other", Vm: vm}, cancel: func() {}}
+			started := &run{task: workflow.TaskID{Job: "k"}, attempt: 1, target: next, born: 2, phase: runConfirmed}
+			d.addRun(started)
+			d.mu.Unlock()
+			close(platform.release)
+			d.running.Wait()
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			is.True(d.links[next] != nil) // the next incarnation stays
+			is.Equal(started.phase, runConfirmed)
+			is.Equal(d.links[former] == nil, test.formerEnds)
+		})
+	}
+}
--- a/internal/driver/waves_test.go
+++ b/internal/driver/waves_test.go
@@ -11,6 +11,7 @@
 
 	"sapphirering/internal/driver"
 	pb "sapphirering/internal/workflow/workflowpb"
+	"sapphirering/test/standin"
 )
 
 // busyPlatform answers busy to every order and lists the given VMs.
@@ -97,3 +98,62 @@
 	r.eventually("all VMs are ordered down", testWait, func() bool { return ordered() == vms })
 	is.True(platform.last.Sub(began) < durationMS*time.Millisecond)
 }
+
+// restartingPlatform carries out the maintenance of the VM of target "a" at once: target "a2"
+// starts there. The first order gets no answer; later ones are accepted, since the
+// maintenance is over, but only once answer is closed.
+type restartingPlatform struct {
+	busyPlatform
+	fleet  *standin.StepFleet
+	once   sync.Once
+	answer chan struct{}
+}
+
+func (p *restartingPlatform) Maintain(ctx context.Context, _ driver.VMOrder, _ uint64) (driver.VMRefusal, error) {
+	first := false
+	p.once.Do(func() {
+		p.fleet.RestartVM("a", "a2")
+		first = true
+	})
+	if !first {
+		select {
+		case <-p.answer:
+			return driver.VMAccepted, nil
+		case <-ctx.Done():
+		}
+	}
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// TestMaintenanceOrderedByFormerLeader changes the leader between an order for maintenance and
+// its answer. By the time that the platform accepts the new leader's order, the VM is back:
+// what runs there does not run a second time.
+func TestMaintenanceOrderedByFormerLeader(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a", "b")
+	platform := &restartingPlatform{fleet: r.fleet, answer: make(chan struct{})}
+	r.vms = platform
+	r.startLeader()
+	wave := &pb.Wave{Id: 1, Vms: []string{"vm-a"}, Cap: 1, DurationMs: 20_000}
+	is.Equal(r.request(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}).Answer, pb.Answer_ANSWER_OK)
+	r.eventually("the VM restarts", testWait, func() bool { return r.fleet.Exists("a2") })
+	r.startLeader()
+	r.fleet.ChangeAll(func(t *standin.StepTarget) { t.Work = time.Hour })
+	r.submit("j", 8)
+	r.eventually("some tasks run", testWait, func() bool { return r.fleet.Running("b") == 4 })
+	time.Sleep(500 * time.Millisecond)
+	r.fleet.Add("c") // has room for a second run of each task on a2
+	close(platform.answer)
+	complete := func() bool {
+		return r.request(&pb.Request{Operation: pb.Operation_OPERATION_GET_WAVE, Wave: wave}).Complete
+	}
+	r.eventually("the wave ends", testWait, complete)
+	time.Sleep(500 * time.Millisecond)
+	r.reportFaults()
+	// The VM takes starts again.
+	r.fleet.ChangeAll(func(t *standin.StepTarget) { t.Work = 50 * time.Millisecond })
+	r.waitDone("j")
+	is.True(r.fleet.Started("a2") > 0)
+	r.reportFaults()
+}
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -24,7 +24,7 @@
 // StepTarget is a stand-in target for tasks of steps, with fences, leases that
 // expire, refusals, and numbered ends that are listed until the leader confirms them.
 type StepTarget struct {
-	id         string
+	id, vm     string
 	bornUnixMS int64
 	// Work is how long a run takes, Room how many can run at once.
 	Work time.Duration
@@ -98,7 +98,7 @@
 
 func (f *StepFleet) add(id string, born int64) *StepTarget {
 	t := &StepTarget{
-		id: id, bornUnixMS: born, Work: 60 * time.Millisecond, Room: 4, clockStart: time.Now(),
+		id: id, vm: "vm-" + id, bornUnixMS: born, Work: 60 * time.Millisecond, Room: 4, clockStart: time.Now(),
 		running: make(map[workflow.TaskID]stepRun), blockedUpTo: make(map[workflow.TaskID]uint32),
 	}
 	f.targets[id] = t
@@ -146,6 +146,19 @@
 	f.add(id, old.bornUnixMS+restartGapMS)
 }
 
+// RestartVM ends the target with the given id; another one, with an id of its own, starts on
+// its VM.
+func (f *StepFleet) RestartVM(id, next string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.targets[id]
+	for task := range old.running {
+		delete(f.runningOn[task], id)
+	}
+	old.Replaced = true
+	f.add(next, old.bornUnixMS+restartGapMS).vm = old.vm
+}
+
 // exchange delivers a call with the network faults that the test has set for the target.
 //
 // A delayed start or stop reaches the incarnation that exists by then. A delayed listing
@@ -393,6 +406,13 @@
 	}
 }
 
+// Exists reports whether a target with the id was ever added.
+func (f *StepFleet) Exists(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets[id] != nil
+}
+
 // Running returns how many runs are on a target.
 func (f *StepFleet) Running(id string) int {
 	f.mu.Lock()
@@ -432,7 +452,7 @@
 		requests = append(requests, &pb.Request{
 			Operation: pb.Operation_OPERATION_ANNOUNCE, TargetClockMs: t.clock(), Sequence: uint64(time.Now().UnixNano()),
 			Target: &pb.Target{
-				Id: t.id, Address: t.id, BornUnixMs: t.bornUnixMS, Pool: pool, Zone: "a", Vm: "vm-" + t.id,
+				Id: t.id, Address: t.id, BornUnixMs: t.bornUnixMS, Pool: pool, Zone: "a", Vm: t.vm,
 				Labels: []string{"kind", "rack"}, Capacity: &pb.Resources{CpuMillis: room * 1000, MemoryMb: 1000},
 			},
 		})
