An order for a VM ends the incarnations that were there before it, no others

Cause: the answer to a move or maintenance order ended the newest incarnation known on the VM when the answer came. With a slow platform, or a leader that was frozen meanwhile, that was the incarnation that the order had brought about: its runs counted as lost and started a second time beside themselves. A new leader sent the order of its predecessor again, and the platform accepts an order that was carried out before.

Change: an order is bound to the incarnations that were started before it. Nothing is concluded from the acceptance of an order that a former leader committed: the next incarnation's announcement, the platform's list or the lapse of the lease tells.

--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"sapphirering/internal/policy/pools"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -48,8 +49,11 @@
 		formerEnds bool
 	}{
 		{"move", func(d *Driver, now time.Time) {
-			d.pools.moving[vm] = &move{to: "other"}
-			d.orderMove(vm, now)
+			d.beginMove(pools.Move{VM: vm, To: "other"}, now)
+		}, true},
+		{"maintenance", func(d *Driver, _ time.Time) {
+			d.waves.endedBy[vm] = d.knownOn(vm)
+			d.advanceMaintenance(wave, vm)
 		}, true},
 		// A former leader may have ordered it, so that it may be over already: the platform
 		// accepts the order again.
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -63,6 +63,8 @@
 	// sentAt is when the order was last sent, acceptedAt when the platform accepted it.
 	sentAt, acceptedAt time.Time
 	calling            bool
+	// ends holds the incarnations that the move ends.
+	ends bornBefore
 }
 
 func newPoolState() *poolState {
@@ -356,7 +358,7 @@
 func (d *Driver) beginMove(m pools.Move, now time.Time) {
 	event.VMMoveBegun.Emit(event.F("vm", m.VM), event.F("from", m.From), event.F("to", m.To), event.F("reason", m.Reason))
 	d.vmDecisions.note(now, m.VM, "moves from pool %s to %s: %s", m.From, m.To, m.Reason)
-	d.pools.moving[m.VM] = &move{to: m.To, cpu: d.fleet.vms[m.VM].Capacity.CPUMillis, begunAt: now}
+	d.pools.moving[m.VM] = &move{to: m.To, cpu: d.fleet.vms[m.VM].Capacity.CPUMillis, begunAt: now, ends: d.knownOn(m.VM)}
 	d.orderMove(m.VM, now)
 }
 
@@ -394,6 +396,13 @@
 	}
 	event.VMMoveAnswered.Emit(event.F("vm", vm), event.F("to", m.to), event.F("answer", refusal.String()), event.F("sent_ms_ago", ageMS(m.sentAt, d.cfg.Now())))
 	d.vmDecisions.note(d.cfg.Now(), vm, "the platform answered the move to %s: %s", m.to, refusal)
+	if refusal == VMAccepted {
+		d.endIncarnationsOn(vm, m.ends, "its VM moves to another pool")
+	}
+	if d.pools.moving[vm] != m {
+		// The VM's next incarnation has announced itself before the answer.
+		return
+	}
 	switch refusal {
 	case VMAccepted:
 		m.acceptedAt = d.cfg.Now()
@@ -401,9 +410,6 @@
 		known.Pool = m.to
 		d.fleet.vms[vm] = known
 		delete(d.pools.idleSince, vm)
-		if l := d.linkOfVM(vm); l != nil {
-			d.endIncarnationsOn(vm, l.target.BornUnixMs+1, "its VM moves to another pool")
-		}
 		if d.isRestingPool(m.to) {
 			d.pools.restingBusyUntil[vm] = m.acceptedAt.Add(d.cfg.Limits.VMMove)
 			delete(d.pools.moving, vm)
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -43,13 +43,13 @@
 	case l == nil:
 		l = d.addLink(target)
 		event.TargetFound.Emit(event.F("target", target.Id), event.F("pool", target.Pool), event.F("zone", target.Zone), event.F("vm", target.Vm))
-		d.endIncarnationsOn(target.Vm, target.BornUnixMs, "its VM runs another target")
+		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
 	case target.BornUnixMs < l.target.BornUnixMs:
 		return false
 	case target.BornUnixMs > l.target.BornUnixMs:
 		l = d.beginIncarnation(l, target)
-		d.endIncarnationsOn(target.Vm, target.BornUnixMs, "its VM runs another target")
+		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
 	case r.Sequence < l.sequence:
 		return false
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -45,6 +45,9 @@
 	// awaySince holds VMs whose maintenance has begun and that are not back, with
 	// the time of the order.
 	awaySince map[string]time.Time
+	// endedBy holds, by VM, what the maintenance that this leader has ordered ends. VMs
+	// whose maintenance a former leader has ordered have no entry: it may be over already.
+	endedBy map[string]bornBefore
 	// busy holds VMs for whose maintenance order the platform answers busy.
 	busy           map[string]*busyVM
 	readingFleet   bool
@@ -70,10 +73,15 @@
 	return &waveState{
 		busy:     make(map[string]*busyVM),
 		cordoned: make(map[string]bool), cordonedAt: make(map[string]time.Time), calling: make(map[string]bool),
-		lastOrderAt: make(map[string]time.Time), awaySince: make(map[string]time.Time),
+		lastOrderAt: make(map[string]time.Time), awaySince: make(map[string]time.Time), endedBy: make(map[string]bornBefore),
 	}
 }
 
+// bornBefore is a time in Unix milliseconds that limits an order for a VM to the incarnations
+// that were started there before. The order ends these; a later one may already be its result
+// when the answer comes. The zero value limits it to none.
+type bornBefore int64
+
 // fleetView is the platform's list of VMs as last read.
 type fleetView struct {
 	vms    map[string]VM
@@ -244,14 +252,22 @@
 	return a
 }
 
+// knownOn returns the limit that covers the incarnations known on a VM now.
+func (d *Driver) knownOn(vm string) bornBefore {
+	if l := d.linkOfVM(vm); l != nil {
+		return bornBefore(l.target.BornUnixMs + 1)
+	}
+	return 0
+}
+
 // endIncarnationsOn ends the incarnations on a VM that were started before a time: a VM runs
 // one target, so earlier ones are gone.
-func (d *Driver) endIncarnationsOn(vm string, before int64, reason string) {
+func (d *Driver) endIncarnationsOn(vm string, before bornBefore, reason string) {
 	if vm == "" {
 		return
 	}
 	for _, l := range d.links {
-		if l.target.Vm == vm && l.target.BornUnixMs < before {
+		if l.target.Vm == vm && bornBefore(l.target.BornUnixMs) < before {
 			d.endIncarnation(l, reason)
 		}
 	}
@@ -359,6 +375,9 @@
 		out, err := d.commit(&pb.Command{Body: &pb.Command_BeginMaintenance{BeginMaintenance: &pb.BeginMaintenance{Wave: id, Vm: vm}}})
 		d.mu.Lock()
 		delete(d.waves.calling, vm)
+		if err == nil && out.Code == workflow.OK {
+			d.waves.endedBy[vm] = d.knownOn(vm)
+		}
 		d.mu.Unlock()
 		if err != nil || out.Code != workflow.OK {
 			event.WaveStepFailed.Emit(event.F("wave", id), event.F("vm", vm), event.F("step", "commit the begin of maintenance"))
@@ -460,9 +479,12 @@
 			d.waves.busy[vm] = &busyVM{answeredOrReadAt: d.cfg.Now()}
 		}
 	case VMAccepted:
-		d.waves.awaySince[vm] = d.cfg.Now()
-		if l := d.linkOfVM(vm); l != nil {
-			d.endIncarnationsOn(vm, l.target.BornUnixMs+1, "its VM is in maintenance")
+		d.waves.awaySince[vm] = now
+		ends := d.waves.endedBy[vm]
+		d.endIncarnationsOn(vm, ends, "its VM is in maintenance")
+		if d.knownOn(vm) > ends {
+			// The VM may be back already: the platform's list tells.
+			d.waves.awaySince[vm] = now.Add(-returnTimeout)
 		}
 	case VMUnknown, VMNotInWave:
 		d.finishMaintenance(wave, vm)
@@ -500,6 +522,7 @@
 		}
 		delete(d.waves.cordoned, vm)
 		delete(d.waves.awaySince, vm)
+		delete(d.waves.endedBy, vm)
 		delete(d.waves.busy, vm)
 		event.MaintenanceEnded.Emit(event.F("vm", vm), event.F("wave", wave))
 		d.vmDecisions.note(d.cfg.Now(), vm, "is back from the maintenance of wave %d", wave)
--- a/internal/driver/waves_test.go
+++ b/internal/driver/waves_test.go
@@ -151,9 +151,8 @@
 	r.eventually("the wave ends", testWait, complete)
 	time.Sleep(500 * time.Millisecond)
 	r.reportFaults()
-	// The VM takes starts again.
-	r.fleet.ChangeAll(func(t *standin.StepTarget) { t.Work = 50 * time.Millisecond })
-	r.waitDone("j")
-	is.True(r.fleet.Started("a2") > 0)
+	// The VM takes starts again; the others have no room.
+	r.submit("k", 4)
+	r.eventually("the VM takes starts", testWait, func() bool { return r.fleet.Running("a2") == 4 })
 	r.reportFaults()
 }
