A list of VMs does not undo what was learned after it was asked for

Cause: a list of VMs that was asked for before a move and came after it put the VM back into its former pool. The VM was then moved a second time to the pool in which it was at work; the platform accepts such an order as already done, and the acceptance ended the healthy incarnation.

Change: facts about a VM that are newer than the request of a list stay; a move ends no incarnation of the pool that it leads to. TestListOlderThanAnnouncement and TestRepeatedMoveSparesItsResult failed before.

--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -43,7 +43,7 @@
 		apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}})
 		task := workflow.TaskID{Job: "j", Index: uint32(i)}
 		starts = append(starts, &pb.Start{Task: task.Ref(1), Target: id, TargetBornUnixMs: 1})
-		d.links[id] = &link{target: target, answeredAt: now(), everListed: true}
+		d.links[id] = &link{target: target, answeredAt: now(), everListed: true, cancel: func() {}}
 		d.addRun(&run{
 			task: task, attempt: 1, target: id, born: 1, phase: runConfirmed,
 			percent: fullPace, progressAt: now().Add(-time.Minute),
--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -66,9 +66,6 @@
 			d := newTestDriver(t, time.Now)
 			platform := slowPlatform{make(chan struct{})}
 			d.cfg.VMs, d.cfg.Log, d.fleet.vms = platform, leaseOnlyLog{}, make(map[string]VM)
-			for _, l := range d.links {
-				l.cancel = func() {}
-			}
 			d.mu.Lock()
 			test.order(d, time.Now())
 			d.links[next] = &link{target: &pb.Target{Id: next, BornUnixMs: 2, Pool: "other", Vm: vm}, cancel: func() {}}
@@ -85,3 +82,36 @@
 		})
 	}
 }
+
+// TestRepeatedMoveSparesItsResult orders the move of a VM to the pool in which its target
+// already is: the platform accepts it, and nothing there ends.
+func TestRepeatedMoveSparesItsResult(t *testing.T) {
+	is := is.New(t)
+	d := newTestDriver(t, time.Now)
+	platform := slowPlatform{make(chan struct{})}
+	close(platform.release)
+	d.cfg.VMs, d.cfg.Log, d.fleet.vms = platform, leaseOnlyLog{}, make(map[string]VM)
+	d.mu.Lock()
+	d.beginMove(pools.Move{VM: "vm-t0", To: d.links["t0"].target.Pool}, time.Now())
+	d.mu.Unlock()
+	d.running.Wait()
+	is.True(d.links["t0"] != nil)
+	is.Equal(d.runs.find(workflow.TaskID{Job: "j"}, 1).phase, runConfirmed)
+}
+
+// TestListOlderThanAnnouncement applies a list of VMs that was asked for before a VM's next
+// target announced itself: the announced pool stays.
+func TestListOlderThanAnnouncement(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := newTestDriver(t, func() time.Time { return now })
+	listed := []VM{{Name: "vm-t0", Pool: "resting", State: VMMoving}, {Name: "vm-t1", Pool: "p"}}
+	d.updateFleet(listed, now)
+	asked := now.Add(time.Second)
+	now = asked.Add(time.Second)
+	d.noteVMBack(&pb.Target{Id: "next", Vm: "vm-t0", Pool: "p"})
+	d.updateFleet(listed, asked)
+	is.Equal(d.fleet.vms["vm-t0"], VM{Name: "vm-t0", Pool: "p", State: VMUp, Target: "next"})
+	d.updateFleet(listed, now.Add(time.Second))
+	is.Equal(d.fleet.vms["vm-t0"].Pool, "resting") // a later list is newer
+}
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -358,10 +358,19 @@
 func (d *Driver) beginMove(m pools.Move, now time.Time) {
 	event.VMMoveBegun.Emit(event.F("vm", m.VM), event.F("from", m.From), event.F("to", m.To), event.F("reason", m.Reason))
 	d.vmDecisions.note(now, m.VM, "moves from pool %s to %s: %s", m.From, m.To, m.Reason)
-	d.pools.moving[m.VM] = &move{to: m.To, cpu: d.fleet.vms[m.VM].Capacity.CPUMillis, begunAt: now, ends: d.knownOn(m.VM)}
+	d.pools.moving[m.VM] = &move{to: m.To, cpu: d.fleet.vms[m.VM].Capacity.CPUMillis, begunAt: now, ends: d.endedByMove(m)}
 	d.orderMove(m.VM, now)
 }
 
+// endedByMove returns the limit that covers the incarnations known on a VM that is to move.
+// One in the pool that it moves to is the result of an earlier order, which may be repeated.
+func (d *Driver) endedByMove(m pools.Move) bornBefore {
+	if l := d.linkOfVM(m.VM); l != nil && l.target.Pool == m.To {
+		return bornBefore(l.target.BornUnixMs)
+	}
+	return d.knownOn(m.VM)
+}
+
 // advanceMoves retries move orders that were not answered or were throttled, and drops
 // moves whose VM should have arrived.
 func (d *Driver) advanceMoves(now time.Time) {
@@ -407,8 +416,8 @@
 	case VMAccepted:
 		m.acceptedAt = d.cfg.Now()
 		known := d.fleet.vms[vm]
-		known.Pool = m.to
-		d.fleet.vms[vm] = known
+		known.Name, known.Pool = vm, m.to
+		d.fleet.noteChanged(known, m.acceptedAt)
 		delete(d.pools.idleSince, vm)
 		if d.isRestingPool(m.to) {
 			d.pools.restingBusyUntil[vm] = m.acceptedAt.Add(d.cfg.Limits.VMMove)
@@ -436,7 +445,7 @@
 	}
 	if known, ok := d.fleet.vms[target.Vm]; ok {
 		known.Pool, known.State, known.Target = target.Pool, VMUp, target.Id
-		d.fleet.vms[target.Vm] = known
+		d.fleet.noteChanged(known, d.cfg.Now())
 	}
 }
 
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -86,6 +86,8 @@
 type fleetView struct {
 	vms    map[string]VM
 	readAt time.Time
+	// changedAt is when this leader last learned of a change of a VM by other means.
+	changedAt map[string]time.Time
 	// largest is the CPU of the largest VM, in thousandths of a core.
 	largest int64
 }
@@ -226,10 +228,8 @@
 // linkOfVM returns the link of the newest target on a VM, or nil.
 func (d *Driver) linkOfVM(vm string) *link {
 	var newest *link
-	for _, l := range d.links {
-		if l.target.Vm == vm {
-			newest = newer(newest, l)
-		}
+	for _, l := range d.linksOn(vm) {
+		newest = newer(newest, l)
 	}
 	return newest
 }
@@ -266,13 +266,24 @@
 	if vm == "" {
 		return
 	}
-	for _, l := range d.links {
-		if l.target.Vm == vm && bornBefore(l.target.BornUnixMs) < before {
+	for _, l := range d.linksOn(vm) {
+		if bornBefore(l.target.BornUnixMs) < before {
 			d.endIncarnation(l, reason)
 		}
 	}
 }
 
+// linksOn returns the links of the targets on a VM.
+func (d *Driver) linksOn(vm string) []*link {
+	var on []*link
+	for _, l := range d.links {
+		if l.target.Vm == vm {
+			on = append(on, l)
+		}
+	}
+	return on
+}
+
 // placedCPU returns the CPU that the tasks on a target need, in thousandths of a core; 0 for nil.
 func (d *Driver) placedCPU(l *link) int64 {
 	if l == nil {
@@ -553,12 +564,27 @@
 	})
 }
 
+// noteChanged stores what this leader has learned of a listed VM by other means than the
+// platform's list.
+func (f *fleetView) noteChanged(vm VM, now time.Time) {
+	f.vms[vm.Name] = vm
+	if f.changedAt == nil {
+		f.changedAt = make(map[string]time.Time)
+	}
+	f.changedAt[vm.Name] = now
+}
+
 // updateFleet stores the platform's list, requested at asked. Moves that this leader
-// ordered since then are newer than the list.
+// ordered since then, and what it has learned since then, are newer than the list.
 func (d *Driver) updateFleet(vms []VM, asked time.Time) {
 	before := d.fleet.vms
 	d.fleet.vms = make(map[string]VM, len(vms))
 	for _, vm := range vms {
+		if known, ok := before[vm.Name]; ok && d.fleet.changedAt[vm.Name].After(asked) {
+			d.fleet.vms[vm.Name] = known
+			continue
+		}
+		delete(d.fleet.changedAt, vm.Name)
 		if m := d.pools.moving[vm.Name]; m != nil && m.sentAt.After(asked) {
 			vm.Pool = before[vm.Name].Pool
 		}
