Answers and messages concern the incarnation that they were sent to or by

A target's last message was taken by its id alone, so that one that arrives late took out the next incarnation.

A start's answer now concerns the link that it was sent over; a deregistration names the incarnation where the target says it. TestStartAnswerOfFormerIncarnation and TestLateDeregistration fail with the former rules.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -233,7 +233,7 @@
 		}
 		once.Do(func() {
 			r.fleet.Change("a", func(t *standin.StepTarget) { t.Replaced = true })
-			r.driver.Deregister("a")
+			r.driver.Deregister("a", 0)
 			r.fleet.Add("b")
 		})
 	})
--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -115,3 +115,57 @@
 	d.updateFleet(listed, now.Add(time.Second))
 	is.Equal(d.fleet.vms["vm-t0"].Pool, "resting") // a later list is newer
 }
+
+// TestStartAnswerOfFormerIncarnation hands the driver the answer to a start that was sent to
+// the former incarnation of a target: the present one stays, and is not silent.
+func TestStartAnswerOfFormerIncarnation(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer Answer
+		err    error
+	}{
+		{"another target answered", Answer{Refusal: OtherIncarnation}, nil},
+		{"no answer", Answer{}, context.DeadlineExceeded},
+		{"accepted", Answer{ClockMS: 77}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newTestDriver(t, time.Now)
+			r := d.runs.find(workflow.TaskID{Job: "j"}, 1)
+			former := d.links["t0"]
+			former.openCalls = make(map[*callInProgress]struct{})
+			r.phase = runCalling
+			open := d.beginCall(former, answerTime)
+			next := &link{target: &pb.Target{Id: "t0", BornUnixMs: 2, Pool: "p", Vm: "vm-t0"}, cancel: func() {}}
+			d.links["t0"] = next
+			d.handleStartAnswer(former, r, open, test.answer, test.err, true)
+			is.Equal(d.links["t0"], next)
+			is.Equal(next.failures, 0)
+			is.True(next.clockAt.IsZero())
+		})
+	}
+}
+
+// TestLateDeregistration deregisters a target by the message of its former incarnation: the
+// present one stays.
+func TestLateDeregistration(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		born int64
+		ends bool
+	}{
+		{"former incarnation", 1, false},
+		{"present incarnation", 2, true},
+		{"no incarnation named", 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newTestDriver(t, time.Now)
+			d.cfg.Log = leaseOnlyLog{}
+			d.links["t0"].target = &pb.Target{Id: "t0", BornUnixMs: 2, Pool: "p", Vm: "vm-t0"}
+			is.Equal(d.Deregister("t0", test.born).Answer, pb.Answer_ANSWER_OK)
+			is.Equal(d.links["t0"] == nil, test.ends)
+			d.running.Wait()
+		})
+	}
+}
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -100,11 +100,12 @@
 	return changed
 }
 
-// Deregister handles a target that has ended as planned.
-func (d *Driver) Deregister(id string) *pb.Response {
+// Deregister handles a target that has ended as planned. Born identifies its incarnation, 0 is
+// any: the message of a former incarnation may arrive late.
+func (d *Driver) Deregister(id string, born int64) *pb.Response {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l := d.links[id]; l != nil {
+	if l := d.links[id]; l != nil && (born == 0 || born >= l.target.BornUnixMs) {
 		d.endIncarnation(l, "it has ended as planned")
 	}
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -30,7 +30,7 @@
 	case pb.Operation_OPERATION_ANNOUNCE:
 		return d.Announce(ctx, r)
 	case pb.Operation_OPERATION_DEREGISTER:
-		return d.Deregister(r.Target.GetId())
+		return d.Deregister(r.Target.GetId(), r.Target.GetBornUnixMs())
 	case pb.Operation_OPERATION_PUT_CATALOGUE:
 		return d.putCatalogue(ctx, r.Catalogue)
 	case pb.Operation_OPERATION_GET_CATALOGUE:
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -137,7 +137,7 @@
 			return
 		}
 		if !d.cfg.Log.HoldsLease() {
-			d.handleStartAnswer(r, open, Answer{}, ErrNoLease, false)
+			d.handleStartAnswer(l, r, open, Answer{}, ErrNoLease, false)
 			continue
 		}
 		ctx, cancel := context.WithTimeout(d.ctx, runCallTimeout)
@@ -145,7 +145,7 @@
 		answer, err := d.cfg.Targets.Start(ctx, l.address(), call)
 		cancel()
 		observeCall("start", began, d.cfg.Now(), err)
-		d.handleStartAnswer(r, open, answer, err, true)
+		d.handleStartAnswer(l, r, open, answer, err, true)
 	}
 }
 
@@ -205,9 +205,10 @@
 	return call, found && call.LeaseUntilMS != 0
 }
 
-// handleStartAnswer updates a run by the answer to its start call; sent is false if the call
-// was never made.
-func (d *Driver) handleStartAnswer(r *run, open *callInProgress, answer Answer, err error, sent bool) {
+// handleStartAnswer updates a run by the answer to its start call over a link; sent is false if
+// the call was never made. What the answer tells of the target concerns the incarnation that
+// was called.
+func (d *Driver) handleStartAnswer(l *link, r *run, open *callInProgress, answer Answer, err error, sent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	open.end()
@@ -218,7 +219,9 @@
 		return
 	}
 	now := d.cfg.Now()
-	l := d.links[r.target]
+	if d.links[r.target] != l {
+		l = nil
+	}
 	if err != nil {
 		r.phase = runUnanswered
 		r.unanswered = r.unanswered || sent
@@ -227,7 +230,7 @@
 		}
 		return
 	}
-	if l != nil && l.target.BornUnixMs == r.born {
+	if l != nil {
 		d.noteClock(l, answer.ClockMS)
 		d.noteAnswer(l)
 	}
