--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -111,8 +111,14 @@
 
 // TestStartTakenByNextIncarnation restarts a target between the commit of a start and
 // the call: the next incarnation with the same id accepts the start before it has
-// announced itself. The task does not start elsewhere while that run continues.
+// announced itself. The task does not start elsewhere while that run continues, nor while it
+// is being stopped.
 func TestStartTakenByNextIncarnation(t *testing.T) {
+	t.Run("stops at once", func(t *testing.T) { testStartTakenByNextIncarnation(t, 0) })
+	t.Run("stops slowly", func(t *testing.T) { testStartTakenByNextIncarnation(t, 900*time.Millisecond) })
+}
+
+func testStartTakenByNextIncarnation(t *testing.T, stopGrace time.Duration) {
 	is := is.New(t)
 	r := newRig(t, "a", "b")
 	r.fleet.Change("b", func(t *standin.StepTarget) { t.Full = true })
@@ -128,7 +134,7 @@
 			time.Sleep(50 * time.Millisecond) // announcements in progress arrive
 			r.fleet.Restart("a")
 			r.fleet.Change("a", func(t *standin.StepTarget) {
-				t.Full, t.Work, t.StopDelay = true, time.Second, 300*time.Millisecond
+				t.Full, t.Work, t.StopDelay, t.StopGrace = true, 2*time.Second, 300*time.Millisecond, stopGrace
 			})
 			r.fleet.Change("b", func(t *standin.StepTarget) { t.Full = false })
 		})
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -19,6 +19,8 @@
 	begun   time.Time
 	// pace is the speed of the run in percent of its full speed.
 	pace int
+	// stoppedAt is when a stop was accepted; zero if there was none.
+	stoppedAt time.Time
 }
 
 // StepTarget is a stand-in target for tasks of steps, with fences, leases that
@@ -39,8 +41,9 @@
 	// that much later and also drops the answers.
 	LoseAnswers bool
 	CallDelay   time.Duration
-	// StopDelay delays only stops.
-	StopDelay time.Duration
+	// StopDelay delays only stops. StopGrace is how long a stopped run goes on; it is listed as
+	// running until then.
+	StopDelay, StopGrace time.Duration
 	// Replaced means that another target answers at the address.
 	Replaced bool
 	// Gauge returns the tail latency of a lasting run, given the paces of all runs on the target.
@@ -118,7 +121,12 @@
 		}
 	}
 	for id, run := range t.running {
-		if !f.Lasting[id.Job] && time.Since(run.begun) >= t.Work {
+		switch {
+		case !run.stoppedAt.IsZero():
+			if time.Since(run.stoppedAt) >= t.StopGrace {
+				f.recordEnd(t, id, run.attempt, pb.EndKind_END_KIND_STOPPED)
+			}
+		case !f.Lasting[id.Job] && time.Since(run.begun) >= t.Work:
 			f.recordEnd(t, id, run.attempt, pb.EndKind_END_KIND_DONE)
 		}
 	}
@@ -280,8 +288,10 @@
 		if !t.checkFence(call.Fence) {
 			return t.answer(driver.RefusedStaleFence)
 		}
-		if run, ok := t.running[call.Task]; ok && run.attempt <= call.Attempt {
-			f.recordEnd(t, call.Task, run.attempt, pb.EndKind_END_KIND_STOPPED)
+		if run, ok := t.running[call.Task]; ok && run.attempt <= call.Attempt && run.stoppedAt.IsZero() {
+			run.stoppedAt = time.Now()
+			t.running[call.Task] = run
+			f.endDueRuns(t)
 		}
 		t.blockedUpTo[call.Task] = max(t.blockedUpTo[call.Task], call.Attempt)
 		return t.answer(driver.Accepted)
