A run that the next incarnation took is over when its listing says so, not when a stop is answered

Cause: the answer to a stop from a target's next incarnation ended the run at once. Had that incarnation taken the start, the run went on for the grace time of a stop, while the task had started elsewhere.

Change: the run is bound to the incarnation that answered, and ends with its listing, as any stopped run does. The next incarnation also inherits the time by which leases have lapsed, since starts for the former one may have reached it.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -339,6 +339,8 @@
 	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
+	// Starts for the former incarnation, with their leases, may have reached this one.
+	l.lapseAt = old.lapseAt
 	l.lastAnnounced = d.cfg.Now()
 	for r := range d.runs.on(target.Id) {
 		if r.born != target.BornUnixMs {
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -331,12 +331,9 @@
 	d.noteAnswer(l)
 	switch answer.Refusal {
 	case Accepted, RefusedOutdated:
-		r.phase, r.phaseAnsweredAt = runStopped, d.cfg.Now()
-		if born != r.born {
-			// The incarnation that the run was placed on is over, and the new one will not start it.
-			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target was restarted")
-			return
-		}
+		// If this is not the incarnation that the run was placed on, it may have taken the start,
+		// and a stopped run goes on for some time: its next listing tells.
+		r.phase, r.phaseAnsweredAt, r.born = runStopped, d.cfg.Now(), born
 		l.requestListing()
 	case OtherIncarnation:
 		d.endIncarnation(l, "another target answers at its address")
