A lease never outlives the time at which the leader takes it to have lapsed

The clock is taken at its slowest, and the leader's lease is checked after the grant. Stops of unplaced runs are sent under the lease as well. TestGrantForSlowClock and TestNoGrantAfterLeaseIsLost failed before.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -155,14 +155,16 @@
 }
 
 // grantLease returns the end of a lease that begins now, on the target's clock; 0
-// if that clock is not known.
+// if that clock is not known. The clock may have run slow since it was read, so that the
+// lease never ends after lapseAt, however late the call is carried out.
 func (d *Driver) grantLease(l *link) int64 {
 	if l.clockAt.IsZero() {
 		return 0
 	}
 	now := d.cfg.Now()
 	l.lapseAt = now.Add(d.leaseBound())
-	return l.clockMS + now.Sub(l.clockAt).Milliseconds() + d.cfg.Limits.LeaseTTL.Milliseconds()
+	elapsed := time.Duration(float64(now.Sub(l.clockAt)) * (1 - clockDrift))
+	return l.clockMS + (elapsed + d.cfg.Limits.LeaseTTL).Milliseconds()
 }
 
 // noteClock records the target's clock from an answer that was just received.
@@ -205,7 +207,7 @@
 func (d *Driver) nextListing(l *link) (RenewCall, *callInProgress, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.links[l.target.Id] != l || l.lastReadEnd != l.lastCommittedEnd || !d.cfg.Log.HoldsLease() {
+	if d.links[l.target.Id] != l || l.lastReadEnd != l.lastCommittedEnd {
 		return RenewCall{}, nil, false
 	}
 	if l.lastConfirmedEnd == l.lastCommittedEnd && !d.hasRuns(l.target.Id) && !d.needsCall(l) {
@@ -225,6 +227,11 @@
 	if l.clockAt.IsZero() || !l.everListed {
 		call.Wait = 0
 	}
+	// Checked after the grant: a process that stood still before it must not grant a lease that
+	// begins after its own has ended.
+	if !d.cfg.Log.HoldsLease() {
+		return RenewCall{}, nil, false
+	}
 	return call, d.beginCall(l, call.Wait+answerTime), true
 }
 
--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -169,3 +169,54 @@
 		})
 	}
 }
+
+// TestGrantForSlowClock grants a lease by a clock that was read long ago, at a target whose
+// clock runs as slow as it may: the lease ends no later than leaseBound says.
+func TestGrantForSlowClock(t *testing.T) {
+	is := is.New(t)
+	const idle, ttl = 5 * time.Minute, 6 * time.Second
+	now := time.Now()
+	d := newTestDriver(t, func() time.Time { return now })
+	d.cfg.Limits.LeaseTTL = ttl
+	l := d.links["t0"]
+	targetClock := func(at time.Time, readAt time.Time) int64 {
+		return 1000 + int64(float64(at.Sub(readAt).Milliseconds())*(1-clockDrift))
+	}
+	read := now
+	d.noteClock(l, targetClock(now, read))
+	now = now.Add(idle)
+	until := d.grantLease(l)
+	sent := now
+	is.True(until > targetClock(sent, read)) // it is a lease
+	is.True(targetClock(sent.Add(d.leaseBound()-lapseMargin), read) >= until-1)
+	is.Equal(l.lapseAt, sent.Add(d.leaseBound()))
+}
+
+// TestNoGrantAfterLeaseIsLost loses the leader's lease while a listing call is prepared, as a
+// process does that stands still at that moment: the call, with the target's lease in it, is
+// not sent.
+func TestNoGrantAfterLeaseIsLost(t *testing.T) {
+	is := is.New(t)
+	held := true
+	// The clock is read for the grant: the lease is lost from there on.
+	now := func() time.Time { held = false; return time.Now() }
+	d := newTestDriver(t, time.Now)
+	d.cfg.Log = leaseWhile{&held}
+	l := d.links["t0"]
+	l.openCalls = make(map[*callInProgress]struct{})
+	d.noteClock(l, 1000)
+	_, _, due := d.nextListing(l)
+	is.True(due)
+	d.cfg.Now = now
+	_, _, due = d.nextListing(l)
+	is.True(!due)
+}
+
+// leaseWhile holds the leader's lease while held is set.
+type leaseWhile struct{ held *bool }
+
+func (leaseWhile) Commit(context.Context, *pb.Command) (*workflow.Outcome, error) {
+	return nil, context.DeadlineExceeded
+}
+
+func (l leaseWhile) HoldsLease() bool { return *l.held }
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -436,6 +436,9 @@
 		event.F("born", l.target.BornUnixMs), event.F("percent", running.Percent), event.F("newest_attempt", newest), event.F("placed_on", strings.Join(placedOn, " ")))
 	to, id := l.address(), runID{running.Task, running.Attempt}
 	d.background(func() {
+		if !d.cfg.Log.HoldsLease() {
+			return
+		}
 		// A failed stop is sent again after the next listing.
 		if _, err := d.sendStop(to, id); err != nil {
 			event.TargetSilent.Emit(event.F("target", to.ID), event.F("step", "stop unplaced run"), event.Err(err))
