The next incarnation of a target refuses late starts in every order of events

Cause: a start that got no answer was kept for the next incarnation of its target only if the run's end was committed before the restart, and if the link of the former incarnation was still there; and for 10 s, while such calls take effect up to 12 s later.

Change: a run that is forgotten after its target's restart is refused there at once, also at an incarnation that announces itself after the former one was removed, and for 15 s.

What no leader can prevent: a late start that reaches a restarted target before anybody has called it.

--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -98,7 +98,7 @@
 	now := time.Now()
 	d := newTestDriver(t, func() time.Time { return now })
 	note := func(target string, index uint32) {
-		d.noteLateStart(&run{task: workflow.TaskID{Job: "j", Index: index}, attempt: 1, target: target, unanswered: true})
+		d.noteLateStart(&run{task: workflow.TaskID{Job: "j", Index: index}, attempt: 1, target: target, born: 1, unanswered: true})
 	}
 	note("t0", 0)
 	d.noteLateStart(&run{target: "t2"}) // answered
--- a/internal/driver/latestarts.go
+++ b/internal/driver/latestarts.go
@@ -8,9 +8,9 @@
 	"sapphirering/internal/event"
 )
 
-// lateCallBound is how long an unanswered call may still take effect; the platform says
-// seconds.
-const lateCallBound = 10 * time.Second
+// lateCallBound is how long an unanswered call may still take effect: up to 12 s after it was
+// sent, and the time on its way.
+const lateCallBound = 15 * time.Second
 
 // lateStart is an unanswered start of a run that is over. The incarnation that it was sent
 // to knows the run's end and refuses it; the next one with the same id would accept it.
@@ -19,12 +19,17 @@
 	until time.Time
 }
 
-// noteLateStart records that a start of the run may still take effect.
+// noteLateStart records that a start of the run, which is over, may still take effect. If the
+// next incarnation of its target is known, that is told to refuse it.
 func (d *Driver) noteLateStart(r *run) {
 	if !r.unanswered {
 		return
 	}
 	late := lateStart{r.id(), d.cfg.Now().Add(lateCallBound)}
+	if l := d.links[r.target]; l != nil && l.target.BornUnixMs != r.born {
+		d.background(func() { d.refuseLateStart(l, late) })
+		return
+	}
 	d.lateStarts[r.target] = append(d.lateStarts[r.target], late)
 }
 
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -45,6 +45,7 @@
 		event.TargetFound.Emit(event.F("target", target.Id), event.F("pool", target.Pool), event.F("zone", target.Zone), event.F("vm", target.Vm))
 		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
+		d.refuseLateStarts(l)
 	case target.BornUnixMs < l.target.BornUnixMs:
 		return false
 	case target.BornUnixMs > l.target.BornUnixMs:
