--- a/internal/driver/model_test.go
+++ b/internal/driver/model_test.go
@@ -55,8 +55,9 @@
 	// For is how long a disturbance of a link lasts, a restart takes, a target drains, a
 	// former leader's loop overlaps with the next, or an announcement is late.
 	For time.Duration
-	// Lost makes the answer to the deregister call of a leaving target get lost.
-	Lost bool
+	// Lost makes the answer to the deregister call of a leaving target get lost. SameID makes
+	// the next target on its VM have the same id.
+	Lost, SameID bool
 }
 
 // modelJob is one job with tasks of equal length.
@@ -64,14 +65,14 @@
 	At, Work time.Duration
 	Copies   bool
 	Tasks    []uint32
+	Pool     string
 }
 
 // modelPlan is a history of jobs and disturbances.
 type modelPlan struct {
 	// Seed chooses the fates of calls.
 	Seed      uint64
-	VMs       int
-	Slow      map[int]bool
+	VMs       []modelVM
 	KillGrace time.Duration
 	Behaviour standin.ModelBehaviour
 	Jobs      []modelJob
@@ -80,7 +81,7 @@
 
 const (
 	// modelHorizon is when all disturbances are over.
-	modelHorizon = 30 * time.Second
+	modelHorizon = 25 * time.Second
 	// modelBound is how long after the horizon all jobs must be done: calls may still arrive
 	// late, and leases must lapse.
 	modelBound = 60 * time.Second
@@ -100,23 +101,25 @@
 func drawPlan(t *rapid.T, allowed standin.ModelBehaviour) modelPlan {
 	const step = 100 * time.Millisecond
 	p := modelPlan{
-		Seed: rapid.Uint64().Draw(t, "seed"), VMs: rapid.IntRange(2, 4).Draw(t, "vms"), Slow: make(map[int]bool),
+		Seed:      rapid.Uint64().Draw(t, "seed"),
 		KillGrace: drawDuration(t, "kill grace", step, modelKillGrace, step), Behaviour: allowed,
 	}
-	for i := range p.VMs {
-		p.Slow[i] = rapid.Bool().Draw(t, "slow clock")
+	for i := range rapid.IntRange(2, 4).Draw(t, "vms") {
+		p.VMs = append(p.VMs, modelVM{pool: modelPools[i%len(modelPools)], slow: rapid.Bool().Draw(t, "slow clock")})
 	}
 	for range rapid.IntRange(1, 5).Draw(t, "jobs") {
 		p.Jobs = append(p.Jobs, modelJob{
 			At: drawDuration(t, "job at", 0, modelHorizon-5*time.Second, step), Work: drawDuration(t, "work", step, 8*time.Second, step),
 			Copies: rapid.IntRange(0, 4).Draw(t, "copies") == 4,
 			Tasks:  rapid.SliceOfN(rapid.Uint32Range(1, 4), 1, 2).Draw(t, "tasks"),
+			Pool:   rapid.SampledFrom(modelPools[:]).Draw(t, "pool"),
 		})
 	}
 	for range rapid.IntRange(1, 8).Draw(t, "faults") {
 		p.Faults = append(p.Faults, modelFault{
 			At: drawDuration(t, "fault at", 0, modelHorizon-step, step), Kind: rapid.SampledFrom(modelFaultKinds).Draw(t, "kind"),
-			VM: rapid.IntRange(0, p.VMs-1).Draw(t, "vm"), For: drawDuration(t, "for", 0, 10*time.Second, step), Lost: rapid.Bool().Draw(t, "lost"),
+			VM: rapid.IntRange(0, len(p.VMs)-1).Draw(t, "vm"), For: drawDuration(t, "for", 0, 10*time.Second, step), Lost: rapid.Bool().Draw(t, "lost"),
+			SameID: rapid.Bool().Draw(t, "same id"),
 		})
 	}
 	return p
@@ -124,12 +127,12 @@
 
 func (p modelPlan) String() string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "seed %d, %d VMs, slow clocks %v, kill grace %s, %+v\n", p.Seed, p.VMs, p.Slow, p.KillGrace, p.Behaviour)
+	fmt.Fprintf(&out, "seed %d, VMs %+v, kill grace %s, %+v\n", p.Seed, p.VMs, p.KillGrace, p.Behaviour)
 	for i, job := range p.Jobs {
-		fmt.Fprintf(&out, "  %s job j%d: work %s, tasks %v, copies %t\n", job.At, i, job.Work, job.Tasks, job.Copies)
+		fmt.Fprintf(&out, "  %s job j%d in %s: work %s, tasks %v, copies %t\n", job.At, i, job.Pool, job.Work, job.Tasks, job.Copies)
 	}
 	for _, fault := range p.Faults {
-		fmt.Fprintf(&out, "  %s %s: vm%d, for %s, answer lost %t\n", fault.At, fault.Kind, fault.VM, fault.For, fault.Lost)
+		fmt.Fprintf(&out, "  %s %s: vm%d, for %s, answer lost %t, same id %t\n", fault.At, fault.Kind, fault.VM, fault.For, fault.Lost, fault.SameID)
 	}
 	return out.String()
 }
@@ -184,8 +187,10 @@
 		return standin.ModelFate{After: p.between(0, time.Second/2, call, "slow"), AnswerAfter: p.between(0, time.Second, call, "slow answer")}
 	case faultPlatform:
 		switch {
-		case p.chance(call, "late order") < 0.3:
+		case p.chance(call, "late order") < 0.25:
 			return standin.ModelFate{Unanswered: true, After: p.between(0, 8*time.Second, call, "order")}
+		case p.chance(call, "order without answer") < 0.3:
+			return standin.ModelFate{Unanswered: true}
 		default:
 			return standin.ModelFate{AnswerAfter: p.between(0, 2*time.Second, call, "order answer")}
 		}
@@ -208,7 +213,7 @@
 	case faultRestart, faultReplace:
 		r.fleet.Restart(vm, fault.For/4, fault.Kind == faultRestart)
 	case faultLeave:
-		r.fleet.Leave(vm, fault.For/2, modelLingers, r.deregister(vm, fault.Lost))
+		r.fleet.Leave(vm, fault.For/2, modelLingers, fault.SameID, r.deregister(vm, fault.Lost))
 	case faultLeader:
 		r.changeLeader(fault.For / 4)
 	case faultWave:
@@ -236,8 +241,7 @@
 	var result modelResult
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		r := newModelRig(p.VMs, p.KillGrace, p.Slow)
-		noteEvents(t, r.fleet)
+		r := newModelRig(t, p.KillGrace, p.VMs...)
 		r.fleet.SetBehaviour(p.Behaviour)
 		r.fleet.SetFate(func(call standin.ModelCall) standin.ModelFate { return p.fate(time.Since(began), call) })
 		for i, fault := range p.Faults {
@@ -248,7 +252,7 @@
 			ids = append(ids, fmt.Sprintf("j%d", i))
 			r.running.Go(func() {
 				time.Sleep(job.At)
-				r.submit(ids[i], job.Work, job.Copies, job.Tasks...)
+				r.submit(job.Pool, ids[i], job.Work, job.Copies, job.Tasks...)
 			})
 		}
 		time.Sleep(modelHorizon)
--- a/internal/driver/modelrig_test.go
+++ b/internal/driver/modelrig_test.go
@@ -90,32 +90,47 @@
 	stop    chan struct{}
 }
 
-// newModelRig returns a rig with a leader and VMs vm0, vm1 ... with one target each; slow
-// holds the numbers of VMs with slow clocks.
-func newModelRig(vms int, killGrace time.Duration, slow map[int]bool) *modelRig {
+// modelVM describes one VM of a modelRig.
+type modelVM struct {
+	pool string
+	// slow VMs have targets whose clocks run slow.
+	slow bool
+}
+
+// newModelRig returns a rig with a leader and VMs vm0, vm1 ... with one target each. The
+// driver's events become part of the fleet's history.
+func newModelRig(t *testing.T, killGrace time.Duration, vms ...modelVM) *modelRig {
 	fleet := standin.NewModelFleet(standin.ModelLimits{
 		LeaseTTL: modelLeaseTTL, KillGrace: killGrace, VMMove: modelVMMove, VMMaintenance: modelVMMaintenance,
 	})
+	noteEvents(t, fleet)
 	r := &modelRig{fleet: fleet, store: &modelStore{machine: workflow.New()}, muted: make(map[string]bool), stop: make(chan struct{})}
-	for i := range vms {
+	for i, vm := range vms {
 		rate := 1.0
-		if slow[i] {
+		if vm.slow {
 			rate = modelSlowClock
 		}
-		fleet.AddVM(modelVMName(i), "render", rate)
+		fleet.AddVM(modelVMName(i), vm.pool, rate)
 	}
 	r.changeLeader(0)
 	r.serve(&pb.Request{Operation: pb.Operation_OPERATION_PUT_CATALOGUE, Catalogue: &pb.Catalogue{
-		Version: 1, Pools: []*pb.Pool{{Name: "render", Guarded: true}},
-		Queues: []*pb.Queue{{
-			Name: "proofs", Host: "h", PathPrefix: "/p/", Pool: "render", TimeoutMs: 1000, ObjectiveMs: 500,
-			SlackFactor: 1.5, MaxAttempts: 3, Open: true,
-		}},
+		Version: 1, Pools: []*pb.Pool{{Name: modelPools[0], Guarded: true}, {Name: modelPools[1], Guarded: true}},
+		Queues: []*pb.Queue{modelQueue(modelPools[0]), modelQueue(modelPools[1])},
 	}})
 	r.running.Go(r.announceUntilStop)
 	return r
 }
 
+// modelPools holds the names of the pools; each has a queue of the same name.
+var modelPools = [2]string{"render", "encode"}
+
+func modelQueue(pool string) *pb.Queue {
+	return &pb.Queue{
+		Name: pool, Host: "h", PathPrefix: "/" + pool + "/", Pool: pool, TimeoutMs: 1000, ObjectiveMs: 500,
+		SlackFactor: 1.5, MaxAttempts: 3, Open: true,
+	}
+}
+
 func modelVMName(i int) string { return fmt.Sprintf("vm%d", i) }
 
 // changeLeader begins a new leadership over the same state. The former driver's loop ends
@@ -234,8 +249,8 @@
 	}
 }
 
-// submit submits a job of consecutive steps until it is accepted.
-func (r *modelRig) submit(id string, work time.Duration, copies bool, tasks ...uint32) {
+// submit submits a job of consecutive steps to the queue of a pool until it is accepted.
+func (r *modelRig) submit(pool, id string, work time.Duration, copies bool, tasks ...uint32) {
 	const retryPause = 100 * time.Millisecond
 	job := &pb.Job{Id: id, Payload: "payload of " + id}
 	for i, n := range tasks {
@@ -247,7 +262,7 @@
 	}
 	r.fleet.Submitted(job, work, copies)
 	for {
-		request := &pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/p/" + id, Job: proto.CloneOf(job)}
+		request := &pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/" + pool + "/" + id, Job: proto.CloneOf(job)}
 		if r.serve(request).Answer == pb.Answer_ANSWER_OK {
 			return
 		}
--- a/test/standin/modelfleet.go
+++ b/test/standin/modelfleet.go
@@ -280,8 +280,8 @@
 
 // Leave makes the target on a VM announce that it leaves. After drain it calls deregister,
 // which reports whether the answer arrived, and ends: at once after an answer, otherwise
-// after lingers. A new target starts on the VM a second later.
-func (f *ModelFleet) Leave(vm string, drain, lingers time.Duration, deregister func(id string) bool) {
+// after lingers. A second later the VM has a new target, under the same id or a new one.
+func (f *ModelFleet) Leave(vm string, drain, lingers time.Duration, sameID bool, deregister func(id string) bool) {
 	const rebootPause = time.Second
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -290,6 +290,10 @@
 	if t == nil || t.leaving {
 		return
 	}
+	id := ""
+	if sameID {
+		id = t.id
+	}
 	t.leaving, t.staysUntil = true, time.Now().Add(drain)
 	f.note(t, workflow.TaskID{}, "leaves")
 	time.AfterFunc(drain, func() {
@@ -307,7 +311,7 @@
 			defer f.mu.Unlock()
 			if v.target == t {
 				f.end(v, "it leaves")
-				f.bootAfter(v, rebootPause, "", t.clockRate)
+				f.bootAfter(v, rebootPause, id, t.clockRate)
 			}
 		})
 	})
@@ -484,8 +488,8 @@
 	return out.String()
 }
 
-// Running returns the ids of the targets on which a run of the task is.
-func (f *ModelFleet) Running(task workflow.TaskID) []string {
+// RunsOn returns the VMs whose targets run a task.
+func (f *ModelFleet) RunsOn(task workflow.TaskID) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var on []string
@@ -496,7 +500,7 @@
 		f.settle(vm.target)
 		for id := range vm.target.running {
 			if id.task == task {
-				on = append(on, vm.target.id)
+				on = append(on, vm.name)
 			}
 		}
 	}
