--- a/internal/driver/model_test.go
+++ b/internal/driver/model_test.go
@@ -206,8 +206,8 @@
 		r.setMuted(vm, true)
 		time.AfterFunc(fault.For, func() { r.setMuted(vm, false) })
 	case faultOutcomes:
-		r.loseOutcomes(true)
-		time.AfterFunc(fault.For/8, func() { r.loseOutcomes(false) })
+		r.store.loseOutcomes(all)
+		time.AfterFunc(fault.For/8, func() { r.store.loseOutcomes(nil) })
 	case faultLateAnnouncement:
 		r.announceLate(vm, fault.For)
 	case faultRestart, faultReplace:
@@ -223,12 +223,6 @@
 	}
 }
 
-func (r *modelRig) loseOutcomes(lose bool) {
-	r.store.mu.Lock()
-	defer r.store.mu.Unlock()
-	r.store.loseOutcomes = lose
-}
-
 // modelResult is what a history showed.
 type modelResult struct {
 	violations []standin.ModelViolation
@@ -268,10 +262,18 @@
 
 // TestModel plays drawn histories against the driver: no task has two runs at once or starts
 // after a confirmed end as done, and every job ends once the disturbances are over.
-// More histories: go test ./internal/driver -run TestModel$ -rapid.checks=10000
-func TestModel(t *testing.T) {
+// More histories: go test ./internal/driver -run 'TestModel$' -rapid.checks=10000
+func TestModel(t *testing.T) { checkModel(t, standin.ModelBehaviour{}) }
+
+// TestModelLateGrants is TestModel with targets that count the leases of late calls from
+// their arrival.
+func TestModelLateGrants(t *testing.T) {
+	checkModel(t, standin.ModelBehaviour{LateGrantsShift: true})
+}
+
+func checkModel(t *testing.T, behaviour standin.ModelBehaviour) {
 	rapid.Check(t, func(rt *rapid.T) {
-		p := drawPlan(rt, standin.ModelBehaviour{})
+		p := drawPlan(rt, behaviour)
 		result := playPlan(t, p)
 		for _, violation := range result.violations {
 			rt.Errorf("%s\n%s", p, violation)
--- a/internal/driver/modelrig_test.go
+++ b/internal/driver/modelrig_test.go
@@ -36,8 +36,9 @@
 	index   uint64
 	// leader is the only log that may commit.
 	leader *modelLog
-	// loseOutcomes makes commits take effect without telling the leader.
-	loseOutcomes bool
+	// losesOutcome reports whether the leader does not learn that a command has taken effect;
+	// nil if it learns of all.
+	losesOutcome func(*pb.Command) bool
 }
 
 // modelLog is the log of one leadership.
@@ -58,8 +59,9 @@
 	}
 	l.store.index++
 	out := l.store.machine.Apply(l.store.index, data).(*workflow.Outcome)
-	lost := l.store.loseOutcomes
+	losesOutcome := l.store.losesOutcome
 	l.store.mu.Unlock()
+	lost := losesOutcome != nil && losesOutcome(command)
 	time.Sleep(modelCommitTime / 2)
 	if lost || !l.HoldsLease() {
 		return nil, errUnknownOutcome
@@ -67,6 +69,16 @@
 	return out, nil
 }
 
+// loseOutcomes makes the leader not learn the outcomes of some commits from now on.
+func (s *modelStore) loseOutcomes(which func(*pb.Command) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losesOutcome = which
+}
+
+// all matches every command.
+func all(*pb.Command) bool { return true }
+
 func (l *modelLog) HoldsLease() bool {
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
--- a/internal/driver/twice_test.go
+++ b/internal/driver/twice_test.go
@@ -13,13 +13,19 @@
 // inModel runs a history in a synctest bubble and fails the test for every start that broke
 // a promise. The rig has the given number of VMs, all in one pool.
 func inModel(t *testing.T, vms int, history func(t *testing.T, r *modelRig)) {
+	t.Helper()
+	described := make([]modelVM, vms)
+	for i := range described {
+		described[i].pool = modelPools[0]
+	}
+	inModelOf(t, described, history)
+}
+
+// inModelOf is inModel with the given VMs.
+func inModelOf(t *testing.T, vms []modelVM, history func(t *testing.T, r *modelRig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		var described []modelVM
-		for range vms {
-			described = append(described, modelVM{pool: modelPools[0]})
-		}
-		r := newModelRig(t, modelKillGrace, described...)
+		r := newModelRig(t, modelKillGrace, vms...)
 		time.Sleep(time.Second) // the leader knows all targets
 		history(t, r)
 		r.close()
@@ -115,40 +121,37 @@
 // TestLateDeregister lets the deregister call of a target arrive when its next incarnation,
 // under the same id, runs a task.
 func TestLateDeregister(t *testing.T) {
-	inModel(t, 2, func(t *testing.T, r *modelRig) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
 		const id = "vm0.1" // the first id on VM vm0
 		r.fleet.Restart("vm0", 100*time.Millisecond, true)
 		time.Sleep(2 * modelAnnounceInterval)
-		r.fleet.Restart("vm1", 8*time.Second, false)
-		task := r.submitOne("j", longWork)
-		if vm := r.awaitRun(t, task); vm != "vm0" {
-			t.Fatalf("the task runs on %s", vm)
-		}
-		time.Sleep(10 * time.Second) // vm1 is back
+		r.awaitRun(t, r.submitOne("j", longWork))
+		r.addVM("vm1")
 		r.serve(&pb.Request{Operation: pb.Operation_OPERATION_DEREGISTER, Target: &pb.Target{Id: id}})
 		r.awaitDone(t, "j")
 	})
 }
 
-// restartBeforeStart restarts the target that gets the start of a job's task just before the
-// start arrives, so that the next incarnation accepts it.
-func (r *modelRig) restartBeforeStart(job string) {
-	begun := false
-	r.fleet.SetFate(func(call standin.ModelCall) standin.ModelFate {
-		if call.Kind != standin.CallStart || call.Task.Job != job || begun {
-			return standin.ModelFate{}
-		}
-		begun = true
-		time.AfterFunc(0, func() { r.fleet.Restart(call.VM, time.Millisecond, true) })
-		return standin.ModelFate{After: 20 * time.Millisecond}
-	})
+// restartAll restarts all targets under the same ids, before their next announcements.
+func (r *modelRig) restartAll(vms ...string) {
+	for _, vm := range vms {
+		r.fleet.Restart(vm, time.Millisecond, true)
+	}
+	time.Sleep(5 * time.Millisecond)
+}
+
+// addVM adds a VM with a target that the leader knows when it returns.
+func (r *modelRig) addVM(name string) {
+	r.fleet.AddVM(name, modelPools[0], 1)
+	r.announce()
+	time.Sleep(modelAnnounceInterval)
 }
 
 // TestStopOfRunOnNextIncarnation lets the next incarnation of a target accept a start; a
 // stop of that run takes until the kill grace is over.
 func TestStopOfRunOnNextIncarnation(t *testing.T) {
 	inModel(t, 2, func(t *testing.T, r *modelRig) {
-		r.restartBeforeStart("j")
+		r.restartAll("vm0", "vm1")
 		r.submitOne("j", longWork)
 		r.awaitDone(t, "j")
 	})
@@ -158,9 +161,11 @@
 // before the stop arrives: the answer to the stop does not tell that.
 func TestRunDoneOnNextIncarnation(t *testing.T) {
 	inModel(t, 2, func(t *testing.T, r *modelRig) {
-		r.restartBeforeStart("j")
+		r.fleet.SetFate(fates(fateRule{kind: standin.CallRenew, fate: standin.ModelFate{AnswerAfter: 600 * time.Millisecond}}))
+		r.restartAll("vm0", "vm1")
 		r.submitOne("j", 100*time.Millisecond)
 		r.awaitDone(t, "j")
+		time.Sleep(2 * time.Second) // all ends are confirmed
 	})
 }
 
@@ -172,7 +177,7 @@
 		task := r.submitOne("j", longWork)
 		vm := r.awaitRun(t, task)
 		time.Sleep(3 * time.Second)
-		rules := []fateRule{{kind: standin.CallRenew, vm: vm, times: 1, fate: late(5 * time.Second)}}
+		rules := []fateRule{{kind: standin.CallRenew, vm: vm, times: 1, fate: late(4 * time.Second)}}
 		r.fleet.SetFate(fates(append(rules, cut(vm)...)...))
 		time.Sleep(15 * time.Second)
 		r.fleet.SetFate(nil)
@@ -184,12 +189,30 @@
 // when the leases granted before have lapsed, and whose lease the target counts from its
 // arrival.
 func TestLateStartCountedFromArrival(t *testing.T) {
-	inModel(t, 2, func(t *testing.T, r *modelRig) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
 		r.fleet.SetBehaviour(standin.ModelBehaviour{LateGrantsShift: true})
 		rules := []fateRule{{kind: standin.CallStart, vm: "vm0", times: 1, fate: late(11 * time.Second)}}
 		r.fleet.SetFate(fates(append(rules, cut("vm0")...)...))
-		r.fleet.Restart("vm1", time.Second, false) // vm0 gets the start
 		r.submitOne("j", longWork)
+		time.Sleep(time.Second) // the start is under way
+		r.addVM("vm1")
+		time.Sleep(15 * time.Second)
+		r.fleet.SetFate(nil)
+		r.awaitDone(t, "j")
+	})
+}
+
+// TestLateStartOnSlowClock delays a start to a target that was idle for ten minutes and
+// whose clock is slow: the leader's estimate of that clock is 12 s ahead by then, so the
+// lease in the start has not expired when it arrives.
+func TestLateStartOnSlowClock(t *testing.T) {
+	inModelOf(t, []modelVM{{pool: modelPools[0], slow: true}}, func(t *testing.T, r *modelRig) {
+		time.Sleep(10 * time.Minute)
+		rules := []fateRule{{kind: standin.CallStart, vm: "vm0", times: 1, fate: late(11 * time.Second)}}
+		r.fleet.SetFate(fates(append(rules, cut("vm0")...)...))
+		r.submitOne("j", longWork)
+		time.Sleep(time.Second) // the start is under way
+		r.addVM("vm1")
 		time.Sleep(15 * time.Second)
 		r.fleet.SetFate(nil)
 		r.awaitDone(t, "j")
@@ -200,19 +223,16 @@
 // another task on the next incarnation is accepted, then the target is cut off, and the
 // first start arrives: its lease ends far in the future of the new clock.
 func TestLateGrantOfFormerIncarnation(t *testing.T) {
-	inModel(t, 2, func(t *testing.T, r *modelRig) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
 		time.Sleep(30 * time.Second) // the clock of the first incarnation gets ahead
-		r.fleet.Restart("vm1", 3*time.Second, false)
-		r.fleet.SetFate(fates(fateRule{kind: standin.CallStart, vm: "vm0", task: "i", times: 1, fate: late(8 * time.Second)}))
+		r.fleet.SetFate(fates(fateRule{kind: standin.CallStart, vm: "vm0", task: "i", times: 1, fate: late(6 * time.Second)}))
 		r.submitOne("i", longWork)
-		time.Sleep(500 * time.Millisecond) // the start is under way
+		time.Sleep(300 * time.Millisecond) // the start is under way
 		r.fleet.Restart("vm0", 100*time.Millisecond, true)
-		time.Sleep(time.Second)
-		r.submitOne("j", longWork)
-		if vm := r.awaitRun(t, workflow.TaskID{Job: "j"}); vm != "vm0" {
-			t.Fatalf("the task runs on %s", vm)
-		}
+		time.Sleep(modelAnnounceInterval + 100*time.Millisecond)
+		r.awaitRun(t, r.submitOne("j", longWork))
 		r.fleet.SetFate(fates(cut("vm0")...))
+		r.addVM("vm1")
 		time.Sleep(20 * time.Second)
 		r.fleet.SetFate(nil)
 		r.awaitDone(t, "j")
@@ -235,11 +255,10 @@
 // TestLateStartBeyondBound lets a start arrive 11.8 s after it was sent, on an incarnation
 // that was born shortly before.
 func TestLateStartBeyondBound(t *testing.T) {
+	const delay, bornBefore = 11800 * time.Millisecond, 600 * time.Millisecond
 	inModel(t, 1, func(t *testing.T, r *modelRig) {
-		began := time.Now()
-		const delay = 11800 * time.Millisecond
-		lateStartOfEndedRun(t, r, delay)
-		time.Sleep(delay - 600*time.Millisecond - time.Since(began))
+		arrives := lateStartOfEndedRun(t, r, delay)
+		time.Sleep(time.Until(arrives) - bornBefore)
 		r.fleet.Restart("vm0", 10*time.Millisecond, true)
 		time.Sleep(20 * time.Millisecond)
 		r.announce()
@@ -258,31 +277,41 @@
 }
 
 // lateStartOfEndedRun starts a task by two calls: the first arrives late, the second is
-// answered. It returns when the run has ended and the end is confirmed.
-func lateStartOfEndedRun(t *testing.T, r *modelRig, delay time.Duration) {
+// answered. It returns when the run has ended and the end is confirmed, with the time at which
+// the first call arrives.
+func lateStartOfEndedRun(t *testing.T, r *modelRig, delay time.Duration) (arrives time.Time) {
 	t.Helper()
 	time.Sleep(30 * time.Second) // the clock of the first incarnation gets ahead
-	r.fleet.SetFate(fates(fateRule{kind: standin.CallStart, times: 1, fate: late(delay)}))
+	sent, begun := false, make(chan time.Time, 1)
+	r.fleet.SetFate(func(call standin.ModelCall) standin.ModelFate {
+		if call.Kind != standin.CallStart || sent {
+			return standin.ModelFate{}
+		}
+		sent = true
+		begun <- time.Now()
+		return standin.ModelFate{Unanswered: true, Fails: true, After: delay}
+	})
 	r.submitOne("j", 100*time.Millisecond)
 	r.awaitDone(t, "j")
 	time.Sleep(200 * time.Millisecond) // the end is confirmed
+	return (<-begun).Add(delay)
 }
 
 // TestStartInProgressOverTwoRestarts restarts a target twice while a start call is in
 // progress, which arrives at the third incarnation.
 func TestStartInProgressOverTwoRestarts(t *testing.T) {
-	inModel(t, 2, func(t *testing.T, r *modelRig) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
 		time.Sleep(30 * time.Second) // the clock of the first incarnation gets ahead
-		r.fleet.Restart("vm1", 2*time.Second, false)
 		r.fleet.SetFate(fates(fateRule{kind: standin.CallStart, vm: "vm0", times: 1, fate: late(4 * time.Second)}))
 		r.submitOne("j", longWork)
-		time.Sleep(50 * time.Millisecond) // the start call is in progress
-		for range 2 {
-			r.fleet.Restart("vm0", 10*time.Millisecond, true)
-			time.Sleep(50 * time.Millisecond)
-			r.announce()
-			time.Sleep(200 * time.Millisecond)
-		}
+		time.Sleep(170 * time.Millisecond) // the start call is in progress
+		r.fleet.AddVM("vm1", modelPools[0], 1)
+		r.restartAll("vm0")
+		r.fleet.Leave("vm0", time.Minute, 0, true, r.deregister("vm0", false)) // the task starts on vm1
+		r.announce()
+		time.Sleep(200 * time.Millisecond)
+		r.restartAll("vm0")
+		r.announce()
 		r.awaitDone(t, "j")
 	})
 }
@@ -290,17 +319,19 @@
 // TestMoveAnswerAfterReturn delays the answer to a move until the VM's next target runs a
 // task.
 func TestMoveAnswerAfterReturn(t *testing.T) {
-	inModel(t, 3, func(t *testing.T, r *modelRig) {
-		r.fleet.SetFate(fates(fateRule{kind: standin.CallMove, fate: standin.ModelFate{AnswerAfter: 1990 * time.Millisecond}}))
-		r.submit(modelPools[1], "j", longWork, false, 8)
+	inModel(t, 2, func(t *testing.T, r *modelRig) {
+		answered := standin.ModelFate{AnswerAfter: 1990 * time.Millisecond}
+		r.fleet.SetFate(fates(fateRule{kind: standin.CallMove, vm: "vm0", fate: answered}))
+		r.submit(modelPools[1], "j", longWork, false, 6)
 		r.awaitDone(t, "j")
 	})
 }
 
 // TestMaintenanceOrderedTwice loses the answer to an order for maintenance. The second order
-// finds the maintenance done, when the VM's next target runs a task.
+// finds the maintenance done; its answer arrives when the VM's next target is up. That target
+// takes tasks.
 func TestMaintenanceOrderedTwice(t *testing.T) {
-	inModel(t, 2, func(t *testing.T, r *modelRig) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
 		r.fleet.SetFate(fates(
 			fateRule{kind: standin.CallMaintain, vm: "vm0", times: 1, fate: standin.ModelFate{Unanswered: true}},
 			fateRule{kind: standin.CallMaintain, vm: "vm0", times: 1, fate: standin.ModelFate{AnswerAfter: time.Second}},
@@ -308,8 +339,8 @@
 		wave := &pb.Wave{Id: 1, Vms: []string{"vm0"}, DurationMs: modelWaveTime.Milliseconds(), Cap: 1}
 		r.fleet.SetWave(wave.Id, wave.Vms)
 		r.serve(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave})
-		time.Sleep(time.Second)
-		r.submit(modelPools[0], "j", longWork, false, 8)
+		time.Sleep(5 * time.Second)
+		r.submit(modelPools[0], "j", time.Second, false, 1)
 		r.awaitDone(t, "j")
 	})
 }
@@ -318,12 +349,19 @@
 // target: the task starts elsewhere.
 func TestPlacedOnEndedIncarnation(t *testing.T) {
 	inModel(t, 1, func(t *testing.T, r *modelRig) {
-		r.loseOutcomes(true)
-		r.submit(modelPools[0], "j", time.Second, false, 1)
-		time.Sleep(20 * time.Millisecond) // the task is placed; the leader does not know
-		r.fleet.Restart("vm0", 100*time.Millisecond, false)
-		time.Sleep(50 * time.Millisecond)
-		r.loseOutcomes(false)
+		replaced := false
+		r.store.loseOutcomes(func(command *pb.Command) bool {
+			if replaced || len(command.GetChangeTasks().GetStarts()) == 0 {
+				return false
+			}
+			replaced = true
+			r.fleet.Restart("vm0", time.Millisecond, false)
+			time.Sleep(2 * time.Millisecond)
+			r.announce() // the leader learns that the VM has another target
+			time.Sleep(2 * time.Millisecond)
+			return true
+		})
+		r.submitOne("j", time.Second)
 		r.awaitDone(t, "j")
 	})
 }
