A next incarnation inherits the leases of late calls; runs placed on an ended one are lost

Causes, both found by the model of the targets' protocol: a late call to a former incarnation of a target brings the next one a lease that counts from its arrival, beyond the time at which the leader took leases there to have lapsed; and a task that was placed by a commit whose outcome was lost, on a target that ended meanwhile, was tracked by nobody and never started again.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -42,8 +42,9 @@
 	// clockMS is the target's clock at clockAt.
 	clockMS int64
 	clockAt time.Time
-	// lapseAt is when every lease granted so far has certainly lapsed.
-	lapseAt time.Time
+	// lapseAt is when every lease granted so far has certainly lapsed, unansweredAt when a call
+	// was last given up without an answer.
+	lapseAt, unansweredAt time.Time
 
 	lastAnnounced time.Time
 	sequence      uint64
@@ -162,7 +163,7 @@
 		return 0
 	}
 	now := d.cfg.Now()
-	l.lapseAt = now.Add(d.leaseBound())
+	l.lapseAt = later(l.lapseAt, now.Add(d.leaseBound()))
 	elapsed := time.Duration(float64(now.Sub(l.clockAt)) * (1 - clockDrift))
 	return l.clockMS + (elapsed + d.cfg.Limits.LeaseTTL).Milliseconds()
 }
@@ -308,6 +309,7 @@
 		l.firstFailureAt = d.cfg.Now()
 	}
 	l.failures++
+	l.unansweredAt = d.cfg.Now()
 	d.dropQueuedStarts(l)
 }
 
@@ -346,8 +348,7 @@
 	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
-	// Starts for the former incarnation, with their leases, may have reached this one.
-	l.lapseAt = old.lapseAt
+	l.lapseAt = d.inheritedLapse(old)
 	l.lastAnnounced = d.cfg.Now()
 	for r := range d.runs.on(target.Id) {
 		if r.born != target.BornUnixMs {
@@ -359,6 +360,25 @@
 	return l
 }
 
+// inheritedLapse returns when the leases that calls to a former incarnation may still bring to
+// the next one have certainly lapsed. The next one counts them from their arrival, since they
+// are for another clock.
+func (d *Driver) inheritedLapse(old *link) time.Time {
+	unanswered := old.unansweredAt
+	if len(old.openCalls) > 0 {
+		unanswered = d.cfg.Now()
+	}
+	return later(old.lapseAt, unanswered.Add(lateCallBound+d.leaseBound()))
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // register commits a target; the next announcement tries again after a failure.
 func (d *Driver) register(target *pb.Target) {
 	if _, err := d.commit(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}}); err != nil {
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -503,17 +503,21 @@
 	actionStop
 )
 
-// adoptPlaced tracks runs that were placed by a command whose outcome was not known.
+// adoptPlaced tracks runs that were placed by a command whose outcome was not known. Their
+// target may have ended meanwhile.
 func (d *Driver) adoptPlaced(v *workflow.View, now time.Time) {
-	for id, l := range d.links {
-		placed := v.PlacedOn(id)
-		for _, task := range placed {
+	for id, target := range v.Targets() {
+		born := target.BornUnixMs
+		if l := d.links[id]; l != nil {
+			born = l.target.BornUnixMs
+		}
+		for _, task := range v.PlacedOn(id) {
 			attempt := task.AttemptOn(id)
 			if d.runs.find(task.ID, attempt) != nil {
 				continue
 			}
 			d.addRun(&run{
-				task: task.ID, attempt: attempt, target: id, born: l.target.BornUnixMs,
+				task: task.ID, attempt: attempt, target: id, born: born,
 				phase: runUnanswered, placedAt: now, adopted: true, unanswered: true, pace: fullPace,
 			})
 		}
