A deregistration is a hint: runs are over once the target's host closes connections

The message may be that of a former incarnation, and a target whose message got no answer works on for some seconds: its tasks started elsewhere meanwhile.

Change: such a target gets no starts; its runs are over once a connection is closed or refused there, at once if nothing runs on it, and else when its lease has lapsed.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -248,6 +248,27 @@
 	r.reportFaults()
 }
 
+// TestDeregister deregisters a target that works on for a while: its tasks start elsewhere once
+// it has ended, and not before. The message of a former incarnation ends nothing.
+func TestDeregister(t *testing.T) {
+	is := is.New(t)
+	r := newRigWithLease(t, time.Minute, "a")
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.Work = time.Hour })
+	r.submit("j", 2)
+	r.eventually("the tasks run", testWait, func() bool { return r.fleet.Running("a") == 2 })
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.Leaving = true })
+	r.announceAll()
+	r.fleet.Add("b")
+	r.driver.Deregister("a", 1)
+	r.driver.Deregister("a", 0)
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(r.fleet.Started("b"), 0)
+	r.fleet.End("a")
+	r.eventually("the tasks start elsewhere", time.Second, func() bool { return r.fleet.Started("b") == 2 })
+	r.waitDone("j")
+	r.reportFaults()
+}
+
 // fixedAdvice always grants the same target, with the ticket that the fleet requires.
 type fixedAdvice struct{ granted string }
 
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -28,6 +29,8 @@
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the largest number of ends in one listing.
 	maxEndsListed = 500
+	// deregisterBound is how long a target that has deregistered may still be up.
+	deregisterBound = 10 * time.Second
 	// maxMissedAnnouncements is the number of announcements that a target may miss.
 	maxMissedAnnouncements = 3
 )
@@ -48,6 +51,10 @@
 
 	lastAnnounced time.Time
 	sequence      uint64
+	// deregisteredAt is when the target said that it ends, closed is whether its host closed the
+	// connection of the last call.
+	deregisteredAt time.Time
+	closed         bool
 	// leaving targets get no starts; leavesAt is when it may be gone, zero if it has not said.
 	leaving  bool
 	leavesAt time.Time
@@ -197,12 +204,27 @@
 		d.handleListing(l, asked, call, open, listing, err)
 		pause := listingPause
 		if err != nil || listing.Refusal != Accepted {
-			pause = retryPause
+			pause = d.pauseAfterFailure(l)
 		}
 		clock.Sleep(ctx, pause)
 	}
 }
 
+// pauseAfterFailure returns the time before the next listing call after one that failed.
+func (d *Driver) pauseAfterFailure(l *link) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l.mayHaveEnded(d.cfg.Now()) {
+		return listingPause
+	}
+	return retryPause
+}
+
+// mayHaveEnded reports whether the target has said not long ago that it ends.
+func (l *link) mayHaveEnded(now time.Time) bool {
+	return !l.deregisteredAt.IsZero() && now.Sub(l.deregisteredAt) < deregisterBound
+}
+
 // nextListing returns the call that is due, if any: a target without runs need not be
 // called, and the ends read so far must be committed before the next call.
 func (d *Driver) nextListing(l *link) (RenewCall, *callInProgress, bool) {
@@ -237,8 +259,12 @@
 }
 
 // needsCall reports whether an announced target must be called even without runs: it has
-// never listed its runs, or its last call failed and it gets no starts until it answers.
+// never listed its runs, or its last call failed and it gets no starts until it answers. So
+// must one that may have ended.
 func (d *Driver) needsCall(l *link) bool {
+	if l.mayHaveEnded(d.cfg.Now()) {
+		return true
+	}
 	announced := d.cfg.Now().Sub(l.lastAnnounced) <= 2*d.cfg.Limits.AnnounceInterval
 	return announced && (!l.everListed || l.failures > 0)
 }
@@ -259,6 +285,7 @@
 	}
 	if err != nil {
 		d.noteNoAnswer(l, "list", err)
+		d.endIfDeregistered(l)
 		return
 	}
 	switch listing.Refusal {
@@ -310,6 +337,7 @@
 	}
 	l.failures++
 	l.unansweredAt = d.cfg.Now()
+	l.closed = errors.Is(err, ErrClosedByTarget)
 	d.dropQueuedStarts(l)
 }
 
@@ -317,6 +345,7 @@
 	if l.failures > 0 {
 		event.TargetAnswers.Emit(event.F("target", l.target.Id), event.F("failures", l.failures))
 		l.failures = 0
+		l.closed = false
 	}
 }
 
@@ -328,7 +357,7 @@
 // acceptsStarts reports whether the target may get starts now.
 func (d *Driver) acceptsStarts(l *link) bool {
 	now := d.cfg.Now()
-	return !l.leaving && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero()
+	return !l.leaving && !l.mayHaveEnded(now) && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero()
 }
 
 // noteRestart handles a new incarnation under the same id before it has announced itself.
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -64,6 +64,10 @@
 		event.TargetLeaves.Emit(event.F("target", target.Id))
 	}
 	l.leaving = l.leaving || target.Leaving
+	if !l.leaving {
+		// The last message was that of a former incarnation.
+		l.deregisteredAt = time.Time{}
+	}
 	if target.Leaving && r.StaysMs > 0 {
 		l.leavesAt = l.lastAnnounced.Add(time.Duration(r.StaysMs) * time.Millisecond)
 	}
@@ -101,17 +105,30 @@
 	return changed
 }
 
-// Deregister handles a target that has ended as planned. Born identifies its incarnation, 0 is
-// any: the message of a former incarnation may arrive late.
+// Deregister handles the last message of a target. Born identifies the incarnation that sent
+// it, 0 if the message names none. It may be late, and a target whose message gets no answer
+// may go on for some seconds, so that its runs are over only once its host closes connections.
 func (d *Driver) Deregister(id string, born int64) *pb.Response {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l := d.links[id]; l != nil && (born == 0 || born >= l.target.BornUnixMs) {
-		d.endIncarnation(l, "it has ended as planned")
+		event.TargetDeregistered.Emit(event.F("target", id), event.F("born", l.target.BornUnixMs),
+			event.F("runs", d.runs.count(id)), event.F("leaving", l.leaving), event.F("closed", l.closed))
+		l.deregisteredAt = d.cfg.Now()
+		l.requestListing()
+		d.endIfDeregistered(l)
 	}
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
 }
 
+// endIfDeregistered ends an incarnation that has deregistered if its host closes connections,
+// or if it has announced before that it leaves and nothing runs on it.
+func (d *Driver) endIfDeregistered(l *link) {
+	if l.mayHaveEnded(d.cfg.Now()) && (l.closed || l.leaving && d.runs.count(l.target.Id) == 0) {
+		d.endIncarnation(l, "it has ended as planned")
+	}
+}
+
 func (d *Driver) commitWithContext(ctx context.Context, command *pb.Command) (*workflow.Outcome, error) {
 	command.TimeUnixMs = d.cfg.NowMS()
 	began := d.cfg.Now()
--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"sapphirering/internal/workflow"
@@ -119,6 +120,10 @@
 	Ended      []Ended
 }
 
+// ErrClosedByTarget is in the errors of calls whose connection the target's host closed or
+// refused, as it does for a process that has ended.
+var ErrClosedByTarget = errors.New("closed by the target's host")
+
 // TargetClient calls targets. An error means that the outcome is not known:
 // the call may have taken effect or may still do so.
 type TargetClient interface {
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -38,6 +38,7 @@
 	TargetAnswers        = define(7037, log.InfoLevel, "target answers again", "")
 	TargetExcluded       = define(7038, log.WarnLevel, "target fails the tasks placed on it, excluded from placement for a while", "Check the target's own log.")
 	ListingRefused       = define(7039, log.WarnLevel, "target refused to list its runs", "")
+	TargetDeregistered   = define(7091, log.InfoLevel, "target says that it ends", "")
 	EndedIncarnationSeen = define(7090, log.WarnLevel, "incarnation of a target that was taken to have ended announces itself", "")
 	LeaseLapsed          = define(7040, log.WarnLevel, "lease of a target without an answer has expired, its runs are lost", "")
 	RegisterUncommitted  = define(7041, log.WarnLevel, "registration or removal of a target could not be committed", "")
