A lost answer costs one more call, not a target

Change: each start, stop and listing has a timer by policy/silence; once its answer is late it is sent again on another connection, with its own lease grant, and the run counts as unanswered. Only a suspected target (failures) loses its queued starts, further starts and leases. While an answer is late, queued starts wait, so that a target that is gone takes no more of them.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -18,6 +18,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -94,8 +95,13 @@
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
-	waves       *waveState
-	pools       *poolState
+	// answers holds the answer times of all targets, loss the share of calls without an
+	// answer, resends the calls that may be sent again.
+	answers callTimes
+	loss    silence.Loss
+	resends silence.Budget
+	waves   *waveState
+	pools   *poolState
 	// advice holds the advice by step, adviceCalls counts the calls in progress.
 	advice      map[workflow.TaskID]*stepAdvice
 	adviceCalls int
@@ -142,7 +148,7 @@
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice:          make(map[workflow.TaskID]*stepAdvice),
 		waitsReportedAt: make(map[string]time.Time), waitSpans: make(map[workflow.TaskID]waitSpan),
-		outcomes: newOutcomes(),
+		outcomes: newOutcomes(), resends: silence.Budget{Rate: resendRate, Burst: resendBurst},
 	}
 }
 
--- a/internal/driver/explainvm.go
+++ b/internal/driver/explainvm.go
@@ -108,7 +108,6 @@
 	}
 	add(l.leaving, "its target is leaving")
 	add(l.failures > 0, "its target gave no answer to %d calls", l.failures)
-	add(l.failures == 0 && l.overdueFor(now) > 0, "its target's answer has been overdue for %s", l.overdueFor(now).Round(time.Millisecond))
 	add(d.missedAnnouncements(l), "its target has not announced itself for %s", elapsedSince(now, l.lastAnnounced))
 	add(now.Before(l.noStartsUntil), "its target refused a start")
 	add(!l.health.allowsStarts(now), "several consecutive runs failed there")
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -8,6 +8,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -21,9 +22,6 @@
 	listingMargin = 700 * time.Millisecond
 	// listingPause is the time between listings, so that runs that end together share one.
 	listingPause = 25 * time.Millisecond
-	// answerTime is the time, some hundred round trips, within which a healthy target
-	// answers a call; a later one gets no starts until it answers.
-	answerTime = 250 * time.Millisecond
 	// retryPause is the time between calls to a target that does not answer.
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the largest number of ends in one listing.
@@ -51,16 +49,20 @@
 	leaving  bool
 	leavesAt time.Time
 
-	// failures counts the calls without an answer since the last answer.
+	// unanswered counts the calls without an answer in time since the last answer; the first
+	// of them was noticed at unansweredSince.
+	unanswered      int
+	unansweredSince time.Time
+	// failures is unanswered while the target is suspected to be gone, and 0 otherwise.
 	failures int
-	// firstFailureAt is when the first of them was noticed.
-	firstFailureAt time.Time
+	// heardAt is when the last answer to any call came.
+	heardAt time.Time
+	answers callTimes
+	resends silence.Budget
 	// queuedStarts holds runs whose start is to be sent, senders counts the goroutines that
 	// send them.
 	queuedStarts []*run
 	senders      int
-	// openCalls holds the calls in progress.
-	openCalls map[*callInProgress]struct{}
 	// noStartsUntil is when the target may get starts again after it refused one.
 	noStartsUntil time.Time
 
@@ -77,33 +79,12 @@
 	health health
 }
 
-// callInProgress is a call to a target, due when a healthy target has answered it.
-type callInProgress struct {
-	link *link
-	due  time.Time
-}
-
-// beginCall records a call that a healthy target answers within the given time.
-func (d *Driver) beginCall(l *link, within time.Duration) *callInProgress {
-	call := &callInProgress{link: l, due: d.cfg.Now().Add(within)}
-	l.openCalls[call] = struct{}{}
-	return call
-}
-
-// end records that the call is over.
-func (c *callInProgress) end() { delete(c.link.openCalls, c) }
-
-// overdueFor returns how long an answer of the target has been overdue: since a call in
-// progress was due, or since the first call that failed; 0 if none is overdue.
+// overdueFor returns how long a suspected target has not answered; 0 for any other.
 func (l *link) overdueFor(now time.Time) time.Duration {
-	overdue := time.Duration(0)
-	for call := range l.openCalls {
-		overdue = max(overdue, now.Sub(call.due))
-	}
-	if l.failures > 0 {
-		overdue = max(overdue, now.Sub(l.firstFailureAt))
+	if l.failures == 0 {
+		return 0
 	}
-	return overdue
+	return now.Sub(l.unansweredSince)
 }
 
 func (l *link) address() Address { return Address{ID: l.target.Id, HostPort: l.target.Address} }
@@ -113,7 +94,8 @@
 // addLink starts to track a target and to list its runs.
 func (d *Driver) addLink(target *pb.Target) *link {
 	ctx, cancel := context.WithCancel(d.ctx)
-	l := &link{target: target, wake: make(chan struct{}, 1), cancel: cancel, openCalls: make(map[*callInProgress]struct{}), lastAnnounced: d.cfg.Now(), leaving: target.Leaving}
+	l := &link{target: target, wake: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving,
+		resends: silence.Budget{Rate: targetResendRate, Burst: targetResendBurst}}
 	d.links[target.Id] = l
 	d.background(func() { d.listRuns(ctx, l) })
 	return l
@@ -164,10 +146,11 @@
 	}
 }
 
-// listRuns renews the target's lease and lists its runs, until ctx ends.
+// listRuns renews the target's lease and lists its runs, until ctx ends or an answer is late,
+// when another listRuns takes over.
 func (d *Driver) listRuns(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
-		call, open, due := d.nextListing(l)
+		call, open, due := d.nextListing(ctx, l)
 		if !due {
 			select {
 			case <-ctx.Done():
@@ -183,7 +166,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		d.handleListing(l, asked, call, open, listing, err)
+		if d.handleListing(l, asked, call, open, listing, err) {
+			return
+		}
 		pause := listingPause
 		if err != nil || listing.Refusal != Accepted {
 			pause = retryPause
@@ -194,7 +179,7 @@
 
 // nextListing returns the call that is due, if any: a target without runs need not be
 // called, and the ends read so far must be committed before the next call.
-func (d *Driver) nextListing(l *link) (RenewCall, *callInProgress, bool) {
+func (d *Driver) nextListing(ctx context.Context, l *link) (RenewCall, *callInProgress, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.links[l.target.Id] != l || l.lastReadEnd != l.lastCommittedEnd || !d.cfg.Log.HoldsLease() {
@@ -208,16 +193,27 @@
 		// A target that does not answer gets no new lease until it does: otherwise its
 		// leases would never lapse.
 		call.LeaseUntilMS = d.grantLease(l)
-	} else {
-		call.Wait = 0
 	}
 	if d.waves.active {
 		call.Wait = waveListingWait
 	}
-	if l.clockAt.IsZero() || !l.everListed {
+	call.Wait = silence.ListingWait(d.loss.Rate(), call.Wait)
+	if l.clockAt.IsZero() || !l.everListed || l.unanswered > 0 {
 		call.Wait = 0
 	}
-	return call, d.beginCall(l, call.Wait+answerTime), true
+	return call, d.beginCall(l, nil, "list", call.Wait, func() { d.listAgain(ctx, l) }), true
+}
+
+// listAgain lists the target's runs on another connection, since the answer to a listing is
+// late.
+func (d *Driver) listAgain(ctx context.Context, l *link) {
+	atOnce := d.mayResend(l)
+	d.background(func() {
+		if !atOnce {
+			clock.Sleep(ctx, retryPause)
+		}
+		d.listRuns(ctx, l)
+	})
 }
 
 // needsCall reports whether an announced target must be called even without runs: it has
@@ -233,40 +229,48 @@
 	return any
 }
 
-// handleListing updates the link and its runs by the answer to one listing call.
-func (d *Driver) handleListing(l *link, asked time.Time, call RenewCall, open *callInProgress, listing Listing, err error) {
+// handleListing updates the link and its runs by the answer to one listing call, and reports
+// whether the answer was late.
+func (d *Driver) handleListing(l *link, asked time.Time, call RenewCall, open *callInProgress, listing Listing, err error) (late bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	open.end()
+	d.endCall(open, err)
 	if d.links[l.target.Id] != l {
-		return
+		return open.late
 	}
 	if err != nil {
-		d.noteNoAnswer(l, "list", err)
-		return
+		if !open.late {
+			d.noteNoAnswer(l, "list", err)
+		}
+		return open.late
 	}
 	switch listing.Refusal {
 	case Accepted:
 	case OtherIncarnation:
 		d.endIncarnation(l, "another target answers at its address")
-		return
+		return open.late
 	default:
 		d.noteClock(l, listing.ClockMS)
 		event.ListingRefused.Emit(event.F("target", l.target.Id), event.F("reason", listing.Refusal.String()))
-		return
+		return open.late
 	}
 	if listing.BornUnixMS != 0 && listing.BornUnixMS != l.target.BornUnixMs {
 		// A new incarnation answered before it announced itself.
 		d.noteRestart(l, listing.BornUnixMS)
-		return
+		return open.late
 	}
 	d.noteClock(l, listing.ClockMS)
 	d.noteAnswer(l)
+	if asked.Before(l.listedAt) {
+		// One that was asked for later has been read.
+		return open.late
+	}
 	l.listing, l.listedAt, l.answeredAt, l.everListed = listing, asked, d.cfg.Now(), true
 	l.lastConfirmedEnd = max(l.lastConfirmedEnd, call.SeenEnd)
 	d.queueEnds(l, listing.Ended)
 	d.reconcileRuns(l)
 	d.requestRound()
+	return open.late
 }
 
 // queueEnds queues the ends that were not read before for commit.
@@ -283,24 +287,39 @@
 	}
 }
 
-// noteNoAnswer records a call without an answer; the target gets no starts until it
-// answers again.
+// noteNoAnswer records a call without an answer. A suspected target gets no starts and no
+// leases until it answers.
 func (d *Driver) noteNoAnswer(l *link, step string, err error) {
-	if l.failures == 0 && d.pools.moving[l.target.Vm] == nil && !d.maintenanceOrdered(l.target.Vm) {
-		event.TargetSilent.Emit(event.F("target", l.target.Id), event.F("step", step), event.Err(err))
+	now := d.cfg.Now()
+	if l.unanswered == 0 {
+		l.unansweredSince = now
 	}
+	l.unanswered++
 	if l.failures == 0 {
-		l.firstFailureAt = d.cfg.Now()
+		s := silence.Silence{Unanswered: l.unanswered, For: now.Sub(l.unansweredSince)}
+		if missed := now.Sub(l.lastAnnounced) - d.cfg.Limits.AnnounceInterval; missed > 0 && d.cfg.Limits.AnnounceInterval > 0 {
+			s.Missed = int(missed / d.cfg.Limits.AnnounceInterval)
+		}
+		loss := d.loss.Rate()
+		if !s.Suspected(loss) {
+			return
+		}
+		if d.pools.moving[l.target.Vm] == nil && !d.maintenanceOrdered(l.target.Vm) {
+			event.TargetSilent.Emit(event.F("target", l.target.Id), event.F("step", step), event.F("unanswered", l.unanswered),
+				event.F("loss", loss), event.Err(err))
+		}
 	}
-	l.failures++
+	l.failures = l.unanswered
 	d.dropQueuedStarts(l)
 }
 
 func (d *Driver) noteAnswer(l *link) {
+	l.heardAt = d.cfg.Now()
 	if l.failures > 0 {
 		event.TargetAnswers.Emit(event.F("target", l.target.Id), event.F("failures", l.failures))
-		l.failures = 0
 	}
+	l.unanswered, l.failures = 0, 0
+	d.sendQueued(l)
 }
 
 // missedAnnouncements reports whether a target has stopped announcing itself.
@@ -378,14 +397,11 @@
 	return !r.unanswered && !r.phaseAnsweredAt.IsZero() && now.Sub(r.phaseAnsweredAt) > d.leaseBound()
 }
 
-// checkLinks drops starts queued for targets whose answer is overdue, and ends the runs of
-// targets whose leases have certainly lapsed without an answer.
+// checkLinks sends starts that wait behind a late answer, and ends the runs of targets whose leases have certainly lapsed without an answer.
 func (d *Driver) checkLinks() {
 	now := d.cfg.Now()
 	for _, l := range d.links {
-		if len(l.queuedStarts) > 0 && l.overdueFor(now) > 0 {
-			d.dropQueuedStarts(l)
-		}
+		d.sendQueued(l)
 		if now.Before(l.lapseAt) || l.failures == 0 && !d.missedAnnouncements(l) {
 			continue
 		}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -122,37 +122,83 @@
 	}
 	r.phase = runCalling
 	l.queuedStarts = append(l.queuedStarts, r)
-	if l.senders < maxStartSenders {
+	d.sendQueued(l)
+}
+
+// sendQueued sends the queued starts of a target, unless an answer is late: if the target is
+// gone, a run whose start was never sent may start elsewhere at once.
+func (d *Driver) sendQueued(l *link) {
+	if len(l.queuedStarts) == 0 || l.senders == maxStartSenders || l.holdsBack(d.cfg.Now()) {
+		return
+	}
+	for n := min(len(l.queuedStarts), maxStartSenders); l.senders < n; {
 		l.senders++
 		d.background(func() { d.sendStarts(l) })
 	}
 }
 
-// sendStarts sends the queued starts of a target one after the other until none is left.
+// holdsBack reports whether queued starts wait for an answer to another call.
+func (l *link) holdsBack(now time.Time) bool {
+	return l.unanswered > 0 && now.Sub(l.unansweredSince) < retryPause
+}
+
+// sendStarts sends the queued starts of a target one after the other until none is left or
+// an answer is late, when startAgain takes over.
 func (d *Driver) sendStarts(l *link) {
 	for {
 		r, call, open := d.nextStart(l)
-		if r == nil {
+		if r == nil || d.sendStart(r, l, call, open) {
 			return
 		}
-		if !d.cfg.Log.HoldsLease() {
-			d.handleStartAnswer(r, open, Answer{}, ErrNoLease, false)
-			continue
-		}
-		ctx, cancel := context.WithTimeout(d.ctx, runCallTimeout)
-		began := d.cfg.Now()
-		answer, err := d.cfg.Targets.Start(ctx, l.address(), call)
-		cancel()
-		observeCall("start", began, d.cfg.Now(), err)
-		d.handleStartAnswer(r, open, answer, err, true)
 	}
 }
 
+// sendStart sends one start and reports whether its answer was late.
+func (d *Driver) sendStart(r *run, l *link, call StartCall, open *callInProgress) (late bool) {
+	if !d.cfg.Log.HoldsLease() {
+		return d.handleStartAnswer(r, open, Answer{}, ErrNoLease, false)
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, runCallTimeout)
+	defer cancel()
+	began := d.cfg.Now()
+	answer, err := d.cfg.Targets.Start(ctx, l.address(), call)
+	observeCall("start", began, d.cfg.Now(), err)
+	return d.handleStartAnswer(r, open, answer, err, true)
+}
+
+// startAgain sends a start whose answer is late on another connection. The earlier call may
+// still take effect.
+func (d *Driver) startAgain(r *run, l *link) {
+	if !d.tracks(r) {
+		return
+	}
+	r.unanswered = true
+	if r.phase != runCalling {
+		return
+	}
+	if l.leaving || d.cfg.Now().Sub(r.placedAt) > startRetryPeriod || !d.mayResend(l) {
+		r.phase = runUnanswered
+		return
+	}
+	call, ok := d.startCall(r, l)
+	if !ok {
+		r.phase = runUnanswered
+		return
+	}
+	open := d.beginStart(r, l, func() { d.startAgain(r, l) })
+	d.background(func() { d.sendStart(r, l, call, open) })
+}
+
+func (d *Driver) beginStart(r *run, l *link, onLate func()) *callInProgress {
+	r.lastCallAt = d.cfg.Now()
+	return d.beginCall(l, r, "start", 0, onLate)
+}
+
 // nextStart takes the next start off a target's queue; a nil run ends the sender.
 func (d *Driver) nextStart(l *link) (*run, StartCall, *callInProgress) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for len(l.queuedStarts) > 0 {
+	for len(l.queuedStarts) > 0 && !l.holdsBack(d.cfg.Now()) {
 		r := l.queuedStarts[0]
 		l.queuedStarts = l.queuedStarts[1:]
 		if !d.tracks(r) || r.phase != runCalling {
@@ -167,8 +213,10 @@
 			r.phase = runUnanswered
 			continue
 		}
-		r.lastCallAt = d.cfg.Now()
-		return r, call, d.beginCall(l, answerTime)
+		return r, call, d.beginStart(r, l, func() {
+			l.senders--
+			d.startAgain(r, l)
+		})
 	}
 	l.senders--
 	return nil, StartCall{}, nil
@@ -204,12 +252,24 @@
 	return call, found && call.LeaseUntilMS != 0
 }
 
-// handleStartAnswer updates a run by the answer to its start call; sent is false if the call
-// was never made.
-func (d *Driver) handleStartAnswer(r *run, open *callInProgress, answer Answer, err error, sent bool) {
+// handleStartAnswer updates a run by the answer to its start call, and reports whether the
+// answer was late; sent is false if the call was never made.
+func (d *Driver) handleStartAnswer(r *run, open *callInProgress, answer Answer, err error, sent bool) (late bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	open.end()
+	d.endCall(open, err)
+	if err == nil && d.links[r.target] == open.link {
+		d.noteAnswer(open.link)
+	}
+	if err == nil || !open.late {
+		d.noteStartAnswer(r, answer, err, sent)
+	}
+	return open.late
+}
+
+// noteStartAnswer updates a run by the answer to its start call. A call that failed late was
+// followed by another.
+func (d *Driver) noteStartAnswer(r *run, answer Answer, err error, sent bool) {
 	if !d.tracks(r) || r.phase != runCalling {
 		if err != nil && sent {
 			r.unanswered = true
@@ -228,7 +288,6 @@
 	}
 	if l != nil && l.target.BornUnixMs == r.born {
 		d.noteClock(l, answer.ClockMS)
-		d.noteAnswer(l)
 	}
 	countStart(answer.Refusal)
 	switch answer.Refusal {
@@ -293,13 +352,22 @@
 	}
 	r.phase, r.lastCallAt = runStopping, d.cfg.Now()
 	to, born := l.address(), l.target.BornUnixMs
+	open := d.beginCall(l, r, "stop", 0, func() {
+		if d.tracks(r) && r.phase == runStopping && d.mayResend(l) {
+			d.callStop(r)
+		}
+	})
 	d.background(func() {
 		if !d.cfg.Log.HoldsLease() {
+			d.finishCall(open, ErrNoLease)
 			return
 		}
 		began := d.cfg.Now()
 		answer, err := d.sendStop(to, r.id())
 		observeCall("stop", began, d.cfg.Now(), err)
+		if late := d.finishCall(open, err); late && err != nil {
+			return
+		}
 		d.handleStopAnswer(r, born, answer, err)
 	})
 }
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -36,6 +36,8 @@
 	TargetLeaves        = define(7035, log.InfoLevel, "target is leaving, no more tasks are started on it", "")
 	TargetSilent        = define(7036, log.WarnLevel, "target gave no answer, no tasks are started on it until it answers", "")
 	TargetAnswers       = define(7037, log.InfoLevel, "target answers again", "")
+	CallLate            = define(7080, log.InfoLevel, "answer of a target is late, the call is sent again", "")
+	ResendsSpent        = define(7081, log.InfoLevel, "call without an answer is not sent again at once, too many were", "")
 	TargetExcluded      = define(7038, log.WarnLevel, "target fails the tasks placed on it, excluded from placement for a while", "Check the target's own log.")
 	ListingRefused      = define(7039, log.WarnLevel, "target refused to list its runs", "")
 	LeaseLapsed         = define(7040, log.WarnLevel, "lease of a target without an answer has expired, its runs are lost", "")
