A lasting run is not stopped because its start has no answer

Cause: after a change of leader each run counts as unanswered; with calls lost it was stopped after 4.5 s although it was at work, also before its target had been listed once. Suspicion came at 12 calls at any loss, so that leases lapsed on sound targets when nine tenths were lost.

Change: checkRun sends the start of a lasting run until it is answered or listed or the lease has lapsed; a run of a former leader waits for the first listing. Suspicion follows the loss up to 64 calls.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -404,3 +404,24 @@
 	is.Equal(r.fleet.Started("a"), 0)
 	r.reportFaults()
 }
+
+// TestLostCalls plays targets that leave a share of all calls without an answer and carry
+// them out later, after newer calls: the tasks end about as soon as they would without, and
+// each runs once.
+func TestLostCalls(t *testing.T) {
+	for _, share := range []float64{0.1, 0.5} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			r := newRigWithLease(t, 5*time.Second, "a", "b", "c")
+			time.Sleep(300 * time.Millisecond) // all have answered a listing
+			r.fleet.ChangeAll(func(t *standin.StepTarget) {
+				t.LateShare, t.LateBy, t.Work = share, 600*time.Millisecond, 100*time.Millisecond
+			})
+			// Two waves of 12 tasks on room for 12 take 0.2 s without losses; a start that waits
+			// for a second for its answer takes longer than all of them.
+			r.submit("j", 12, 12)
+			r.eventually("all tasks are done", 3*time.Second, func() bool { return r.state("j") == pb.JobState_JOB_STATE_DONE })
+			time.Sleep(700 * time.Millisecond)
+			r.reportFaults()
+		})
+	}
+}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -523,7 +523,7 @@
 			if r.phase == runConfirmed && (d.stalled(task, r, now) || d.mustSaveNow(task, r, now)) {
 				mustStop = true
 			}
-			switch d.checkRun(r, mustStop, now) {
+			switch d.checkRun(r, mustStop, task.Spec().Lasting, now) {
 			case actionStart:
 				start = append(start, r)
 			case actionStop:
@@ -576,8 +576,10 @@
 	}
 }
 
-// checkRun returns the call to make for a run, and ends it if its target is gone.
-func (d *Driver) checkRun(r *run, mustStop bool, now time.Time) runAction {
+// checkRun returns the call to make for a run, and ends it if its target is gone. A lasting run
+// may be at work although its start has no answer: its start is sent until it is answered or
+// listed, or the lease has lapsed.
+func (d *Driver) checkRun(r *run, mustStop, lasting bool, now time.Time) runAction {
 	if now.Sub(r.lastCallAt) < retryPause {
 		return actionNone
 	}
@@ -600,10 +602,12 @@
 		switch {
 		case l.target.BornUnixMs != r.born:
 			d.endAfterRestart(l, r)
-		case mustStop, l.leaving, now.Sub(r.placedAt) > startRetryPeriod && !r.adopted, now.Sub(r.placedAt) > 3*startRetryPeriod:
+		case mustStop, l.leaving:
 			return actionStop
 		case r.adopted && !l.everListed:
 			// The first listing shows whether it already runs.
+		case !lasting && (now.Sub(r.placedAt) > startRetryPeriod && !r.adopted || now.Sub(r.placedAt) > 3*startRetryPeriod):
+			return actionStop
 		default:
 			return actionStart
 		}
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -26,7 +26,7 @@
 	minLoss = 0.1
 	// maxUnanswered is the number of unanswered calls from which on a target is suspected at
 	// any loss.
-	maxUnanswered = 12
+	maxUnanswered = 64
 	// suspicionTime is how long a target must have been silent: calls sent together may all
 	// meet the same pause.
 	suspicionTime = 200 * time.Millisecond
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,9 @@
 	// that much later and also drops the answers.
 	LoseAnswers bool
 	CallDelay   time.Duration
+	// LateShare is the share of calls that get no answer and are carried out LateBy later.
+	LateShare float64
+	LateBy    time.Duration
 	// StopDelay delays only stops.
 	StopDelay time.Duration
 	// Replaced means that another target answers at the address.
@@ -169,6 +173,9 @@
 		return driver.Answer{}, ctx.Err()
 	}
 	delay, lost := t.CallDelay, t.LoseAnswers
+	if rand.Float64() < t.LateShare {
+		delay = t.LateBy
+	}
 	if delay > 0 {
 		f.mu.Unlock()
 		go func() {
