--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -133,12 +133,11 @@
 			d := newTestDriver(t, time.Now)
 			r := d.runs.find(workflow.TaskID{Job: "j"}, 1)
 			former := d.links["t0"]
-			former.openCalls = make(map[*callInProgress]struct{})
 			r.phase = runCalling
-			open := d.beginCall(former, answerTime)
+			open := d.beginCall(former, r, "start", 0, func() {})
 			next := &link{target: &pb.Target{Id: "t0", BornUnixMs: 2, Pool: "p", Vm: "vm-t0"}, cancel: func() {}}
 			d.links["t0"] = next
-			d.handleStartAnswer(former, r, open, test.answer, test.err, true)
+			d.handleStartAnswer(r, open, test.answer, test.err, true)
 			is.Equal(d.links["t0"], next)
 			is.Equal(next.failures, 0)
 			is.True(next.clockAt.IsZero())
@@ -179,12 +178,11 @@
 	d := newTestDriver(t, time.Now)
 	d.cfg.Log = leaseWhile{&held}
 	l := d.links["t0"]
-	l.openCalls = make(map[*callInProgress]struct{})
 	d.noteClock(l, 1000)
-	_, _, due := d.nextListing(l)
+	_, _, due := d.nextListing(d.ctx, l)
 	is.True(due)
 	d.cfg.Now = now
-	_, _, due = d.nextListing(l)
+	_, _, due = d.nextListing(d.ctx, l)
 	is.True(!due)
 }
 
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 	// that much later and also drops the answers.
 	LoseAnswers bool
 	CallDelay   time.Duration
+	// LateShare is the share of calls that get no answer and are carried out LateBy later.
+	LateShare float64
+	LateBy    time.Duration
 	// StopDelay delays only stops. StopGrace is how long a stopped run goes on; it is listed as
 	// running until then.
 	StopDelay, StopGrace time.Duration
@@ -209,6 +213,9 @@
 		return driver.Answer{}, ctx.Err()
 	}
 	delay, lost := t.CallDelay, t.LoseAnswers
+	if rand.Float64() < t.LateShare {
+		delay = t.LateBy
+	}
 	if delay > 0 {
 		f.mu.Unlock()
 		go func() {
