--- a/internal/driver/modelrig_test.go
+++ b/internal/driver/modelrig_test.go
@@ -76,6 +76,12 @@
 	s.losesOutcome = which
 }
 
+func (s *modelStore) setLeader(l *modelLog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = l
+}
+
 // all matches every command.
 func all(*pb.Command) bool { return true }
 
@@ -153,9 +159,7 @@
 	former := r.stopLeader
 	r.epoch++
 	log := &modelLog{r.store}
-	r.store.mu.Lock()
-	r.store.leader = log
-	r.store.mu.Unlock()
+	r.store.setLeader(log)
 	client := r.fleet.Client()
 	d := driver.New(driver.Config{
 		Machine: r.store.machine, Log: log, Targets: client, VMs: client, Epoch: r.epoch, Holder: "test",
@@ -182,11 +186,14 @@
 	}
 }
 
-// close ends all goroutines of the rig and lets late calls arrive.
+// close ends all goroutines of the rig and lets late calls arrive. No request reaches a
+// driver whose loop has ended.
 func (r *modelRig) close() {
 	close(r.stop)
-	r.stopLeader()
 	r.running.Wait()
+	r.store.setLeader(nil)
+	time.Sleep(modelCommitTime)
+	r.stopLeader()
 	time.Sleep(modelFlushTime)
 }
 
