--- a/internal/driver/model_test.go
+++ b/internal/driver/model_test.go
@@ -243,10 +243,11 @@
 		}
 		var ids []string
 		for i, job := range p.Jobs {
-			ids = append(ids, fmt.Sprintf("j%d", i))
+			id := fmt.Sprintf("j%d", i)
+			ids = append(ids, id)
 			r.running.Go(func() {
 				time.Sleep(job.At)
-				r.submit(job.Pool, ids[i], job.Work, job.Copies, job.Tasks...)
+				r.submit(job.Pool, id, job.Work, job.Copies, job.Tasks...)
 			})
 		}
 		time.Sleep(modelHorizon)
