--- a/internal/driver/twice_test.go
+++ b/internal/driver/twice_test.go
@@ -169,6 +169,24 @@
 	})
 }
 
+// TestEndConfirmedByFormerNumber lets the next incarnation of a target run a task before the
+// leader knows of the restart. The end has a number that the leader has confirmed to the
+// former incarnation, and confirms with every listing call.
+func TestEndConfirmedByFormerNumber(t *testing.T) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
+		r.submitOne("i", 100*time.Millisecond)
+		r.awaitDone(t, "i")
+		time.Sleep(2 * time.Second) // the end is confirmed, no call is in progress
+		r.setMuted("vm0", true)
+		r.restartAll("vm0")
+		lost := standin.ModelFate{Lost: true, Fails: true}
+		r.fleet.SetFate(fates(fateRule{kind: standin.CallRenew, vm: "vm0", times: 1, fate: lost}))
+		r.submitOne("j", 100*time.Millisecond)
+		r.awaitDone(t, "j")
+		r.setMuted("vm0", false)
+	})
+}
+
 // TestLateRenewCountedFromArrival cuts off a target after a listing call that arrives late
 // and whose lease the target counts from its arrival.
 func TestLateRenewCountedFromArrival(t *testing.T) {
