--- a/internal/driver/twice_test.go
+++ b/internal/driver/twice_test.go
@@ -334,6 +334,26 @@
 	})
 }
 
+// TestLateStartAcceptedBeforeRestartIsKnown lets the next incarnation of a target accept the
+// late start of an earlier run before the leader knows of the restart. That run is alone,
+// and the task must not start again until it has ended.
+func TestLateStartAcceptedBeforeRestartIsKnown(t *testing.T) {
+	const delay = 8 * time.Second
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
+		r.fleet.SetBehaviour(standin.ModelBehaviour{StartBeforeFirstCall: true})
+		time.Sleep(30 * time.Second) // the clock of the first incarnation gets ahead
+		r.fleet.SetFate(fates(fateRule{kind: standin.CallStart, times: 1, fate: late(delay)}))
+		arrives := time.Now().Add(delay)
+		r.submitOne("j", longWork)
+		time.Sleep(time.Until(arrives)) // the second run is at work
+		r.setMuted("vm0", true)
+		r.restartAll("vm0")
+		time.Sleep(300 * time.Millisecond) // the first start arrives
+		r.setMuted("vm0", false)
+		r.awaitDone(t, "j")
+	})
+}
+
 // TestMoveAnswerAfterReturn delays the answer to a move until the VM's next target runs a
 // task.
 func TestMoveAnswerAfterReturn(t *testing.T) {
--- a/test/standin/modelfleet.go
+++ b/test/standin/modelfleet.go
@@ -28,7 +28,9 @@
 // starts work at once can protect itself. Each is off by default.
 type ModelBehaviour struct {
 	// StartBeforeFirstCall lets a start that was sent to a former incarnation of a target take
-	// effect on a new one before any call that was sent after the birth of the new one.
+	// effect on a new one before any call that was sent after the birth of the new one. While
+	// it is off such a start may still take effect after that call and before the leader knows
+	// of the restart.
 	StartBeforeFirstCall bool
 	// LateRenewReachesNext lets a listing call that was sent to a former incarnation take
 	// effect on the next one: it confirms ends that nobody has read.
