Lost calls are counted at the next answer

Cause: a lost call was counted when it timed out, a second and more after its answer was late, so that listings kept their long wait for that time: a lost one delays the ends it would have shown by up to 1.5 s.

Change: the unanswered calls of a target count as lost when it answers another call; three at most of one that was suspected.

--- a/internal/driver/calls.go
+++ b/internal/driver/calls.go
@@ -62,6 +62,22 @@
 	return c
 }
 
+// maxLossNoted limits the lost calls that are counted for a target that was suspected: it may
+// have been cut off, which says nothing about the others.
+const maxLossNoted = 3
+
+// noteLoss counts the calls without an answer of a target that now answers another one: they
+// were lost on the way.
+func (d *Driver) noteLoss(l *link) {
+	lost := l.unanswered
+	if l.failures > 0 {
+		lost = min(lost, maxLossNoted)
+	}
+	for range lost {
+		d.loss.Note(true)
+	}
+}
+
 func reportLate(l *link, r *run, step string, bound time.Duration) {
 	fields := []event.Field{event.F("target", l.target.Id), event.F("step", step), event.F("bound", bound.Round(time.Millisecond).String())}
 	if r != nil {
@@ -75,10 +91,6 @@
 	c.timer.Stop()
 	c.over = true
 	if err != nil {
-		// A target that has answered since was sound: the call was lost.
-		if c.link.heardAt.After(c.sentAt) {
-			d.loss.Note(true)
-		}
 		return
 	}
 	d.loss.Note(false)
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -416,8 +416,9 @@
 			r.fleet.ChangeAll(func(t *standin.StepTarget) {
 				t.LateShare, t.LateBy, t.Work = share, 600*time.Millisecond, 100*time.Millisecond
 			})
-			// Two waves of 12 tasks on room for 12 take 0.2 s without losses; a start that waits
-			// for a second for its answer takes longer than all of them.
+			r.submit("earlier", 12, 12) // the leader learns how many calls are lost
+			r.waitDone("earlier")
+			// Two waves of 12 tasks on room for 12 take 0.2 s without losses.
 			r.submit("j", 12, 12)
 			r.eventually("all tasks are done", 3*time.Second, func() bool { return r.state("j") == pb.JobState_JOB_STATE_DONE })
 			time.Sleep(700 * time.Millisecond)
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -55,10 +55,8 @@
 	unansweredSince time.Time
 	// failures is unanswered while the target is suspected to be gone, and 0 otherwise.
 	failures int
-	// heardAt is when the last answer to any call came.
-	heardAt time.Time
-	answers callTimes
-	resends silence.Budget
+	answers  callTimes
+	resends  silence.Budget
 	// queuedStarts holds runs whose start is to be sent, senders counts the goroutines that
 	// send them.
 	queuedStarts []*run
@@ -314,7 +312,7 @@
 }
 
 func (d *Driver) noteAnswer(l *link) {
-	l.heardAt = d.cfg.Now()
+	d.noteLoss(l)
 	if l.failures > 0 {
 		event.TargetAnswers.Emit(event.F("target", l.target.Id), event.F("failures", l.failures))
 	}
