An end is confirmed once, not with every call to its target

Cause: each listing call repeated the number of the last confirmed end. Its target's next incarnation numbers its ends anew and forgot an end as done that the leader had not read, so that the task ran again.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -220,7 +220,11 @@
 	if l.lastConfirmedEnd == l.lastCommittedEnd && !d.hasRuns(l.target.Id) && !d.needsCall(l) {
 		return RenewCall{}, nil, false
 	}
-	call := RenewCall{Fence: d.cfg.Epoch, SeenEnd: l.lastCommittedEnd, Wait: listingWait}
+	call := RenewCall{Fence: d.cfg.Epoch, Wait: listingWait}
+	if l.lastCommittedEnd > l.lastConfirmedEnd {
+		// Only once: the next incarnation numbers its ends anew, and must not forget them.
+		call.SeenEnd = l.lastCommittedEnd
+	}
 	if l.failures == 0 {
 		// A target that does not answer gets no new lease until it does: otherwise its
 		// leases would never lapse.
