A closing session lets its reading goroutine close it

Cause: yamux closes a session's channel before it ends the streams, and a stream's reader polls that channel until then. Where another goroutine closes the session and nothing preempts the reader, the one never gets on: the daemon uses its processor for good.

Change: the connection is closed first, also after a failed write, and the session's own reading goroutine ends the session without waiting for another.

TestCloseWithBlockedReaders covers the closing paths; it passed before too, since the scheduler preempts there.

--- /dev/null
+++ b/internal/wire/close_test.go
@@ -0,0 +1,90 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/wire/wirepb"
+)
+
+// closeChildEnv names the variable by which a test process knows that it is the child.
+const closeChildEnv = "SAPPHIRERING_TEST_CLOSE"
+
+// TestCloseWithBlockedReaders closes sessions whose streams are being read, by each side and by
+// a connection that fails, in a process with one thread for Go code and without preemption: a
+// reader that polls the session while it closes would keep the closing goroutine from running.
+func TestCloseWithBlockedReaders(t *testing.T) {
+	const within = 20 * time.Second
+	if how := os.Getenv(closeChildEnv); how != "" {
+		closeWithBlockedReaders(t, how)
+		return
+	}
+	for _, how := range []string{"dialer", "server", "failed write"} {
+		t.Run(how, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), within)
+			defer cancel()
+			child := exec.CommandContext(ctx, os.Args[0], "-test.run=^TestCloseWithBlockedReaders$")
+			child.Env = append(os.Environ(), closeChildEnv+"="+how, "GOMAXPROCS=1", "GODEBUG=asyncpreemptoff=1")
+			if out, err := child.CombinedOutput(); err != nil {
+				t.Fatalf("child: %v (context: %v)\n%s", err, ctx.Err(), out)
+			}
+		})
+	}
+}
+
+func closeWithBlockedReaders(t *testing.T, how string) {
+	const rounds, streams = 20, 4
+	is := is.New(t)
+	for range rounds {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		ended := make(chan struct{}, 2*streams)
+		read := func(s net.Conn) {
+			var b [1]byte
+			s.Read(b[:])
+			ended <- struct{}{}
+		}
+		accepted := make(chan struct{}, streams)
+		server := &Server{Listener: listener, Handler: func(_ *wirepb.Hello, s net.Conn) {
+			accepted <- struct{}{}
+			read(s)
+		}}
+		go server.Serve()
+		dialer := new(Dialer)
+		for range streams {
+			s, err := dialer.Open(context.Background(), listener.Addr().String(), &wirepb.Hello{})
+			is.NoErr(err)
+			go read(s)
+			<-accepted
+		}
+		time.Sleep(time.Millisecond) // the readers wait
+		switch how {
+		case "dialer":
+			dialer.Close()
+		case "server":
+			server.Close()
+		case "failed write":
+			dialer.mu.Lock()
+			for _, s := range dialer.sessions {
+				s.failWrites()
+			}
+			dialer.mu.Unlock()
+			_, err := dialer.Open(context.Background(), listener.Addr().String(), &wirepb.Hello{})
+			is.True(err != nil)
+		}
+		for range 2 * streams {
+			<-ended
+		}
+		dialer.Close()
+		server.Close()
+	}
+}
+
+// failWrites makes writes to the session's connection fail while reads go on.
+func (s *session) failWrites() { s.conn.Conn.(*net.TCPConn).CloseWrite() }
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,6 +76,22 @@
 type silenceConn struct {
 	net.Conn
 	closed atomic.Bool
+	// readFailed is closed once a read has failed.
+	readFailed chan struct{}
+	failOnce   sync.Once
+}
+
+func newSilenceConn(conn net.Conn) *silenceConn {
+	return &silenceConn{Conn: conn, readFailed: make(chan struct{})}
+}
+
+// fail closes the connection and waits until a read has failed.
+func (c *silenceConn) fail() {
+	c.Conn.Close()
+	select {
+	case <-c.readFailed:
+	case <-time.After(closeTimeout):
+	}
 }
 
 // Read sets a new deadline, reads and counts the bytes.
@@ -88,13 +105,20 @@
 	if errors.As(err, &timeout) && timeout.Timeout() && !c.closed.Swap(true) {
 		event.LinkSilent.Emit(event.F("peer", c.RemoteAddr().String()))
 	}
+	if err != nil {
+		c.failOnce.Do(func() { close(c.readFailed) })
+	}
 	return n, err
 }
 
-// Write writes and counts the bytes.
+// Write writes and counts the bytes. After an error the reading goroutine closes the session,
+// as in session.Close.
 func (c *silenceConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	bytesSent.Inc(int64(n))
+	if err != nil {
+		c.fail()
+	}
 	return n, err
 }
 
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -33,7 +33,7 @@
 	Addresses map[string]string
 
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*session
 }
 
 func yamuxConfig() *yamux.Config {
@@ -70,12 +70,12 @@
 	return stream, stream.SetWriteDeadline(time.Time{})
 }
 
-func (d *Dialer) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (d *Dialer) session(ctx context.Context, address string) (*session, error) {
 	d.mu.Lock()
-	session := d.sessions[address]
+	known := d.sessions[address]
 	d.mu.Unlock()
-	if session != nil && !session.IsClosed() {
-		return session, nil
+	if known != nil && !known.IsClosed() {
+		return known, nil
 	}
 	dialAddress := address
 	if override, ok := d.Addresses[address]; ok {
@@ -85,12 +85,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	session, err = yamux.Client(&silenceConn{Conn: conn}, yamuxConfig())
+	opened, err := newSession(conn, yamux.Client)
 	if err != nil {
-		conn.Close()
 		return nil, fmt.Errorf("start session to %s: %w", address, err)
 	}
-	return d.storeSession(address, session), nil
+	return d.storeSession(address, opened), nil
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -104,38 +103,38 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// storeSession stores and returns the session. If another call stored one
-// meanwhile, it closes session and returns the stored one.
-func (d *Dialer) storeSession(address string, session *yamux.Session) *yamux.Session {
+// storeSession stores and returns the opened session. If another call stored one
+// meanwhile, it closes the opened one and returns the stored one.
+func (d *Dialer) storeSession(address string, opened *session) *session {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if other := d.sessions[address]; other != nil && !other.IsClosed() {
-		session.Close()
+		opened.Close()
 		return other
 	}
 	if d.sessions == nil {
-		d.sessions = make(map[string]*yamux.Session)
+		d.sessions = make(map[string]*session)
 	}
-	d.sessions[address] = session
-	return session
+	d.sessions[address] = opened
+	return opened
 }
 
 // Drop closes a session that no longer works and removes it from the dialer.
-func (d *Dialer) Drop(address string, session *yamux.Session) {
+func (d *Dialer) Drop(address string, dropped *session) {
 	d.mu.Lock()
-	if d.sessions[address] == session {
+	if d.sessions[address] == dropped {
 		delete(d.sessions, address)
 	}
 	d.mu.Unlock()
-	session.Close()
+	dropped.Close()
 }
 
 // Close closes every session.
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, session := range d.sessions {
-		session.Close()
+	for _, opened := range d.sessions {
+		opened.Close()
 	}
 	d.sessions = nil
 }
@@ -150,7 +149,7 @@
 
 	mu       sync.Mutex
 	closed   bool
-	sessions map[*yamux.Session]struct{}
+	sessions map[*session]struct{}
 }
 
 // Serve accepts connections until Close is called.
@@ -165,21 +164,20 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	session, err := yamux.Server(&silenceConn{Conn: conn}, yamuxConfig())
+	opened, err := newSession(conn, yamux.Server)
 	if err != nil {
-		conn.Close()
 		return
 	}
-	if !s.track(session) {
-		session.Close()
+	if !s.track(opened) {
+		opened.Close()
 		return
 	}
-	defer s.untrack(session)
+	defer s.untrack(opened)
 	limit := new(budget)
 	for {
-		accepted, err := session.AcceptStream()
+		accepted, err := opened.AcceptStream()
 		if err != nil {
-			session.Close()
+			opened.Close()
 			return
 		}
 		if !limit.acquireStream() {
@@ -215,23 +213,23 @@
 	s.Handler(hello, stream)
 }
 
-func (s *Server) track(session *yamux.Session) bool {
+func (s *Server) track(opened *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
 	if s.sessions == nil {
-		s.sessions = make(map[*yamux.Session]struct{})
+		s.sessions = make(map[*session]struct{})
 	}
-	s.sessions[session] = struct{}{}
+	s.sessions[opened] = struct{}{}
 	return true
 }
 
-func (s *Server) untrack(session *yamux.Session) {
+func (s *Server) untrack(closed *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, session)
+	delete(s.sessions, closed)
 }
 
 // Close stops accepting and closes every session.
@@ -240,7 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for session := range s.sessions {
-		session.Close()
+	for opened := range s.sessions {
+		opened.Close()
 	}
 }
