--- a/test/standin/modelcalls.go
+++ b/test/standin/modelcalls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -50,6 +51,8 @@
 	AnswerAfter time.Duration
 	// Fails makes the caller get an error at once instead of no answer.
 	Fails bool
+	// Resets makes the caller's connection be reset, as a host or a network does.
+	Resets bool
 }
 
 // modelLatency is the time that a call, and an answer, takes without a fault.
@@ -121,6 +124,9 @@
 			}
 		})
 	}
+	if fate.Resets {
+		return none, fmt.Errorf("%w: connection reset by peer", driver.ErrClosedByTarget)
+	}
 	if fate.Fails {
 		return none, errModelReset
 	}
