Stale facts found by review: resets, removed links, second restarts, maintenance

The same class as the incident's cause, found by a reading of the fixes; each with a test that failed: - a connection that was reset, or closed long before or by an older call, no longer shows that a target has ended (TestModelResetAfterDeregister, TestResetBeforeDeregistration, TestResetOfOlderListing); the model's reset is one that the client does not report as closed by the target; - leases of late calls are inherited after the former link was removed, late starts are refused at every later incarnation, and until the target has taken the stop; - an incarnation found by a listing gets no starts before it has announced itself; - maintenance: a late announcement from before the order does not end it, and what is remembered of a VM goes once no wave has it ordered, also if the commit seemed to fail; - an unanswered run of a former incarnation ends once its start can no longer take effect; - the pace of adopted fillers counts as unknown.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -92,6 +92,9 @@
 	// endedIncarnations holds incarnations of targets that are certainly over, so that late
 	// announcements do not bring them back.
 	endedIncarnations map[incarnation]*endedIncarnation
+	// formerLapse holds when leases that late calls to a removed target may bring to the next
+	// incarnation have lapsed, by target id.
+	formerLapse map[string]time.Time
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
@@ -144,7 +147,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), startedAt: cfg.Now(),
 		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
-		endedIncarnations: make(map[incarnation]*endedIncarnation), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
+		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice:          make(map[workflow.TaskID]*stepAdvice),
 		waitsReportedAt: make(map[string]time.Time), waitSpans: make(map[workflow.TaskID]waitSpan),
@@ -200,7 +203,7 @@
 			for _, task := range v.PlacedOn(target.Id) {
 				d.addRun(&run{
 					task: task.ID, attempt: task.AttemptOn(target.Id), target: target.Id, born: target.BornUnixMs,
-					phase: runUnanswered, unanswered: true, placedAt: d.startedAt, adopted: true,
+					phase: runUnanswered, unanswered: true, placedAt: d.startedAt, adopted: true, pace: unknownPace,
 				})
 			}
 		}
--- a/internal/driver/fillers.go
+++ b/internal/driver/fillers.go
@@ -18,6 +18,8 @@
 	// above the one fillers on the same target slow down, below the other they speed up.
 	slowDownAt = 0.8
 	speedUpAt  = 0.55
+	// unknownPace is the pace of a run that a former leader may have slowed.
+	unknownPace = -1
 	// paceStep is the increase of a filler's pace, in percent.
 	paceStep = 20
 	// minPace is the pace below which a filler is paused, in percent.
@@ -65,6 +67,9 @@
 
 // nextPace returns a filler's next pace; tail is the tail latency as a fraction of its goal.
 func nextPace(pace int, tail float64) int {
+	if pace == unknownPace {
+		return firstPace(tail)
+	}
 	switch {
 	case tail >= 1:
 		return 0
@@ -79,11 +84,27 @@
 	return pace
 }
 
+// firstPace returns the pace of a filler whose pace is not known, or unknownPace to leave it.
+func firstPace(tail float64) int {
+	switch {
+	case tail >= 1:
+		return 0
+	case tail > slowDownAt:
+		return fullPace / 2
+	case tail < speedUpAt:
+		return paceStep
+	}
+	return unknownPace
+}
+
 func (d *Driver) callPace(l *link, r *run, pace int, tail float64) {
 	r.pacing, r.lastCallAt = true, d.cfg.Now()
 	call := PaceCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, Percent: pace}
 	to := l.address()
 	d.background(func() {
+		if !d.cfg.Log.HoldsLease() {
+			return
+		}
 		ctx, cancel := context.WithTimeout(d.ctx, runCallTimeout)
 		defer cancel()
 		answer, err := d.cfg.Targets.Pace(ctx, to, call)
--- a/internal/driver/latestarts.go
+++ b/internal/driver/latestarts.go
@@ -20,7 +20,7 @@
 }
 
 // noteLateStart records that a start of the run, which is over, may still take effect. If the
-// next incarnation of its target is known, that is told to refuse it.
+// next incarnation of its target is known, that is told to refuse it, as are later ones.
 func (d *Driver) noteLateStart(r *run) {
 	if !r.unanswered {
 		return
@@ -28,7 +28,6 @@
 	late := lateStart{r.id(), d.cfg.Now().Add(lateCallBound)}
 	if l := d.links[r.target]; l != nil && l.target.BornUnixMs != r.born {
 		d.background(func() { d.refuseLateStart(l, late) })
-		return
 	}
 	d.lateStarts[r.target] = append(d.lateStarts[r.target], late)
 }
@@ -47,19 +46,17 @@
 // refuseLateStarts makes the new incarnation of a target refuse late starts that were
 // sent to the former one.
 func (d *Driver) refuseLateStarts(l *link) {
-	late := d.lateStarts[l.target.Id]
-	delete(d.lateStarts, l.target.Id)
-	for _, start := range late {
+	for _, start := range d.lateStarts[l.target.Id] {
 		d.background(func() { d.refuseLateStart(l, start) })
 	}
 }
 
-// refuseLateStart sends the stop of one run until it is answered. Any answer is final: the
-// target has accepted the stop, is another one by now, or has a newer leader.
+// refuseLateStart sends the stop of one run until the target has taken it, is another one by
+// now, or has a newer leader.
 func (d *Driver) refuseLateStart(l *link, late lateStart) {
 	for d.cfg.Now().Before(late.until) && d.ctx.Err() == nil && d.cfg.Log.HoldsLease() {
 		answer, err := d.sendStop(l.address(), late.run)
-		if err == nil {
+		if err == nil && answer.Refusal != RefusedUnhealthy && answer.Refusal != RefusedInvalid {
 			event.LateStartRefused.Emit(event.F("task", late.run.task.String()), event.F("attempt", late.run.attempt),
 				event.F("target", l.target.Id), event.F("answer", answer.Refusal.String()))
 			return
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -27,6 +27,9 @@
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the largest number of ends in one listing.
 	maxEndsListed = 500
+	// endingTime is the longest time between a target's last message and the end of its process
+	// without a disturbance.
+	endingTime = 500 * time.Millisecond
 	// deregisterBound is how long a target that has deregistered may still be up.
 	deregisterBound = 10 * time.Second
 	// maxMissedAnnouncements is the number of announcements that a target may miss.
@@ -48,10 +51,12 @@
 
 	lastAnnounced time.Time
 	sequence      uint64
-	// deregisteredAt is when the target said that it ends, closed is whether its host closed the
-	// connection of the last call.
-	deregisteredAt time.Time
-	closed         bool
+	// unannounced incarnations were found by a listing. They are not registered and get no
+	// starts until they announce themselves, since they may be of another kind.
+	unannounced bool
+	// deregisteredAt is when the target said that it ends, closedAt when its host closed the
+	// connection of a listing call; zero if it has answered since.
+	deregisteredAt, closedAt time.Time
 	// leaving targets get no starts; leavesAt is when it may be gone, zero if it has not said.
 	leaving  bool
 	leavesAt time.Time
@@ -287,8 +292,10 @@
 		if !open.late {
 			d.noteNoAnswer(l, "list", err)
 		}
-		l.closed = errors.Is(err, ErrClosedByTarget)
-		d.endIfDeregistered(l)
+		if errors.Is(err, ErrClosedByTarget) && !asked.Before(l.listedAt) {
+			l.closedAt = d.cfg.Now()
+			d.endIfDeregistered(l)
+		}
 		return open.late
 	}
 	switch listing.Refusal {
@@ -366,7 +373,7 @@
 	if l.failures > 0 {
 		event.TargetAnswers.Emit(event.F("target", l.target.Id), event.F("failures", l.failures))
 	}
-	l.unanswered, l.failures, l.closed = 0, 0, false
+	l.unanswered, l.failures, l.closedAt = 0, 0, time.Time{}
 	d.sendQueued(l)
 }
 
@@ -378,7 +385,7 @@
 // acceptsStarts reports whether the target may get starts now.
 func (d *Driver) acceptsStarts(l *link) bool {
 	now := d.cfg.Now()
-	return !l.leaving && !l.mayHaveEnded(now) && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero()
+	return !l.leaving && !l.unannounced && !l.mayHaveEnded(now) && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero()
 }
 
 // noteRestart handles a new incarnation under the same id before it has announced itself.
@@ -388,7 +395,7 @@
 	}
 	target := proto.CloneOf(l.target)
 	target.BornUnixMs, target.Leaving = born, false
-	d.beginIncarnation(l, target)
+	d.beginIncarnation(l, target).unannounced = true
 }
 
 // beginIncarnation replaces the link by that of a new incarnation. Runs of the former one
@@ -406,7 +413,6 @@
 		}
 	}
 	d.refuseLateStarts(l)
-	d.background(func() { d.register(target) })
 	return l
 }
 
@@ -429,14 +435,6 @@
 	return b
 }
 
-// register commits a target; the next announcement tries again after a failure.
-func (d *Driver) register(target *pb.Target) {
-	if _, err := d.commit(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}}); err != nil {
-		event.RegisterUncommitted.Emit(event.F("target", target.Id), event.Err(err))
-	}
-	d.requestRound()
-}
-
 // noteEnded remembers that the incarnation of a link has ended.
 func (d *Driver) noteEnded(l *link) {
 	d.endedIncarnations[l.incarnation()] = &endedIncarnation{at: d.cfg.Now(), sequence: l.sequence}
@@ -448,6 +446,7 @@
 	event.IncarnationEnded.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason),
 		event.F("runs", d.runs.count(l.target.Id)), event.F("announced_age_ms", ageMS(l.lastAnnounced, now)), event.F("listed_age_ms", ageMS(l.answeredAt, now)))
 	d.noteEnded(l)
+	d.formerLapse[l.target.Id] = d.inheritedLapse(l)
 	d.dropLink(l)
 	for r := range d.runs.on(l.target.Id) {
 		if r.born == l.target.BornUnixMs {
@@ -467,9 +466,12 @@
 }
 
 // startLeaseLapsed reports whether the lease granted with a run's start has lapsed on
-// whichever incarnation accepted it; false while a start call may still take effect.
+// whichever incarnation accepted it, also if the start took effect late.
 func (d *Driver) startLeaseLapsed(r *run, now time.Time) bool {
-	return !r.unanswered && !r.phaseAnsweredAt.IsZero() && now.Sub(r.phaseAnsweredAt) > d.leaseBound()
+	if r.unanswered {
+		return now.Sub(later(r.placedAt, r.startSentAt)) > lateCallBound+d.leaseBound()
+	}
+	return !r.phaseAnsweredAt.IsZero() && now.Sub(r.phaseAnsweredAt) > d.leaseBound()
 }
 
 // checkLinks sends starts that wait behind a late answer, and ends the runs of targets whose leases have certainly lapsed without an answer.
--- a/internal/driver/prune.go
+++ b/internal/driver/prune.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"maps"
 	"time"
 
 	"sapphirering/internal/event"
@@ -27,6 +28,7 @@
 	d.prunedAt = now
 	d.mu.Lock()
 	d.pruneLateStarts(now)
+	maps.DeleteFunc(d.formerLapse, func(_ string, lapse time.Time) bool { return now.After(lapse) })
 	d.pruneWaits(now)
 	d.cfg.Machine.View(func(v *workflow.View) {
 		d.learned.pruneSteps(v.OpenJobs())
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -42,6 +42,7 @@
 	switch {
 	case l == nil:
 		l = d.addLink(target)
+		l.lapseAt = d.formerLapse[target.Id]
 		event.TargetFound.Emit(event.F("target", target.Id), event.F("pool", target.Pool), event.F("zone", target.Zone), event.F("vm", target.Vm))
 		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
@@ -54,6 +55,10 @@
 		d.noteVMBack(target)
 	case r.Sequence < l.sequence:
 		return false
+	case l.unannounced:
+		l.target, l.unannounced = target, false
+		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
+		d.noteVMBack(target)
 	}
 	l.sequence = r.Sequence
 	l.lastAnnounced = d.cfg.Now()
@@ -113,7 +118,7 @@
 	defer d.mu.Unlock()
 	if l := d.links[id]; l != nil && (born == 0 || born >= l.target.BornUnixMs) {
 		event.TargetDeregistered.Emit(event.F("target", id), event.F("born", l.target.BornUnixMs),
-			event.F("runs", d.runs.count(id)), event.F("leaving", l.leaving), event.F("closed", l.closed))
+			event.F("runs", d.runs.count(id)), event.F("leaving", l.leaving), event.F("closed_ms_ago", ageMS(l.closedAt, d.cfg.Now())))
 		l.deregisteredAt = d.cfg.Now()
 		l.requestListing()
 		d.endIfDeregistered(l)
@@ -121,10 +126,14 @@
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
 }
 
-// endIfDeregistered ends an incarnation that has deregistered if its host closes connections,
-// or if it has announced before that it leaves and nothing runs on it.
+// endIfDeregistered ends an incarnation that has deregistered if its host has closed a
+// connection since or just before, or if it has announced that it leaves and nothing runs on it.
 func (d *Driver) endIfDeregistered(l *link) {
-	if l.mayHaveEnded(d.cfg.Now()) && (l.closed || l.leaving && d.runs.count(l.target.Id) == 0) {
+	if !l.mayHaveEnded(d.cfg.Now()) {
+		return
+	}
+	closed := l.closedAt.After(l.deregisteredAt.Add(-endingTime))
+	if closed || l.leaving && d.runs.count(l.target.Id) == 0 {
 		d.endIncarnation(l, "it has ended as planned")
 	}
 }
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -64,7 +64,8 @@
 	// placedAt is when the run was placed, phaseAnsweredAt when its phase last changed by
 	// an answer, runningSince when it was first known to run.
 	placedAt, phaseAnsweredAt, runningSince time.Time
-	lastCallAt                              time.Time
+	// lastCallAt is when the last call about the run was sent, startSentAt the last start.
+	lastCallAt, startSentAt time.Time
 	// percent is the progress listed last, progressAt when it last changed.
 	percent    float64
 	progressAt time.Time
@@ -192,6 +193,7 @@
 
 func (d *Driver) beginStart(r *run, l *link, onLate func()) *callInProgress {
 	r.lastCallAt = d.cfg.Now()
+	r.startSentAt = r.lastCallAt
 	return d.beginCall(l, r, "start", 0, onLate)
 }
 
@@ -586,7 +588,7 @@
 			}
 			d.addRun(&run{
 				task: task.ID, attempt: attempt, target: id, born: born,
-				phase: runUnanswered, placedAt: now, adopted: true, unanswered: true, pace: fullPace,
+				phase: runUnanswered, placedAt: now, adopted: true, unanswered: true, pace: unknownPace,
 			})
 		}
 	}
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -104,12 +104,44 @@
 	})
 	d.mu.Lock()
 	d.waves.active = len(waves) > 0
+	d.forgetMaintained(waves)
 	d.mu.Unlock()
 	for _, w := range waves {
 		d.runWave(w)
 	}
 }
 
+// forgetMaintained drops what is remembered of VMs that no wave has left to do. The commit that
+// ended their maintenance may have seemed to fail.
+func (d *Driver) forgetMaintained(waves []*pb.Wave) {
+	left := make(map[string]bool)
+	d.cfg.Machine.View(func(*workflow.View) {
+		for _, w := range waves {
+			for _, vm := range w.Vms {
+				left[vm] = left[vm] || !slices.Contains(w.Begun, vm)
+			}
+		}
+	})
+	for vm := range d.waves.cordoned {
+		if !left[vm] && !d.waves.calling[vm] {
+			d.forgetMaintenance(vm)
+		}
+	}
+	for vm := range d.waves.awaySince {
+		if !d.maintenanceOrdered(vm) && !d.waves.calling[vm] {
+			d.forgetMaintenance(vm)
+		}
+	}
+}
+
+// forgetMaintenance drops what is remembered of a VM's maintenance, which is over.
+func (d *Driver) forgetMaintenance(vm string) {
+	delete(d.waves.cordoned, vm)
+	delete(d.waves.awaySince, vm)
+	delete(d.waves.endedBy, vm)
+	delete(d.waves.busy, vm)
+}
+
 func (d *Driver) runWave(w *pb.Wave) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -504,6 +536,10 @@
 
 // noteVMBack ends the move or maintenance of a VM on which a new incarnation has started.
 func (d *Driver) noteVMBack(target *pb.Target) {
+	if bornBefore(target.BornUnixMs) < d.waves.endedBy[target.Vm] {
+		// A late announcement of an incarnation from before the order.
+		return
+	}
 	d.noteMoved(target)
 	if _, ok := d.waves.awaySince[target.Vm]; !ok {
 		return
@@ -531,10 +567,7 @@
 			event.WaveStepFailed.Emit(event.F("wave", wave), event.F("vm", vm), event.F("step", "commit the end of maintenance"), event.Err(err))
 			return
 		}
-		delete(d.waves.cordoned, vm)
-		delete(d.waves.awaySince, vm)
-		delete(d.waves.endedBy, vm)
-		delete(d.waves.busy, vm)
+		d.forgetMaintenance(vm)
 		event.MaintenanceEnded.Emit(event.F("vm", vm), event.F("wave", wave))
 		d.vmDecisions.note(d.cfg.Now(), vm, "is back from the maintenance of wave %d", wave)
 	})
