An announced incarnation gets a link of its own; tests without races

The link of an incarnation that was found by a listing was changed in place while calls read it (found by the race detector in TestRestartOfAnotherKind); it is replaced.

--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -56,7 +56,10 @@
 	case r.Sequence < l.sequence:
 		return false
 	case l.unannounced:
-		l.target, l.unannounced = target, false
+		former := l
+		d.dropLink(former)
+		l = d.addLink(target)
+		l.lapseAt = d.inheritedLapse(former)
 		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
 	}
--- a/internal/driver/stale_model_test.go
+++ b/internal/driver/stale_model_test.go
@@ -1,6 +1,7 @@
 package driver_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,18 +59,16 @@
 // The outcome of the commit that ends a VM's maintenance is lost; the VM is in a second wave.
 func TestModelSecondWave(t *testing.T) {
 	inModel(t, 1, func(t *testing.T, r *modelRig) {
-		lost, orders := false, map[int]int{}
+		var lost atomic.Bool
+		var current atomic.Int32
+		var orders [3]atomic.Int32 // by wave
 		r.store.loseOutcomes(func(command *pb.Command) bool {
-			if lost || command.GetEndMaintenance() == nil {
-				return false
-			}
-			lost = true
-			return true
+			return command.GetEndMaintenance() != nil && lost.CompareAndSwap(false, true)
 		})
-		current := 1
+		current.Store(1)
 		r.fleet.SetFate(func(call standin.ModelCall) standin.ModelFate {
 			if call.Kind == standin.CallMaintain {
-				orders[current]++
+				orders[current.Load()].Add(1)
 			}
 			return standin.ModelFate{}
 		})
@@ -83,15 +82,15 @@
 		}
 		declare(1)
 		time.Sleep(20 * time.Second)
-		t.Logf("wave 1 complete %v, orders %d", complete(1), orders[1])
+		t.Logf("wave 1 complete %v, orders %d", complete(1), orders[1].Load())
 		r.submit(modelPools[0], "j", time.Second, false, 1)
 		if left := r.unfinishedAfter(20*time.Second, "j"); len(left) > 0 {
 			t.Error("the VM takes no starts 20 s after its maintenance is over")
 		}
-		current = 2
+		current.Store(2)
 		declare(2)
 		time.Sleep(30 * time.Second)
-		if complete(2) && orders[2] == 0 {
+		if complete(2) && orders[2].Load() == 0 {
 			t.Error("wave 2 is complete, and no order of it was sent")
 		}
 	})
--- a/internal/driver/stale_test.go
+++ b/internal/driver/stale_test.go
@@ -121,6 +121,8 @@
 
 func (l *lossyLog) Commit(_ context.Context, c *pb.Command) (*workflow.Outcome, error) {
 	out := l.apply(c)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.fail != nil && l.fail(c) {
 		return nil, errors.New("outcome unknown")
 	}
