Nothing begins after a leadership has ended; a strict test is restored

Cause: a timer of a late call, or a request, could add to the wait group that Run already waits for, which panics: seen in 1208 drawn histories of TestModel with a change of leader ("WaitGroup is reused before previous Wait has returned"). Change: work that begins after the end of the leadership is dropped (TestNothingBeginsAfterRun).

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -124,6 +124,10 @@
 
 	ctx     context.Context
 	running sync.WaitGroup
+	// stopped is set, under stopMu, once Run waits for running, to which nothing may be added
+	// from then on.
+	stopMu  sync.Mutex
+	stopped bool
 }
 
 // pendingEnd is the end of a run that is to be committed.
@@ -176,6 +180,9 @@
 			clock.Sleep(ctx, planInterval)
 		}
 	}
+	d.stopMu.Lock()
+	d.stopped = true
+	d.stopMu.Unlock()
 	if err := d.cfg.Targets.Close(); err != nil {
 		event.TargetSilent.Emit(event.F("step", "close connections"), event.Err(err))
 	}
@@ -324,7 +331,11 @@
 	return d.commitWithContext(ctx, command)
 }
 
-// background runs f in a goroutine that Run waits for.
+// background runs f in a goroutine that Run waits for, unless the leadership has ended.
 func (d *Driver) background(f func()) {
-	d.running.Go(f)
+	d.stopMu.Lock()
+	defer d.stopMu.Unlock()
+	if !d.stopped {
+		d.running.Go(f)
+	}
 }
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -435,7 +435,12 @@
 // TestLostCalls plays targets that leave a share of all calls without an answer and carry
 // them out later, after newer calls: the tasks end about as soon as they would without, and
 // each runs once.
-func TestLostCalls(t *testing.T) {
+func TestLostCalls(t *testing.T) { testLostCalls(t, false) }
+
+// TestLostCallsLearned is TestLostCalls with a leader that knows how many calls are lost.
+func TestLostCallsLearned(t *testing.T) { testLostCalls(t, true) }
+
+func testLostCalls(t *testing.T, learned bool) {
 	for _, share := range []float64{0.1, 0.5} {
 		t.Run(fmt.Sprint(share), func(t *testing.T) {
 			r := newRigWithLease(t, 5*time.Second, "a", "b", "c")
@@ -443,8 +448,10 @@
 			r.fleet.ChangeAll(func(t *standin.StepTarget) {
 				t.LateShare, t.LateBy, t.Work = share, 600*time.Millisecond, 100*time.Millisecond
 			})
-			r.submit("earlier", 12, 12) // the leader learns how many calls are lost
-			r.waitDone("earlier")
+			if learned {
+				r.submit("earlier", 12, 12)
+				r.waitDone("earlier")
+			}
 			// Two waves of 12 tasks on room for 12 take 0.2 s without losses.
 			r.submit("j", 12, 12)
 			r.eventually("all tasks are done", 3*time.Second, func() bool { return r.state("j") == pb.JobState_JOB_STATE_DONE })
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -46,8 +46,9 @@
 	// clockMS is the target's clock at clockAt.
 	clockMS int64
 	clockAt time.Time
-	// lapseAt is when every lease granted so far has certainly lapsed.
-	lapseAt time.Time
+	// lapseAt is when every lease granted so far has certainly lapsed, grantedAt when the last
+	// one was granted to this incarnation.
+	lapseAt, grantedAt time.Time
 
 	lastAnnounced time.Time
 	sequence      uint64
@@ -156,7 +157,7 @@
 		return 0
 	}
 	now := d.cfg.Now()
-	l.lapseAt = later(l.lapseAt, now.Add(d.leaseBound()))
+	l.lapseAt, l.grantedAt = later(l.lapseAt, now.Add(d.leaseBound())), now
 	elapsed := time.Duration(float64(now.Sub(l.clockAt)) * (1 - clockDrift))
 	return l.clockMS + (elapsed + d.cfg.Limits.LeaseTTL).Milliseconds()
 }
@@ -474,7 +475,8 @@
 	return !r.phaseAnsweredAt.IsZero() && now.Sub(r.phaseAnsweredAt) > d.leaseBound()
 }
 
-// checkLinks sends starts that wait behind a late answer, and ends the runs of targets whose leases have certainly lapsed without an answer.
+// checkLinks sends starts that wait behind a late answer, and ends the runs of targets whose
+// leases have certainly lapsed without an answer.
 func (d *Driver) checkLinks() {
 	now := d.cfg.Now()
 	for _, l := range d.links {
@@ -494,7 +496,7 @@
 		}
 		if lost > 0 {
 			event.LeaseLapsed.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("runs", lost), event.F("failures", l.failures),
-				event.F("unanswered", unanswered), event.F("grant_age_ms", ageMS(l.lapseAt.Add(-d.leaseBound()), now)), event.F("clock_age_ms", ageMS(l.clockAt, now)))
+				event.F("unanswered", unanswered), event.F("grant_age_ms", ageMS(l.grantedAt, now)), event.F("clock_age_ms", ageMS(l.clockAt, now)))
 		}
 	}
 }
--- a/internal/driver/stale_test.go
+++ b/internal/driver/stale_test.go
@@ -395,3 +395,22 @@
 	is.Equal(c.paces[:2], []int{100, 0})
 	is.True(len(c.paces) > 2) // the pause is sent again
 }
+
+// TestNothingBeginsAfterRun begins work after the leadership has ended, as a timer or a request
+// may: it is dropped, since Run no longer waits for it.
+func TestNothingBeginsAfterRun(t *testing.T) {
+	is := is.New(t)
+	d, targets, _ := newDriverWithClock(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.cfg.Targets = closableTargets{targets}
+	d.Run(ctx)
+	ran := false
+	d.background(func() { ran = true })
+	d.running.Wait()
+	is.True(!ran)
+}
+
+type closableTargets struct{ *stopRecorder }
+
+func (closableTargets) Close() error { return nil }
