A target that owes an answer is called, suspected or not

One whose leases lapsed after a single call without an answer was not called again, as nothing was placed there, and its last listing went on to take its room: it got no work.

Change: an announced target with any call unanswered since its last answer is called. TestTargetThatOwesAnAnswerIsCalled failed before; TestSilentTarget, TestStartsBehindSilentTarget and TestLostCallsLearned passed four times each with the race detector.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -271,7 +271,7 @@
 		return true
 	}
 	announced := d.cfg.Now().Sub(l.lastAnnounced) <= 2*d.cfg.Limits.AnnounceInterval
-	return announced && (!l.everListed || l.failures > 0)
+	return announced && (!l.everListed || l.unanswered > 0)
 }
 
 func (d *Driver) hasRuns(target string) bool {
--- a/internal/driver/stale_test.go
+++ b/internal/driver/stale_test.go
@@ -414,3 +414,21 @@
 type closableTargets struct{ *stopRecorder }
 
 func (closableTargets) Close() error { return nil }
+
+// TestTargetThatOwesAnAnswerIsCalled lets the leases of a target lapse after one call without an
+// answer, which is too few to suspect it: it is called again although nothing is placed there,
+// since its last listing may still count runs that take its room.
+func TestTargetThatOwesAnAnswerIsCalled(t *testing.T) {
+	is := is.New(t)
+	d, _, _ := newDriverWithClock(t)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.links["t0"]
+	l.lastAnnounced = d.cfg.Now()
+	is.True(!d.needsCall(l))
+	d.noteNoAnswer(l, "list", errLate)
+	is.Equal(l.failures, 0)
+	is.True(d.needsCall(l))
+	d.noteAnswer(l)
+	is.True(!d.needsCall(l))
+}
