A closing link does not hold up the links beside it

Cause: a read whose deadline cannot be set, since the connection is closed already, did not count as failed, so that whoever closed the session waited its full second for a failed read. Where two calls dial one address at once the surplus session is closed before its first read, and the dialer's lock was held meanwhile: votes, answers and calls to every peer waited.

Change: each failed read counts, and sessions are closed outside of the locks.

--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -96,6 +96,14 @@
 
 // Read sets a new deadline, reads and counts the bytes.
 func (c *silenceConn) Read(b []byte) (int, error) {
+	n, err := c.readWithDeadline(b)
+	if err != nil {
+		c.failOnce.Do(func() { close(c.readFailed) })
+	}
+	return n, err
+}
+
+func (c *silenceConn) readWithDeadline(b []byte) (int, error) {
 	if err := c.Conn.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
 		return 0, err
 	}
@@ -105,9 +113,6 @@
 	if errors.As(err, &timeout) && timeout.Timeout() && !c.closed.Swap(true) {
 		event.LinkSilent.Emit(event.F("peer", c.RemoteAddr().String()))
 	}
-	if err != nil {
-		c.failOnce.Do(func() { close(c.readFailed) })
-	}
 	return n, err
 }
 
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -5,7 +5,9 @@
 	"crypto/tls"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -107,16 +109,18 @@
 // meanwhile, it closes the opened one and returns the stored one.
 func (d *Dialer) storeSession(address string, opened *session) *session {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if other := d.sessions[address]; other != nil && !other.IsClosed() {
-		opened.Close()
-		return other
-	}
-	if d.sessions == nil {
-		d.sessions = make(map[string]*session)
+	other := d.sessions[address]
+	if other == nil || other.IsClosed() {
+		if d.sessions == nil {
+			d.sessions = make(map[string]*session)
+		}
+		d.sessions[address] = opened
+		d.mu.Unlock()
+		return opened
 	}
-	d.sessions[address] = opened
-	return opened
+	d.mu.Unlock()
+	opened.Close() // waits for the session's goroutines
+	return other
 }
 
 // Drop closes a session that no longer works and removes it from the dialer.
@@ -132,11 +136,12 @@
 // Close closes every session.
 func (d *Dialer) Close() {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, opened := range d.sessions {
+	open := d.sessions
+	d.sessions = nil
+	d.mu.Unlock()
+	for _, opened := range open {
 		opened.Close()
 	}
-	d.sessions = nil
 }
 
 // StreamHandler serves one accepted stream after its hello was read.
@@ -236,9 +241,10 @@
 func (s *Server) Close() {
 	s.Listener.Close()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.closed = true
-	for opened := range s.sessions {
+	open := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
+	for _, opened := range open {
 		opened.Close()
 	}
 }
