--- a/internal/wire/close_test.go
+++ b/internal/wire/close_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"os"
 	"os/exec"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
 
 	"sapphirering/internal/wire/wirepb"
@@ -88,3 +91,58 @@
 
 // failWrites makes writes to the session's connection fail while reads go on.
 func (s *session) failWrites() { s.conn.Conn.(*net.TCPConn).CloseWrite() }
+
+// slowCloseConn is a connection whose first Close lets other goroutines run for a while, as a
+// system call does.
+type slowCloseConn struct {
+	net.Conn
+	closes atomic.Int32
+}
+
+const slowClose = 20 * time.Millisecond
+
+func (c *slowCloseConn) Close() error {
+	if c.closes.Add(1) == 1 {
+		time.Sleep(slowClose)
+	}
+	return c.Conn.Close()
+}
+
+// TestCloseUsesNoProcessor closes a session with blocked readers over a connection that takes
+// long to close: no reader may poll the session meanwhile.
+func TestCloseUsesNoProcessor(t *testing.T) {
+	const streams = 4
+	is := is.New(t)
+	near, far := net.Pipe()
+	server, err := newSession(far, yamux.Server)
+	is.NoErr(err)
+	defer server.Close()
+	client, err := newSession(&slowCloseConn{Conn: near}, yamux.Client)
+	is.NoErr(err)
+	ended := make(chan struct{}, streams)
+	for range streams {
+		s, err := client.OpenStream()
+		is.NoErr(err)
+		go func() {
+			var b [1]byte
+			s.Read(b[:])
+			ended <- struct{}{}
+		}()
+	}
+	time.Sleep(time.Millisecond) // the readers wait
+	before := processorTime(t)
+	client.Close()
+	for range streams {
+		<-ended
+	}
+	is.True(processorTime(t)-before < slowClose/2)
+}
+
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
