Late pace calls are corrected, tickets belong to the incarnation that was asked about

Cause: a pace call without an answer may take effect after a newer one, which was not sent again as long as the wanted pace stayed the same; tickets of an advice went to the incarnation that was known when the advice arrived, which refuses them.

--- a/internal/driver/advice.go
+++ b/internal/driver/advice.go
@@ -82,30 +82,36 @@
 	if known.calling || now.Sub(known.asked) < advicePause || d.adviceCalls >= maxAdviceCalls || d.cfg.Advice == nil {
 		return
 	}
-	var ask []string
+	var ask []incarnation
 	targets, _ := d.planTargets(v, pool)
 	for _, target := range targets {
-		if !known.denied[target.ID] {
-			ask = append(ask, target.ID)
+		if l := d.links[target.ID]; l != nil && !known.denied[target.ID] {
+			ask = append(ask, l.incarnation())
 		}
 	}
 	if len(ask) == 0 {
 		// Every target was denied; only new ones can be asked about.
 		return
 	}
-	slices.SortStableFunc(ask, func(a, b string) int { return len(v.PlacedOn(a)) - len(v.PlacedOn(b)) })
+	slices.SortStableFunc(ask, func(a, b incarnation) int { return len(v.PlacedOn(a.id)) - len(v.PlacedOn(b.id)) })
 	ask = ask[:min(len(ask), adviceTargets)]
+	ids := make([]string, len(ask))
+	for i, asked := range ask {
+		ids[i] = asked.id
+	}
 	known.calling, known.asked = true, now
 	d.adviceCalls++
 	d.background(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
 		defer cancel()
-		advice, err := d.cfg.Advice.Advise(ctx, step, ask)
+		advice, err := d.cfg.Advice.Advise(ctx, step, ids)
 		d.handleAdvice(step, known, ask, advice, err)
 	})
 }
 
-func (d *Driver) handleAdvice(step workflow.TaskID, known *stepAdvice, asked []string, advice Advice, err error) {
+// handleAdvice takes the tickets for the incarnations that were asked about: the next ones of
+// the same targets refuse them.
+func (d *Driver) handleAdvice(step workflow.TaskID, known *stepAdvice, asked []incarnation, advice Advice, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known.calling = false
@@ -117,15 +123,13 @@
 	event.AdviceTaken.Emit(event.F("step", step.String()), event.F("asked", len(asked)),
 		event.F("granted", len(advice.Tickets)), event.F("valid", advice.ValidFor.String()))
 	until := d.cfg.Now().Add(advice.ValidFor)
-	for _, id := range asked {
-		text, granted := advice.Tickets[id]
+	for _, target := range asked {
+		text, granted := advice.Tickets[target.id]
 		if !granted {
-			known.denied[id] = true
+			known.denied[target.id] = true
 			continue
 		}
-		if l := d.links[id]; l != nil {
-			known.tickets[l.incarnation()] = ticket{text: text, until: until}
-		}
+		known.tickets[target] = ticket{text: text, until: until}
 	}
 	d.requestRound()
 }
--- a/internal/driver/fillers.go
+++ b/internal/driver/fillers.go
@@ -59,12 +59,19 @@
 		if r.pacing || now.Sub(r.lastCallAt) < paceInterval {
 			continue
 		}
-		if pace := nextPace(r.pace, worst); pace != r.pace {
+		pace := nextPace(r.pace, worst)
+		if pace != r.pace || pace != unknownPace && r.mayHaveOtherPace(now) {
 			d.callPace(l, r, pace, worst)
 		}
 	}
 }
 
+// mayHaveOtherPace reports whether a call without an answer may still change the run's pace, or
+// has changed it since the last answer.
+func (r *run) mayHaveOtherPace(now time.Time) bool {
+	return now.Before(r.latePaceUntil.Add(paceInterval))
+}
+
 // nextPace returns a filler's next pace; tail is the tail latency as a fraction of its goal.
 func nextPace(pace int, tail float64) int {
 	if pace == unknownPace {
@@ -112,6 +119,7 @@
 		defer d.mu.Unlock()
 		r.pacing = false
 		if err != nil {
+			r.latePaceUntil = d.cfg.Now().Add(lateCallBound)
 			d.noteNoAnswer(l, "pace", err)
 			return
 		}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -73,7 +73,9 @@
 	// set while a call that changes it is in progress.
 	pace   int
 	pacing bool
-	gauge  float64
+	// latePaceUntil is when every call on its pace without an answer has taken effect or never will.
+	latePaceUntil time.Time
+	gauge         float64
 }
 
 func (r *run) id() runID { return runID{r.task, r.attempt} }
--- a/internal/driver/stale_test.go
+++ b/internal/driver/stale_test.go
@@ -332,7 +332,7 @@
 	step := workflow.TaskID{Job: "j"}
 	known := &stepAdvice{tickets: make(map[incarnation]ticket), denied: make(map[string]bool), calling: true}
 	d.advice[step], d.adviceCalls = known, 1
-	asked := []string{"t0"} // as askAdvice does, of the incarnation born at 1
+	asked := []incarnation{{"t0", 1}} // as askAdvice does
 	d.mu.Lock()
 	d.links["t0"] = &link{target: &pb.Target{Id: "t0", BornUnixMs: 2, Pool: "p", Vm: "vm-t0"}, cancel: func() {}}
 	d.mu.Unlock()
