--- a/internal/driver/calls_test.go
+++ b/internal/driver/calls_test.go
@@ -1,11 +1,15 @@
 package driver
 
 import (
+	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 )
 
@@ -69,3 +73,37 @@
 	is.Equal(l.failures, 0)
 	is.Equal(l.overdueFor(now), time.Duration(0))
 }
+
+// closingTarget closes the connection of each start.
+type closingTarget struct {
+	*stopRecorder
+	starts atomic.Int32
+}
+
+func (c *closingTarget) Start(context.Context, Address, StartCall) (Answer, error) {
+	c.starts.Add(1)
+	return Answer{}, fmt.Errorf("start: %w", ErrClosedByTarget)
+}
+
+// TestStartOnClosedConnection sends a start at once again whose connection the target closed
+// without an answer, and once only: the first may still take effect.
+func TestStartOnClosedConnection(t *testing.T) {
+	is := is.New(t)
+	d, targets, _ := newDriverWithClock(t)
+	client := &closingTarget{stopRecorder: targets}
+	d.cfg.Targets = client
+	now := d.cfg.Now()
+	l, r := d.links["t0"], d.runs.find(workflow.TaskID{Job: "j"}, 1)
+	l.clockMS, l.clockAt = 1, now
+	l.resends = silence.Budget{Rate: targetResendRate, Burst: targetResendBurst}
+	r.phase, r.placedAt = runCalling, now
+	d.mu.Lock()
+	d.noteStartAnswer(r, l, Answer{}, fmt.Errorf("start: %w", ErrClosedByTarget), true)
+	is.True(r.unanswered)
+	d.mu.Unlock()
+	d.running.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	is.Equal(client.starts.Load(), int32(1))
+	is.Equal(r.phase, runUnanswered) // checkRun sends it after a pause
+}
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -239,7 +239,7 @@
 	if d.waves.active {
 		call.Wait = waveListingWait
 	}
-	call.Wait = silence.ListingWait(d.loss.Rate(), call.Wait)
+	call.Wait = silence.ListingWait(d.loss.Rate(), d.loss.LongestWait(call.Wait))
 	if l.clockAt.IsZero() || !l.everListed || l.unanswered > 0 {
 		call.Wait = 0
 	}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -287,10 +288,16 @@
 		l = nil
 	}
 	if err != nil {
+		first := !r.unanswered
 		r.phase = runUnanswered
 		r.unanswered = r.unanswered || sent
 		if sent && l != nil {
 			d.noteNoAnswer(l, "start", err)
+			if first && errors.Is(err, ErrClosedByTarget) {
+				// The target may have closed an idle connection.
+				r.phase = runCalling
+				d.startAgain(r, l)
+			}
 		}
 		return
 	}
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -62,6 +62,8 @@
 	// of answered calls assumed before the first.
 	lossMemory = 500
 	priorCalls = 50
+	// knownCalls is the number of calls, with the assumed ones, from which on the loss is known.
+	knownCalls = 150
 )
 
 // Loss is the share of calls that sound targets leave unanswered.
@@ -80,6 +82,15 @@
 	}
 }
 
+// LongestWait returns the longest wait of a listing while the loss is not known, and longest
+// afterwards: a lost listing is noticed only after its wait.
+func (l *Loss) LongestWait(longest time.Duration) time.Duration {
+	if l.calls >= knownCalls {
+		return longest
+	}
+	return min(longest, unknownLossWait)
+}
+
 // Rate returns the share of lost calls.
 func (l *Loss) Rate() float64 {
 	if l.calls == 0 {
@@ -91,8 +102,10 @@
 const (
 	// listingDelay is the mean delay by lost listings that ListingWait allows.
 	listingDelay = 20 * time.Millisecond
-	// minListingWait is the shortest wait of a listing.
-	minListingWait = 100 * time.Millisecond
+	// minListingWait is the shortest wait of a listing, unknownLossWait the longest one while
+	// the loss is not known.
+	minListingWait  = 100 * time.Millisecond
+	unknownLossWait = 500 * time.Millisecond
 )
 
 // ListingWait returns how long a target may wait for an end before it answers a listing. The
--- a/internal/policy/silence/silence_test.go
+++ b/internal/policy/silence/silence_test.go
@@ -54,6 +54,19 @@
 	is.Equal(own.Bound(&all), maxBound)
 }
 
+// TestLongestWait keeps listings short until enough calls were made to tell the loss.
+func TestLongestWait(t *testing.T) {
+	is := is.New(t)
+	const longest = 1500 * ms
+	var loss Loss
+	is.Equal(loss.LongestWait(longest), unknownLossWait)
+	is.Equal(loss.LongestWait(50*ms), 50*ms)
+	for range 2 * knownCalls {
+		loss.Note(false)
+	}
+	is.Equal(loss.LongestWait(longest), longest)
+}
+
 // TestLossAndListingWait shortens listings as calls are lost, and lengthens them afterwards.
 func TestLossAndListingWait(t *testing.T) {
 	is := is.New(t)
