What a start reads from its log is synced before it counts

Cause: a process that ends between the write of a frame and its sync leaves a frame in the page cache. The next process read it and answered by it (a vote, an entry), and a later loss of power dropped it. Ruled out: torn frames, refused writes.

Change: OpenAppend syncs the segment and its folder. The log works on internal/fsys, and test/emulator/disk emulates a disk that loses what was not synced, as the users' pages tell it. The protocol's random schedules run on the same disks: crashes within a save and losses of power.

--- a/internal/replica/network_test.go
+++ b/internal/replica/network_test.go
@@ -7,7 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/replica/store"
 	"sapphirering/internal/wire/wirepb"
+	"sapphirering/test/emulator/disk"
 )
 
 const (
@@ -18,36 +20,63 @@
 	maxQueued          = 400
 )
 
-// fakeDisk holds the synced state of one member.
+// fakeDisk holds the log of one member on an emulated disk.
 type fakeDisk struct {
-	hardState *wirepb.HardState
-	snapshot  *wirepb.SnapshotMeta
-	entries   []*wirepb.Entry
+	disk *disk.Disk
+	log  *store.AppendLog
+	// rng decides what a crash leaves. It is not the network's, so that schedules do not depend on it.
+	rng *rand.Rand
 }
 
-func (d *fakeDisk) save(r Ready) {
-	if r.HardState != nil {
-		d.hardState = r.HardState
+const diskFolder = "/data"
+
+// open begins the next process on the disk and returns what it reads.
+func (d *fakeDisk) open(t *testing.T) Persisted {
+	t.Helper()
+	if d.disk == nil {
+		d.disk, d.rng = disk.New(), rand.New(rand.NewSource(1))
 	}
-	if r.Snapshot != nil {
-		d.snapshot, d.entries = r.Snapshot.Meta, nil
+	var err error
+	if d.log, err = store.OpenAppendOn(d.disk, diskFolder); err != nil {
+		t.Fatalf("open log: %v", err)
 	}
-	if len(r.Entries) > 0 {
-		kept := d.entries[:0:0]
-		for _, entry := range d.entries {
-			if entry.Index < r.Entries[0].Index {
-				kept = append(kept, entry)
-			}
-		}
-		d.entries = append(kept, r.Entries...)
+	loaded, err := d.log.Load()
+	if err != nil {
+		t.Fatalf("load log: %v", err)
 	}
+	return Persisted{HardState: loaded.HardState, Snapshot: loaded.Snapshot.GetMeta(), Entries: loaded.Entries}
 }
 
-// compact stores a snapshot and drops the entries before index, as the store does.
-func (d *fakeDisk) compact(meta *wirepb.SnapshotMeta, index uint64) {
-	d.snapshot = meta
-	for len(d.entries) > 0 && d.entries[0].Index < index {
-		d.entries = d.entries[1:]
+func (d *fakeDisk) save(t *testing.T, r Ready) {
+	t.Helper()
+	d.write(t, store.Batch{HardState: r.HardState, Entries: r.Entries, Snapshot: r.Snapshot, Reset: r.Snapshot != nil})
+}
+
+func (d *fakeDisk) write(t *testing.T, b store.Batch) {
+	t.Helper()
+	if err := d.log.Save(b); err != nil {
+		t.Fatalf("save: %v", err)
+	}
+}
+
+// compact stores a snapshot and drops the entries before index.
+func (d *fakeDisk) compact(t *testing.T, meta *wirepb.SnapshotMeta, index uint64) {
+	t.Helper()
+	d.write(t, store.Batch{Snapshot: &wirepb.ReplicaSnapshot{Meta: meta}, KeepFrom: index})
+}
+
+// crash ends the process, half of the times by a loss of power, and a save in progress, if any,
+// after some operations.
+func (d *fakeDisk) crash(unsaved *Ready) {
+	if unsaved != nil && d.rng.Intn(2) == 0 {
+		d.disk.StopAfter(d.rng.Intn(4))
+		// Its outcome is unknown, as nobody is told of it.
+		_ = d.log.Save(store.Batch{HardState: unsaved.HardState, Entries: unsaved.Entries, Snapshot: unsaved.Snapshot, Reset: unsaved.Snapshot != nil})
+	}
+	if d.rng.Intn(2) == 0 {
+		d.disk.LosePower(d.rng.Intn)
+	} else {
+		d.disk.Restart()
 	}
 }
 
@@ -102,10 +131,14 @@
 		first.Members = append(first.Members, member(id, true))
 	}
 	for _, id := range ids {
-		n.add(id, &fakeDisk{
-			hardState: &wirepb.HardState{Term: 1, Commit: firstIndex},
-			snapshot:  &wirepb.SnapshotMeta{Index: firstIndex, Term: 1, Membership: first},
+		founded := &fakeDisk{disk: disk.New(), rng: rand.New(rand.NewSource(seed + int64(len(n.ids))))}
+		founded.open(t)
+		founded.write(t, store.Batch{
+			HardState: &wirepb.HardState{Term: 1, Commit: firstIndex}, Reset: true,
+			Snapshot: &wirepb.ReplicaSnapshot{Meta: &wirepb.SnapshotMeta{Index: firstIndex, Term: 1, Membership: first}},
 		})
+		founded.disk.Restart()
+		n.add(id, founded)
 	}
 	return n
 }
@@ -124,14 +157,22 @@
 	core, err := NewCore(Config{
 		ID: m.id, Incarnation: m.incarnation, Durable: true, ElectionTicks: testElectionTicks,
 		HeartbeatTicks: testHeartbeatTicks, LeaderLease: n.leaderLease, Rand: rand.New(rand.NewSource(n.rng.Int63())),
-	}, Persisted{HardState: m.disk.hardState, Snapshot: m.disk.snapshot, Entries: m.disk.entries})
+	}, m.disk.open(n.t))
 	if err != nil {
 		n.t.Fatalf("restart %s: %v", m.id, err)
 	}
 	m.core, m.commit, m.applied, m.checked = core, core.Commit(), core.log.applied, 0
 }
 
-func (n *fakeNetwork) crash(m *fakeMember) { m.core = nil }
+func (n *fakeNetwork) crash(m *fakeMember) { n.crashInSave(m, nil) }
+
+// crashInSave crashes a member that has a Ready to save.
+func (n *fakeNetwork) crashInSave(m *fakeMember, unsaved *Ready) {
+	if m.core != nil {
+		m.disk.crash(unsaved)
+	}
+	m.core = nil
+}
 
 func (n *fakeNetwork) leader() *fakeMember {
 	var found *fakeMember
@@ -161,10 +202,10 @@
 		r := m.core.Ready()
 		n.enqueue(r.Early)
 		if at == crashAfterEarly {
-			n.crash(m)
+			n.crashInSave(m, &r)
 			return
 		}
-		m.disk.save(r)
+		m.disk.save(n.t, r)
 		if at == crashAfterSave {
 			n.crash(m)
 			return
@@ -345,6 +386,6 @@
 
 func (n *fakeNetwork) compact(m *fakeMember) {
 	if meta := m.core.Compact(m.core.log.applied, testSnapshotTail); meta != nil {
-		m.disk.compact(meta, m.core.log.base)
+		m.disk.compact(n.t, meta, m.core.log.base)
 	}
 }
--- a/internal/replica/store/append.go
+++ b/internal/replica/store/append.go
@@ -18,6 +18,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/fsys"
 	"sapphirering/internal/wire/wirepb"
 )
 
@@ -43,8 +44,9 @@
 // left torn was never acknowledged and is dropped at the next start. A snapshot
 // begins a new segment, and the old one is removed once the new one is synced.
 type AppendLog struct {
+	fs            fsys.FS
 	folder        string
-	file          *os.File
+	file          fsys.File
 	segmentNumber int
 	size          int64
 	buffer        bytes.Buffer
@@ -84,23 +86,29 @@
 
 // OpenAppend opens or creates the log in the folder. It reads the newest segment
 // that holds a whole frame.
-func OpenAppend(folder string) (*AppendLog, error) {
-	numbers, err := segmentNumbers(folder)
+func OpenAppend(folder string) (*AppendLog, error) { return OpenAppendOn(fsys.OS, folder) }
+
+// OpenAppendOn is OpenAppend on a file system.
+func OpenAppendOn(fs fsys.FS, folder string) (*AppendLog, error) {
+	numbers, err := segmentNumbers(fs, folder)
 	if err != nil {
 		return nil, err
 	}
 	for _, number := range slices.Backward(numbers) {
-		a := &AppendLog{folder: folder, segmentNumber: number}
+		a := &AppendLog{fs: fs, folder: folder, segmentNumber: number}
 		found, err := a.readSegment()
 		if err != nil {
 			return nil, err
 		}
 		if found {
+			if err := a.syncRead(); err != nil {
+				return nil, err
+			}
 			a.removeReplacedSegments(numbers)
 			return a, nil
 		}
 	}
-	a := &AppendLog{folder: folder}
+	a := &AppendLog{fs: fs, folder: folder}
 	if len(numbers) > 0 {
 		// No segment has a whole frame, which only a crash before the first sync leaves.
 		a.segmentNumber = numbers[len(numbers)-1]
@@ -112,20 +120,20 @@
 }
 
 // segmentNumbers returns the numbers of the segment files, ascending.
-func segmentNumbers(folder string) ([]int, error) {
-	files, err := os.ReadDir(folder)
+func segmentNumbers(fs fsys.FS, folder string) ([]int, error) {
+	names, err := fs.Names(folder)
 	if err != nil {
 		return nil, fmt.Errorf("read data folder: %w", err)
 	}
 	var numbers []int
-	for _, file := range files {
-		text, ok := strings.CutPrefix(file.Name(), segmentPrefix)
+	for _, name := range names {
+		text, ok := strings.CutPrefix(name, segmentPrefix)
 		if !ok {
 			continue
 		}
 		number, err := strconv.Atoi(text)
 		if err != nil {
-			return nil, fmt.Errorf("data folder %s: %q is not a valid segment name", folder, file.Name())
+			return nil, fmt.Errorf("data folder %s: %q is not a valid segment name", folder, name)
 		}
 		numbers = append(numbers, number)
 	}
@@ -140,7 +148,7 @@
 // readSegment loads a segment and truncates a torn tail. It returns false for a
 // file without a whole frame.
 func (a *AppendLog) readSegment() (bool, error) {
-	file, err := os.OpenFile(a.path(a.segmentNumber), os.O_RDWR, 0o600)
+	file, err := a.fs.OpenFile(a.path(a.segmentNumber), os.O_RDWR, 0o600)
 	if err != nil {
 		return false, fmt.Errorf("open segment: %w", err)
 	}
@@ -168,6 +176,15 @@
 	return true, a.truncateTornTail(int64(len(data)))
 }
 
+// syncRead makes what was read durable: the former process may have ended between a write and
+// its sync, and this one answers by what it has read.
+func (a *AppendLog) syncRead() error {
+	if err := errors.Join(a.file.Sync(), a.fs.SyncFolder(a.folder)); err != nil {
+		return errors.Join(fmt.Errorf("sync %s: %w", a.file.Name(), err), a.file.Close())
+	}
+	return nil
+}
+
 // truncateTornTail removes what follows the last whole frame, so that it can
 // never be read as the continuation of a frame written later.
 func (a *AppendLog) truncateTornTail(length int64) error {
@@ -175,9 +192,6 @@
 		if err := a.file.Truncate(a.size); err != nil {
 			return fmt.Errorf("truncate %s: %w", a.file.Name(), err)
 		}
-		if err := a.file.Sync(); err != nil {
-			return fmt.Errorf("sync %s: %w", a.file.Name(), err)
-		}
 	}
 	if _, err := a.file.Seek(a.size, io.SeekStart); err != nil {
 		return fmt.Errorf("seek %s: %w", a.file.Name(), err)
@@ -266,7 +280,7 @@
 		if number != a.segmentNumber {
 			// If the removal fails, a later start reads the older file only when the
 			// newer one has no whole frame.
-			os.Remove(a.path(number))
+			a.fs.Remove(a.path(number))
 		}
 	}
 }
@@ -365,33 +379,35 @@
 	if err := a.addBatch(a.content.HardState, a.content.Snapshot, a.content.Entries); err != nil {
 		return err
 	}
-	file, err := os.OpenFile(a.path(a.segmentNumber+1), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	file, err := a.fs.OpenFile(a.path(a.segmentNumber+1), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return fmt.Errorf("create segment: %w", err)
 	}
 	old, oldSize := a.file, a.size
 	a.file, a.size = file, 0
-	if err := errors.Join(a.writeFrame(), syncFolder(a.folder)); err != nil {
+	if err := errors.Join(a.writeFrame(), a.fs.SyncFolder(a.folder)); err != nil {
 		// The old segment still holds everything that was acknowledged.
 		a.file, a.size = old, oldSize
-		return errors.Join(err, file.Close(), os.Remove(file.Name()))
+		return errors.Join(err, file.Close(), a.fs.Remove(file.Name()))
 	}
 	a.segmentNumber++
 	if old != nil {
 		old.Close()
-		os.Remove(old.Name())
+		a.fs.Remove(old.Name())
 	}
 	return nil
 }
 
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
+// Erase removes everything in a data folder, but not the folder, which may be a mount point.
+func Erase(fs fsys.FS, folder string) error {
+	names, err := fs.Names(folder)
 	if err != nil {
-		return fmt.Errorf("open data folder: %w", err)
+		return fmt.Errorf("read data folder: %w", err)
 	}
-	err = errors.Join(folder.Sync(), folder.Close())
-	if err != nil {
-		return fmt.Errorf("sync data folder: %w", err)
+	for _, name := range names {
+		if err := fs.Remove(filepath.Join(folder, name)); err != nil {
+			return fmt.Errorf("empty data folder: %w", err)
+		}
 	}
 	return nil
 }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +22,7 @@
 	"sapphirering/internal/config"
 	"sapphirering/internal/driver"
 	"sapphirering/internal/event"
+	"sapphirering/internal/fsys"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/replica/store"
 	"sapphirering/internal/stepapi"
@@ -63,28 +63,13 @@
 			return err
 		}
 		event.RemovedMemberRejoins.Emit(event.F("member", c.identity.MemberID))
-		if err := removeContents(settings.DataFolder); err != nil {
+		if err := store.Erase(fsys.OS, settings.DataFolder); err != nil {
 			return fmt.Errorf("delete the log of a removed member: %w", err)
 		}
 		settings.Seeds, settings.Bootstrap = c.gateway.knownAddresses(), false
 	}
 }
 
-// removeContents empties a folder without removing the folder itself, which may be a mount
-// point.
-func removeContents(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Core is a daemon that stores the replicated log and, while it leads, runs the driver of the
 // targets.
 type Core struct {
