A removed member's log does not come back after a loss of power

Cause: a removed member empties its folder and joins under a new identity without a sync of the folder. A loss of power brings the old segments back, whose numbers are higher: the process is the removed member again, and what it acknowledged since is lost. (Asked for by the users: after a restart, a server that had left is in use again.)

Change: store.Erase syncs the folder before it removes the newest segment and at the end.

--- a/internal/replica/store/append.go
+++ b/internal/replica/store/append.go
@@ -398,17 +398,29 @@
 	return nil
 }
 
-// Erase removes everything in a data folder, but not the folder, which may be a mount point.
+// Erase removes everything in a data folder, but not the folder, which may be a mount point. A
+// loss of power meanwhile leaves the folder as it was or without its log, never an earlier
+// state of the log, and afterwards nothing comes back.
 func Erase(fs fsys.FS, folder string) error {
 	names, err := fs.Names(folder)
 	if err != nil {
 		return fmt.Errorf("read data folder: %w", err)
 	}
-	for _, name := range names {
+	slices.Sort(names)
+	for i, name := range names {
+		if i == len(names)-1 {
+			// The newest segment is removed once no older one can be read in its place.
+			if err := fs.SyncFolder(folder); err != nil {
+				return fmt.Errorf("empty data folder: %w", err)
+			}
+		}
 		if err := fs.Remove(filepath.Join(folder, name)); err != nil {
 			return fmt.Errorf("empty data folder: %w", err)
 		}
 	}
+	if err := fs.SyncFolder(folder); err != nil {
+		return fmt.Errorf("empty data folder: %w", err)
+	}
 	return nil
 }
 
--- a/internal/replica/store/powerloss_test.go
+++ b/internal/replica/store/powerloss_test.go
@@ -26,6 +26,7 @@
 	acknowledged diskState
 	attempted    *diskState
 	term         uint64
+	members      int
 	random       *rand.Rand
 }
 
@@ -105,6 +106,25 @@
 	m.change(diskState{m.log.identity, after.content}, func() error { return m.log.Save(batch) })
 }
 
+// rejoin gives a removed member an empty folder and a new identity. It takes part only after
+// both are done.
+func (m *diskModel) rejoin(t *rapid.T) {
+	if m.log == nil || m.log.saveErr != nil {
+		return
+	}
+	m.log.Close()
+	m.change(diskState{}, func() error { return Erase(m.disk, modelFolder) })
+	if m.log == nil {
+		return
+	}
+	if m.open(); m.log == nil {
+		return
+	}
+	m.members++
+	id := Identity{"cluster", fmt.Sprint("member-", m.members)}
+	m.change(diskState{identity: id}, func() error { return m.log.SetIdentity(id) })
+}
+
 func (m *diskModel) end(lose bool) {
 	if lose {
 		m.disk.LosePower(func(n int) int { return m.random.Intn(n) })
@@ -123,6 +143,12 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"save":      m.save,
 			"save more": m.save,
+			"rejoin":    m.rejoin,
+			"lose power while rejoining": func(t *rapid.T) {
+				m.disk.StopAfter(rapid.IntRange(0, 5).Draw(t, "operations"))
+				m.rejoin(t)
+				m.end(true)
+			},
 			"stop soon": func(t *rapid.T) { m.disk.StopAfter(rapid.IntRange(0, 12).Draw(t, "operations")) },
 			"refuse": func(t *rapid.T) {
 				refused := rapid.SampledFrom([]disk.Op{disk.Write, disk.Sync, disk.SyncFolder}).Draw(t, "op")
