Ends and starts share a command, and listings are as rare as commits

Cause: a round committed ends, then planned and committed starts. An end that was listed meanwhile waited for the next round, though its listing had cost a call.

Change: one command carries the ends listed so far and the starts that do not need them (ends take effect first); after ends the next round follows at once. Targets are listed as rarely as commands commit, 25 to 100 ms. Event 7079 and the round's metric have one part for the commit.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sapphirering/internal/clock"
@@ -121,6 +122,8 @@
 	outcomes  *outcomes
 	// rounds is only used by the loop.
 	rounds rounds
+	// commitTook is how long the last command that changes tasks took to commit, in nanoseconds.
+	commitTook atomic.Int64
 
 	ctx     context.Context
 	running sync.WaitGroup
@@ -172,7 +175,9 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		d.round()
+		if d.round() {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -222,10 +227,11 @@
 	return time.Duration(float64(d.cfg.Limits.LeaseTTL)/(1-clockDrift)) + lapseMargin
 }
 
-// round does everything that is due, if the leader's lease is held.
-func (d *Driver) round() {
+// round does everything that is due, if the leader's lease is held. It reports whether the next
+// round should follow at once.
+func (d *Driver) round() (again bool) {
 	if !d.cfg.Log.HoldsLease() {
-		return
+		return false
 	}
 	now := d.cfg.Now()
 	due := now.Sub(d.checkedAt) >= checkInterval
@@ -233,7 +239,7 @@
 		d.checkedAt = now
 		d.timePart(partCheck, d.checkAll)
 	}
-	d.changeTasks()
+	again = d.changeTasks()
 	d.timePart(partPools, d.movePools)
 	if due {
 		d.failUnplaceableJobs()
@@ -242,6 +248,7 @@
 		d.timePart(partPace, d.paceFillers)
 	}
 	d.rounds.report(d.cfg.Now())
+	return again
 }
 
 // checkAll checks targets and runs, and logs the outcomes of jobs.
@@ -253,67 +260,68 @@
 	d.reportOutcomes(d.cfg.Now())
 }
 
-// changeTasks commits ends, then starts, and carries out the starts.
-func (d *Driver) changeTasks() {
+// changeTasks commits ends together with the starts that do not wait for them, and carries out
+// the starts. It reports whether ends were committed, so that further tasks may start now.
+func (d *Driver) changeTasks() (ended bool) {
 	d.mu.Lock()
 	ends := d.pendingEnds
 	d.pendingEnds = nil
 	d.mu.Unlock()
-	if len(ends) > 0 {
-		committed := false
-		d.timePart(partEnds, func() { committed = d.commitEnds(ends) })
-		if !committed {
-			return
-		}
-		d.rounds.ends += len(ends)
-	}
 	planned := d.cfg.Now()
 	var starts []*pb.Start
 	d.timePart(partPlan, func() { starts = d.plan() })
-	if len(starts) > 0 {
-		d.timePart(partStarts, func() { d.commitStarts(starts, planned) })
+	if len(ends) == 0 && len(starts) == 0 {
+		return false
 	}
+	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, planned) && len(ends) > 0 })
+	return ended
 }
 
-// commitStarts commits starts, then sends them to the targets.
-func (d *Driver) commitStarts(starts []*pb.Start, planned time.Time) {
-	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Starts: starts}}})
+// commitChange commits ends and starts in one command. The ends take effect first. Then it
+// confirms the ends to their targets and sends the starts.
+func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, planned time.Time) bool {
+	change := &pb.ChangeTasks{Starts: starts}
+	for _, e := range ends {
+		change.Ends = append(change.Ends, e.end)
+	}
+	began := d.cfg.Now()
+	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
+	d.commitTook.Store(int64(d.cfg.Now().Sub(began)))
 	if err != nil {
-		// If the commit still takes effect, adoptPlaced finds the placed tasks without a run.
-		event.StartsUncommitted.Emit(event.F("starts", len(starts)), event.Err(err))
-		return
+		d.keepUncommitted(ends, starts, err)
+		return false
 	}
-	for _, refused := range out.Refused {
-		event.StartRefused.Emit(event.F("task", refused.Task.String()), event.F("reason", refused.Reason))
+	d.rounds.ends += len(ends)
+	d.rounds.starts += len(starts)
+	if len(ends) > 0 {
+		d.observeEnds(ends)
+		reportEnds(ends, out.Index)
+		d.confirmEnds(ends)
 	}
-	refused := make(map[workflow.TaskID]bool, len(out.Refused))
-	for _, r := range out.Refused {
-		refused[r.Task] = true
+	if len(starts) > 0 {
+		d.sendCommitted(starts, planned, out)
 	}
-	d.rounds.starts += len(starts)
-	reportStarts(starts, refused, out.Index)
-	d.beginRuns(starts, refused, planned)
-	d.noteFirstStarts(starts)
+	return true
 }
 
-// commitEnds commits ends, then confirms them to the targets.
-func (d *Driver) commitEnds(ends []pendingEnd) bool {
-	change := new(pb.ChangeTasks)
-	for _, e := range ends {
-		change.Ends = append(change.Ends, e.end)
+// keepUncommitted keeps the ends of a command whose outcome is not known for the next one. If
+// its starts still take effect, adoptPlaced finds the placed tasks without a run.
+func (d *Driver) keepUncommitted(ends []pendingEnd, starts []*pb.Start, err error) {
+	if len(starts) > 0 {
+		event.StartsUncommitted.Emit(event.F("starts", len(starts)), event.Err(err))
 	}
-	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
-	if err == nil {
-		d.observeEnds(ends)
+	if len(ends) > 0 {
+		event.EndsUncommitted.Emit(event.F("ends", len(ends)), event.Err(err))
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err != nil {
-		event.EndsUncommitted.Emit(event.F("ends", len(ends)), event.Err(err))
-		d.pendingEnds = append(ends, d.pendingEnds...)
-		return false
-	}
-	reportEnds(ends, out.Index)
+	d.pendingEnds = append(ends, d.pendingEnds...)
+}
+
+// confirmEnds confirms committed ends to their targets.
+func (d *Driver) confirmEnds(ends []pendingEnd) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	for _, e := range ends {
 		d.forgetRun(e.end)
@@ -322,7 +330,18 @@
 			e.link.confirmEnd(e.number)
 		}
 	}
-	return true
+}
+
+// sendCommitted sends committed starts to their targets, unless they were refused.
+func (d *Driver) sendCommitted(starts []*pb.Start, planned time.Time, out *workflow.Outcome) {
+	refused := make(map[workflow.TaskID]bool, len(out.Refused))
+	for _, r := range out.Refused {
+		event.StartRefused.Emit(event.F("task", r.Task.String()), event.F("reason", r.Reason))
+		refused[r.Task] = true
+	}
+	reportStarts(starts, refused, out.Index)
+	d.beginRuns(starts, refused, planned)
+	d.noteFirstStarts(starts)
 }
 
 func (d *Driver) commit(command *pb.Command) (*workflow.Outcome, error) {
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -21,8 +21,11 @@
 	waveListingWait = 500 * time.Millisecond
 	// listingMargin is how long a listing may take beyond its wait.
 	listingMargin = 700 * time.Millisecond
-	// listingPause is the time between listings, so that runs that end together share one.
-	listingPause = 25 * time.Millisecond
+	// listingPause is the least time between listings, so that runs that end together share one;
+	// maxListingPause is the longest: ends that are listed while a command is committed wait for
+	// the next one anyway.
+	listingPause    = 25 * time.Millisecond
+	maxListingPause = 100 * time.Millisecond
 	// retryPause is the time between calls to a target that does not answer.
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the largest number of ends in one listing.
@@ -192,7 +195,7 @@
 		if d.handleListing(l, asked, call, open, listing, err) {
 			return
 		}
-		pause := listingPause
+		pause := d.pauseBetweenListings()
 		if err != nil || listing.Refusal != Accepted {
 			pause = d.pauseAfterFailure(l)
 		}
@@ -200,6 +203,12 @@
 	}
 }
 
+// pauseBetweenListings returns the time between listings of a target that answers: as long as a
+// command takes to commit, so that a leader short of processor time makes fewer calls.
+func (d *Driver) pauseBetweenListings() time.Duration {
+	return min(max(time.Duration(d.commitTook.Load()), listingPause), maxListingPause)
+}
+
 // pauseAfterFailure returns the time before the next listing call after one that failed.
 func (d *Driver) pauseAfterFailure(l *link) time.Duration {
 	d.mu.Lock()
--- a/internal/driver/rounds.go
+++ b/internal/driver/rounds.go
@@ -15,16 +15,15 @@
 
 const (
 	partCheck part = iota
-	partEnds
 	partPlan
-	partStarts
+	partCommit
 	partWaves
 	partPools
 	partPace
 	partCount
 )
 
-var partNames = [partCount]string{"check", "ends", "plan", "starts", "waves", "pools", "pace"}
+var partNames = [partCount]string{"check", "plan", "commit", "waves", "pools", "pace"}
 
 // rounds summarizes the rounds of an interval, to show what delays starts and ends.
 type rounds struct {
@@ -54,7 +53,7 @@
 	}
 	ms := func(p part) int64 { return r.parts[p].Milliseconds() }
 	event.DriverRounds.Emit(event.F("rounds", r.count), event.F("starts", r.starts), event.F("ends", r.ends), event.F("longest_ms", r.longest.Milliseconds()),
-		event.F("check_ms", ms(partCheck)), event.F("ends_ms", ms(partEnds)), event.F("plan_ms", ms(partPlan)), event.F("starts_ms", ms(partStarts)),
+		event.F("check_ms", ms(partCheck)), event.F("plan_ms", ms(partPlan)), event.F("commit_ms", ms(partCommit)),
 		event.F("waves_ms", ms(partWaves)), event.F("pools_ms", ms(partPools)), event.F("pace_ms", ms(partPace)))
 	*r = rounds{reportedAt: now}
 }
