--- a/cmd/sapphireringd/main.go
+++ b/cmd/sapphireringd/main.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"runtime/pprof"
 	"strings"
 	"syscall"
 
@@ -30,9 +32,10 @@
 	rolePath := flag.String("role", "", "path of the settings file of a core or edge role on a platform; used instead of -settings")
 	bootstrap := flag.Bool("bootstrap", false, "create a new cluster if the data folder is empty; use it once, on one daemon only")
 	recoverFolder := flag.Bool("recover", false, "make this data folder the only voter of a new cluster and exit; only when a quorum is permanently lost")
+	profilePath := flag.String("cpu-profile", "", "file to write a processor profile to when the daemon stops; only with -role")
 	flag.Parse()
 	if *rolePath != "" {
-		if err := runRole(*rolePath); err != nil {
+		if err := runProfiled(*profilePath, func() error { return runRole(*rolePath) }); err != nil {
 			fmt.Fprintln(os.Stderr, "sapphireringd:", err)
 			os.Exit(1)
 		}
@@ -49,6 +52,23 @@
 	}
 }
 
+// runProfiled runs f and writes a processor profile of it to a file, unless the path is empty.
+func runProfiled(path string, f func() error) error {
+	if path == "" {
+		return f()
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("-cpu-profile: %w", err)
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return errors.Join(fmt.Errorf("-cpu-profile: %w", err), file.Close())
+	}
+	err = f()
+	pprof.StopCPUProfile()
+	return errors.Join(err, file.Close())
+}
+
 func run(path string, bootstrap bool) error {
 	if path == "" {
 		return fmt.Errorf("-settings is required")
--- a/internal/driver/changes_test.go
+++ b/internal/driver/changes_test.go
@@ -36,6 +36,7 @@
 	d.pendingEnds = []pendingEnd{{end: &pb.End{Task: first.Ref(1), Target: "t3", Kind: pb.EndKind_END_KIND_DONE}}}
 
 	log.all = nil
+	d.requestRound() // as the jobs' submits do
 	is.True(d.changeTasks())
 	is.Equal(len(log.all), 1)
 	change := log.all[0].GetChangeTasks()
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -67,6 +67,8 @@
 	// planInterval delays a requested round, so that ends and submitted jobs that arrive
 	// together share a commit.
 	planInterval = 5 * time.Millisecond
+	// planSpacing is the least time from one plan to the next while ends keep coming.
+	planSpacing = 10 * time.Millisecond
 	// checkInterval is the time between checks of all runs, targets and waves. Not every
 	// round needs them: calls are retried after longer pauses, and each commit brings a round.
 	checkInterval = 100 * time.Millisecond
@@ -120,8 +122,11 @@
 	// waitSpans holds the current waits for room, by the step's first task.
 	waitSpans map[workflow.TaskID]waitSpan
 	outcomes  *outcomes
-	// rounds is only used by the loop.
-	rounds rounds
+	// rounds and plannedAt, the time of the last plan, are only used by the loop.
+	rounds    rounds
+	plannedAt time.Time
+	// planDue is set if tasks may start that the last plan did not know of.
+	planDue atomic.Bool
 	// commitTook is how long the last command that changes tasks took to commit, in nanoseconds.
 	commitTook atomic.Int64
 
@@ -176,11 +181,13 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		if d.round() {
+			clock.Sleep(ctx, planSpacing-d.cfg.Now().Sub(d.plannedAt))
 			continue
 		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
+			d.planDue.Store(true)
 		case <-d.wake:
 			clock.Sleep(ctx, planInterval)
 		}
@@ -195,8 +202,14 @@
 	event.DriverStopped.Emit(event.F("epoch", d.cfg.Epoch))
 }
 
-// requestRound asks for a round soon.
+// requestRound asks for a round soon, and for a plan in it.
 func (d *Driver) requestRound() {
+	d.planDue.Store(true)
+	d.wakeLoop()
+}
+
+// wakeLoop asks for a round soon, which commits ends. A plan comes once they are committed.
+func (d *Driver) wakeLoop() {
 	select {
 	case d.wake <- struct{}{}:
 	default:
@@ -269,11 +282,17 @@
 	d.mu.Unlock()
 	planned := d.cfg.Now()
 	var starts []*pb.Start
-	d.timePart(partPlan, func() { starts = d.plan() })
+	if d.planDue.Swap(false) || len(ends) == 0 {
+		d.plannedAt = planned
+		d.timePart(partPlan, func() { starts = d.plan() })
+	}
 	if len(ends) == 0 && len(starts) == 0 {
 		return false
 	}
 	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, planned) && len(ends) > 0 })
+	if ended {
+		d.planDue.Store(true)
+	}
 	return ended
 }
 
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -334,7 +334,7 @@
 	l.lastConfirmedEnd = max(l.lastConfirmedEnd, call.SeenEnd)
 	d.queueEnds(l, listing.Ended)
 	d.reconcileRuns(l)
-	d.requestRound()
+	d.wakeLoop()
 	return open.late
 }
 
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -442,7 +442,7 @@
 	event.RunEndedUnlisted.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt),
 		event.F("target", r.target), event.F("end", kind.String()), event.F("reason", reason))
 	d.pendingEnds = append(d.pendingEnds, pendingEnd{end: &pb.End{Task: r.task.Ref(r.attempt), Target: r.target, Kind: kind}})
-	d.requestRound()
+	d.wakeLoop()
 }
 
 // noteEnd marks a run as ended, by its target's listing, and learns from it.
