VMs with lasting tasks begin their maintenance early in a wave

Cause: VMs were cordoned by their load, so that those with lasting tasks came last.

Change: maintenance.Next cordons, first of all, as many VMs of such a chain as its budget allows and one more, where the chain takes a good part of the time left; those go down before others.

--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -1,7 +1,6 @@
 package driver
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -158,14 +157,17 @@
 		d.advanceMaintenance(w, vm)
 	}
 	atOnce := d.atOnce(w, len(left)+len(ordered))
-	d.cordonNext(w, left, atOnce-len(ordered))
+	candidates := d.candidates(left)
+	d.cordonNext(w, candidates, atOnce-len(ordered))
 	down := len(ordered)
 	for _, vm := range left {
 		if d.waves.calling[vm] {
 			down++
 		}
 	}
-	for _, vm := range left {
+	maintenance.Order(candidates)
+	for _, candidate := range candidates {
+		vm := candidate.VM
 		if down >= atOnce {
 			return
 		}
@@ -225,36 +227,44 @@
 	return steps
 }
 
-// cordonNext begins to drain VMs of the wave, so that one is ready when the wave's cap and
-// pace allow it; VMs with the least CPU in use come first.
-func (d *Driver) cordonNext(w *pb.Wave, left []string, free int) {
-	cordoned := 0
-	for _, vm := range left {
-		if d.waves.cordoned[vm] {
-			cordoned++
+// candidates describes VMs of a wave whose maintenance has not been ordered.
+func (d *Driver) candidates(vms []string) []maintenance.Candidate {
+	links := d.linksByVM()
+	out := make([]maintenance.Candidate, len(vms))
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for i, vm := range vms {
+			out[i] = maintenance.Candidate{VM: vm, LoadMillis: placedCPU(v, links[vm]), Cordoned: d.waves.cordoned[vm], Steps: lastingSteps(v, links[vm])}
 		}
+	})
+	return out
+}
+
+// cordonNext begins to drain VMs of the wave, so that one is ready when the wave's cap and
+// pace allow it.
+func (d *Driver) cordonNext(w *pb.Wave, left []maintenance.Candidate, free int) {
+	timeLeft := time.Duration(w.DeclaredUnixMs+w.DurationMs-d.cfg.NowMS()) * time.Millisecond
+	load := make(map[string]int64, len(left))
+	for _, c := range left {
+		load[c.VM] = c.LoadMillis
 	}
-	want := free + drainAhead
-	if cordoned >= want {
-		return
+	for _, vm := range maintenance.Next(left, free+drainAhead, timeLeft, d.cfg.Limits.VMMaintenance+drainTime) {
+		d.waves.cordoned[vm] = true
+		d.waves.cordonedAt[vm] = d.cfg.Now()
+		event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
+		d.vmDecisions.note(d.cfg.Now(), vm, "takes no starts ahead of its maintenance in wave %d", w.Id)
 	}
-	load, links := make(map[string]int64), d.linksByVM()
-	for _, vm := range left {
-		load[vm] = d.placedCPU(links[vm])
+}
+
+// lastingSteps returns the lasting steps with an availability budget on a target; none for nil.
+func lastingSteps(v *workflow.View, l *link) []maintenance.LastingStep {
+	if l == nil || v.UsedOn(l.target.Id).Lasting == 0 {
+		return nil
 	}
-	slices.SortStableFunc(left, func(a, b string) int { return cmp.Compare(load[a], load[b]) })
-	for _, vm := range left {
-		if cordoned >= want {
-			return
-		}
-		if !d.waves.cordoned[vm] {
-			d.waves.cordoned[vm] = true
-			d.waves.cordonedAt[vm] = d.cfg.Now()
-			cordoned++
-			event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
-			d.vmDecisions.note(d.cfg.Now(), vm, "takes no starts ahead of its maintenance in wave %d", w.Id)
-		}
+	var steps []maintenance.LastingStep
+	for first := range lastingOn(v, l.target.Id) {
+		steps = append(steps, maintenance.LastingStep{ID: first.String(), Budget: int(v.Task(first).Spec().MaxUnavailable)})
 	}
+	return steps
 }
 
 // linkOfVM returns the link of the newest target on a VM, or nil.
@@ -317,16 +327,14 @@
 }
 
 // placedCPU returns the CPU that the tasks on a target need, in thousandths of a core; 0 for nil.
-func (d *Driver) placedCPU(l *link) int64 {
+func placedCPU(v *workflow.View, l *link) int64 {
 	if l == nil {
 		return 0
 	}
 	total := int64(0)
-	d.cfg.Machine.View(func(v *workflow.View) {
-		for _, task := range v.PlacedOn(l.target.Id) {
-			total += task.Spec().Needs.GetCpuMillis()
-		}
-	})
+	for _, task := range v.PlacedOn(l.target.Id) {
+		total += task.Spec().Needs.GetCpuMillis()
+	}
 	return total
 }
 
