A leader short of processor time lists targets every second commit

Cause: in a turn of a large site each end costs a listing of its own, about a third of the leader's processor time.

Change: the time between listings of a target is two commits, 25 to 150 ms.

--- a/internal/driver/changes_test.go
+++ b/internal/driver/changes_test.go
@@ -52,14 +52,14 @@
 	is.Equal(workflow.TaskIDOf(change.Starts[0].Task), workflow.TaskID{Job: "chain", Step: 1})
 }
 
-// TestListingsAsRareAsCommits spaces the listings of a target by the time of a commit: ends
-// listed meanwhile would wait.
+// TestListingsAsRareAsCommits spaces the listings of a target by the time of a commit: ends that
+// are listed meanwhile wait anyway.
 func TestListingsAsRareAsCommits(t *testing.T) {
 	d := new(Driver)
 	for _, test := range []struct{ commit, want time.Duration }{
 		{0, listingPause},
 		{6 * time.Millisecond, listingPause},
-		{60 * time.Millisecond, 60 * time.Millisecond},
+		{60 * time.Millisecond, listingCommits * 60 * time.Millisecond},
 		{time.Second, maxListingPause},
 	} {
 		d.commitTook.Store(int64(test.commit))
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -23,9 +23,10 @@
 	listingMargin = 700 * time.Millisecond
 	// listingPause is the least time between listings, so that runs that end together share one;
 	// maxListingPause is the longest: ends that are listed while a command is committed wait for
-	// the next one anyway.
+	// the next one anyway. listingCommits is the time between listings in commits.
 	listingPause    = 25 * time.Millisecond
-	maxListingPause = 100 * time.Millisecond
+	maxListingPause = 150 * time.Millisecond
+	listingCommits  = 2
 	// retryPause is the time between calls to a target that does not answer.
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the largest number of ends in one listing.
@@ -204,10 +205,10 @@
 	}
 }
 
-// pauseBetweenListings returns the time between listings of a target that answers: as long as a
-// command takes to commit, so that a leader short of processor time makes fewer calls.
+// pauseBetweenListings returns the time between listings of a target that answers: it follows the
+// time that commands take to commit, so that a leader short of processor time makes fewer calls.
 func (d *Driver) pauseBetweenListings() time.Duration {
-	return min(max(time.Duration(d.commitTook.Load()), listingPause), maxListingPause)
+	return min(max(listingCommits*time.Duration(d.commitTook.Load()), listingPause), maxListingPause)
 }
 
 // pauseAfterFailure returns the time before the next listing call after one that failed.
