A leader that cannot read its clock holds no lease

Cause: where the clock that counts while the VM is suspended could not be read, its time was taken as 0, which is before the end of every lease: a leader that had stood still would have acted.

Change: HoldsLease is false without a clock, and no round counts towards the lease.

--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -13,13 +13,12 @@
 
 // timeSinceBoot reads the clock that also advances while the machine is suspended:
 // a leader that was suspended during an election must not trust its old lease.
-func timeSinceBoot() time.Duration {
+func timeSinceBoot() (time.Duration, error) {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		// Zero is before the end of every lease.
-		return 0
+		return 0, err
 	}
-	return time.Duration(now.Nano())
+	return time.Duration(now.Nano()), nil
 }
 
 // leaderLease is what a leader records of its heartbeat rounds to extend its
@@ -44,8 +43,10 @@
 		n.lease.roundStarts = make(map[uint64]time.Duration)
 	}
 	if round := n.core.round; round != n.lease.round {
-		n.lease.round = round
-		n.lease.roundStarts[round] = timeSinceBoot()
+		if now, err := n.sinceBoot(); err == nil {
+			n.lease.round = round
+			n.lease.roundStarts[round] = now
+		}
 	}
 	confirmed := n.core.ConfirmedRound()
 	started, ok := n.lease.roundStarts[confirmed]
@@ -63,7 +64,12 @@
 
 // HoldsLease reports whether this member holds the leader lease. Then no other
 // member can lead, and no client can have seen a newer state than the applied one.
+// A member that cannot read its clock does not hold it.
 func (n *Node) HoldsLease() bool {
 	until := n.leaseUntil.Load()
-	return until != 0 && timeSinceBoot() < time.Duration(until)
+	if until == 0 {
+		return false
+	}
+	now, err := n.sinceBoot()
+	return err == nil && now < time.Duration(until)
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -148,6 +148,8 @@
 	// leaseUntil is the end of the lease, by the clock of timeSinceBoot, or 0
 	// without a lease.
 	leaseUntil atomic.Int64
+	// sinceBoot is timeSinceBoot, except in tests.
+	sinceBoot func() (time.Duration, error)
 
 	mu             sync.Mutex
 	applied        uint64
@@ -159,6 +161,7 @@
 	persisted := Persisted{HardState: loaded.HardState, Entries: loaded.Entries}
 	n := &Node{
 		cfg:            cfg,
+		sinceBoot:      timeSinceBoot,
 		inbox:          make(chan *wirepb.ReplicaMessage, inputQueueSize),
 		proposals:      make(chan proposal, inputQueueSize),
 		calls:          make(chan func()),
