A panic in the handler of one stream closes that stream alone

Cause: calls between daemons ran without the protection that net/http gives to requests: one unexpected error in a call of an entry VM ended the leader.

Measured: TestPanicClosesOneStream ends the test process without the change.

--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -192,11 +193,20 @@
 		}
 		go func() {
 			defer limit.releaseStream()
+			defer reportPanic(accepted)
 			s.serveStream(&stream{Conn: accepted, budget: limit})
 		}()
 	}
 }
 
+// reportPanic keeps a panic in the handler of one stream from ending the daemon, as net/http does
+// for requests. The deferred calls of the handler have closed the stream.
+func reportPanic(s net.Conn) {
+	if r := recover(); r != nil {
+		event.StreamFailed.Emit(event.F("peer", s.RemoteAddr().String()), event.F("error", fmt.Sprint(r)), event.F("stack", string(debug.Stack())))
+	}
+}
+
 // serveStream reads the hello and calls the handler. A malformed hello closes only this stream.
 func (s *Server) serveStream(stream net.Conn) {
 	defer stream.Close()
--- a/internal/wire/restart_test.go
+++ b/internal/wire/restart_test.go
@@ -123,6 +123,36 @@
 	server.Close()
 }
 
+// TestPanicClosesOneStream panics in the handler of one call: its caller gets an error, and the
+// others go on.
+func TestPanicClosesOneStream(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &Server{Listener: listener, Handler: func(hello *wirepb.Hello, s net.Conn) {
+		ServeCall(s, func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse {
+			if hello.FromMember == "odd" {
+				panic("nobody expects this")
+			}
+			return new(wirepb.CallResponse)
+		})
+	}}
+	go server.Serve()
+	defer server.Close()
+	dialer := new(Dialer)
+	defer dialer.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	address := listener.Addr().String()
+	for range 3 {
+		_, sent, err := dialer.Call(ctx, address, &wirepb.Hello{FromMember: "odd"}, &wirepb.CallRequest{})
+		is.True(err != nil)
+		is.True(sent) // it may have run
+		_, _, err = dialer.Call(ctx, address, &wirepb.Hello{}, &wirepb.CallRequest{})
+		is.NoErr(err)
+	}
+}
+
 // echoServer answers calls and takes messages at the address.
 func echoServer(t *testing.T, address string) *Server {
 	t.Helper()
