A cancel of a job that is pruned meanwhile is answered

Change: the job as it was found is described then. No test: the state of the entry VM would have to change between two reads in one handler.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -225,5 +225,8 @@
 		refuse(http.StatusServiceUnavailable, ReasonLost, fmt.Sprintf("cancel job: %v; send it again", err)).write(w, job.Id)
 		return
 	}
-	writeJSON(w, http.StatusAccepted, s.jobView(s.cfg.Machine.Job(job.Id)))
+	if cancelled := s.cfg.Machine.Job(job.Id); cancelled != nil {
+		job = cancelled // it may have been pruned meanwhile
+	}
+	writeJSON(w, http.StatusAccepted, s.jobView(job))
 }
