An order for a VM is given up with the leader's lease

Change: the lease is checked every 20 ms while an order is under way; when it ends the call is cancelled, which resets its connection.

Measured: TestOrderEndsWithLease fails without the check.

--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -201,3 +202,31 @@
 }
 
 func (l leaseWhile) HoldsLease() bool { return *l.held }
+
+// endingLease is a lease that is held until it ends.
+type endingLease struct {
+	leaseOnlyLog
+	ended atomic.Bool
+}
+
+func (l *endingLease) HoldsLease() bool { return !l.ended.Load() }
+
+// TestOrderEndsWithLease ends the lease while an order is under way, as a cut leader's does
+// before another can be elected: the order is given up at once, not after its timeout.
+func TestOrderEndsWithLease(t *testing.T) {
+	is := is.New(t)
+	d, _, _ := newDriverWithClock(t)
+	lease, platform := new(endingLease), slowPlatform{make(chan struct{})}
+	d.cfg.Log = lease
+	answered := make(chan error, 1)
+	d.callPlatform("vm-t0", func(ctx context.Context, order VMOrder) (VMRefusal, error) {
+		lease.ended.Store(true)
+		return platform.Move(ctx, order, "p")
+	}, func(_ VMRefusal, err error) { answered <- err })
+	select {
+	case err := <-answered:
+		is.True(err != nil)
+	case <-time.After(platformTimeout / 2):
+		t.Fatal("the order is still under way")
+	}
+}
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// leaseWatchInterval is how often the lease is checked while an order is under way.
+	leaseWatchInterval = 20 * time.Millisecond
 	// platformTimeout limits one call to the platform.
 	platformTimeout = 2 * time.Second
 	// orderRetryPause is the time between orders for one VM until one is carried out.
@@ -486,10 +488,29 @@
 		}
 		ctx, cancel := context.WithTimeout(d.ctx, platformTimeout)
 		defer cancel()
+		go d.cancelWithLease(ctx, cancel)
 		take(send(ctx, order))
 	})
 }
 
+// cancelWithLease cancels an order once the leader's lease is no longer held: what the network
+// holds back of it must not reach the platform after the orders of a later leader.
+func (d *Driver) cancelWithLease(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(leaseWatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !d.cfg.Log.HoldsLease() {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
 // permanentlyGone reports whether a VM that cannot be taken down no longer exists, and
 // reads the platform's list until that is known.
 func (d *Driver) permanentlyGone(vm string) bool {
