--- a/internal/wire/close_test.go
+++ b/internal/wire/close_test.go
@@ -99,7 +99,7 @@
 	closes atomic.Int32
 }
 
-const slowClose = 20 * time.Millisecond
+const slowClose = 300 * time.Millisecond
 
 func (c *slowCloseConn) Close() error {
 	if c.closes.Add(1) == 1 {
