A wave keeps a place for VMs with lasting tasks

The reason was real: the other VMs go down and come back by the dozen, and the chain waited for a place at each of its VMs. Each round also summed up the tasks of all VMs left.

Change: maintenance.Reserved keeps as many places as the chains' budgets allow, at most half; the load is what the state keeps for each target. Next and Order are ToCordon and SortForMaintenance.

--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -167,10 +167,11 @@
 			down++
 		}
 	}
-	maintenance.Order(candidates)
+	forOthers := atOnce - maintenance.Reserved(candidates, atOnce, d.waveTimeLeft(w), d.cfg.Limits.VMMaintenance+drainTime)
+	maintenance.SortForMaintenance(candidates)
 	for _, candidate := range candidates {
 		vm := candidate.VM
-		if down >= atOnce {
+		if down >= atOnce || down >= forOthers && len(candidate.Steps) == 0 {
 			return
 		}
 		if !d.waves.cordoned[vm] || d.waves.calling[vm] || !d.drained(vm) {
@@ -188,8 +189,11 @@
 
 // atOnce returns how many VMs of a wave may be down now.
 func (d *Driver) atOnce(w *pb.Wave, left int) int {
-	end := w.DeclaredUnixMs + w.DurationMs
-	return maintenance.Pace(left, time.Duration(end-d.cfg.NowMS())*time.Millisecond, d.cfg.Limits.VMMaintenance+drainTime, int(w.Cap))
+	return maintenance.Pace(left, d.waveTimeLeft(w), d.cfg.Limits.VMMaintenance+drainTime, int(w.Cap))
+}
+
+func (d *Driver) waveTimeLeft(w *pb.Wave) time.Duration {
+	return time.Duration(w.DeclaredUnixMs+w.DurationMs-d.cfg.NowMS()) * time.Millisecond
 }
 
 // evacuate stops one lasting task of a step with more tasks on the VM than may be
@@ -235,7 +239,10 @@
 	out := make([]maintenance.Candidate, len(vms))
 	d.cfg.Machine.View(func(v *workflow.View) {
 		for i, vm := range vms {
-			out[i] = maintenance.Candidate{VM: vm, LoadMillis: placedCPU(v, links[vm]), Cordoned: d.waves.cordoned[vm], Steps: lastingSteps(v, links[vm])}
+			out[i] = maintenance.Candidate{VM: vm, Cordoned: d.waves.cordoned[vm]}
+			if l := links[vm]; l != nil {
+				out[i].LoadMillis, out[i].Steps = v.UsedOn(l.target.Id).Room.CPUMillis, lastingSteps(v, l.target.Id)
+			}
 		}
 	})
 	return out
@@ -244,12 +251,11 @@
 // cordonNext begins to drain VMs of the wave, so that one is ready when the wave's cap and
 // pace allow it.
 func (d *Driver) cordonNext(w *pb.Wave, left []maintenance.Candidate, free int) {
-	timeLeft := time.Duration(w.DeclaredUnixMs+w.DurationMs-d.cfg.NowMS()) * time.Millisecond
 	load := make(map[string]int64, len(left))
 	for _, c := range left {
 		load[c.VM] = c.LoadMillis
 	}
-	for _, vm := range maintenance.Next(left, free+drainAhead, timeLeft, d.cfg.Limits.VMMaintenance+drainTime) {
+	for _, vm := range maintenance.ToCordon(left, free+drainAhead, d.waveTimeLeft(w), d.cfg.Limits.VMMaintenance+drainTime) {
 		d.waves.cordoned[vm] = true
 		d.waves.cordonedAt[vm] = d.cfg.Now()
 		event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
@@ -257,13 +263,13 @@
 	}
 }
 
-// lastingSteps returns the lasting steps with an availability budget on a target; none for nil.
-func lastingSteps(v *workflow.View, l *link) []maintenance.LastingStep {
-	if l == nil || v.UsedOn(l.target.Id).Lasting == 0 {
+// lastingSteps returns the lasting steps with an availability budget on a target.
+func lastingSteps(v *workflow.View, target string) []maintenance.LastingStep {
+	if v.UsedOn(target).Lasting == 0 {
 		return nil
 	}
 	var steps []maintenance.LastingStep
-	for first := range lastingOn(v, l.target.Id) {
+	for first := range lastingOn(v, target) {
 		steps = append(steps, maintenance.LastingStep{ID: first.String(), Budget: int(v.Task(first).Spec().MaxUnavailable)})
 	}
 	return steps
@@ -328,18 +334,6 @@
 	return on
 }
 
-// placedCPU returns the CPU that the tasks on a target need, in thousandths of a core; 0 for nil.
-func placedCPU(v *workflow.View, l *link) int64 {
-	if l == nil {
-		return 0
-	}
-	total := int64(0)
-	for _, task := range v.PlacedOn(l.target.Id) {
-		total += task.Spec().Needs.GetCpuMillis()
-	}
-	return total
-}
-
 // drained reports whether only lasting tasks are left on the VM and its pool has other VMs
 // for them, or drainTimeout is over.
 func (d *Driver) drained(vm string) bool {
--- a/internal/policy/maintenance/next.go
+++ b/internal/policy/maintenance/lasting.go
@@ -23,24 +23,22 @@
 	Budget int
 }
 
-// Next returns the VMs to cordon, so that want VMs of the wave are. Those with the least load
+// ToCordon returns the VMs to cordon, so that want VMs of the wave are. Those with the least load
 // come first. VMs that run tasks of one lasting step go down one after the other, each for
 // about perVM, and would come last by their load: where such a chain takes a good part of the
 // time left, as many of them as its budget allows, and one more, come before all others.
-func Next(vms []Candidate, want int, timeLeft, perVM time.Duration) []string {
+func ToCordon(vms []Candidate, want int, timeLeft, perVM time.Duration) []string {
 	vms = slices.Clone(vms)
 	slices.SortStableFunc(vms, func(a, b Candidate) int { return cmp.Compare(a.LoadMillis, b.LoadMillis) })
 	cordoned := 0
-	length, taken := make(map[string]int), make(map[string]int)
+	long, taken := longChains(vms, timeLeft, perVM), make(map[string]int)
 	for _, vm := range vms {
-		if vm.Cordoned {
-			cordoned++
+		if !vm.Cordoned {
+			continue
 		}
+		cordoned++
 		for _, step := range vm.Steps {
-			length[step.ID]++
-			if vm.Cordoned {
-				taken[step.ID]++
-			}
+			taken[step.ID]++
 		}
 	}
 	var next []string
@@ -54,9 +52,7 @@
 	}
 	for i := range vms {
 		vm := &vms[i]
-		urgent := slices.ContainsFunc(vm.Steps, func(s LastingStep) bool {
-			return chain(length[s.ID], s.Budget, perVM) >= time.Duration(finishFraction/2*float64(timeLeft))
-		})
+		urgent := slices.ContainsFunc(vm.Steps, func(s LastingStep) bool { return long[s.ID] > 0 })
 		room := !slices.ContainsFunc(vm.Steps, func(s LastingStep) bool { return taken[s.ID] > max(s.Budget, 1) })
 		if urgent && room && !vm.Cordoned && cordoned < want {
 			take(vm)
@@ -70,13 +66,38 @@
 	return next
 }
 
-// Order sorts VMs that may go down next: those with lasting steps first, since others could take
-// their places at any time.
-func Order(vms []Candidate) {
+// SortForMaintenance sorts VMs by which may go down first: those with lasting steps come before
+// others, which could take their places at any time.
+func SortForMaintenance(vms []Candidate) {
 	slices.SortStableFunc(vms, func(a, b Candidate) int { return cmp.Compare(len(b.Steps), len(a.Steps)) })
 }
 
-// chain returns how long the maintenance of VMs takes of which budget may be down at once.
-func chain(vms, budget int, perVM time.Duration) time.Duration {
-	return time.Duration((vms+max(budget, 1)-1)/max(budget, 1)) * perVM
+// Reserved returns how many of the VMs that may be down at once are kept for those of long
+// chains: the others go down and come back by the dozen, and a chain would wait for them at each
+// of its VMs. At most half are kept.
+func Reserved(vms []Candidate, atOnce int, timeLeft, perVM time.Duration) int {
+	reserved := 0
+	for _, budget := range longChains(vms, timeLeft, perVM) {
+		reserved += budget
+	}
+	return min(reserved, atOnce/2)
+}
+
+// longChains returns the lasting steps whose VMs take a good part of the time left one after
+// the other, with how many may be down at once.
+func longChains(vms []Candidate, timeLeft, perVM time.Duration) map[string]int {
+	length, budgets := make(map[string]int), make(map[string]int)
+	for _, vm := range vms {
+		for _, step := range vm.Steps {
+			length[step.ID]++
+			budgets[step.ID] = max(step.Budget, 1)
+		}
+	}
+	for id, budget := range budgets {
+		rounds := (length[id] + budget - 1) / budget
+		if time.Duration(rounds)*perVM < time.Duration(finishFraction/2*float64(timeLeft)) {
+			delete(budgets, id)
+		}
+	}
+	return budgets
 }
