Names: one thing each, and the usual terms

unplacedRoom was a type and a method (the type is listedRoom now); fsys.FS.Remove removed folders with everything in them (RemoveAll).

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -21,9 +21,9 @@
 	waveListingWait = 500 * time.Millisecond
 	// listingMargin is how long a listing may take beyond its wait.
 	listingMargin = 700 * time.Millisecond
-	// listingPause is the least time between listings, so that runs that end together share one;
-	// maxListingPause is the longest: ends that are listed while a command is committed wait for
-	// the next one anyway. listingCommits is the time between listings in commits.
+	// listingPause is the least time between listings, so that runs that end together share one.
+	// It grows to the time of listingCommits commits, at most maxListingPause: ends that are
+	// listed while a command is committed wait for the next one anyway.
 	listingPause    = 25 * time.Millisecond
 	maxListingPause = 150 * time.Millisecond
 	listingCommits  = 2
@@ -89,7 +89,8 @@
 	// answeredAt is when it was received.
 	answeredAt time.Time
 	everListed bool
-	unplaced   unplacedRoom
+	// unplaced is what unplacedRoom returned last.
+	unplaced listedRoom
 	// Numbers of the last end that was read from a listing, that is committed, and whose
 	// commit was confirmed to the target.
 	lastReadEnd, lastCommittedEnd, lastConfirmedEnd uint64
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -144,9 +144,9 @@
 	return out, capacity
 }
 
-// unplacedRoom is the resources of runs that a target lists but the state does not place there,
-// with the listing and the state of which it was worked out.
-type unplacedRoom struct {
+// listedRoom is the room of unplacedRoom, with the listing and the changes of the state from
+// which it was worked out.
+type listedRoom struct {
 	listedAt time.Time
 	changes  uint64
 	room     workflow.Resources
@@ -170,7 +170,7 @@
 			room = room.Add(workflow.RequiredCapacity(task.Spec()))
 		}
 	}
-	l.unplaced = unplacedRoom{l.listedAt, changes, room}
+	l.unplaced = listedRoom{l.listedAt, changes, room}
 	return room
 }
 
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -27,8 +27,8 @@
 	OpenFile(path string, flag int, perm os.FileMode) (File, error)
 	// Names returns the names in a folder, in any order.
 	Names(folder string) ([]string, error)
-	// Remove removes a file, or a folder with everything in it.
-	Remove(path string) error
+	// RemoveAll removes a file, or a folder with everything in it; it may be missing.
+	RemoveAll(path string) error
 	// SyncFolder returns once names that were created or removed in the folder would stay so
 	// after a loss of power.
 	SyncFolder(path string) error
@@ -59,7 +59,7 @@
 	return names, nil
 }
 
-func (osFS) Remove(path string) error { return os.RemoveAll(path) }
+func (osFS) RemoveAll(path string) error { return os.RemoveAll(path) }
 
 func (osFS) SyncFolder(path string) error {
 	folder, err := os.Open(path)
--- a/internal/replica/store/append.go
+++ b/internal/replica/store/append.go
@@ -280,7 +280,7 @@
 		if number != a.segmentNumber {
 			// If the removal fails, a later start reads the older file only when the
 			// newer one has no whole frame.
-			a.fs.Remove(a.path(number))
+			a.fs.RemoveAll(a.path(number))
 		}
 	}
 }
@@ -388,12 +388,12 @@
 	if err := errors.Join(a.writeFrame(), a.fs.SyncFolder(a.folder)); err != nil {
 		// The old segment still holds everything that was acknowledged.
 		a.file, a.size = old, oldSize
-		return errors.Join(err, file.Close(), a.fs.Remove(file.Name()))
+		return errors.Join(err, file.Close(), a.fs.RemoveAll(file.Name()))
 	}
 	a.segmentNumber++
 	if old != nil {
 		old.Close()
-		a.fs.Remove(old.Name())
+		a.fs.RemoveAll(old.Name())
 	}
 	return nil
 }
@@ -414,7 +414,7 @@
 				return fmt.Errorf("empty data folder: %w", err)
 			}
 		}
-		if err := fs.Remove(filepath.Join(folder, name)); err != nil {
+		if err := fs.RemoveAll(filepath.Join(folder, name)); err != nil {
 			return fmt.Errorf("empty data folder: %w", err)
 		}
 	}
--- a/test/emulator/disk/disk.go
+++ b/test/emulator/disk/disk.go
@@ -245,8 +245,8 @@
 	return names, nil
 }
 
-// Remove removes a file.
-func (d *Disk) Remove(path string) error {
+// RemoveAll removes a file.
+func (d *Disk) RemoveAll(path string) error {
 	if err := d.begin(Remove, path, d.currentLife()); err != nil {
 		return err
 	}
