Review: a ping of another writer starts work a second time

One ping for a VM, whose service the manifest does not name, ends the known target there; its work is started elsewhere while it runs.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -159,7 +159,8 @@
 func (c *Clients) Operator(method, path, body string, within time.Duration) (string, error) {
 	end := time.Now().Add(within)
 	for n := 0; ; n++ {
-		core := c.in.Cores[n%len(c.in.Cores)]
+		cores := c.in.Cores()
+		core := cores[n%len(cores)]
 		status, answer, err := c.once(core.Control(), method, path, body)
 		c.record.Add("operator: %s %s at %s: %d %.60s%s", method, path, core.Name, status, answer, errorText(err))
 		if err == nil && status == http.StatusOK {
--- a/review/harness/installation.go
+++ b/review/harness/installation.go
@@ -8,7 +8,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -52,7 +54,6 @@
 type Installation struct {
 	Record *Record
 	Folder string
-	Cores  []*Daemon
 	Edges  []*Daemon
 	// Daemons holds all daemons that were ever added.
 	Daemons []*Daemon
@@ -62,6 +63,23 @@
 	nextHost int
 	seeds    []string
 	platform string
+
+	mu    sync.Mutex
+	cores []*Daemon
+}
+
+// Cores returns the core daemons that are in the operator's list.
+func (in *Installation) Cores() []*Daemon {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.Clone(in.cores)
+}
+
+// Unlist removes a core daemon that is gone for good from the operator's list.
+func (in *Installation) Unlist(gone *Daemon) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.cores = slices.DeleteFunc(in.cores, func(d *Daemon) bool { return d == gone })
 }
 
 // New writes the settings of an installation into a temporary folder.
@@ -137,7 +155,9 @@
 			"listen.ctl": fmt.Sprintf("%s:%d", d.IP, controlPort), "cloudApi.addr": in.platform, "hint": "", "limits.memLimitMb": "280",
 		})
 	}
-	in.Cores = append(in.Cores, d)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.cores = append(in.cores, d)
 	return d
 }
 
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -172,7 +172,10 @@
 	}
 }
 
-func (t *Target) clock() int64 { return time.Since(t.clockBegan).Milliseconds() + 1000 }
+// clockStart is what a target's clock shows at its start, in milliseconds.
+const clockStart = 1000
+
+func (t *Target) clock() int64 { return time.Since(t.clockBegan).Milliseconds() + clockStart }
 
 // order decodes a call and serves it under the fleet's mutex.
 func (t *Target) order(serve func(http.ResponseWriter, *call)) http.HandlerFunc {
@@ -356,8 +359,10 @@
 func (t *Target) settle() {
 	now := time.Now()
 	if t.leaseUntil != 0 && t.clock() > t.leaseUntil {
+		lapsed := t.clockBegan.Add(time.Duration(t.leaseUntil-clockStart) * time.Millisecond)
 		for _, run := range t.running {
 			t.end(run, "lapsed")
+			run.Ended = lapsed
 		}
 	}
 	for _, run := range t.running {
@@ -469,7 +474,7 @@
 // beat sends pings until the target ends, each to the control addresses in turn until one
 // acknowledges it.
 func (t *Target) beat() {
-	next := int(t.Born) % len(t.fleet.in.Cores)
+	next := int(t.Born % 3)
 	for {
 		t.sendBeat(&next)
 		select {
@@ -493,7 +498,7 @@
 		"capacity": t.Capacity, "labels": t.Labels, "machine": t.Machine, "tsMs": t.clock(), "seq": t.seq, "born": t.Born,
 	})
 	f.mu.Unlock()
-	for range 2 * len(f.in.Cores) {
+	for range 6 {
 		select {
 		case <-t.stopped:
 			return
@@ -501,7 +506,8 @@
 		}
 		base := t.beatAddr
 		if base == "" {
-			base = f.in.Cores[*next%len(f.in.Cores)].Control()
+			cores := f.in.Cores()
+			base = cores[*next%len(cores)].Control()
 		}
 		response, err := f.client.Post(base+"/instances/"+t.ID+"/heartbeat", "application/json", bytes.NewReader(body))
 		if err == nil {
@@ -533,3 +539,15 @@
 		}
 	}
 }
+
+// MachineOf returns the machine of a target.
+func (f *Fleet) MachineOf(target string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.targets {
+		if t.ID == target {
+			return t.Machine
+		}
+	}
+	return ""
+}
