--- a/review/cmd/review-foreign/main.go
+++ b/review/cmd/review-foreign/main.go
@@ -42,7 +42,7 @@
 		return false, fmt.Errorf("%d of 4 work units run before any disruption", len(runs))
 	}
 	if c.Trouble {
-		machine := c.Fleet.MachineOf(runs[0].Target)
+		machine := c.Fleet.Target(runs[0].Target).Machine
 		body, err := json.Marshal(map[string]any{
 			"service": "other-service", "addr": "127.0.0.1:9", "zone": "zone-1", "version": "v1", "slots": 8, "state": "ready",
 			"capacity": harness.Resources{CPU: 8000, MemMb: 16000}, "labels": []string{"a", "rack-1"}, "machine": machine,
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -27,6 +27,8 @@
 	Dark
 	// Gone targets have ended; their channels were closed.
 	Gone
+	// Cut targets are cut off and run on: they get no calls and their pings do not arrive.
+	Cut
 )
 
 // Run is one run of a task, as the target saw it.
@@ -81,6 +83,9 @@
 	stopped    chan struct{}
 	beatAddr   string
 	draining   bool
+	// lateGrant is set while the next call that grants a lease is to be carried out late.
+	lateGrant func()
+	lateBy    time.Duration
 }
 
 // Fleet holds all targets of a case and the history of their runs. Its mutex guards all of
@@ -149,7 +154,7 @@
 }
 
 func (t *Target) setState(state TargetState) {
-	names := map[TargetState]string{Sound: "is sound", Failing: "fails all that it starts", Dark: "goes dark", Gone: "ends"}
+	names := map[TargetState]string{Sound: "is sound", Failing: "fails all that it starts", Dark: "goes dark", Gone: "ends", Cut: "is cut off and runs on"}
 	t.fleet.record.Add("target %s on %s %s", t.ID, t.Machine, names[state])
 	if t.state == Gone || t.state == Dark && state != Gone {
 		return
@@ -192,7 +197,12 @@
 		}
 		t.fleet.mu.Lock()
 		defer t.fleet.mu.Unlock()
-		if t.state == Dark {
+		if t.state == Sound && t.lateGrant != nil && r.URL.Path == "/hold" && in.ExpiryMs != 0 {
+			t.carryOutLate(in)
+			t.state = Cut
+			t.fleet.record.Add("target %s on %s is cut off and runs on", t.ID, t.Machine)
+		}
+		if t.state == Dark || t.state == Cut {
 			t.fleet.mu.Unlock()
 			<-r.Context().Done()
 			t.fleet.mu.Lock()
@@ -203,6 +213,33 @@
 	}
 }
 
+// CutWithLateGrant cuts the target off from its next call that grants a lease on. That call
+// has reached it, gets no answer, and is carried out late; the time that it grants counts
+// from then. After is called once the cut begins.
+func (t *Target) CutWithLateGrant(lateBy time.Duration, after func()) {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	t.lateGrant, t.lateBy = after, lateBy
+}
+
+// carryOutLate schedules the late call.
+func (t *Target) carryOutLate(c *call) {
+	granted := c.ExpiryMs - t.clock()
+	t.fleet.record.Add("target %s: a hold that grants %d ms gets no answer and is carried out %s later", t.ID, granted, t.lateBy)
+	after := t.lateGrant
+	t.lateGrant = nil
+	time.AfterFunc(t.lateBy, func() {
+		t.fleet.mu.Lock()
+		defer t.fleet.mu.Unlock()
+		t.settle()
+		if c.Fence >= t.fence {
+			t.extendLease(t.clock() + granted)
+			t.fleet.record.Add("target %s: the late hold is carried out, the lease now ends in %d ms", t.ID, t.leaseUntil-t.clock())
+		}
+	})
+	go after()
+}
+
 // call is the body of a call about runs.
 type call struct {
 	Task       string `json:"task"`
@@ -324,14 +361,14 @@
 	}
 	t.ends = slices.DeleteFunc(t.ends, func(e finishedRun) bool { return e.number <= c.LastSeen })
 	deadline := time.Now().Add(time.Duration(min(c.WaitMs, 2000)) * time.Millisecond)
-	for len(t.ends) == 0 && time.Now().Before(deadline) && t.state != Gone && t.state != Dark {
+	for len(t.ends) == 0 && time.Now().Before(deadline) && (t.state == Sound || t.state == Failing) {
 		t.fleet.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
 		t.fleet.mu.Lock()
 		t.settle()
 	}
-	if t.state == Dark || t.state == Gone {
-		// The process has ended: no answer comes.
+	if t.state == Dark || t.state == Gone || t.state == Cut {
+		// The process has ended or is cut off: no answer comes.
 		t.fleet.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		t.fleet.mu.Lock()
@@ -361,6 +398,11 @@
 	if t.leaseUntil != 0 && t.clock() > t.leaseUntil {
 		lapsed := t.clockBegan.Add(time.Duration(t.leaseUntil-clockStart) * time.Millisecond)
 		for _, run := range t.running {
+			if !run.stopAt.IsZero() && run.stopAt.Before(lapsed) {
+				t.end(run, "stopped")
+				run.Ended = run.stopAt
+				continue
+			}
 			t.end(run, "lapsed")
 			run.Ended = lapsed
 		}
@@ -388,6 +430,7 @@
 		case !run.stopAt.IsZero():
 			if now.After(run.stopAt) {
 				t.end(run, "stopped")
+				run.Ended = run.stopAt
 			}
 		case t.state == Failing && now.Sub(since) >= failAfter:
 			t.end(run, "failed")
@@ -449,7 +492,7 @@
 	defer f.mu.Unlock()
 	var out []Run
 	for _, t := range f.targets {
-		if t.state == Sound || t.state == Failing {
+		if t.state == Sound || t.state == Failing || t.state == Cut {
 			t.settle()
 		}
 	}
@@ -482,9 +525,18 @@
 			return
 		case <-time.After(HeartbeatInterval):
 		}
+		for t.isCut() {
+			time.Sleep(50 * time.Millisecond)
+		}
 	}
 }
 
+func (t *Target) isCut() bool {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	return t.state == Cut
+}
+
 func (t *Target) sendBeat(next *int) {
 	f := t.fleet
 	f.mu.Lock()
@@ -540,14 +592,14 @@
 	}
 }
 
-// MachineOf returns the machine of a target.
-func (f *Fleet) MachineOf(target string) string {
+// Target returns the target with an id, or nil.
+func (f *Fleet) Target(id string) *Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.targets {
-		if t.ID == target {
-			return t.Machine
+		if t.ID == id {
+			return t
 		}
 	}
-	return ""
+	return nil
 }
