Review: the harness without what no case uses

Takes out what only the cases use that were left out: targets that go dark or fail what they start, gangs, draining, and the count of pending jobs.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -19,10 +19,8 @@
 	GPU            int64  `json:"gpu,omitempty"`
 	EstMs          int64  `json:"estMs,omitempty"`
 	Deps           []int  `json:"deps,omitempty"`
-	Gang           bool   `json:"gang,omitempty"`
 	LongRunning    bool   `json:"longRunning,omitempty"`
 	Constraints    string `json:"constraints,omitempty"`
-	AntiAffinity   int    `json:"antiAffinity,omitempty"`
 	MaxUnavailable int    `json:"maxUnavailable,omitempty"`
 
 	Work time.Duration `json:"-"`
@@ -142,19 +140,6 @@
 	return in.State, nil
 }
 
-// Pending returns how many jobs of the queue have not begun.
-func (c *Clients) Pending(within time.Duration) (int, error) {
-	_, answer, err := c.Edge(http.MethodGet, Prefix, "", within)
-	if err != nil {
-		return 0, err
-	}
-	var in struct {
-		Pending int `json:"pending"`
-	}
-	err = json.Unmarshal([]byte(answer), &in)
-	return in.Pending, err
-}
-
 // Operator sends an operator's call to the core daemons in turn until one answers with 200.
 func (c *Clients) Operator(method, path, body string, within time.Duration) (string, error) {
 	end := time.Now().Add(within)
--- a/review/harness/installation.go
+++ b/review/harness/installation.go
@@ -22,8 +22,6 @@
 	KillGrace         = 400 * time.Millisecond
 	MoveTime          = 1500 * time.Millisecond
 	UpkeepTime        = 2 * time.Second
-	GangWait          = 3 * time.Second
-	VisibleTime       = 3 * time.Second
 	CatchUp           = 4 * time.Second
 )
 
@@ -263,12 +261,6 @@
 	return os.RemoveAll(d.data)
 }
 
-// Log returns the log of the daemon.
-func (d *Daemon) Log() string {
-	data, _ := os.ReadFile(d.log)
-	return string(data)
-}
-
 // Control returns the address for targets and the operator.
 func (d *Daemon) Control() string { return fmt.Sprintf("http://%s:%d", d.IP, controlPort) }
 
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -21,7 +21,6 @@
 	fence  uint64
 	// upkeeps holds the waves whose upkeep the machine has had.
 	upkeeps []uint64
-	wave    uint64
 }
 
 // Platform lists machines, moves them between pools and does their upkeep.
@@ -66,13 +65,6 @@
 	return m, p.boot(m)
 }
 
-// Target returns the target that runs on the machine now, or nil.
-func (p *Platform) Target(m *Machine) *Target {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return m.target
-}
-
 // boot starts a target on a machine, unless its pool is in standby.
 func (p *Platform) boot(m *Machine) error {
 	m.state = "up"
@@ -195,22 +187,3 @@
 		}
 	})
 }
-
-// Machines returns all machines.
-func (p *Platform) Machines() []*Machine {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.Clone(p.machines)
-}
-
-// Reboot starts a new target on a machine whose target has crashed.
-func (p *Platform) Reboot(m *Machine) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m.target != nil {
-		m.target.SetState(Gone)
-	}
-	if err := p.boot(m); err != nil {
-		p.record.Add("platform: %s does not boot: %v", m.Name, err)
-	}
-}
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -21,10 +21,6 @@
 const (
 	// Sound targets do what the pages say.
 	Sound TargetState = iota
-	// Failing targets fail all that they start; their pings and answers are good.
-	Failing
-	// Dark targets have crashed without a trace: nothing answers and nothing is closed.
-	Dark
 	// Gone targets have ended; their channels were closed.
 	Gone
 	// Cut targets are cut off and run on: they get no calls and their pings do not arrive.
@@ -79,10 +75,8 @@
 	ends       []finishedRun
 	nextEnd    uint64
 	seq        uint64
-	changed    chan struct{}
 	stopped    chan struct{}
 	beatAddr   string
-	draining   bool
 	// lateGrant is set while the next call that grants a lease is to be carried out late.
 	lateGrant func()
 	lateBy    time.Duration
@@ -128,7 +122,7 @@
 	t := &Target{
 		ID: fmt.Sprintf("i-%04d", f.nextID), Machine: machine, Service: service, Zone: zone, Labels: labels, Capacity: capacity,
 		Addr: listener.Addr().String(), Born: time.Now().UnixMilli(), fleet: f, clockBegan: time.Now(),
-		running: make(map[string]*Run), blocked: make(map[string]uint32), changed: make(chan struct{}, 1), stopped: make(chan struct{}),
+		running: make(map[string]*Run), blocked: make(map[string]uint32), stopped: make(chan struct{}),
 	}
 	f.targets = append(f.targets, t)
 	f.mu.Unlock()
@@ -154,13 +148,13 @@
 }
 
 func (t *Target) setState(state TargetState) {
-	names := map[TargetState]string{Sound: "is sound", Failing: "fails all that it starts", Dark: "goes dark", Gone: "ends", Cut: "is cut off and runs on"}
+	names := map[TargetState]string{Sound: "is sound", Gone: "ends", Cut: "is cut off and runs on"}
 	t.fleet.record.Add("target %s on %s %s", t.ID, t.Machine, names[state])
-	if t.state == Gone || t.state == Dark && state != Gone {
+	if t.state == Gone {
 		return
 	}
 	t.state = state
-	if state != Dark && state != Gone {
+	if state != Gone {
 		return
 	}
 	for _, run := range t.running {
@@ -172,9 +166,7 @@
 	default:
 		close(t.stopped)
 	}
-	if state == Gone {
-		go t.server.Close()
-	}
+	go t.server.Close()
 }
 
 // clockStart is what a target's clock shows at its start, in milliseconds.
@@ -202,7 +194,7 @@
 			t.state = Cut
 			t.fleet.record.Add("target %s on %s is cut off and runs on", t.ID, t.Machine)
 		}
-		if t.state == Dark || t.state == Cut {
+		if t.state == Cut {
 			t.fleet.mu.Unlock()
 			<-r.Context().Done()
 			t.fleet.mu.Lock()
@@ -361,13 +353,13 @@
 	}
 	t.ends = slices.DeleteFunc(t.ends, func(e finishedRun) bool { return e.number <= c.LastSeen })
 	deadline := time.Now().Add(time.Duration(min(c.WaitMs, 2000)) * time.Millisecond)
-	for len(t.ends) == 0 && time.Now().Before(deadline) && (t.state == Sound || t.state == Failing) {
+	for len(t.ends) == 0 && time.Now().Before(deadline) && t.state == Sound {
 		t.fleet.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
 		t.fleet.mu.Lock()
 		t.settle()
 	}
-	if t.state == Dark || t.state == Gone || t.state == Cut {
+	if t.state != Sound {
 		// The process has ended or is cut off: no answer comes.
 		t.fleet.mu.Unlock()
 		time.Sleep(5 * time.Second)
@@ -388,11 +380,7 @@
 	answer(w, http.StatusOK, map[string]any{"tsMs": t.clock(), "born": t.Born, "running": running, "finished": finished})
 }
 
-// failAfter is how long a failing target works on a task before the run ends as failed.
-const failAfter = 150 * time.Millisecond
-
-// settle ends the runs that are due. Members of a gang work only once all are present; when
-// one ends as failed, others on sound targets end as broken.
+// settle ends the runs that are due.
 func (t *Target) settle() {
 	now := time.Now()
 	if t.leaseUntil != 0 && t.clock() > t.leaseUntil {
@@ -408,33 +396,13 @@
 		}
 	}
 	for _, run := range t.running {
-		since := run.Began
-		if phase := t.fleet.phase(run.Task); phase.Gang {
-			complete, at := t.fleet.gangComplete(run, phase.Count)
-			if !complete {
-				switch {
-				case t.fleet.gangEnded(run, "done"):
-					t.end(run, "done")
-				case t.fleet.gangEnded(run, ""):
-					t.end(run, "broken")
-				case now.Sub(run.Began) > GangWait:
-					t.end(run, "alone")
-				case !run.stopAt.IsZero() && now.After(run.stopAt):
-					t.end(run, "stopped")
-				}
-				continue
-			}
-			since = at
-		}
 		switch {
 		case !run.stopAt.IsZero():
 			if now.After(run.stopAt) {
 				t.end(run, "stopped")
 				run.Ended = run.stopAt
 			}
-		case t.state == Failing && now.Sub(since) >= failAfter:
-			t.end(run, "failed")
-		case !run.lasting && now.Sub(since) >= run.work:
+		case !run.lasting && now.Sub(run.Began) >= run.work:
 			t.end(run, "done")
 		}
 	}
@@ -452,47 +420,13 @@
 	t.ends = append(t.ends, finishedRun{t.nextEnd, run.Task, run.Attempt, how})
 }
 
-func (f *Fleet) phase(task string) Phase {
-	return f.jobs[strings.SplitN(task, ".", 2)[0]].Phases[stepOf(task)]
-}
-
-func gangOf(task string) string { return task[:strings.LastIndexByte(task, '.')] }
-
-// gangComplete reports whether all members of a run of a gang are present, and since when.
-// A member that has ended as done or failed of the same run counts as present, since these
-// ends come together.
-func (f *Fleet) gangComplete(run *Run, members int) (bool, time.Time) {
-	present, last := 0, time.Time{}
-	for _, other := range f.runs {
-		if gangOf(other.Task) != gangOf(run.Task) || other.Attempt != run.Attempt {
-			continue
-		}
-		justEnded := (other.How == "done" || other.How == "failed") && time.Since(other.Ended) < 20*time.Millisecond
-		if other.Ended.IsZero() || justEnded {
-			present++
-			if other.Began.After(last) {
-				last = other.Began
-			}
-		}
-	}
-	return present >= members, last
-}
-
-// gangEnded reports whether another member of the same run has ended; how limits it to one
-// kind of end, unless it is empty.
-func (f *Fleet) gangEnded(run *Run, how string) bool {
-	return slices.ContainsFunc(f.runs, func(other *Run) bool {
-		return gangOf(other.Task) == gangOf(run.Task) && other.Attempt == run.Attempt && !other.Ended.IsZero() && (how == "" || other.How == how)
-	})
-}
-
 // Runs returns a copy of all runs.
 func (f *Fleet) Runs() []Run {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Run
 	for _, t := range f.targets {
-		if t.state == Sound || t.state == Failing || t.state == Cut {
+		if t.state != Gone {
 			t.settle()
 		}
 	}
@@ -507,13 +441,6 @@
 	return slices.DeleteFunc(f.Runs(), func(r Run) bool { return !strings.HasPrefix(r.Task, job+".") })
 }
 
-// Drain makes a target announce that it leaves.
-func (t *Target) Drain() {
-	t.fleet.mu.Lock()
-	defer t.fleet.mu.Unlock()
-	t.draining = true
-}
-
 // beat sends pings until the target ends, each to the control addresses in turn until one
 // acknowledges it.
 func (t *Target) beat() {
@@ -541,12 +468,8 @@
 	f := t.fleet
 	f.mu.Lock()
 	t.seq++
-	state := "ready"
-	if t.draining {
-		state = "draining"
-	}
 	body, _ := json.Marshal(map[string]any{
-		"service": t.Service, "addr": t.Addr, "zone": t.Zone, "version": "v1", "slots": 8, "state": state, "warmupLeftMs": 0,
+		"service": t.Service, "addr": t.Addr, "zone": t.Zone, "version": "v1", "slots": 8, "state": "ready", "warmupLeftMs": 0,
 		"capacity": t.Capacity, "labels": t.Labels, "machine": t.Machine, "tsMs": t.clock(), "seq": t.seq, "born": t.Born,
 	})
 	f.mu.Unlock()
