--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,5 +1,5 @@
-// The case: the operator lowers maxAttempts to the number of times that a waiting work unit has
-// failed. Its job must be shown as failed, or the work unit must start again.
+// The case: an edge node freezes for a second while requesters hand jobs in, and their key is taken
+// away meanwhile. No work unit may start of a job whose only attempt to hand it in was refused.
 package main
 
 import (
@@ -7,97 +7,117 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
 	"sapphirering/review/6/lab"
 )
 
 const (
-	executors           = 3
-	attempts, fewer     = 4, 2
-	whole               = 16000
-	firstRun, secondRun = 300 * time.Millisecond, 2500 * time.Millisecond
-	// watchTime is how long the job is watched once all room is free.
-	watchTime = 30 * time.Second
+	rounds     = 8
+	requesters = 60
+	// loadTime is how long the requesters hand jobs in before the freeze, freezeTime how long it lasts.
+	loadTime, freezeTime = 60 * time.Millisecond, time.Second
+	// watchTime is how long starts are awaited after the last answer of a round.
+	watchTime = 4 * time.Second
 )
 
+// attempt is the only attempt to hand a job in.
+type attempt struct {
+	id     string
+	status int
+	text   string
+}
+
 func main() {
 	l := lab.Start(2)
-	id := func() string { return fmt.Sprintf("%016x", rand.Uint64()) }
-	job, lasting, another := id(), id(), id()
-	l.Fails = func(task string, attempt uint32) time.Duration {
-		switch {
-		case !strings.HasPrefix(task, job):
-			return 0
-		case attempt == 1:
-			return firstRun
-		case attempt == 2:
-			return secondRun
-		}
-		return 0
+	l.Work = func(string, int) time.Duration { return 100 * time.Millisecond }
+	for i := range 6 {
+		l.AddExecutor(&lab.Executor{ID: fmt.Sprintf("i-%d", i), Machine: fmt.Sprintf("m-%d", i), Zone: fmt.Sprintf("z%d", 1+i%3),
+			Service: lab.Service, CPU: 16000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i/2)}}, l.Controls)
 	}
-	l.Work = func(string, int) time.Duration { return 4 * time.Second }
-	for i := range executors {
-		l.AddExecutor(&lab.Executor{ID: fmt.Sprintf("i-%d", i), Machine: fmt.Sprintf("m-%d", i), Zone: fmt.Sprintf("z%d", 1+i),
-			Service: lab.Service, CPU: whole, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)}}, l.Controls)
+	key := func(round int) string { return fmt.Sprintf("key-of-round-%02d", round) }
+	l.Put(lab.Manifest{MaxAttempts: 2, Keys: []string{key(0)}})
+	l.Submit(l.NewRequester(0, key(0)), fmt.Sprintf("%016x", rand.Uint64()), job())
+	for round := range rounds {
+		attempts := playRound(l, key(round), key(round+1))
+		judge(l, round, attempts)
 	}
-	l.Put(lab.Manifest{MaxAttempts: attempts, Keys: []string{"key-of-house-a"}})
-	q := l.NewRequester(0, "key-of-house-a")
-	l.Submit(q, lasting, lab.JobSpec{Spec: "plate", Phases: []lab.Phase{{Count: executors - 1, CPU: whole, MemMb: 64, EstMs: 700, LongRunning: true, AntiAffinity: 1}}})
-	await("the lasting job runs", func() bool { return len(runsOf(l, lasting)) == executors-1 })
-	l.Submit(q, job, lab.JobSpec{Spec: "proof", Phases: []lab.Phase{{Count: 1, CPU: whole, MemMb: 64, EstMs: 4000}}})
-	await("the second run of the work unit", func() bool { return len(runsOf(l, job)) == 2 })
-	time.Sleep(secondRun - time.Second)
-	// It takes the room of the work unit once that has failed for the second time.
-	l.Submit(q, another, lab.JobSpec{Spec: "plate", Phases: []lab.Phase{{Count: 1, CPU: whole, MemMb: 64, EstMs: 700, LongRunning: true}}})
-	await("another lasting job runs", func() bool { return len(runsOf(l, another)) == 1 })
-	if runs := runsOf(l, job); len(runs) != 2 || runs[1].How != "failed" {
-		lab.Unable("the work unit does not wait after two failed runs: %v", runs)
+	lab.Held("in %d rounds no job ran that was only refused", rounds)
+}
+
+func job() lab.JobSpec {
+	return lab.JobSpec{Spec: "proof", Phases: []lab.Phase{{Count: 1, CPU: 100, MemMb: 16, EstMs: 100}}}
+}
+
+// playRound hands jobs in with a key that is taken away while their edge node is frozen.
+func playRound(l *lab.Lab, key, next string) []attempt {
+	var mu sync.Mutex
+	var attempts []attempt
+	stop := make(chan struct{})
+	var calls sync.WaitGroup
+	for range requesters {
+		calls.Go(func() {
+			q := l.NewRequester(0, key)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id, spec := fmt.Sprintf("%016x", rand.Uint64()), job()
+				l.AddJob(id, spec)
+				status, text := q.Call(http.MethodPost, id, spec)
+				mu.Lock()
+				attempts = append(attempts, attempt{id, status, strings.TrimSpace(text)})
+				mu.Unlock()
+			}
+		})
 	}
-	most := attempts
+	time.Sleep(loadTime)
 	if l.Trouble {
-		most = fewer
-	}
-	l.Put(lab.Manifest{MaxAttempts: most, Keys: []string{"key-of-house-a"}})
-	l.Record.Line("maxAttempts is %d", most)
-	for _, id := range []string{another, lasting} {
-		status, _ := q.Call(http.MethodDelete, id, nil)
-		l.Record.Line("DELETE %s: answered %d", id, status)
+		l.Edges[0].Signal(syscall.SIGSTOP)
+		l.Record.Line("edge-1 is frozen")
 	}
-	freed, state := time.Now(), ""
-	for time.Since(freed) < watchTime && state != "complete" && state != "failed" {
-		if now := l.State(q, job); now != state {
-			state = now
-			l.Record.Line("GET %s: %s", job, state)
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	runs := runsOf(l, job)
-	if state == "complete" || state == "failed" {
-		lab.Held("the job is %s after %d runs", state, len(runs))
-	}
-	if len(runs) > 2 {
-		lab.Unable("the job is %q after %d runs", state, len(runs))
+	close(stop)
+	frozen := time.Now()
+	l.Put(lab.Manifest{MaxAttempts: 2, Keys: []string{next}})
+	time.Sleep(freezeTime - time.Since(frozen))
+	if l.Trouble {
+		l.Edges[0].Signal(syscall.SIGCONT)
+		l.Record.Line("edge-1 goes on")
 	}
-	lab.Broken("LOST: for %s the job is %q and has nothing running, though all %d executors are empty", time.Since(freed).Round(time.Second), state, executors)
+	calls.Wait()
+	return attempts
 }
 
-// runsOf returns the runs of a job.
-func runsOf(l *lab.Lab, job string) []lab.Run {
-	var out []lab.Run
+// judge waits for starts of the jobs of a round, and ends the case if one of a refused job begins.
+func judge(l *lab.Lab, round int, attempts []attempt) {
+	answered := make(map[int]int)
+	for _, a := range attempts {
+		answered[a.status]++
+	}
+	l.Record.Line("round %d: answers by status, 0 for none: %v", round, answered)
+	time.Sleep(watchTime)
+	starts := make(map[string]lab.Run)
 	for _, r := range l.Runs() {
-		if strings.HasPrefix(r.Task, job) {
-			out = append(out, r)
+		id, _, _ := strings.Cut(r.Task, ".")
+		if _, known := starts[id]; !known {
+			starts[id] = r
 		}
 	}
-	return out
-}
-
-func await(what string, holds func() bool) {
-	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if holds() {
-			return
+	ran := 0
+	for _, a := range attempts {
+		start, begun := starts[a.id]
+		refused := a.status == http.StatusUnauthorized || a.status == http.StatusNotFound || a.status == http.StatusForbidden ||
+			a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable
+		if refused && begun {
+			ran++
+			l.Record.Line("job %s: the only POST was answered %d (%s), and %s began on %s at %s", a.id, a.status, a.text, start.Task, start.Executor, start.Began.Format("15:04:05.000"))
 		}
 	}
-	lab.Unable("not within 15 s: %s", what)
+	if ran > 0 {
+		lab.Broken("REFUSED: %d of %d jobs of round %d ran though their only POST was refused", ran, len(attempts), round)
+	}
 }
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,82 +1,103 @@
-// The case: one executor of a gang crashes after the gang has saved checkpoints. The gang starts
-// again; all its members must carry the same checkpoint, or they never work together.
+// The case: the operator lowers maxAttempts to the number of times that a waiting work unit has
+// failed. Its job must be shown as failed, or the work unit must start again.
 package main
 
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"time"
 
 	"sapphirering/review/6/lab"
 )
 
 const (
-	executors = 7
-	members   = 3
-	work      = 6 * time.Second
-	// crashAfter is how long the gang works before the executor crashes.
-	crashAfter = 2500 * time.Millisecond
-	// watchTime is how long the gang has to end after that.
-	watchTime = 40 * time.Second
-	// calmAfter is how long after the crash a run must have begun to be judged: more than
-	// contactMs, a lease and gangWaitMs together.
-	calmAfter = 15 * time.Second
+	executors           = 3
+	attempts, fewer     = 4, 2
+	whole               = 16000
+	firstRun, secondRun = 300 * time.Millisecond, 2500 * time.Millisecond
+	// watchTime is how long the job is watched once all room is free.
+	watchTime = 30 * time.Second
 )
 
 func main() {
 	l := lab.Start(2)
-	l.Work = func(string, int) time.Duration { return work }
-	all := make(map[string]*lab.Executor)
+	id := func() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+	job, lasting, another := id(), id(), id()
+	l.Fails = func(task string, attempt uint32) time.Duration {
+		switch {
+		case !strings.HasPrefix(task, job):
+			return 0
+		case attempt == 1:
+			return firstRun
+		case attempt == 2:
+			return secondRun
+		}
+		return 0
+	}
+	l.Work = func(string, int) time.Duration { return 4 * time.Second }
 	for i := range executors {
-		e := &lab.Executor{ID: fmt.Sprintf("i-%d", i), Machine: fmt.Sprintf("m-%d", i), Zone: fmt.Sprintf("z%d", 1+i%3),
-			Service: lab.Service, CPU: 16000, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i/2)}}
-		all[e.ID] = l.AddExecutor(e, l.Controls)
+		l.AddExecutor(&lab.Executor{ID: fmt.Sprintf("i-%d", i), Machine: fmt.Sprintf("m-%d", i), Zone: fmt.Sprintf("z%d", 1+i),
+			Service: lab.Service, CPU: whole, MemMb: 65536, Labels: []string{"a", fmt.Sprintf("r1-%d", i)}}, l.Controls)
 	}
-	l.Put(lab.Manifest{MaxAttempts: 2, Keys: []string{"key-of-house-a"}})
+	l.Put(lab.Manifest{MaxAttempts: attempts, Keys: []string{"key-of-house-a"}})
 	q := l.NewRequester(0, "key-of-house-a")
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	l.Submit(q, id, lab.JobSpec{Spec: "layout", Phases: []lab.Phase{{
-		Count: members, CPU: 1900, MemMb: 7100, EstMs: work.Milliseconds(), Gang: true, Checkpointable: true, AntiAffinity: 1,
-	}}})
-	begun := await(l, 10*time.Second, func() bool { return len(l.Runs()) >= members })
-	if !begun {
-		lab.Unable("the gang did not start")
+	l.Submit(q, lasting, lab.JobSpec{Spec: "plate", Phases: []lab.Phase{{Count: executors - 1, CPU: whole, MemMb: 64, EstMs: 700, LongRunning: true, AntiAffinity: 1}}})
+	await("the lasting job runs", func() bool { return len(runsOf(l, lasting)) == executors-1 })
+	l.Submit(q, job, lab.JobSpec{Spec: "proof", Phases: []lab.Phase{{Count: 1, CPU: whole, MemMb: 64, EstMs: 4000}}})
+	await("the second run of the work unit", func() bool { return len(runsOf(l, job)) == 2 })
+	time.Sleep(secondRun - time.Second)
+	// It takes the room of the work unit once that has failed for the second time.
+	l.Submit(q, another, lab.JobSpec{Spec: "plate", Phases: []lab.Phase{{Count: 1, CPU: whole, MemMb: 64, EstMs: 700, LongRunning: true}}})
+	await("another lasting job runs", func() bool { return len(runsOf(l, another)) == 1 })
+	if runs := runsOf(l, job); len(runs) != 2 || runs[1].How != "failed" {
+		lab.Unable("the work unit does not wait after two failed runs: %v", runs)
 	}
-	time.Sleep(crashAfter)
-	crashed := time.Now()
+	most := attempts
 	if l.Trouble {
-		l.Crash(all[l.Runs()[0].Executor])
+		most = fewer
+	}
+	l.Put(lab.Manifest{MaxAttempts: most, Keys: []string{"key-of-house-a"}})
+	l.Record.Line("maxAttempts is %d", most)
+	for _, id := range []string{another, lasting} {
+		status, _ := q.Call(http.MethodDelete, id, nil)
+		l.Record.Line("DELETE %s: answered %d", id, status)
 	}
-	state := ""
-	await(l, watchTime, func() bool {
-		if now := l.State(q, id); now != state {
+	freed, state := time.Now(), ""
+	for time.Since(freed) < watchTime && state != "complete" && state != "failed" {
+		if now := l.State(q, job); now != state {
 			state = now
-			l.Record.Line("GET %s: %s", id, state)
-		}
-		return state == "complete" || state == "failed"
-	})
-	alone := 0
-	for _, r := range l.Runs() {
-		if r.How == "alone" && r.Began.Sub(crashed) > calmAfter {
-			alone++
-			l.Record.Line("%s attempt %d on %s, begun %.1f s after the crash with checkpoint %q, ended alone", r.Task, r.Attempt, r.Executor, r.Began.Sub(crashed).Seconds(), r.Token)
+			l.Record.Line("GET %s: %s", job, state)
 		}
+		time.Sleep(100 * time.Millisecond)
 	}
-	if alone > 0 {
-		lab.Broken("GANG: %d runs ended alone long after the crash; the job is %s after %s", alone, state, time.Since(crashed).Round(time.Second))
+	runs := runsOf(l, job)
+	if state == "complete" || state == "failed" {
+		lab.Held("the job is %s after %d runs", state, len(runs))
 	}
-	if state != "complete" {
-		lab.Unable("the job is %q, and no run ended alone", state)
+	if len(runs) > 2 {
+		lab.Unable("the job is %q after %d runs", state, len(runs))
+	}
+	lab.Broken("LOST: for %s the job is %q and has nothing running, though all %d executors are empty", time.Since(freed).Round(time.Second), state, executors)
+}
+
+// runsOf returns the runs of a job.
+func runsOf(l *lab.Lab, job string) []lab.Run {
+	var out []lab.Run
+	for _, r := range l.Runs() {
+		if strings.HasPrefix(r.Task, job) {
+			out = append(out, r)
+		}
 	}
-	lab.Held("the job is complete and no run ended alone")
+	return out
 }
 
-// await polls until the condition holds, and reports whether it did in time.
-func await(_ *lab.Lab, wait time.Duration, holds func() bool) bool {
-	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+func await(what string, holds func() bool) {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if holds() {
-			return true
+			return
 		}
 	}
-	return false
+	lab.Unable("not within 15 s: %s", what)
 }
