Maintenance of a VM is kept by wave, not by VM alone

Cause: the leader kept one entry for each VM (away since, what the order ends, call in progress, busy answers). A VM that was away for one wave was away for each wave that had ordered it, and its return ended the first of these by number. A new leader folded the committed progress, which is by wave and VM, into the same entry.

Change: the entry is kept by wave and VM, so that each end of a maintenance holds for the wave whose order was answered. A VM that is ordered or away for one wave is no candidate for another: the platform carries out one order at a time, and it took up the other wave's cap meanwhile.

Tests that reached into the fields of the former entry use those of the new one; what they check is unchanged, and TestLastingTasksFindAnotherVM now asks for a VM that was cordoned just now.

--- a/internal/driver/elections_test.go
+++ b/internal/driver/elections_test.go
@@ -120,9 +120,18 @@
 
 // declareWave declares a wave that takes VMs down one after the other.
 func (r *modelRig) declareWave(duration time.Duration, vms ...string) *pb.Wave {
-	wave := &pb.Wave{Id: 1, Vms: vms, DurationMs: duration.Milliseconds(), Cap: 1}
+	return r.declareWaveAs(1, duration, vms...)
+}
+
+// declareWaveAs is declareWave with an id. It sends the wave until a leader accepts it.
+func (r *modelRig) declareWaveAs(id uint64, duration time.Duration, vms ...string) *pb.Wave {
+	const retryPause = 50 * time.Millisecond
+	wave := &pb.Wave{Id: id, Vms: vms, DurationMs: duration.Milliseconds(), Cap: 1}
 	r.fleet.SetWave(wave.Id, wave.Vms)
-	r.serve(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave})
+	request := &pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}
+	for r.serve(request).Answer != pb.Answer_ANSWER_OK {
+		time.Sleep(retryPause)
+	}
 	return wave
 }
 
@@ -614,6 +623,41 @@
 	}
 }
 
+// TestWavesWithCommonVMs declares three waves of the same VMs, in each order of their numbers, while the
+// VMs are away for the wave before. A complete wave whose VMs have not begun their maintenance for it
+// breaks the users' rule MIXED. The waves take turns, so that the last one may take three times as long.
+func TestWavesWithCommonVMs(t *testing.T) {
+	for _, ids := range [][]uint64{{1, 2, 3}, {1, 3, 2}, {2, 1, 3}, {2, 3, 1}, {3, 1, 2}, {3, 2, 1}} {
+		t.Run(fmt.Sprint(ids), func(t *testing.T) {
+			besideElections(t, inOnePool(3), inSeconds(0, 8), func(t *testing.T, r *modelRig, interval time.Duration) {
+				declared := time.Now()
+				r.loseLeaders(interval, electionsFor)
+				var waves []*pb.Wave
+				for _, id := range ids {
+					waves = append(waves, r.declareWaveAs(id, waveDuration, "vm0", "vm1"))
+					time.Sleep(modelVMMaintenance / 2)
+				}
+				for time.Since(declared) < time.Duration(len(ids))*waveDuration {
+					for _, wave := range waves {
+						for _, vm := range wave.Vms {
+							if r.complete(wave)() && !r.fleet.HasBegun(vm, wave.Id) {
+								t.Errorf("wave %d is complete before the maintenance of %s has begun for it", wave.Id, vm)
+								return
+							}
+						}
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+				for _, wave := range waves {
+					if !r.complete(wave)() {
+						t.Errorf("wave %d is not complete %s after it was declared", wave.Id, time.Since(declared))
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestWaveEndedByMaintenanceOfAnother has a VM in two waves: its maintenance in the second one does not
 // count for the first. A complete wave whose VMs have not begun theirs breaks the users' rule MIXED.
 func TestWaveEndedByMaintenanceOfAnother(t *testing.T) {
--- a/internal/driver/explainvm.go
+++ b/internal/driver/explainvm.go
@@ -100,7 +100,7 @@
 		}
 	}
 	add(d.pools.draining[vm], "its pool no longer needs it, it is being drained")
-	add(d.waves.cordoned[vm], "it is being drained for maintenance")
+	add(d.waves.cordoned(vm), "it is being drained for maintenance")
 	add(v.MaintenanceOrdered(vm), "its maintenance is ordered")
 	l := d.linkOfVM(vm)
 	if l == nil {
--- a/internal/driver/fleet_rules_test.go
+++ b/internal/driver/fleet_rules_test.go
@@ -68,7 +68,7 @@
 		{"a call without an answer", func(d *Driver) { d.links["t1"].failures = 1 }, false},
 		{"a task that has only begun", func(d *Driver) { d.runs.find(workflow.TaskID{Job: "j", Index: 1}, 1).progressAt = now }, false},
 		{"a task that is not at work", func(d *Driver) { d.runs.find(workflow.TaskID{Job: "j", Index: 2}, 1).percent = 40 }, false},
-		{"an order for another VM under way", func(d *Driver) { d.waves.calling["vm-t2"] = true }, false},
+		{"an order for another VM under way", func(d *Driver) { d.waves.maintenance(1, "vm-t2").calling = true }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := newTestDriver(t, func() time.Time { return now })
@@ -121,14 +121,14 @@
 	is := is.New(t)
 	now := time.Now()
 	d := newTestDriver(t, func() time.Time { return now })
-	d.waves.cordonedAt["vm-t0"] = now
+	m := &vmMaintenance{cordonedAt: now}
 	serving := []pools.VM{{Name: "vm-t0", Unavailable: true}, {Name: "vm-t1"}, {Name: "vm-t2"}}
 	d.notePoolsBelowMin(&pools.Snapshot{Pools: []pools.Pool{{Name: "p", MinVMs: 3, VMs: serving}}})
-	is.True(!d.drained("vm-t0")) // two VMs take starts, three are needed
+	is.True(!d.drained("vm-t0", m)) // two VMs take starts, three are needed
 	now = now.Add(drainTimeout + time.Millisecond)
-	is.True(d.drained("vm-t0")) // the timeout is over without another VM
-	d.waves.cordonedAt["vm-t0"] = now
+	is.True(d.drained("vm-t0", m)) // the timeout is over without another VM
+	m.cordonedAt = now
 	d.notePoolsBelowMin(&pools.Snapshot{Pools: []pools.Pool{{Name: "p", MinVMs: 3, VMs: append(serving, pools.VM{Name: "vm-new"})}}})
-	is.True(d.drained("vm-t0"))
-	is.True(d.drained("vm-other")) // nothing runs there
+	is.True(d.drained("vm-t0", m))
+	is.True(d.drained("vm-other", m)) // nothing runs there
 }
--- a/internal/driver/orders_test.go
+++ b/internal/driver/orders_test.go
@@ -60,7 +60,7 @@
 			d.beginMove(pools.Move{VM: vm, To: "other"}, now)
 		}, true},
 		{"maintenance", func(d *Driver, _ time.Time) {
-			d.waves.endedBy[vm] = d.knownOn(vm)
+			d.waves.maintenance(wave.Id, vm).ends = d.knownOn(vm)
 			d.advanceMaintenance(wave, vm)
 		}, true},
 		// A former leader may have ordered it, so that it may be over already: the platform
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -130,7 +130,7 @@
 		if known == nil || known.Pool != pool || known.Leaving || known.BornUnixMs != l.target.BornUnixMs {
 			continue
 		}
-		if !d.acceptsStarts(l) || d.waves.cordoned[known.Vm] || v.MaintenanceOrdered(known.Vm) || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.allowsStarts(now) {
+		if !d.acceptsStarts(l) || d.waves.cordoned(known.Vm) || v.MaintenanceOrdered(known.Vm) || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.allowsStarts(now) {
 			continue
 		}
 		used := v.UsedOn(id)
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -289,7 +289,7 @@
 		} else if !d.describeVM(v, links[name], &described, now) {
 			continue
 		}
-		described.Unavailable = described.Unavailable || d.waves.cordoned[name] || v.MaintenanceOrdered(name)
+		described.Unavailable = described.Unavailable || d.waves.cordoned(name) || v.MaintenanceOrdered(name)
 		described.Fixed = described.Fixed || described.Unavailable
 		s.Pools[at].VMs = append(s.Pools[at].VMs, described)
 	}
--- a/internal/driver/savework.go
+++ b/internal/driver/savework.go
@@ -29,13 +29,12 @@
 
 // timeUntilGone returns the time until a target is gone; false if it is not known to go.
 func (d *Driver) timeUntilGone(l *link, now time.Time) (time.Duration, bool) {
-	switch {
-	case l == nil:
+	if l == nil {
 		return 0, false
-	case l.leaving && !l.leavesAt.IsZero():
+	}
+	if l.leaving && !l.leavesAt.IsZero() {
 		return l.leavesAt.Sub(now), true
-	case d.waves.cordoned[l.target.Vm]:
-		return d.waves.cordonedAt[l.target.Vm].Add(drainTimeout).Sub(now), true
 	}
-	return 0, false
+	cordonedAt, cordoned := d.waves.cordonedAt(l.target.Vm)
+	return cordonedAt.Add(drainTimeout).Sub(now), cordoned
 }
--- a/internal/driver/stale_test.go
+++ b/internal/driver/stale_test.go
@@ -87,9 +87,10 @@
 	log.apply(&pb.Command{Body: &pb.Command_DeclareWave{DeclareWave: &pb.DeclareWave{Wave: &pb.Wave{Id: 1, Vms: []string{vm}, Cap: 1, DurationMs: 60000}}}})
 	log.apply(&pb.Command{Body: &pb.Command_BeginMaintenance{BeginMaintenance: &pb.BeginMaintenance{Wave: 1, Vm: vm}}})
 	d.mu.Lock()
-	d.waves.endedBy[vm] = d.knownOn(vm)
+	m := d.waves.maintenance(1, vm)
+	m.ends = d.knownOn(vm)
 	d.mu.Unlock()
-	d.handleMaintenanceAnswer(1, vm, VMAccepted, nil)
+	d.handleMaintenanceAnswer(1, vm, m, VMAccepted, nil)
 	d.mu.Lock()
 	d.handleAnnouncement(&pb.Request{Sequence: 7, Target: &pb.Target{Id: "before-t0", BornUnixMs: 0, Pool: "p", Vm: vm, Zone: "a"}})
 	d.mu.Unlock()
@@ -151,10 +152,10 @@
 	}
 	wave(1)
 	d.mu.Lock()
-	d.waves.cordoned[vm], d.waves.cordonedAt[vm] = true, d.cfg.Now()
-	d.waves.endedBy[vm] = d.knownOn(vm)
+	m := d.waves.maintenance(1, vm)
+	m.cordonedAt, m.ends = d.cfg.Now(), d.knownOn(vm)
 	d.mu.Unlock()
-	d.handleMaintenanceAnswer(1, vm, VMAccepted, nil)
+	d.handleMaintenanceAnswer(1, vm, m, VMAccepted, nil)
 	d.mu.Lock()
 	d.handleAnnouncement(&pb.Request{Sequence: 1, Target: &pb.Target{Id: "next", BornUnixMs: 2, Pool: "p", Vm: vm, Zone: "a"}})
 	d.mu.Unlock()
@@ -168,8 +169,11 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	d.mu.Lock()
-	cordoned, _ := d.waves.cordoned[vm], 0
-	_, away := d.waves.awaySince[vm]
+	cordoned := d.waves.cordoned(vm)
+	away := false
+	for _, m := range d.waves.vms[vm] {
+		away = away || m.away()
+	}
 	d.mu.Unlock()
 	is.True(workflow.WaveComplete(waveOf(d, 1))) // the commit took effect
 	if cordoned {
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -38,29 +38,95 @@
 
 // waveState is what the leader remembers of maintenance waves, guarded by the driver's mutex.
 type waveState struct {
-	// cordoned holds VMs that get no starts, cordonedAt when that began.
-	cordoned   map[string]bool
-	cordonedAt map[string]time.Time
-	// calling holds VMs with an order or commit in progress, lastOrderAt when the last order
-	// was sent.
-	calling     map[string]bool
-	lastOrderAt map[string]time.Time
-	// awaySince holds VMs whose maintenance has begun and that are not back, with
-	// the time of the order.
-	awaySince map[string]time.Time
-	// endedBy holds, by VM, what the maintenance that this leader has ordered ends. VMs
-	// whose maintenance a former leader has ordered have no entry: it may be over already.
-	endedBy map[string]bornBefore
+	// vms holds the maintenance of each VM, by wave: a VM of several waves is maintained once for
+	// each of them.
+	vms map[string]map[uint64]*vmMaintenance
 	// adopted holds VMs whose recorded progress this leader has taken over or made.
-	adopted map[progressKey]bool
-	// busy holds VMs for whose maintenance order the platform answers busy.
-	busy           map[string]*busyVM
+	adopted        map[progressKey]bool
 	readingFleet   bool
 	fleetReadBegan time.Time
 	// active is set while a wave is not complete.
 	active bool
 }
 
+// vmMaintenance is the maintenance of a VM for one wave.
+type vmMaintenance struct {
+	// cordonedAt is since when the VM gets no starts; zero if it gets some.
+	cordonedAt time.Time
+	// calling is set while an order or a commit is in progress, lastOrderAt is when the last
+	// order was sent.
+	calling     bool
+	lastOrderAt time.Time
+	// awaySince is when the platform accepted the order; zero if it has not.
+	awaySince time.Time
+	// ends limits what the order of this leader ends. It is zero if a former leader has ordered
+	// the maintenance, which may be over already.
+	ends bornBefore
+	// busy is set while the platform answers busy.
+	busy *busyVM
+}
+
+func (m *vmMaintenance) cordoned() bool { return !m.cordonedAt.IsZero() }
+
+func (m *vmMaintenance) away() bool { return !m.awaySince.IsZero() }
+
+// maintenance returns the maintenance of a VM for a wave.
+func (s *waveState) maintenance(wave uint64, vm string) *vmMaintenance {
+	m := s.vms[vm][wave]
+	if m == nil {
+		m = new(vmMaintenance)
+		if s.vms[vm] == nil {
+			s.vms[vm] = make(map[uint64]*vmMaintenance)
+		}
+		s.vms[vm][wave] = m
+	}
+	return m
+}
+
+// forget drops the maintenance of a VM for a wave, which is over.
+func (s *waveState) forget(wave uint64, vm string) {
+	delete(s.vms[vm], wave)
+	if len(s.vms[vm]) == 0 {
+		delete(s.vms, vm)
+	}
+}
+
+// cordonedAt returns since when a VM gets no starts; false if no wave has cordoned it.
+func (s *waveState) cordonedAt(vm string) (first time.Time, cordoned bool) {
+	for _, m := range s.vms[vm] {
+		if m.cordoned() && (!cordoned || m.cordonedAt.Before(first)) {
+			first, cordoned = m.cordonedAt, true
+		}
+	}
+	return first, cordoned
+}
+
+func (s *waveState) cordoned(vm string) bool {
+	_, cordoned := s.cordonedAt(vm)
+	return cordoned
+}
+
+// takenByOther reports whether a VM is away for another wave, or an order or commit for one is in
+// progress.
+func (s *waveState) takenByOther(vm string, own *vmMaintenance) bool {
+	for _, m := range s.vms[vm] {
+		if m != own && (m.calling || m.away()) {
+			return true
+		}
+	}
+	return false
+}
+
+// calling reports whether an order or a commit for a VM is in progress for some wave.
+func (s *waveState) calling(vm string) bool {
+	for _, m := range s.vms[vm] {
+		if m.calling {
+			return true
+		}
+	}
+	return false
+}
+
 // busyVM is a VM for which the platform answers busy. It may no longer exist, which shows
 // by lists without it.
 type busyVM struct {
@@ -81,11 +147,7 @@
 const goneAfterLists = 2
 
 func newWaveState() *waveState {
-	return &waveState{
-		busy: make(map[string]*busyVM), adopted: make(map[progressKey]bool),
-		cordoned: make(map[string]bool), cordonedAt: make(map[string]time.Time), calling: make(map[string]bool),
-		lastOrderAt: make(map[string]time.Time), awaySince: make(map[string]time.Time), endedBy: make(map[string]bornBefore),
-	}
+	return &waveState{vms: make(map[string]map[uint64]*vmMaintenance), adopted: make(map[progressKey]bool)}
 }
 
 // bornBefore is a time in Unix milliseconds that limits an order for a VM to the incarnations
@@ -122,37 +184,26 @@
 	}
 }
 
-// forgetMaintained drops what is remembered of VMs that no wave has left to do. The commit that
-// ended their maintenance may have seemed to fail.
+// forgetMaintained drops the maintenance of VMs for waves that have nothing left to do with them.
+// The commit that ended it may have seemed to fail.
 func (d *Driver) forgetMaintained(waves []*pb.Wave) {
-	left := make(map[string]bool)
+	left := make(map[progressKey]bool)
 	d.cfg.Machine.View(func(*workflow.View) {
 		for _, w := range waves {
 			for _, vm := range w.Vms {
-				left[vm] = left[vm] || !slices.Contains(w.Begun, vm)
+				left[progressKey{w.Id, vm}] = !slices.Contains(w.Begun, vm)
 			}
 		}
 	})
-	for vm := range d.waves.cordoned {
-		if !left[vm] && !d.waves.calling[vm] {
-			d.forgetMaintenance(vm)
-		}
-	}
-	for vm := range d.waves.awaySince {
-		if !d.maintenanceOrdered(vm) && !d.waves.calling[vm] {
-			d.forgetMaintenance(vm)
+	for vm, byWave := range d.waves.vms {
+		for wave, m := range byWave {
+			if !left[progressKey{wave, vm}] && !m.calling {
+				d.waves.forget(wave, vm)
+			}
 		}
 	}
 }
 
-// forgetMaintenance drops what is remembered of a VM's maintenance, which is over.
-func (d *Driver) forgetMaintenance(vm string) {
-	delete(d.waves.cordoned, vm)
-	delete(d.waves.awaySince, vm)
-	delete(d.waves.endedBy, vm)
-	delete(d.waves.busy, vm)
-}
-
 func (d *Driver) runWave(w *pb.Wave) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -170,11 +221,11 @@
 		d.advanceMaintenance(w, vm)
 	}
 	atOnce := d.atOnce(w, len(left)+len(ordered))
-	candidates := d.candidates(left)
+	candidates := d.candidates(w, left)
 	d.cordonNext(w, candidates, atOnce-len(ordered))
 	down := len(ordered)
 	for _, vm := range left {
-		if d.waves.calling[vm] {
+		if d.waves.maintenance(w.Id, vm).calling {
 			down++
 		}
 	}
@@ -185,7 +236,7 @@
 		if down >= atOnce || down >= forOthers && len(candidate.Steps) == 0 {
 			return
 		}
-		if !d.waves.cordoned[vm] || d.waves.calling[vm] || !d.drained(vm) {
+		if m := d.waves.maintenance(w.Id, vm); !m.cordoned() || m.calling || !d.drained(vm, m) {
 			continue
 		}
 		// VMs whose order is being committed count as away, also for the next one in this loop.
@@ -206,14 +257,15 @@
 				continue
 			}
 			d.waves.adopted[progressKey{w.Id, p.Vm}] = true
-			if p.CordonedIndex > 0 && !d.waves.cordoned[p.Vm] {
-				d.waves.cordoned[p.Vm], d.waves.cordonedAt[p.Vm] = true, d.appliedAt(p.CordonedIndex)
+			m := d.waves.maintenance(w.Id, p.Vm)
+			if p.CordonedIndex > 0 && !m.cordoned() {
+				m.cordonedAt = d.appliedAt(p.CordonedIndex)
 			}
-			if _, away := d.waves.awaySince[p.Vm]; p.AwayIndex > 0 && !away && slices.Contains(w.Ordered, p.Vm) {
-				d.waves.awaySince[p.Vm], d.waves.endedBy[p.Vm] = d.appliedAt(p.AwayIndex), bornBefore(p.EndsBeforeUnixMs)
+			if p.AwayIndex > 0 && !m.away() && slices.Contains(w.Ordered, p.Vm) {
+				m.awaySince, m.ends = d.appliedAt(p.AwayIndex), bornBefore(p.EndsBeforeUnixMs)
 			}
-			if p.MissingIndex > 0 && d.waves.busy[p.Vm] == nil {
-				d.waves.busy[p.Vm] = &busyVM{answeredOrReadAt: d.appliedAt(p.MissingIndex), missing: 1}
+			if p.MissingIndex > 0 && m.busy == nil {
+				m.busy = &busyVM{answeredOrReadAt: d.appliedAt(p.MissingIndex), missing: 1}
 			}
 		}
 	})
@@ -276,16 +328,22 @@
 	return steps
 }
 
-// candidates describes VMs of a wave whose maintenance has not been ordered.
-func (d *Driver) candidates(vms []string) []maintenance.Candidate {
+// candidates describes VMs of a wave whose maintenance has not been ordered. It leaves out those
+// that are being taken down for another wave: the platform carries out one order at a time.
+func (d *Driver) candidates(w *pb.Wave, vms []string) []maintenance.Candidate {
 	links := d.linksByVM()
-	out := make([]maintenance.Candidate, len(vms))
+	out := make([]maintenance.Candidate, 0, len(vms))
 	d.cfg.Machine.View(func(v *workflow.View) {
-		for i, vm := range vms {
-			out[i] = maintenance.Candidate{VM: vm, Cordoned: d.waves.cordoned[vm]}
+		for _, vm := range vms {
+			m := d.waves.maintenance(w.Id, vm)
+			if !m.calling && (d.waves.takenByOther(vm, m) || v.MaintenanceOrdered(vm)) {
+				continue
+			}
+			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned()}
 			if l := links[vm]; l != nil {
-				out[i].LoadMillis, out[i].Steps = v.UsedOn(l.target.Id).Room.CPUMillis, lastingSteps(v, l.target.Id)
+				c.LoadMillis, c.Steps = v.UsedOn(l.target.Id).Room.CPUMillis, lastingSteps(v, l.target.Id)
 			}
+			out = append(out, c)
 		}
 	})
 	return out
@@ -299,8 +357,7 @@
 		load[c.VM] = c.LoadMillis
 	}
 	for _, vm := range maintenance.ToCordon(left, free+drainAhead, d.waveTimeLeft(w), d.cfg.Limits.VMMaintenance+drainTime) {
-		d.waves.cordoned[vm] = true
-		d.waves.cordonedAt[vm] = d.cfg.Now()
+		d.waves.maintenance(w.Id, vm).cordonedAt = d.cfg.Now()
 		d.noteProgress(w.Id, &pb.VMProgress{Vm: vm, CordonedIndex: 1})
 		event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
 		d.vmDecisions.note(d.cfg.Now(), vm, "takes no starts ahead of its maintenance in wave %d", w.Id)
@@ -378,10 +435,10 @@
 	return on
 }
 
-// drained reports whether only lasting tasks are left on the VM and its pool has other VMs
+// drained reports whether only lasting tasks are left on a cordoned VM and its pool has other VMs
 // for them, or drainTimeout is over.
-func (d *Driver) drained(vm string) bool {
-	if d.cfg.Now().Sub(d.waves.cordonedAt[vm]) > drainTimeout {
+func (d *Driver) drained(vm string, m *vmMaintenance) bool {
+	if d.cfg.Now().Sub(m.cordonedAt) > drainTimeout {
 		return true
 	}
 	l := d.linkOfVM(vm)
@@ -428,7 +485,7 @@
 		r := d.runOn(task, task.Target)
 		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
 			r.percent >= fullPace && d.hasFreshListing(task.Target)
-		if !atWork || now.Sub(r.progressAt) < minTimeAtWork || d.waves.calling[vm] || v.MaintenanceOrdered(vm) {
+		if !atWork || now.Sub(r.progressAt) < minTimeAtWork || d.waves.calling(vm) || v.MaintenanceOrdered(vm) {
 			away++
 		}
 	}
@@ -457,17 +514,15 @@
 
 // commitOrder commits that the VM's maintenance begins; the platform is asked afterwards.
 func (d *Driver) commitOrder(w *pb.Wave, vm string) {
-	if d.waves.calling[vm] {
-		return
-	}
-	d.waves.calling[vm] = true
+	m := d.waves.maintenance(w.Id, vm)
+	m.calling = true
 	id := w.Id
 	d.background(func() {
 		out, err := d.commit(&pb.Command{Body: &pb.Command_BeginMaintenance{BeginMaintenance: &pb.BeginMaintenance{Wave: id, Vm: vm}}})
 		d.mu.Lock()
-		delete(d.waves.calling, vm)
+		m.calling = false
 		if err == nil && out.Code == workflow.OK {
-			d.waves.endedBy[vm] = d.knownOn(vm)
+			m.ends = d.knownOn(vm)
 		}
 		d.mu.Unlock()
 		if err != nil || out.Code != workflow.OK {
@@ -482,37 +537,38 @@
 // waits until the VM is back.
 func (d *Driver) advanceMaintenance(w *pb.Wave, vm string) {
 	now := d.cfg.Now()
-	if d.waves.calling[vm] {
+	m := d.waves.maintenance(w.Id, vm)
+	if m.calling {
 		return
 	}
-	if at, ok := d.waves.awaySince[vm]; ok {
+	if m.away() {
 		if d.isRestingPool(d.fleet.vms[vm].Pool) && d.linkOfVM(vm) == nil {
-			if now.Sub(at) > d.cfg.Limits.VMMaintenance+restingMargin {
-				d.finishMaintenance(w.Id, vm)
+			if now.Sub(m.awaySince) > d.cfg.Limits.VMMaintenance+restingMargin {
+				d.finishMaintenance(w.Id, vm, "its pool is resting and its maintenance time is over")
 			}
 			return
 		}
-		if now.Sub(at) > returnTimeout {
+		if now.Sub(m.awaySince) > returnTimeout {
 			d.readFleet()
-			if listed, known := d.fleet.vms[vm]; d.fleet.readAt.After(at.Add(returnTimeout)) && (!known || listed.State == VMUp || listed.State == VMDown) {
-				d.finishMaintenance(w.Id, vm)
+			if listed, known := d.fleet.vms[vm]; d.fleet.readAt.After(m.awaySince.Add(returnTimeout)) && (!known || listed.State == VMUp || listed.State == VMDown) {
+				d.finishMaintenance(w.Id, vm, "the platform's list: "+d.listedState(vm))
 			}
 		}
 		return
 	}
-	if d.permanentlyGone(w, vm) {
+	if d.permanentlyGone(w, vm, m.busy) {
 		event.VMGone.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("lists", goneAfterLists))
-		d.finishMaintenance(w.Id, vm)
+		d.finishMaintenance(w.Id, vm, "it no longer exists")
 		return
 	}
-	if now.Sub(d.waves.lastOrderAt[vm]) < orderRetryPause {
+	if now.Sub(m.lastOrderAt) < orderRetryPause || d.waves.takenByOther(vm, m) {
 		return
 	}
-	d.waves.calling[vm], d.waves.lastOrderAt[vm] = true, now
+	m.calling, m.lastOrderAt = true, now
 	id := w.Id
 	d.callPlatform(vm, func(ctx context.Context, order VMOrder) (VMRefusal, error) {
 		return d.cfg.VMs.Maintain(ctx, order, id)
-	}, func(refusal VMRefusal, err error) { d.handleMaintenanceAnswer(id, vm, refusal, err) })
+	}, func(refusal VMRefusal, err error) { d.handleMaintenanceAnswer(id, vm, m, refusal, err) })
 }
 
 // callPlatform sends an order for a VM in the background, only while the leader's lease is
@@ -551,8 +607,7 @@
 
 // permanentlyGone reports whether a VM that cannot be taken down no longer exists, and
 // reads the platform's list until that is known.
-func (d *Driver) permanentlyGone(w *pb.Wave, vm string) bool {
-	busy := d.waves.busy[vm]
+func (d *Driver) permanentlyGone(w *pb.Wave, vm string, busy *busyVM) bool {
 	if busy == nil {
 		return false
 	}
@@ -572,75 +627,74 @@
 	return busy.missing >= goneAfterLists
 }
 
-func (d *Driver) handleMaintenanceAnswer(wave uint64, vm string, refusal VMRefusal, err error) {
+func (d *Driver) handleMaintenanceAnswer(wave uint64, vm string, m *vmMaintenance, refusal VMRefusal, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.waves.calling, vm)
+	m.calling = false
 	if err != nil {
 		event.PlatformSilent.Emit(event.F("step", "maintenance"), event.F("vm", vm), event.Err(err))
 		return
 	}
 	now := d.cfg.Now()
-	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()), event.F("sent_ms_ago", ageMS(d.waves.lastOrderAt[vm], now)))
+	event.MaintenanceAnswered.Emit(event.F("wave", wave), event.F("vm", vm), event.F("answer", refusal.String()), event.F("sent_ms_ago", ageMS(m.lastOrderAt, now)))
 	d.vmDecisions.note(d.cfg.Now(), vm, "the platform answered the maintenance of wave %d: %s", wave, refusal)
 	if refusal != VMBusy {
-		delete(d.waves.busy, vm)
+		m.busy = nil
 	}
 	switch refusal {
 	case VMBusy:
-		if d.waves.busy[vm] == nil {
-			d.waves.busy[vm] = &busyVM{answeredOrReadAt: d.cfg.Now()}
+		if m.busy == nil {
+			m.busy = &busyVM{answeredOrReadAt: d.cfg.Now()}
 		}
 	case VMAccepted:
-		d.waves.awaySince[vm] = now
-		ends := d.waves.endedBy[vm]
-		d.noteProgress(wave, &pb.VMProgress{Vm: vm, AwayIndex: 1, EndsBeforeUnixMs: int64(ends)})
-		d.endIncarnationsOn(vm, ends, "its VM is in maintenance")
-		if d.knownOn(vm) > ends {
+		m.awaySince = now
+		d.noteProgress(wave, &pb.VMProgress{Vm: vm, AwayIndex: 1, EndsBeforeUnixMs: int64(m.ends)})
+		d.endIncarnationsOn(vm, m.ends, "its VM is in maintenance")
+		if d.knownOn(vm) > m.ends {
 			// The VM may be back already: the platform's list tells.
-			d.waves.awaySince[vm] = now.Add(-returnTimeout)
+			m.awaySince = now.Add(-returnTimeout)
 		}
 	case VMUnknown, VMNotInWave:
-		d.finishMaintenance(wave, vm)
+		d.finishMaintenance(wave, vm, "the platform answered: "+refusal.String())
 	}
 }
 
-// noteVMBack ends the move or maintenance of a VM on which a new incarnation has started.
+// noteVMBack ends the move of a VM on which a new incarnation has started, and its maintenance for
+// the waves for which the platform has accepted the order.
 func (d *Driver) noteVMBack(target *pb.Target) {
-	if bornBefore(target.BornUnixMs) < d.waves.endedBy[target.Vm] {
-		// A late announcement of an incarnation from before the order.
-		return
+	for _, m := range d.waves.vms[target.Vm] {
+		if bornBefore(target.BornUnixMs) < m.ends {
+			// A late announcement of an incarnation from before the order.
+			return
+		}
 	}
 	d.noteMoved(target)
-	if _, ok := d.waves.awaySince[target.Vm]; !ok {
-		return
-	}
-	d.cfg.Machine.View(func(v *workflow.View) {
-		for _, w := range v.Waves() {
-			if slices.Contains(w.Ordered, target.Vm) {
-				d.finishMaintenance(w.Id, target.Vm)
-			}
+	for wave, m := range d.waves.vms[target.Vm] {
+		if m.away() {
+			d.finishMaintenance(wave, target.Vm, "its target has announced itself")
 		}
-	})
+	}
 }
 
-func (d *Driver) finishMaintenance(wave uint64, vm string) {
-	if d.waves.calling[vm] {
+// finishMaintenance commits that the maintenance of a VM for a wave is over.
+func (d *Driver) finishMaintenance(wave uint64, vm, reason string) {
+	m := d.waves.maintenance(wave, vm)
+	if m.calling {
 		return
 	}
-	d.waves.calling[vm] = true
+	m.calling = true
 	d.background(func() {
 		_, err := d.commit(&pb.Command{Body: &pb.Command_EndMaintenance{EndMaintenance: &pb.EndMaintenance{Wave: wave, Vm: vm}}})
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		delete(d.waves.calling, vm)
+		m.calling = false
 		if err != nil {
 			event.WaveStepFailed.Emit(event.F("wave", wave), event.F("vm", vm), event.F("step", "commit the end of maintenance"), event.Err(err))
 			return
 		}
-		d.forgetMaintenance(vm)
-		event.MaintenanceEnded.Emit(event.F("vm", vm), event.F("wave", wave))
-		d.vmDecisions.note(d.cfg.Now(), vm, "is back from the maintenance of wave %d", wave)
+		d.waves.forget(wave, vm)
+		event.MaintenanceEnded.Emit(event.F("vm", vm), event.F("wave", wave), event.F("reason", reason))
+		d.vmDecisions.note(d.cfg.Now(), vm, "its maintenance of wave %d is over: %s", wave, reason)
 	})
 }
 
