--- a/internal/driver/savework_test.go
+++ b/internal/driver/savework_test.go
@@ -28,7 +28,7 @@
 		{"the task is lasting", func(d *Driver, s *pb.Step) { leaves(time.Second)(d, s); s.Lasting = true }, false},
 		{"the task ends before", func(d *Driver, s *pb.Step) { leaves(time.Second)(d, s); s.EstimateMs = 2800 }, false},
 		{"its VM goes into maintenance soon", func(d *Driver, _ *pb.Step) {
-			d.waves.maintenance(1, "vm-t0").cordonedAt = now.Add(time.Second-drainTimeout)
+			d.waves.maintenance(1, "vm-t0").cordonedAt = now.Add(time.Second - drainTimeout)
 		}, true},
 		{"its VM has just been cordoned", func(d *Driver, _ *pb.Step) {
 			d.waves.maintenance(1, "vm-t0").cordonedAt = now
