A refusal of a later try does not replace an unknown outcome

Cause: Gateway.do tries a request until it has an answer. The first try reached the leader, which stored the job; its answer was not read in time. The second try was refused by the newer catalogue. do remembered the unknown outcome, but used it only when it gave up, so that the refusal was passed on as if there had been one try.

Change: after a try of unknown outcome, an answer is passed on only if it holds for all tries: success, or a refusal of the request's own contents. Any other refusal ends the request at once with an unknown outcome, for each operation that changes the state.

--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -174,7 +175,8 @@
 
 // Do sends a request to the leader and returns its answer. It tries again until ctx ends or
 // this daemon is cut off: requests carry ids or versions that make a resend idempotent.
-// Without an answer, the response says whether the request may have been carried out.
+// Without an answer that holds for all tries, the response says whether the request may have
+// been carried out.
 func (g *Gateway) Do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	began := time.Now()
 	response := g.do(ctx, r)
@@ -197,6 +199,9 @@
 		case response.Answer == workflowpb.Answer_ANSWER_NOT_READY:
 			lastReason = response.Reason
 		default:
+			if unknown && !holdsForEarlierTries(response.Answer) {
+				return g.giveUp(r, unknown, fmt.Sprintf("an earlier try may have been carried out, the last one was refused: %s: %s", response.Answer, response.Reason))
+			}
 			return response
 		}
 		if g.cutOff() {
@@ -213,6 +218,13 @@
 	}
 }
 
+// holdsForEarlierTries reports whether an answer also holds for earlier tries of the same request: it
+// was carried out, or what it contains is refused whenever it arrives. Other refusals rest on what
+// was in force at the last try, such as the keys and queues.
+func holdsForEarlierTries(answer workflowpb.Answer) bool {
+	return answer == workflowpb.Answer_ANSWER_OK || answer == workflowpb.Answer_ANSWER_INVALID
+}
+
 // changesState reports whether an operation changes the state: without an answer, its outcome
 // is unknown.
 func changesState(operation workflowpb.Operation) bool {
--- a/internal/server/gateway_test.go
+++ b/internal/server/gateway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,6 +68,112 @@
 	}
 }
 
+// TestRefusalAfterUnknownTry loses the answer to the first try of a request and refuses the second: a
+// caller must not be told that a job was rejected which the first try may have stored.
+func TestRefusalAfterUnknownTry(t *testing.T) {
+	const (
+		submit, cancel = workflowpb.Operation_OPERATION_SUBMIT, workflowpb.Operation_OPERATION_CANCEL
+		put, declare   = workflowpb.Operation_OPERATION_PUT_CATALOGUE, workflowpb.Operation_OPERATION_DECLARE_WAVE
+		status         = workflowpb.Operation_OPERATION_STATUS
+		unknown        = workflowpb.Answer_ANSWER_UNKNOWN
+	)
+	for _, test := range []struct {
+		operation    workflowpb.Operation
+		second, want workflowpb.Answer
+	}{
+		{submit, workflowpb.Answer_ANSWER_BAD_KEY, unknown},
+		{submit, workflowpb.Answer_ANSWER_NO_QUEUE, unknown},
+		{submit, workflowpb.Answer_ANSWER_BUSY, unknown},
+		{submit, workflowpb.Answer_ANSWER_GONE, unknown},
+		{cancel, workflowpb.Answer_ANSWER_BAD_KEY, unknown},
+		{cancel, workflowpb.Answer_ANSWER_NO_QUEUE, unknown},
+		{cancel, workflowpb.Answer_ANSWER_GONE, unknown},
+		// What the request contains was refused at the first try, too.
+		{submit, workflowpb.Answer_ANSWER_INVALID, workflowpb.Answer_ANSWER_INVALID},
+		{put, workflowpb.Answer_ANSWER_INVALID, workflowpb.Answer_ANSWER_INVALID},
+		{declare, workflowpb.Answer_ANSWER_INVALID, workflowpb.Answer_ANSWER_INVALID},
+		{submit, workflowpb.Answer_ANSWER_OK, workflowpb.Answer_ANSWER_OK},
+		// A read changes nothing.
+		{status, workflowpb.Answer_ANSWER_BAD_KEY, workflowpb.Answer_ANSWER_BAD_KEY},
+		{status, workflowpb.Answer_ANSWER_GONE, workflowpb.Answer_ANSWER_GONE},
+	} {
+		t.Run(fmt.Sprintf("%s/%s", test.operation, test.second), func(t *testing.T) {
+			is := is.New(t)
+			response := doWithFirstAnswerLost(t, &workflowpb.Request{Operation: test.operation}, func(int) *workflowpb.Response {
+				return &workflowpb.Response{Answer: test.second}
+			})
+			is.Equal(response.Answer, test.want)
+		})
+	}
+}
+
+// TestKeyRemovedBetweenTries lets a leader store a job, loses its answer and removes the caller's key
+// before the second try.
+func TestKeyRemovedBetweenTries(t *testing.T) {
+	is := is.New(t)
+	c := newCoreCluster(t, 3)
+	catalogue := func(version uint64, key string) *workflowpb.Request {
+		return &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_PUT_CATALOGUE, Catalogue: &workflowpb.Catalogue{
+			Version: version, Pools: []*workflowpb.Pool{{Name: "p"}}, Workspaces: []*workflowpb.Workspace{{Name: "w", Keys: []string{key}}},
+			Queues: []*workflowpb.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", TimeoutMs: 1000}},
+		}}
+	}
+	gateway := c.nodes[0].running().gateway
+	is.Equal(gateway.Do(t.Context(), catalogue(1, "first")).Answer, workflowpb.Answer_ANSWER_OK)
+	submit := &workflowpb.Request{
+		Operation: workflowpb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/q/j", Key: "first",
+		Job: &workflowpb.Job{Id: "j", Steps: []*workflowpb.Step{{Tasks: 1, Needs: &workflowpb.Resources{CpuMillis: 1}}}},
+	}
+	response := doWithFirstAnswerLost(t, submit, func(try int) *workflowpb.Response {
+		response := gateway.Do(t.Context(), submit)
+		want := workflowpb.Answer_ANSWER_BAD_KEY
+		if try == 1 {
+			want = workflowpb.Answer_ANSWER_OK
+			if put := gateway.Do(t.Context(), catalogue(2, "second")); put.Answer != want {
+				t.Errorf("the catalogue without the key: %s", put.Answer)
+			}
+		}
+		if response.Answer != want {
+			t.Errorf("try %d: %s, want %s", try, response.Answer, want)
+		}
+		return response
+	})
+	is.Equal(response.Answer, workflowpb.Answer_ANSWER_UNKNOWN)
+	status := &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_STATUS, Host: "h", Path: "/q/j", Key: "second", Job: &workflowpb.Job{Id: "j"}}
+	is.Equal(gateway.Do(t.Context(), status).Answer, workflowpb.Answer_ANSWER_OK) // the first try has stored it
+}
+
+// doWithFirstAnswerLost sends a request through a gateway to a daemon whose first answer is lost. serve
+// is called with the number of each try.
+func doWithFirstAnswerLost(t *testing.T, request *workflowpb.Request, serve func(try int) *workflowpb.Response) *workflowpb.Response {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tries atomic.Int32
+	server := &wire.Server{Listener: listener, Handler: func(_ *wirepb.Hello, stream net.Conn) {
+		wire.ServeCall(stream, func(context.Context, *wirepb.CallRequest) *wirepb.CallResponse {
+			try := int(tries.Add(1))
+			response := serve(try)
+			if try == 1 {
+				stream.Close()
+			}
+			return &wirepb.CallResponse{Body: &wirepb.CallResponse_Workflow{Workflow: response}}
+		})
+	}}
+	go server.Serve()
+	t.Cleanup(server.Close)
+	gateway := newGateway(&wire.Dialer{}, "edge", []string{listener.Addr().String()})
+	ctx, cancel := context.WithTimeout(t.Context(), callerDeadline)
+	defer cancel()
+	response := gateway.Do(ctx, request)
+	if n := tries.Load(); n != 2 {
+		t.Fatalf("%d tries, want 2", n)
+	}
+	return response
+}
+
 // TestRequestGoesPastLeaderWithoutLease calls a leader whose disk stalls and which keeps
 // answering that it holds no lease, while another daemon leads. Requests must go to that
 // daemon at once, from an edge daemon and from the stalled one itself.
