A waiting task without attempts left ends its job

Cause: checkStart refuses a start by the catalogue in force now, while recordFailure ends the job only when a run ends as failed, by the catalogue in force then. A task that had failed before the change fell between the two, and the planner, which knew of neither, planned and committed the refused start in each round.

Change: one predicate (workflow.AttemptsUsedUp) for the state and the planner. A run that goes on at the change may complete its task; if it is lost, stopped or goes with its VM, the job ends. Copies of such tasks are not planned, and their runs are not preempted.

--- a/internal/driver/copies.go
+++ b/internal/driver/copies.go
@@ -31,7 +31,7 @@
 			}
 			for _, task := range tasks {
 				r := d.onlyRun(task)
-				if r == nil || copies.Reason(d.copyInputs(v, task, times, r, now)) == "" {
+				if r == nil || workflow.AttemptsUsedUp(task, queue) || copies.Reason(d.copyInputs(v, task, times, r, now)) == "" {
 					continue
 				}
 				step := stepRequirements(v, task.Spec(), tasks)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -115,6 +115,8 @@
 	// forgetLeases is set until it is committed that the records found by this leader no longer hold. Only
 	// the loop changes it.
 	forgetLeases bool
+	// failing holds jobs whose end as failed is being committed.
+	failing map[string]bool
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
@@ -178,7 +180,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), startedAt: cfg.Now(),
 		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
-		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), leasesChanged: make(map[*link]struct{}), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
+		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), leasesChanged: make(map[*link]struct{}), failing: make(map[string]bool), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice: make(map[workflow.TaskID]*stepAdvice), kinds: make(map[kindSource]vmKind),
 		waitsReportedAt: make(map[string]time.Time), waitSpans: make(map[workflow.TaskID]waitSpan),
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -106,6 +106,8 @@
 		return "the occurrence is not due"
 	case !job.Ready(occurrence, step):
 		return "an earlier step is not done"
+	case slices.ContainsFunc(job.Tasks[occurrence][step], func(task *workflow.Task) bool { return workflow.AttemptsUsedUp(task, queue) }):
+		return "a task has failed as often as its queue allows, the job ends as failed"
 	}
 	workspace := v.Workspace(job.Spec.Workspace)
 	if workspace != nil && !v.WorkspaceUsage(workspace.Name).Add(workflow.ResourcesOf(spec.Needs)).WithinLimit(workflow.ResourcesOf(workspace.Limit)) {
--- a/internal/driver/modelrig_test.go
+++ b/internal/driver/modelrig_test.go
@@ -45,6 +45,8 @@
 	withoutLeases bool
 	// commitTime replaces modelCommitTime if it is not 0.
 	commitTime time.Duration
+	// refusedStarts counts starts that were refused when they were applied.
+	refusedStarts int
 }
 
 // modelLog is the log of one leadership.
@@ -77,6 +79,7 @@
 	l.store.index++
 	l.store.applied[l.store.index] = time.Now()
 	out := l.store.machine.Apply(l.store.index, data).(*workflow.Outcome)
+	l.store.refusedStarts += len(out.Refused)
 	losesOutcome := l.store.losesOutcome
 	l.store.mu.Unlock()
 	lost := losesOutcome != nil && losesOutcome(command)
@@ -94,6 +97,12 @@
 	return at, known
 }
 
+func (s *modelStore) refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedStarts
+}
+
 // loseOutcomes makes the leader not learn the outcomes of some commits from now on.
 func (s *modelStore) loseOutcomes(which func(*pb.Command) bool) {
 	s.mu.Lock()
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -198,7 +198,12 @@
 		if queue == nil {
 			continue
 		}
-		for _, planned := range []assign.Job{d.planJob(v, job, queue, nowMS), d.planCopies(v, job, queue, nowMS)} {
+		waiting, usedUp := d.planJob(v, job, queue, nowMS)
+		if usedUp != nil {
+			d.failUsedUp(usedUp, queue)
+			continue
+		}
+		for _, planned := range []assign.Job{waiting, d.planCopies(v, job, queue, nowMS)} {
 			if len(planned.Steps) == 0 && planned.WorkMillisMS == 0 {
 				continue
 			}
@@ -213,9 +218,10 @@
 	return out
 }
 
-// planJob returns the steps of a job that may start now, and the work left in the whole job.
-func (d *Driver) planJob(v *workflow.View, job *workflow.Job, queue *pb.Queue, nowMS int64) assign.Job {
-	planned := assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs}
+// planJob returns the steps of a job that may start now, and the work left in the whole job. usedUp
+// is a waiting task whose attempts are used up, or nil.
+func (d *Driver) planJob(v *workflow.View, job *workflow.Job, queue *pb.Queue, nowMS int64) (planned assign.Job, usedUp *workflow.Task) {
+	planned = assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs}
 	for k := range job.Tasks {
 		if due := job.DueMS(k); due > nowMS {
 			continue
@@ -229,6 +235,11 @@
 				continue
 			}
 			waiting := tasksToStart(job, k, s)
+			for _, id := range waiting {
+				if task := job.Tasks[k][s][id.Index]; workflow.AttemptsUsedUp(task, queue) {
+					return planned, task
+				}
+			}
 			// Tasks that run are assumed to be half done.
 			planned.WorkMillisMS += d.workOf(job, k, s, float64(job.RemainingTasks(k, s)+len(waiting))/2)
 			if len(waiting) == 0 {
@@ -247,12 +258,12 @@
 		planned.WorkMillisMS = 0
 	}
 	if len(planned.Steps) == 0 && planned.WorkMillisMS == 0 {
-		return planned
+		return planned, nil
 	}
 	planned.Worth = d.learned.worth(job)
 	times := d.timesOf(job, queue)
 	planned.RemainingMS, planned.DeadlineMS, planned.LateDeadlineMS = times.remainingMS, times.deadlineMS, times.lateDeadlineMS
-	return planned
+	return planned, nil
 }
 
 // workOf returns the CPU of a number of tasks of a step times their expected run time, in
--- a/internal/driver/preempt.go
+++ b/internal/driver/preempt.go
@@ -107,6 +107,8 @@
 		}
 		if queue := v.QueueOf(task.Job); queue != nil {
 			run.Priority = queue.Priority
+			// A stop would end the job as failed.
+			run.NonPreemptible = run.NonPreemptible || workflow.AttemptsUsedUp(task, queue)
 		}
 		if r != nil && !r.runningSince.IsZero() {
 			run.UnsavedMS = now.Sub(r.runningSince).Milliseconds()
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -308,8 +308,9 @@
 	return m.ok()
 }
 
-// failJob ends a job that can never run. It is proposed only for a job of which no
-// task has been placed: a task that fitted once may fit again.
+// failJob ends a job that can never run, or not to its end. It is proposed for a job of which no
+// task has been placed (a task that fitted once may fit again) and for one in which a task waits
+// whose attempts are used up, which is checked again.
 func (m *Machine) failJob(c *pb.FailJob) *Outcome {
 	job := m.jobs[c.Job]
 	switch {
@@ -317,11 +318,19 @@
 		return m.outcome(NotFound, "job %q does not exist", c.Job)
 	case Ended(job.State):
 		return m.ok()
+	case c.UsedUp != nil && !m.waitsUsedUp(TaskIDOf(c.UsedUp)):
+		return m.outcome(Refused, "job %q: the task may start again", c.Job)
 	}
 	m.endJob(job, pb.JobState_JOB_STATE_FAILED, c.Reason)
 	return m.ok()
 }
 
+// waitsUsedUp reports whether a task waits for a start that its attempts do not allow.
+func (m *Machine) waitsUsedUp(id TaskID) bool {
+	task := m.task(id)
+	return task != nil && task.State == pb.TaskState_TASK_STATE_WAITING && task.Copy.Target == "" && AttemptsUsedUp(task, m.queueOf(task.Job.Spec))
+}
+
 func (m *Machine) endJob(job *Job, state pb.JobState, reason string) {
 	job.State, job.Reason, job.EndedMS = state, reason, m.nowMS
 	m.closeIfFinished(job)
--- a/internal/workflow/rules_test.go
+++ b/internal/workflow/rules_test.go
@@ -38,6 +38,62 @@
 	return source
 }
 
+// TestFailJobWithUsedUpTask asks for the end of a job because the attempts of a task are used up: it is
+// refused unless the task waits and its queue allows no more.
+func TestFailJobWithUsedUpTask(t *testing.T) {
+	const failedRuns = 2
+	for _, test := range []struct {
+		name         string
+		most         uint32
+		running      bool
+		lasting      bool
+		code         Code
+		wantsToStart bool
+	}{
+		{"used up", failedRuns, false, false, OK, false},
+		{"fewer than failed", 1, false, false, OK, false},
+		{"one is left", failedRuns + 1, false, false, Refused, true},
+		{"no limit", 0, false, false, Refused, true},
+		{"a run goes on", failedRuns, true, false, Refused, false},
+		{"a lasting task", failedRuns, false, true, Refused, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			m := &testMachine{t: t, machine: New()}
+			allow := func(version uint64, most uint32) {
+				is.Equal(m.put(&pb.Catalogue{Version: version, Pools: []*pb.Pool{{Name: "p"}}, Queues: []*pb.Queue{
+					{Name: "q", Host: "h", PathPrefix: "/p/", Pool: "p", TimeoutMs: 1000, MaxAttempts: most, Open: true},
+				}}).Code, OK)
+			}
+			allow(1, failedRuns+2)
+			step := &pb.Step{Tasks: 1, Lasting: test.lasting, Needs: &pb.Resources{CpuMillis: 1}}
+			m.apply(&pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: &pb.Job{Id: "j", Queue: "q", Steps: []*pb.Step{step}}}}})
+			m.apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{{Id: "t", BornUnixMs: 1, Pool: "p"}}}}})
+			task := TaskID{Job: "j"}
+			start := func(attempt uint32) *Outcome {
+				return m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{
+					Starts: []*pb.Start{{Task: task.Ref(attempt), Target: "t", TargetBornUnixMs: 1}},
+				}}})
+			}
+			for attempt := range uint32(failedRuns) {
+				start(attempt + 1)
+				m.apply(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{
+					Ends: []*pb.End{{Task: task.Ref(attempt + 1), Target: "t", Kind: pb.EndKind_END_KIND_FAILED}},
+				}}})
+			}
+			if test.running {
+				start(failedRuns + 1)
+			}
+			allow(2, test.most)
+			out := m.apply(&pb.Command{Body: &pb.Command_FailJob{FailJob: &pb.FailJob{Job: "j", Reason: "used up", UsedUp: task.Ref(failedRuns)}}})
+			is.Equal(out.Code, test.code)
+			if !test.running {
+				is.Equal(len(start(failedRuns+1).Refused) == 0, test.wantsToStart) // the same as the state allows
+			}
+		})
+	}
+}
+
 // TestCatalogueVersions checks which catalogue is current: the highest valid version,
 // with the content that was sent first under that number. Older and resent versions
 // are acknowledged without a change.
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -104,7 +104,7 @@
 		return fmt.Sprintf("target has no label %q", step.Label)
 	case !job.Ready(int(task.ID.Occurrence), int(task.ID.Step)):
 		return "an earlier step is not done"
-	case !step.Lasting && queue.MaxAttempts > 0 && task.Failed >= queue.MaxAttempts:
+	case AttemptsUsedUp(task, queue):
 		return "attempts are used up"
 	case step.MaxPerTarget > 0 && m.stepTasksOnTarget(task, target.Id) >= int(step.MaxPerTarget):
 		return "step has its most tasks on the target"
@@ -303,6 +303,13 @@
 	return count * len(j.Tasks)
 }
 
+// AttemptsUsedUp reports whether a task has failed as often as a queue allows, so that it may not
+// start again. The queue may be nil. A lasting task has no such limit.
+func AttemptsUsedUp(task *Task, queue *pb.Queue) bool {
+	most := queue.GetMaxAttempts()
+	return most > 0 && task.Failed >= most && !task.Spec().Lasting
+}
+
 // recordFailure counts a failed run; the job fails when the queue's maximum is reached.
 // A failure of one gang member counts for all members.
 func (m *Machine) recordFailure(task *Task) {
@@ -312,8 +319,7 @@
 			member.Failed = max(member.Failed, task.Failed)
 		}
 	}
-	queue := m.queueOf(task.Job.Spec)
-	if task.Spec().Lasting || queue == nil || queue.MaxAttempts == 0 || task.Failed < queue.MaxAttempts || Ended(task.Job.State) {
+	if Ended(task.Job.State) || !AttemptsUsedUp(task, m.queueOf(task.Job.Spec)) {
 		return
 	}
 	m.endJob(task.Job, pb.JobState_JOB_STATE_FAILED, fmt.Sprintf("task %s failed %d times", task.ID, task.Failed))
