A list with entries that cannot be read does not end a wave

Cause: permanentlyGone counted each list without the VM, though VMList says that a missing VM may be an entry that could not be read. Silent targets have had that check already.

Change: both use VMList.complete; an incomplete list is no evidence either way.

Measured: the new cases "its entry cannot be read" and "an empty list" of TestWaveWithVMGoneForGood failed before and pass; the other cases are unchanged.

--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -176,6 +176,9 @@
 	Unreadable int
 }
 
+// complete reports whether the list names all VMs, so that one that it lacks does not exist.
+func (l VMList) complete() bool { return l.Unreadable == 0 && len(l.VMs) > 0 }
+
 // VMRefusal is the reason why the platform did not carry out an order.
 type VMRefusal int
 
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -159,6 +159,8 @@
 type fleetView struct {
 	vms    map[string]VM
 	readAt time.Time
+	// complete is set if the list names all VMs: one that it lacks does not exist.
+	complete bool
 	// changedAt is when this leader last learned of a change of a VM by other means.
 	changedAt map[string]time.Time
 	// largest is the CPU of the largest VM, in thousandths of a core.
@@ -616,9 +618,11 @@
 		return false
 	}
 	busy.answeredOrReadAt = d.fleet.readAt
-	if _, listed := d.fleet.vms[vm]; listed {
+	_, listed := d.fleet.vms[vm]
+	switch {
+	case listed:
 		busy.missing = 0
-	} else {
+	case d.fleet.complete:
 		busy.missing++
 		if busy.missing == 1 {
 			d.noteProgress(w.Id, &pb.VMProgress{Vm: vm, MissingIndex: 1})
@@ -755,7 +759,7 @@
 		d.fleet.vms[vm.Name] = vm
 		d.fleet.largest = max(d.fleet.largest, vm.Capacity.CPUMillis)
 	}
-	d.fleet.readAt = asked
+	d.fleet.readAt, d.fleet.complete = asked, list.complete()
 	d.noteListed(list, asked)
 }
 
@@ -788,7 +792,7 @@
 			if l.failures > 0 && state == VMDown {
 				d.endIncarnation(l, "the platform lists its VM as down")
 			}
-		case list.Unreadable == 0 && len(list.VMs) > 0:
+		case list.complete():
 			l.missingInLists++
 		}
 	}
--- a/internal/driver/waves_test.go
+++ b/internal/driver/waves_test.go
@@ -14,11 +14,15 @@
 	"sapphirering/test/standin"
 )
 
-// busyPlatform answers busy to every order and lists the given VMs.
-type busyPlatform struct{ listed []driver.VM }
+// busyPlatform answers busy to every order and lists the given VMs, beside entries that cannot be
+// read.
+type busyPlatform struct {
+	listed     []driver.VM
+	unreadable int
+}
 
 func (p busyPlatform) List(context.Context) (driver.VMList, error) {
-	return driver.VMList{VMs: p.listed}, nil
+	return driver.VMList{VMs: p.listed, Unreadable: p.unreadable}, nil
 }
 
 func (p busyPlatform) Move(context.Context, driver.VMOrder, string) (driver.VMRefusal, error) {
@@ -31,21 +35,25 @@
 
 // TestWaveWithVMGoneForGood declares a wave of one VM that the platform does not
 // take down: the wave completes without it if lists no longer contain the VM, and
-// does not while they do.
+// does not while they do or may do.
 func TestWaveWithVMGoneForGood(t *testing.T) {
 	for _, test := range []struct {
-		name   string
-		listed []driver.VM
-		done   bool
+		name       string
+		listed     []driver.VM
+		unreadable int
+		done       bool
 	}{
-		{"gone", []driver.VM{{Name: "vm-other"}}, true},
-		{"down for now", []driver.VM{{Name: "vm-lost", State: driver.VMDown}}, false},
+		{"gone", []driver.VM{{Name: "vm-other"}}, 0, true},
+		{"down for now", []driver.VM{{Name: "vm-lost", State: driver.VMDown}}, 0, false},
+		{"down for now beside an entry that cannot be read", []driver.VM{{Name: "vm-lost", State: driver.VMDown}}, 1, false},
+		{"its entry cannot be read", []driver.VM{{Name: "vm-other"}}, 1, false},
+		{"an empty list", nil, 0, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			r := newRig(t, "a")
-			r.vms = busyPlatform{test.listed}
+			r.vms = busyPlatform{test.listed, test.unreadable}
 			r.startLeader()
 			wave := &pb.Wave{Id: 1, Vms: []string{"vm-lost"}, Cap: 1, DurationMs: 20_000}
 			is.Equal(r.request(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}).Answer, pb.Answer_ANSWER_OK)
