TestLateGrantOfLostLeader: the late renewal arrives within the lease

Its log: the tasks were placed at 07.949 after commits of up to 130 ms; the first listing of the target was answered at 10.17, just after the signal, so that the call that was delayed by 4 s was the first renewal. It arrived at 14.17, when the lease of the starts had lapsed at about 13.95. That is no late renewal of a running lease, which is what the test is about.

The stand-in now delays the next renewal that arrives while the lease still holds, and serves one that would not.

--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -45,8 +45,8 @@
 	// LateShare is the share of calls that get no answer and are carried out LateBy later.
 	LateShare float64
 	LateBy    time.Duration
-	// LateRenewalBy delays the next call that renews the lease, which is then counted from its
-	// arrival. The call is not answered, and the target is Silent from then on.
+	// LateRenewalBy delays the next call that renews the lease and arrives before it lapses. The lease
+	// is then counted from its arrival. The call is not answered, and the target is Silent from then on.
 	LateRenewalBy time.Duration
 	// StopDelay delays only stops. StopGrace is how long a stopped run goes on; it is listed as
 	// running until then.
@@ -422,6 +422,9 @@
 	if t == nil || t.LateRenewalBy == 0 || call.LeaseUntilMS == 0 {
 		return false
 	}
+	if t.leaseUntilMS-t.clock() <= t.LateRenewalBy.Milliseconds() {
+		return false
+	}
 	time.AfterFunc(t.LateRenewalBy, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
