--- a/internal/driver/elections_test.go
+++ b/internal/driver/elections_test.go
@@ -625,34 +625,18 @@
 
 // TestWavesWithCommonVMs declares three waves of the same VMs, in each order of their numbers, while the
 // VMs are away for the wave before. A complete wave whose VMs have not begun their maintenance for it
-// breaks the users' rule MIXED. The waves take turns, so that the last one may take three times as long.
+// breaks the users' rule MIXED. Each wave ends in its own duration.
 func TestWavesWithCommonVMs(t *testing.T) {
 	for _, ids := range [][]uint64{{1, 2, 3}, {1, 3, 2}, {2, 1, 3}, {2, 3, 1}, {3, 1, 2}, {3, 2, 1}} {
 		t.Run(fmt.Sprint(ids), func(t *testing.T) {
 			besideElections(t, inOnePool(3), inSeconds(0, 8), func(t *testing.T, r *modelRig, interval time.Duration) {
-				declared := time.Now()
 				r.loseLeaders(interval, electionsFor)
-				var waves []*pb.Wave
 				for _, id := range ids {
-					waves = append(waves, r.declareWaveAs(id, waveDuration, "vm0", "vm1"))
+					declared, wave := time.Now(), r.declareWaveAs(id, waveDuration, "vm0", "vm1")
+					r.running.Go(func() { waveEnds(t, r, wave, declared, wave.Vms...) })
 					time.Sleep(modelVMMaintenance / 2)
 				}
-				for time.Since(declared) < time.Duration(len(ids))*waveDuration {
-					for _, wave := range waves {
-						for _, vm := range wave.Vms {
-							if r.complete(wave)() && !r.fleet.HasBegun(vm, wave.Id) {
-								t.Errorf("wave %d is complete before the maintenance of %s has begun for it", wave.Id, vm)
-								return
-							}
-						}
-					}
-					time.Sleep(10 * time.Millisecond)
-				}
-				for _, wave := range waves {
-					if !r.complete(wave)() {
-						t.Errorf("wave %d is not complete %s after it was declared", wave.Id, time.Since(declared))
-					}
-				}
+				time.Sleep(awaitLimit)
 			})
 		})
 	}
@@ -665,9 +649,7 @@
 		declared := time.Now()
 		first := r.declareWave(waveDuration, "vm0", "vm1")
 		time.Sleep(modelVMMaintenance / 2)
-		second := &pb.Wave{Id: 2, Vms: []string{"vm1"}, DurationMs: waveDuration.Milliseconds(), Cap: 1}
-		r.fleet.SetWave(second.Id, second.Vms)
-		r.serve(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: second})
+		second := r.declareWaveAs(2, waveDuration, "vm1")
 		time.Sleep(2 * modelVMMaintenance)
 		r.loseLeaders(interval, electionsFor)
 		waveEnds(t, r, first, declared, first.Vms...)
--- a/internal/driver/unplaceable_test.go
+++ b/internal/driver/unplaceable_test.go
@@ -14,11 +14,14 @@
 
 // submitLabelled submits a job of one short task that needs a label.
 func (r *modelRig) submitLabelled(id, label string) {
-	const work = 100 * time.Millisecond
-	job := &pb.Job{Id: id, Steps: []*pb.Step{{
-		Tasks: 1, Needs: &pb.Resources{CpuMillis: 1000, MemoryMb: 10}, EstimateMs: work.Milliseconds(), Label: label,
-	}}}
-	r.fleet.Submitted(job, work, false)
+	r.submitStep(id, 100*time.Millisecond, &pb.Step{Tasks: 1, Label: label})
+}
+
+// submitStep submits a job of one step to the queue of the first pool until it is accepted.
+func (r *modelRig) submitStep(id string, work time.Duration, step *pb.Step) {
+	step.Needs, step.EstimateMs = &pb.Resources{CpuMillis: 1000, MemoryMb: 10}, work.Milliseconds()
+	job := &pb.Job{Id: id, Steps: []*pb.Step{step}}
+	r.fleet.Submitted(job, work, step.Copies)
 	for r.serve(&pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/" + modelPools[0] + "/" + id, Job: proto.CloneOf(job)}).Answer != pb.Answer_ANSWER_OK {
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/driver/usedup_test.go
+++ b/internal/driver/usedup_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 	"sapphirering/test/standin"
@@ -17,10 +15,10 @@
 	// usedUpBound is within which a job that cannot go on is shown as failed: users' rule LOST
 	// allows 3 s.
 	usedUpBound = 3 * time.Second
-	// drainBound is how long a VM with a run that goes on waits for its maintenance.
-	drainBound = 6 * time.Second
-	// attempts and fewer are what the queue allows before and after a change.
-	attempts, fewer = 4, 2
+	// drainBound is the driver's drainTimeout, after which a VM goes down with the runs that are left.
+	drainBound = 4 * time.Second
+	// allowedAttempts and fewerAttempts are what the queue allows before and after a change.
+	allowedAttempts, fewerAttempts = 4, 2
 	// maxRefusedStarts are those that may be planned just before a change takes effect.
 	maxRefusedStarts = 2
 )
@@ -37,57 +35,36 @@
 	}
 }
 
-// submitStep submits a job of one step.
-func (r *modelRig) submitStep(id string, step *pb.Step) {
-	step.Needs, step.EstimateMs = &pb.Resources{CpuMillis: 1000, MemoryMb: 10}, usedUpWork.Milliseconds()
-	job := &pb.Job{Id: id, Steps: []*pb.Step{step}}
-	r.fleet.Submitted(job, usedUpWork, step.Copies)
-	request := &pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/" + modelPools[0] + "/" + id, Job: proto.CloneOf(job)}
-	for r.serve(request).Answer != pb.Answer_ANSWER_OK {
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
 // task returns the first task of a job.
 func (r *modelRig) task(id string) (task workflow.Task) {
 	r.store.machine.View(func(v *workflow.View) { task = *v.Task(workflow.TaskID{Job: id}) })
 	return task
 }
 
-func (r *modelRig) await(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(modelFlushTime); !holds(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Errorf("not within %s: %s", modelFlushTime, what)
-			return
-		}
-	}
-}
-
-// runsAgain submits a job whose first task has failed as often as fewer allows, and runs again. Each
+// runsAgain submits a job whose first task has failed fewerAttempts times, and runs again. Each
 // member of a gang that fails counts for all.
 func runsAgain(t *testing.T, r *modelRig, step *pb.Step, vms int) {
 	t.Helper()
-	failing := uint32(fewer)
+	failing := uint32(fewerAttempts)
 	if step.Gang {
 		failing = 1
 	}
-	r.allowAttempts(2, attempts)
+	r.allowAttempts(2, allowedAttempts)
 	faulty := func(fault standin.ModelRunFault) {
 		for i := range vms {
 			r.fleet.SetRunFault(modelVMName(i), fault)
 		}
 	}
 	faulty(standin.RunsFail)
-	r.submitStep("j", step)
-	r.await(t, "the last run that fails", func() bool { return r.task("j").Attempt == failing })
+	r.submitStep("j", usedUpWork, step)
+	holdsWithin(t, "the last run that fails", time.Now(), modelFlushTime, func() bool { return r.task("j").Attempt == failing })
 	time.Sleep(usedUpWork / 20) // it has begun
 	faulty(standin.RunsWell)
-	r.await(t, "the next run", func() bool {
+	holdsWithin(t, "the next run", time.Now(), modelFlushTime, func() bool {
 		return len(r.fleet.RunsOn(workflow.TaskID{Job: "j"})) > 0 && r.task("j").Attempt == failing+1
 	})
-	if failed := r.task("j").Failed; failed < fewer {
-		t.Errorf("the task has failed %d times, want %d", failed, fewer)
+	if failed := r.task("j").Failed; failed < fewerAttempts {
+		t.Errorf("the task has failed %d times, want %d", failed, fewerAttempts)
 	}
 }
 
@@ -110,37 +87,37 @@
 	}{
 		{"a task waits", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
 			crash(r)
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 		}, usedUpBound, failed},
 		{"a gang waits", &pb.Step{Tasks: 3, Gang: true}, func(_ *testing.T, r *modelRig) {
 			crash(r)
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 		}, usedUpBound, failed},
 		{"a task waits and the leader is lost", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
 			crash(r)
 			r.store.setLeader(nil)
 			time.Sleep(electionTime)
 			r.changeLeader(0)
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 			r.loseLeader()
 		}, usedUpBound, failed},
 		{"a run goes on and completes the task", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 		}, usedUpWork + usedUpBound, done},
 		{"a gang goes on and completes", &pb.Step{Tasks: 3, Gang: true}, func(_ *testing.T, r *modelRig) {
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 		}, usedUpWork + usedUpBound, done},
 		{"a run goes on and its target crashes", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 			crash(r)
 		}, usedUpBound, failed},
 		{"a run goes on and its VM is maintained", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 			r.declareWave(waveDuration, "vm0")
 		}, drainBound + usedUpBound, failed},
 		{"lowered and raised while a run goes on", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
-			r.allowAttempts(3, fewer)
-			r.allowAttempts(4, attempts)
+			r.allowAttempts(3, fewerAttempts)
+			r.allowAttempts(4, allowedAttempts)
 			r.fleet.Crash("vm0", time.Second)
 		}, modelLateBound + usedUpWork + usedUpBound, done},
 		{"without a limit", &pb.Step{Tasks: 1}, func(_ *testing.T, r *modelRig) {
@@ -148,7 +125,7 @@
 			r.fleet.Crash("vm0", time.Second)
 		}, modelLateBound + usedUpWork + usedUpBound, done},
 		{"a copy is wanted beside a silent target", &pb.Step{Tasks: 1, Copies: true}, func(_ *testing.T, r *modelRig) {
-			r.allowAttempts(3, fewer)
+			r.allowAttempts(3, fewerAttempts)
 			r.fleet.CutOff(r.fleet.RunsOn(workflow.TaskID{Job: "j"})[0], true)
 		}, silentBound + usedUpBound, failed},
 	} {
