--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -123,6 +123,10 @@
 	// Numbers of the last end that was read from a listing, that is committed, and whose
 	// commit was confirmed to the target.
 	lastReadEnd, lastCommittedEnd, lastConfirmedEnd uint64
+	// unansweredConfirmation is the highest number that calls without an answer confirm, the last of
+	// which was sent at confirmedAt.
+	unansweredConfirmation uint64
+	confirmedAt            time.Time
 
 	health health
 }
@@ -482,6 +486,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.endCall(open, err)
+	l.noteConfirmation(call, asked, err)
+	misdirected := err == nil && listing.Refusal == Accepted && listing.BornUnixMS != 0 && listing.BornUnixMS != l.target.BornUnixMs
+	if misdirected {
+		d.reportMisdirected(l, asked, call, listing)
+	}
 	if d.links[l.target.Id] != l {
 		return open.late
 	}
@@ -505,7 +514,7 @@
 		event.ListingRefused.Emit(event.F("target", l.target.Id), event.F("reason", listing.Refusal.String()))
 		return open.late
 	}
-	if listing.BornUnixMS != 0 && listing.BornUnixMS != l.target.BornUnixMs {
+	if misdirected {
 		// A new incarnation answered before it announced itself.
 		d.noteRestart(l, listing.BornUnixMS)
 		return open.late
@@ -531,6 +540,22 @@
 	return open.late
 }
 
+// noteConfirmation records the outcome of a call that may confirm ends.
+func (l *link) noteConfirmation(call RenewCall, asked time.Time, err error) {
+	if call.SeenEnd == 0 || err == nil || errors.Is(err, ErrNotSent) {
+		return
+	}
+	l.unansweredConfirmation = max(l.unansweredConfirmation, call.SeenEnd)
+	l.confirmedAt = later(l.confirmedAt, asked)
+}
+
+// reportMisdirected logs a listing call that another incarnation answered than the one it was meant for.
+func (d *Driver) reportMisdirected(l *link, asked time.Time, call RenewCall, listing Listing) {
+	countMisdirected(call)
+	event.CallMisdirected.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("answered_by", listing.BornUnixMS),
+		event.F("confirms", call.SeenEnd), event.F("lease_until_ms", call.LeaseUntilMS), event.F("clock_ms", listing.ClockMS), event.F("asked_ms_ago", ageMS(asked, d.cfg.Now())))
+}
+
 // queueEnds queues the ends that were not read before for commit.
 func (d *Driver) queueEnds(l *link, ended []Ended) {
 	for _, end := range ended {
@@ -612,7 +637,11 @@
 // beginIncarnation replaces the link by that of a new incarnation. Runs of the former one
 // are over; a stop keeps the new one from accepting starts that are still in progress.
 func (d *Driver) beginIncarnation(old *link, target *pb.Target) *link {
-	event.TargetRestarted.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs), event.F("former", old.target.BornUnixMs))
+	now := d.cfg.Now()
+	event.TargetRestarted.Emit(event.F("target", target.Id), event.F("born", target.BornUnixMs), event.F("former", old.target.BornUnixMs),
+		event.F("runs", d.runs.count(target.Id)), event.F("open_calls", old.open), event.F("open_grants", len(old.grants)), event.F("unanswered_ms_ago", ageMS(old.unansweredAt, now)),
+		event.F("read_end", old.lastReadEnd), event.F("committed_end", old.lastCommittedEnd), event.F("confirmed_end", old.lastConfirmedEnd),
+		event.F("unanswered_confirmation", old.unansweredConfirmation), event.F("confirmation_ms_ago", ageMS(old.confirmedAt, now)))
 	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -15,6 +15,23 @@
 	gometrics.GetOrRegisterCounter("driver_starts;answer="+r.String(), gometrics.DefaultRegistry).Inc(1)
 }
 
+// countMisdirected counts a listing call that another incarnation answered than the one it was meant for.
+func countMisdirected(call RenewCall) {
+	carried := "nothing"
+	switch {
+	case call.SeenEnd > 0:
+		carried = "confirmation"
+	case call.LeaseUntilMS > 0:
+		carried = "lease"
+	}
+	gometrics.GetOrRegisterCounter("driver_misdirected;carried="+carried, gometrics.DefaultRegistry).Inc(1)
+}
+
+// countEndMissing counts a run whose target has forgotten its end.
+func countEndMissing() {
+	gometrics.GetOrRegisterCounter("driver_ends_missing", gometrics.DefaultRegistry).Inc(1)
+}
+
 // observeCall adds the time of a call to a target. Listings are not observed: the
 // target delays them on purpose.
 func observeCall(call string, began, now time.Time, err error) {
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -526,11 +526,24 @@
 			continue
 		}
 		if (r.phase == runConfirmed || r.phase == runStopped) && r.phaseAnsweredAt.Before(l.listedAt) {
+			if r.listed {
+				d.reportEndMissing(l, r)
+			}
 			d.endRun(r, pb.EndKind_END_KIND_NOT_RUN, "the target knows neither the run nor its end")
 		}
 	}
 }
 
+// reportEndMissing logs a run that its target has listed as running and now lists in no way: the
+// target has forgotten its end before this leader read it.
+func (d *Driver) reportEndMissing(l *link, r *run) {
+	countEndMissing()
+	now := d.cfg.Now()
+	event.EndMissing.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt), event.F("target", r.target), event.F("born", r.born),
+		event.F("stopped", r.phase == runStopped), event.F("percent", r.percent), event.F("progress_ms_ago", ageMS(r.progressAt, now)), event.F("running_ms", ageMS(r.runningSince, now)),
+		event.F("read_end", l.lastReadEnd), event.F("confirmed_end", l.lastConfirmedEnd), event.F("leads_ms", ageMS(d.startedAt, now)))
+}
+
 // stopUnplaced stops a run that the state does not place on the target: its start took
 // effect late, when the task was already placed elsewhere.
 func (d *Driver) stopUnplaced(l *link, running *Running) {
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -23,6 +23,8 @@
 	"gateway_request_us":     "Time of requests that this daemon forwards to the leader, by operation and answer, in microseconds.",
 	"driver_starts":          "Calls that start tasks on targets, by the target's answer.",
 	"driver_target_call_us":  "Time of calls to targets by call and outcome, in microseconds, without listing calls.",
+	"driver_misdirected":     "Listing calls that another incarnation of a target answered than the one they were meant for, by what they carried.",
+	"driver_ends_missing":    "Runs that a target has listed as running and then lists no more, without an end.",
 	"driver_commit_us":       "Time of the leader's commits by outcome, in microseconds.",
 	"driver_round_us":        "Time of the rounds of the leader's driver by part, in microseconds.",
 	"driver_work_core_ms":    "Processor time of ended jobs by outcome, in core milliseconds.",
