--- /dev/null
+++ b/internal/driver/incarnations_test.go
@@ -0,0 +1,89 @@
+package driver_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sapphirering/test/standin"
+)
+
+// confirmationsOf returns a choice of fates: the first call to a VM that confirms an end has the given fate, and
+// then runs after a moment.
+func confirmationsOf(vm string, fate standin.ModelFate, then func()) func(standin.ModelCall) standin.ModelFate {
+	met := false
+	return func(call standin.ModelCall) standin.ModelFate {
+		if met || call.Kind != standin.CallRenew || call.VM != vm || call.SeenEnd == 0 {
+			return standin.ModelFate{}
+		}
+		met = true
+		time.AfterFunc(100*time.Millisecond, then)
+		return fate
+	}
+}
+
+// TestConfirmationRepeatedAfterRestart restarts a target under its id while the confirmation of an end has no
+// answer, and cuts it off while its next task runs: the end of that has the number that was confirmed.
+func TestConfirmationRepeatedAfterRestart(t *testing.T) {
+	inModel(t, 1, func(t *testing.T, r *modelRig) {
+		r.fleet.SetBehaviour(standin.ModelBehaviour{ConfirmsLaterEnds: true})
+		lost := standin.ModelFate{Lost: true, Resets: true}
+		r.fleet.SetFate(confirmationsOf("vm0", lost, func() { r.fleet.Restart("vm0", time.Millisecond, true) }))
+		r.submitOne("i", 100*time.Millisecond)
+		r.awaitDone(t, "i")
+		time.Sleep(time.Second) // the next incarnation is known
+		r.awaitRun(t, r.submitOne("j", 3*time.Second))
+		time.Sleep(time.Second)
+		r.cutOff("vm0")
+		r.addVM("vm1")
+		time.Sleep(15 * time.Second)
+		r.rejoin("vm0")
+		r.awaitDone(t, "j")
+	})
+}
+
+// TestLateConfirmationAfterRestart lets the confirmation of an end take effect on the next incarnation of its
+// target, which has an end of the same number by then.
+func TestLateConfirmationAfterRestart(t *testing.T) {
+	for _, lateBy := range []time.Duration{700 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second} {
+		for _, later := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, later ends %t", lateBy, later), func(t *testing.T) {
+				inModel(t, 1, func(t *testing.T, r *modelRig) {
+					r.fleet.SetBehaviour(standin.ModelBehaviour{LateRenewReachesNext: true, ConfirmsLaterEnds: later})
+					r.fleet.SetFate(confirmationsOf("vm0", late(lateBy), func() { r.fleet.Restart("vm0", 10*time.Millisecond, true) }))
+					r.submitOne("i", 100*time.Millisecond)
+					r.awaitDone(t, "i")
+					time.Sleep(200 * time.Millisecond)
+					r.announce()
+					r.awaitRun(t, r.submitOne("j", 150*time.Millisecond))
+					r.cutOff("vm0")
+					r.addVM("vm1")
+					time.Sleep(15 * time.Second)
+					r.rejoin("vm0")
+					r.awaitDone(t, "j")
+				})
+			})
+		}
+	}
+}
+
+// TestShortLeaseAfterRestart restarts a target under its id before a start that grants a short lease, and cuts it
+// off after the answer: the lease is for the clock of the former incarnation, and the next one, whose clock began anew, grants
+// the longest there is.
+func TestShortLeaseAfterRestart(t *testing.T) {
+	for wait := time.Duration(0); wait < 1500*time.Millisecond; wait += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(wait), func(t *testing.T) {
+			inModel(t, 1, func(t *testing.T, r *modelRig) {
+				r.awaitRun(t, r.submitOne("i", 20*time.Second))
+				time.Sleep(6*time.Second + wait)
+				r.setMuted("vm0", true)
+				r.restartAll("vm0")
+				r.awaitRun(t, r.submitOne("j", 20*time.Second))
+				time.Sleep(2 * time.Millisecond) // the answer arrives
+				r.cutOff("vm0")
+				r.addVM("vm1")
+				r.awaitDone(t, "j")
+			})
+		})
+	}
+}
--- a/internal/driver/modelrig_test.go
+++ b/internal/driver/modelrig_test.go
@@ -269,6 +269,17 @@
 	r.muted[vm] = muted
 }
 
+// cutOff cuts a VM off from the leader, calls and announcements alike; rejoin ends that.
+func (r *modelRig) cutOff(vm string) {
+	r.setMuted(vm, true)
+	r.fleet.CutOff(vm, true)
+}
+
+func (r *modelRig) rejoin(vm string) {
+	r.fleet.CutOff(vm, false)
+	r.setMuted(vm, false)
+}
+
 func (r *modelRig) isMuted(vm string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/standin/modelcalls.go
+++ b/test/standin/modelcalls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	Task    workflow.TaskID
 	Attempt uint32
 	Fence   uint64
+	// SeenEnd is the number of the last end that a listing call confirms, 0 if it confirms none.
+	SeenEnd uint64
 	// Number counts the calls of a kind for a VM, from 1.
 	Number int
 }
@@ -104,7 +107,7 @@
 	faulty := fate != ModelFate{}
 	fate.After += modelLatency
 	fate.AnswerAfter += modelLatency
-	if call.Kind != CallRenew || faulty {
+	if call.Kind != CallRenew || call.SeenEnd > 0 || faulty {
 		f.history = append(f.history, modelNote{time.Now(), call.Task, call.Target, describeCall(call) + " sent" + describeFate(fate)})
 	}
 	return fate
@@ -267,7 +270,7 @@
 // Renew renews the lease and lists the runs.
 func (c *ModelClient) Renew(ctx context.Context, to driver.Address, call driver.RenewCall) (driver.Listing, error) {
 	f := c.fleet
-	described := ModelCall{Kind: CallRenew, Target: to.ID, VM: to.HostPort, Fence: call.Fence}
+	described := ModelCall{Kind: CallRenew, Target: to.ID, VM: to.HostPort, Fence: call.Fence, SeenEnd: call.SeenEnd}
 	fate := f.fate(described)
 	answerAfter := fate.AnswerAfter
 	fate.AnswerAfter = 0
@@ -350,6 +353,9 @@
 	if call.Task != (workflow.TaskID{}) {
 		text += " " + modelRunID{call.Task, call.Attempt}.String()
 	}
+	if call.SeenEnd > 0 {
+		text += fmt.Sprintf(" confirming %d", call.SeenEnd)
+	}
 	if call.Target != "" {
 		text += " to " + call.Target
 	} else {
--- a/test/standin/modelfleet.go
+++ b/test/standin/modelfleet.go
@@ -35,6 +35,9 @@
 	// LateRenewReachesNext lets a listing call that was sent to a former incarnation take
 	// effect on the next one: it confirms ends that nobody has read.
 	LateRenewReachesNext bool
+	// ConfirmsLaterEnds makes a target forget ends with confirmed numbers also if they come after the
+	// call that confirms them. They count as confirmed from when they come.
+	ConfirmsLaterEnds bool
 	// LateGrantsShift makes a target count the lease of a late call from its arrival.
 	LateGrantsShift bool
 }
@@ -109,6 +112,8 @@
 	blockedUpTo  map[workflow.TaskID]uint32
 	ended        []modelEnd
 	nextEnd      uint64
+	// seenEnd is the highest confirmed number.
+	seenEnd uint64
 	// lapsedEnds is the number of the last end that came before a lease lapsed.
 	lapsedEnds uint64
 	// lapseCounted is the lease whose lapse was recorded.
@@ -541,11 +546,15 @@
 	t.nextEnd++
 	t.ended = append(t.ended, modelEnd{driver.Ended{Number: t.nextEnd, Task: task, Attempt: run.id.attempt, Kind: kind}, at})
 	f.note(t, task, "%s ended at %.3f: %s, end number %d", run.id, at.Sub(f.began).Seconds(), kind, t.nextEnd)
+	if f.behaviour.ConfirmsLaterEnds {
+		f.confirmEnds(t, t.seenEnd)
+	}
 }
 
 // confirmEnds forgets the ends up to a number, and checks that no task started after an end
 // as done that is confirmed.
 func (f *ModelFleet) confirmEnds(t *ModelTarget, seen uint64) {
+	t.seenEnd = max(t.seenEnd, seen)
 	for len(t.ended) > 0 && t.ended[0].Number <= seen {
 		end := t.ended[0]
 		t.ended = t.ended[1:]
