Ends are confirmed only over connections of their incarnation

Cause (H1): a call that confirms ends names the number of the last one, and each incarnation numbers its ends anew. A confirmation without an answer was sent again over a new connection, by the driver (listAgain, the next listing) and by post, which repeats a call whose connection the target closed. The process that answers there may be the next incarnation. Ends of it with such numbers then count as noted, though nobody has read them; if the target is cut off before it lists them, their tasks run elsewhere.

Renew confirms only over a connection on which the incarnation that it is meant for has listed its runs; over any other the call lists the runs and confirms nothing, and the driver confirms with the next call.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -410,8 +410,8 @@
 	}
 	call := RenewCall{Fence: d.cfg.Epoch, Wait: min(listingWait, d.cfg.Limits.LeaseTTL/listingsPerLease)}
 	if l.lastCommittedEnd > l.lastConfirmedEnd {
-		// Only once: the next incarnation numbers its ends anew, and must not forget them.
-		call.SeenEnd = l.lastCommittedEnd
+		// Only until it is confirmed: the next incarnation numbers its ends anew, and must not forget them.
+		call.SeenEnd, call.BornUnixMS = l.lastCommittedEnd, l.target.BornUnixMs
 	}
 	if d.waves.active {
 		call.Wait = min(waveListingWait, call.Wait)
@@ -533,7 +533,7 @@
 		l.lapseAt = later(l.lapseAt, earlier(l.formerLapseAt, d.cfg.Now().Add(d.leaseBound())))
 	}
 	l.listing, l.listedAt, l.answeredAt, l.everListed = listing, asked, d.cfg.Now(), true
-	l.lastConfirmedEnd = max(l.lastConfirmedEnd, call.SeenEnd)
+	l.lastConfirmedEnd = max(l.lastConfirmedEnd, listing.SeenEnd)
 	d.queueEnds(l, listing.Ended)
 	d.reconcileRuns(l)
 	d.wakeLoop()
--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -78,8 +78,10 @@
 	Fence uint64
 	// LeaseUntilMS is the end of the lease on the target's clock; 0 renews nothing.
 	LeaseUntilMS int64
-	// SeenEnd is the number of the last end that is committed: the target may forget it.
-	SeenEnd uint64
+	// SeenEnd is the number of the last end that is committed: the target may forget it, and
+	// those before it. It counts the ends of the incarnation that was started at BornUnixMS.
+	SeenEnd    uint64
+	BornUnixMS int64
 	// Wait is how long the target may wait for a run to end before it answers.
 	Wait time.Duration
 }
@@ -119,6 +121,8 @@
 	BornUnixMS int64
 	Running    []Running
 	Ended      []Ended
+	// SeenEnd is the number that the call has confirmed; see TargetClient.
+	SeenEnd uint64
 }
 
 // ErrClosedByTarget is in the errors of calls whose connection the target's host closed or
@@ -131,6 +135,10 @@
 
 // TargetClient calls targets. An error means that the outcome is not known:
 // the call may have taken effect or may still do so.
+//
+// A target that was restarted under its id numbers its ends anew and answers calls that were meant for
+// its former incarnation. So Renew confirms ends only over a connection on which that incarnation has listed its
+// runs before; over any other the call lists the runs and confirms nothing.
 type TargetClient interface {
 	Start(ctx context.Context, to Address, call StartCall) (Answer, error)
 	Stop(ctx context.Context, to Address, call StopCall) (Answer, error)
--- a/test/standin/modelcalls.go
+++ b/test/standin/modelcalls.go
@@ -265,6 +265,8 @@
 type renewed struct {
 	target  *ModelTarget
 	refusal driver.Refusal
+	// confirmed is the number that the call confirmed.
+	confirmed uint64
 }
 
 // Renew renews the lease and lists the runs.
@@ -280,13 +282,18 @@
 		case t == nil:
 			return renewed{}, false
 		case !same:
-			return renewed{t, driver.OtherIncarnation}, true
+			return renewed{target: t, refusal: driver.OtherIncarnation}, true
 		case !t.acceptFence(call.Fence):
-			return renewed{t, driver.RefusedStaleFence}, true
+			return renewed{target: t, refusal: driver.RefusedStaleFence}, true
 		}
 		f.grant(t, f.leaseEnd(call.LeaseUntilMS, time.Since(sent)-modelLatency))
-		f.confirmEnds(t, call.SeenEnd)
-		return renewed{t, driver.Accepted}, true
+		confirms := call.SeenEnd
+		if call.BornUnixMS != 0 && call.BornUnixMS != t.bornUnixMS && !sent.Before(t.bornAt) {
+			// It came over a new connection, over which a client confirms nothing.
+			confirms = 0
+		}
+		f.confirmEnds(t, confirms)
+		return renewed{t, driver.Accepted, confirms}, true
 	})
 	if err != nil {
 		return driver.Listing{}, err
@@ -323,7 +330,7 @@
 	defer f.mu.Unlock()
 	t := began.target
 	f.settle(t)
-	listing := driver.Listing{Answer: driver.Answer{Refusal: began.refusal, ClockMS: t.clockMS(time.Now())}, BornUnixMS: t.bornUnixMS}
+	listing := driver.Listing{Answer: driver.Answer{Refusal: began.refusal, ClockMS: t.clockMS(time.Now())}, BornUnixMS: t.bornUnixMS, SeenEnd: began.confirmed}
 	if began.refusal != driver.Accepted {
 		return listing, t.up
 	}
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -397,7 +397,7 @@
 			if first {
 				f.forgetSeenEnds(t, call.SeenEnd)
 			}
-			listing = driver.Listing{BornUnixMS: t.bornUnixMS, Ended: slices.Clone(t.ends)}
+			listing = driver.Listing{BornUnixMS: t.bornUnixMS, SeenEnd: call.SeenEnd, Ended: slices.Clone(t.ends)}
 			for id, run := range t.running {
 				listing.Running = append(listing.Running, driver.Running{Task: id, Attempt: run.attempt, Percent: f.percent(t, id), Gauge: t.gauge(id)})
 			}
