Each incarnation of a target has a fence of its own

Cause: calls to the former incarnation of a target that are carried out late, confirmations, leases, starts, stops and paces alike, take effect on the next one, since all calls of a leader carry one fence. Only starts of runs that are over were handled, one by one, by stops that could come later than the start.

The first call that an incarnation takes makes it refuse every call to a former one, whatever it carries; no list of late calls is needed. Orders to the platform keep the epoch alone. Calls that come before the first one are not covered.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -97,7 +97,9 @@
 
 	mu    sync.Mutex
 	links map[string]*link
-	runs  runTable
+	// incarnations counts the incarnations of targets that this leader has met.
+	incarnations uint64
+	runs         runTable
 	// lateStarts holds unanswered starts of runs that are over, by target.
 	lateStarts map[string][]lateStart
 	// endedIncarnations holds incarnations of targets that are certainly over, so that late
--- a/internal/driver/fillers.go
+++ b/internal/driver/fillers.go
@@ -106,7 +106,7 @@
 
 func (d *Driver) callPace(l *link, r *run, pace int, tail float64) {
 	r.pacing, r.lastCallAt = true, d.cfg.Now()
-	call := PaceCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, Percent: pace}
+	call := PaceCall{Task: r.task, Attempt: r.attempt, Fence: l.fence, Percent: pace}
 	to := l.address()
 	d.background(func() {
 		if !d.cfg.Log.HoldsLease() {
--- a/internal/driver/latestarts.go
+++ b/internal/driver/latestarts.go
@@ -55,7 +55,7 @@
 // now, or has a newer leader.
 func (d *Driver) refuseLateStart(l *link, late lateStart) {
 	for d.cfg.Now().Before(late.until) && d.ctx.Err() == nil && d.cfg.Log.HoldsLease() {
-		answer, err := d.sendStop(l.address(), late.run)
+		answer, err := d.sendStop(l.address(), l.fence, late.run)
 		if err == nil && answer.Refusal != RefusedUnhealthy && answer.Refusal != RefusedInvalid {
 			event.LateStartRefused.Emit(event.F("task", late.run.task.String()), event.F("attempt", late.run.attempt),
 				event.F("target", l.target.Id), event.F("answer", answer.Refusal.String()))
--- a/internal/driver/leasesreview_model_test.go
+++ b/internal/driver/leasesreview_model_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"sapphirering/internal/driver"
 	"sapphirering/internal/workflow"
 	"sapphirering/test/standin"
 )
@@ -83,10 +84,10 @@
 					switch {
 					case call.VM != vm:
 						return standin.ModelFate{}
-					case call.Kind == standin.CallRenew && call.Fence == 1 && !renewed:
+					case call.Kind == standin.CallRenew && driver.EpochOf(call.Fence) == 1 && !renewed:
 						renewed = true
 						return late(lateBy)
-					case call.Kind == standin.CallRenew && call.Fence == 2 && time.Since(began) > lateBy+10*time.Millisecond && !listed:
+					case call.Kind == standin.CallRenew && driver.EpochOf(call.Fence) == 2 && time.Since(began) > lateBy+10*time.Millisecond && !listed:
 						listed = true
 						return standin.ModelFate{}
 					}
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -44,6 +44,8 @@
 // mutex.
 type link struct {
 	target *pb.Target
+	// fence is the number that calls over the link carry.
+	fence  uint64
 	wake   chan struct{}
 	cancel context.CancelFunc
 
@@ -146,7 +148,7 @@
 // addLink starts to track a target and to list its runs.
 func (d *Driver) addLink(target *pb.Target) *link {
 	ctx, cancel := context.WithCancel(d.ctx)
-	l := &link{target: target, wake: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving,
+	l := &link{target: target, fence: d.nextFence(), wake: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving,
 		phase: phaseOf(target.Id), resends: silence.Budget{Rate: targetResendRate, Burst: targetResendBurst}}
 	d.links[target.Id] = l
 	d.background(func() { d.listRuns(ctx, l) })
@@ -408,7 +410,7 @@
 			return RenewCall{}, nil, grantWait - waited
 		}
 	}
-	call := RenewCall{Fence: d.cfg.Epoch, Wait: min(listingWait, d.cfg.Limits.LeaseTTL/listingsPerLease)}
+	call := RenewCall{Fence: l.fence, Wait: min(listingWait, d.cfg.Limits.LeaseTTL/listingsPerLease)}
 	if l.lastCommittedEnd > l.lastConfirmedEnd {
 		// Only until it is confirmed: the next incarnation numbers its ends anew, and must not forget them.
 		call.SeenEnd, call.BornUnixMS = l.lastCommittedEnd, l.target.BornUnixMs
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -269,7 +269,7 @@
 // startCall returns the start call for a run; false if the run is no longer needed or the
 // target's clock is unknown, so that no lease can be granted.
 func (d *Driver) startCall(r *run, l *link) (StartCall, bool) {
-	call := StartCall{Task: r.task, Attempt: r.attempt, Fence: d.cfg.Epoch, Lease: d.leaseForStart(r, l), Ticket: d.ticketFor(r.task, l)}
+	call := StartCall{Task: r.task, Attempt: r.attempt, Fence: l.fence, Lease: d.leaseForStart(r, l), Ticket: d.ticketFor(r.task, l)}
 	if call.Lease > startLease && !l.grantOpen {
 		// The lease that was renewed has become too short since mayStart looked at it.
 		return call, false
@@ -396,7 +396,7 @@
 		return
 	}
 	r.phase, r.lastCallAt = runStopping, d.cfg.Now()
-	to, born := l.address(), l.target.BornUnixMs
+	to, fence, born := l.address(), l.fence, l.target.BornUnixMs
 	open := d.beginCall(l, r, "stop", 0, func() {
 		if d.tracks(r) && r.phase == runStopping && d.mayResend(l) {
 			d.callStop(r)
@@ -408,7 +408,7 @@
 			return
 		}
 		began := d.cfg.Now()
-		answer, err := d.sendStop(to, r.id())
+		answer, err := d.sendStop(to, fence, r.id())
 		observeCall("stop", began, d.cfg.Now(), err)
 		if late := d.finishCall(open, err); late && err != nil {
 			return
@@ -418,10 +418,10 @@
 }
 
 // sendStop sends one stop call.
-func (d *Driver) sendStop(to Address, id runID) (Answer, error) {
+func (d *Driver) sendStop(to Address, fence uint64, id runID) (Answer, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, runCallTimeout)
 	defer cancel()
-	return d.cfg.Targets.Stop(ctx, to, StopCall{Task: id.task, Attempt: id.attempt, Fence: d.cfg.Epoch})
+	return d.cfg.Targets.Stop(ctx, to, StopCall{Task: id.task, Attempt: id.attempt, Fence: fence})
 }
 
 // handleStopAnswer updates a run by the answer to its stop call.
@@ -556,13 +556,13 @@
 	})
 	event.UnplacedStopped.Emit(event.F("task", running.Task.String()), event.F("attempt", running.Attempt), event.F("target", l.target.Id),
 		event.F("born", l.target.BornUnixMs), event.F("percent", running.Percent), event.F("newest_attempt", newest), event.F("placed_on", strings.Join(placedOn, " ")))
-	to, id := l.address(), runID{running.Task, running.Attempt}
+	to, fence, id := l.address(), l.fence, runID{running.Task, running.Attempt}
 	d.background(func() {
 		if !d.cfg.Log.HoldsLease() {
 			return
 		}
 		// A failed stop is sent again after the next listing.
-		if _, err := d.sendStop(to, id); err != nil {
+		if _, err := d.sendStop(to, fence, id); err != nil {
 			event.TargetSilent.Emit(event.F("target", to.ID), event.F("step", "stop unplaced run"), event.Err(err))
 		}
 	})
--- a/test/standin/modelcalls.go
+++ b/test/standin/modelcalls.go
@@ -368,7 +368,7 @@
 	} else {
 		text += " for " + call.VM
 	}
-	return text + " by leader " + string(rune('0'+call.Fence%10))
+	return text + fmt.Sprintf(" by leader %d", driver.EpochOf(call.Fence))
 }
 
 func describeFate(fate ModelFate) string {
