An answered start counts as a whole lease

Cause: a start beside a renewed lease grants 300 ms on the clock that the leader knows. If the next incarnation takes it, that time lies far ahead of its clock, which began anew, and it grants the longest lease there is. The leader counted 300 ms, and the last renewal, which was the former incarnation's.

Fix: the leader counts a whole lease from the answer to every call that grants one. A busy target is renewed each 1.5 s, so that this adds at most that to the time after which its runs start elsewhere; the bound, a lease after the last answer, stays.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -314,8 +314,9 @@
 	}
 	switch {
 	case err == nil:
-		// It took effect before the answer.
-		l.lapseAt = later(l.lapseAt, d.cfg.Now().Add(boundOf(c.lease)))
+		// It took effect before the answer, but maybe on the next incarnation: its clock began anew, so
+		// that the end of any lease lies beyond the longest one.
+		l.lapseAt = later(l.lapseAt, d.cfg.Now().Add(d.leaseBound()))
 	case errors.Is(err, ErrNotSent):
 	case c.lease < d.cfg.Limits.LeaseTTL:
 		l.lateShort += lengthOf(c.lease)
