Late calls to a former incarnation count until the next one has listed its runs

A target that is cut off soon after it was restarted under its id kept its lasting tasks for 18.6 to 19.8 s, 9 s are allowed (LOST).

Cause: the next incarnation inherited the leases that late calls to the former one might still bring it, 15 s and a lease from the restart. It now refuses such calls, as it does those of a former leader.

Fix: they count like those, until the first listing: one may have taken effect just before it, so a lease from the listing on.

TestCutAfterRestart failed in 6 of 6 cases before and passes.

--- a/internal/driver/incarnations_test.go
+++ b/internal/driver/incarnations_test.go
@@ -87,3 +87,24 @@
 		})
 	}
 }
+
+// TestCutAfterRestart restarts a target under its id while calls to it are in progress, and cuts it off once it
+// runs a lasting task: late calls to the former incarnation, which the next one refuses, must not hold the task up.
+func TestCutAfterRestart(t *testing.T) {
+	for wait := time.Duration(0); wait < 1500*time.Millisecond; wait += 250 * time.Millisecond {
+		t.Run(fmt.Sprint(wait), func(t *testing.T) {
+			inModel(t, 1, func(t *testing.T, r *modelRig) {
+				r.awaitRun(t, r.submitOne("i", longWork))
+				r.fleet.Restart("vm0", 600*time.Millisecond, true)
+				time.Sleep(time.Second)
+				task, vm := r.submitLasting(t, "j")
+				time.Sleep(time.Second + wait)
+				r.cutOff(vm)
+				r.addVM("vm1")
+				if took, ok := r.awaitRunElsewhere(task, vm, time.Minute); !ok || took > maxLastingAway {
+					t.Errorf("runs elsewhere after %s, %s are allowed", took, maxLastingAway)
+				}
+			})
+		})
+	}
+}
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -64,8 +64,9 @@
 	lateShort                time.Duration
 	// waitReported is the reason that reportWait logged last.
 	waitReported lapseReason
-	// formerLapseAt is when leases of the former leader's late calls have certainly lapsed; they
-	// are refused once the target has listed its runs for this leader.
+	// formerLapseAt is when leases of late calls of the former leader, and of calls to a former
+	// incarnation, have certainly lapsed; they are refused once the target has listed its runs
+	// over this link.
 	formerLapseAt time.Time
 	// grantOpen is set while the committed record allows whole leases, suspended while it allows none.
 	grantOpen, suspended bool
@@ -267,7 +268,7 @@
 const (
 	lapseOfLease      lapseReason = "lease"
 	lapseOfLateCall   lapseReason = "late call"
-	lapseOfFormerCall lapseReason = "late call of a former leader"
+	lapseOfFormerCall lapseReason = "late call of a former leader or to a former incarnation"
 )
 
 // or returns the later of two times of a lapse.
@@ -532,7 +533,7 @@
 		return open.late
 	}
 	if !l.everListed {
-		// Late calls of a former leader are refused from now on, but one may have taken effect before.
+		// Late calls with lower fences are refused from now on, but one may have taken effect before.
 		l.lapseAt = later(l.lapseAt, earlier(l.formerLapseAt, d.cfg.Now().Add(d.leaseBound())))
 	}
 	l.listing, l.listedAt, l.answeredAt, l.everListed = listing, asked, d.cfg.Now(), true
@@ -648,7 +649,7 @@
 	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
-	l.lapseAt = d.inheritedLapse(old)
+	l.formerLapseAt = d.inheritedLapse(old)
 	l.lastAnnounced = d.cfg.Now()
 	for r := range d.runs.on(target.Id) {
 		if r.born != target.BornUnixMs {
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -42,7 +42,7 @@
 	switch {
 	case l == nil:
 		l = d.addLink(target)
-		l.lapseAt = d.formerLapse[target.Id]
+		l.formerLapseAt = d.formerLapse[target.Id]
 		event.TargetFound.Emit(event.F("target", target.Id), event.F("pool", target.Pool), event.F("zone", target.Zone), event.F("vm", target.Vm))
 		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
@@ -59,7 +59,7 @@
 		former := l
 		d.dropLink(former)
 		l = d.addLink(target)
-		l.lapseAt = d.inheritedLapse(former)
+		l.formerLapseAt = d.inheritedLapse(former)
 		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
 	}
