--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -44,6 +44,8 @@
 // mutex.
 type link struct {
 	target *pb.Target
+	// fence is the number that calls over the link carry.
+	fence  uint64
 	wake   chan struct{}
 	cancel context.CancelFunc
 
@@ -62,8 +64,9 @@
 	lateShort                time.Duration
 	// waitReported is the reason that reportWait logged last.
 	waitReported lapseReason
-	// formerLapseAt is when leases of the former leader's late calls have certainly lapsed; they
-	// are refused once the target has listed its runs for this leader.
+	// formerLapseAt is when leases of late calls of the former leader, and of calls to a former
+	// incarnation, have certainly lapsed; they are refused once the target has listed its runs
+	// over this link.
 	formerLapseAt time.Time
 	// grantOpen is set while the committed record allows whole leases, suspended while it allows none.
 	grantOpen, suspended bool
@@ -146,7 +149,7 @@
 // addLink starts to track a target and to list its runs.
 func (d *Driver) addLink(target *pb.Target) *link {
 	ctx, cancel := context.WithCancel(d.ctx)
-	l := &link{target: target, wake: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving,
+	l := &link{target: target, fence: d.nextFence(), wake: make(chan struct{}, 1), cancel: cancel, lastAnnounced: d.cfg.Now(), leaving: target.Leaving,
 		phase: phaseOf(target.Id), resends: silence.Budget{Rate: targetResendRate, Burst: targetResendBurst}}
 	d.links[target.Id] = l
 	d.background(func() { d.listRuns(ctx, l) })
@@ -265,7 +268,7 @@
 const (
 	lapseOfLease      lapseReason = "lease"
 	lapseOfLateCall   lapseReason = "late call"
-	lapseOfFormerCall lapseReason = "late call of a former leader"
+	lapseOfFormerCall lapseReason = "late call of a former leader or to a former incarnation"
 )
 
 // or returns the later of two times of a lapse.
@@ -312,8 +315,9 @@
 	}
 	switch {
 	case err == nil:
-		// It took effect before the answer.
-		l.lapseAt = later(l.lapseAt, d.cfg.Now().Add(boundOf(c.lease)))
+		// It took effect before the answer, but maybe on the next incarnation: its clock began anew, so
+		// that the end of any lease lies beyond the longest one.
+		l.lapseAt = later(l.lapseAt, d.cfg.Now().Add(d.leaseBound()))
 	case errors.Is(err, ErrNotSent):
 	case c.lease < d.cfg.Limits.LeaseTTL:
 		l.lateShort += lengthOf(c.lease)
@@ -408,10 +412,10 @@
 			return RenewCall{}, nil, grantWait - waited
 		}
 	}
-	call := RenewCall{Fence: d.cfg.Epoch, Wait: min(listingWait, d.cfg.Limits.LeaseTTL/listingsPerLease)}
+	call := RenewCall{Fence: l.fence, Wait: min(listingWait, d.cfg.Limits.LeaseTTL/listingsPerLease)}
 	if l.lastCommittedEnd > l.lastConfirmedEnd {
-		// Only once: the next incarnation numbers its ends anew, and must not forget them.
-		call.SeenEnd = l.lastCommittedEnd
+		// Only until it is confirmed: the next incarnation numbers its ends anew, and must not forget them.
+		call.SeenEnd, call.BornUnixMS = l.lastCommittedEnd, l.target.BornUnixMs
 	}
 	if d.waves.active {
 		call.Wait = min(waveListingWait, call.Wait)
@@ -529,11 +533,11 @@
 		return open.late
 	}
 	if !l.everListed {
-		// Late calls of a former leader are refused from now on, but one may have taken effect before.
+		// Late calls with lower fences are refused from now on, but one may have taken effect before.
 		l.lapseAt = later(l.lapseAt, earlier(l.formerLapseAt, d.cfg.Now().Add(d.leaseBound())))
 	}
 	l.listing, l.listedAt, l.answeredAt, l.everListed = listing, asked, d.cfg.Now(), true
-	l.lastConfirmedEnd = max(l.lastConfirmedEnd, call.SeenEnd)
+	l.lastConfirmedEnd = max(l.lastConfirmedEnd, listing.SeenEnd)
 	d.queueEnds(l, listing.Ended)
 	d.reconcileRuns(l)
 	d.wakeLoop()
@@ -645,7 +649,7 @@
 	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
-	l.lapseAt = d.inheritedLapse(old)
+	l.formerLapseAt = d.inheritedLapse(old)
 	l.lastAnnounced = d.cfg.Now()
 	for r := range d.runs.on(target.Id) {
 		if r.born != target.BornUnixMs {
