TestLeasesOfLateCallsAfterRemoval looks at the time that decides

It read lapseAt, which no longer sets for leases that late calls to a former incarnation may bring: they are in formerLapseAt until the first listing, and lapseOf, which decides when runs are lost, counts both. The test now asks lapseOf for the same bound, 15 s and a lease from the end of the former incarnation.

--- a/internal/driver/stale_test.go
+++ b/internal/driver/stale_test.go
@@ -220,7 +220,7 @@
 	defer d.mu.Unlock()
 	d.handleAnnouncement(&pb.Request{Sequence: 1, Target: &pb.Target{Id: "t0", BornUnixMs: 2, Pool: "p", Vm: "vm-t0", Zone: "a"}})
 	// As for a restart that is noticed while the former link exists.
-	is.True(!d.links["t0"].lapseAt.Before(ended.Add(lateCallBound + d.leaseBound())))
+	is.True(!d.lapseOf(d.links["t0"]).at.Before(ended.Add(lateCallBound + d.leaseBound())))
 }
 
 // A target restarts twice while a late start is on its way: the third incarnation is told too.
