--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -556,9 +556,9 @@
 
 // reportMisdirected logs a listing call that another incarnation answered than the one it was meant for.
 func (d *Driver) reportMisdirected(l *link, asked time.Time, call RenewCall, listing Listing) {
-	countMisdirected(call)
+	countMisdirected(call, listing)
 	event.CallMisdirected.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("answered_by", listing.BornUnixMS),
-		event.F("confirms", call.SeenEnd), event.F("lease_until_ms", call.LeaseUntilMS), event.F("clock_ms", listing.ClockMS), event.F("asked_ms_ago", ageMS(asked, d.cfg.Now())))
+		event.F("confirms", call.SeenEnd), event.F("confirmed", listing.SeenEnd), event.F("lease_until_ms", call.LeaseUntilMS), event.F("clock_ms", listing.ClockMS), event.F("asked_ms_ago", ageMS(asked, d.cfg.Now())))
 }
 
 // queueEnds queues the ends that were not read before for commit.
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -16,10 +16,10 @@
 }
 
 // countMisdirected counts a listing call that another incarnation answered than the one it was meant for.
-func countMisdirected(call RenewCall) {
+func countMisdirected(call RenewCall, listing Listing) {
 	carried := "nothing"
 	switch {
-	case call.SeenEnd > 0:
+	case listing.SeenEnd > 0:
 		carried = "confirmation"
 	case call.LeaseUntilMS > 0:
 		carried = "lease"
