A start without an answer counts for runs that no listing has shown

Cause: a target restarts under its id, unknown to the leader, and takes the first of two starts; the second one is carried out 5 s late. Though it grants 300 ms, it is for the former incarnation's clock and brings the longest lease, which also holds for the first run. The leader counted 300 ms on top of the first start's lease, and that start as settled for the next leader.

Fix: a run counts as begun on its incarnation once that has listed it. Any other run is lost only when a whole lease of every call without an answer has lapsed, and its start is settled for the next leader once it is listed.

TestLateShortStartAfterRestart failed in 15 of 15 cases before and passes.

--- a/internal/driver/leases.go
+++ b/internal/driver/leases.go
@@ -108,7 +108,8 @@
 		// The target refuses calls of a former leader once it has answered this one.
 		return l.everListed
 	}
-	return !r.unanswered || d.cfg.Now().Sub(r.startSentAt) > d.lateBound()
+	// Until it is listed, a start may have been answered by the next incarnation.
+	return r.listed && !r.unanswered || d.cfg.Now().Sub(r.startSentAt) > d.lateBound()
 }
 
 // settledIndex returns the log index up to which the starts of the runs on a target are settled.
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -730,6 +730,20 @@
 	return !r.phaseAnsweredAt.IsZero() && now.Sub(r.phaseAnsweredAt) > d.leaseBound()
 }
 
+// unansweredLapse returns when every lease has certainly lapsed that calls without an answer may bring to an
+// incarnation which has not listed its runs over the link. It grants whole leases also for short ones, whose
+// ends are times of another clock.
+func (d *Driver) unansweredLapse(l *link) time.Time {
+	if len(l.grants) == 0 && l.lateShortAt.IsZero() {
+		return time.Time{}
+	}
+	sentAt := l.lateShortAt
+	for c := range l.grants {
+		sentAt = later(sentAt, c.sentAt)
+	}
+	return sentAt.Add(d.lateBound() + d.leaseBound())
+}
+
 // checkLinks sends starts that wait behind a late answer, and ends the runs of targets whose
 // leases have certainly lapsed without an answer.
 func (d *Driver) checkLinks() {
@@ -752,8 +766,8 @@
 		}
 		lost, unanswered := 0, 0
 		for r := range d.runs.on(l.target.Id) {
-			began := r.born == l.target.BornUnixMs && (r.listed || !r.unanswered)
-			if r.phase != runEnded && (began || d.startLeaseLapsed(r, now)) {
+			listed := r.born == l.target.BornUnixMs && r.listed
+			if r.phase != runEnded && (listed || d.startLeaseLapsed(r, now) && !now.Before(d.unansweredLapse(l))) {
 				d.endRun(r, pb.EndKind_END_KIND_LOST, "the lease has lapsed without an answer")
 				lost++
 				if r.unanswered {
