Stand-in targets bear late listings and both readings of confirmations

Cause: StepFleet carried a delayed listing out only on the incarnation that it was sent to, since no leader could do anything about it, and a confirmed number had no effect on later ends.

Change: a delayed listing reaches the next incarnation once that has taken a call that was not late, with the ends that it confirms and the lease that it renews. ConfirmsLaterEnds makes a target forget later ends with confirmed numbers, OnDoneConfirmed tells when an end as done counts as confirmed. LoseConfirmations drops the answers to calls that confirm ends, WorkOf makes runs differ.

--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -29,9 +29,11 @@
 type StepTarget struct {
 	id, vm     string
 	bornUnixMS int64
-	// Work is how long a run takes, Room how many can run at once.
-	Work time.Duration
-	Room int
+	// Work is how long a run takes, Room how many can run at once. WorkOf, if set, returns how long
+	// a run of a task takes.
+	Work   time.Duration
+	WorkOf func(id workflow.TaskID) time.Duration
+	Room   int
 	// Ticket is the ticket that a start must carry; empty if none is needed.
 	Ticket string
 	// Silent makes calls hang until their context ends.
@@ -42,6 +44,8 @@
 	// that much later and also drops the answers.
 	LoseAnswers bool
 	CallDelay   time.Duration
+	// LoseConfirmations carries calls that confirm ends out but drops their answers.
+	LoseConfirmations bool
 	// LateShare is the share of calls that get no answer and are carried out LateBy later.
 	LateShare float64
 	LateBy    time.Duration
@@ -67,7 +71,10 @@
 	ends         []driver.Ended
 	nextEnd      uint64
 	startCount   int
-	forgotten    uint64
+	// seenEnd is the highest number that a call has confirmed.
+	seenEnd uint64
+	// called is set once the target has taken a call that was not late.
+	called bool
 	// lapsedEnds is the number of the last end that came before a lease expired.
 	lapsedEnds uint64
 }
@@ -85,6 +92,13 @@
 	// OnRun, if set, is called as each run begins, with an unspecified kind, and as it ends. It
 	// must not call the fleet. Set it before the first start.
 	OnRun func(id workflow.TaskID, attempt uint32, kind pb.EndKind)
+	// OnDoneConfirmed, if set, is called when an end as done counts as confirmed. It must not call
+	// the fleet. Set it before the first start.
+	OnDoneConfirmed func(id workflow.TaskID, attempt uint32)
+	// ConfirmsLaterEnds makes targets forget ends with confirmed numbers also if they come after the
+	// call that confirms them. They count as confirmed from when they come. Without it a call
+	// confirms the ends that are there. The protocol allows both. Set it before the first start.
+	ConfirmsLaterEnds bool
 
 	mu      sync.Mutex
 	targets map[string]*StepTarget
@@ -139,12 +153,20 @@
 			if time.Since(run.stoppedAt) >= t.StopGrace {
 				f.recordEnd(t, id, run.attempt, pb.EndKind_END_KIND_STOPPED)
 			}
-		case !f.Lasting[id.Job] && time.Since(run.begun) >= t.Work:
+		case !f.Lasting[id.Job] && time.Since(run.begun) >= t.workOf(id):
 			f.recordEnd(t, id, run.attempt, pb.EndKind_END_KIND_DONE)
 		}
 	}
 }
 
+// workOf returns how long a run of a task takes.
+func (t *StepTarget) workOf(id workflow.TaskID) time.Duration {
+	if t.WorkOf != nil {
+		return t.WorkOf(id)
+	}
+	return t.Work
+}
+
 func (f *StepFleet) recordEnd(t *StepTarget, id workflow.TaskID, attempt uint32, kind pb.EndKind) {
 	delete(t.running, id)
 	delete(f.runningOn[id], t.id)
@@ -154,6 +176,9 @@
 	if f.OnRun != nil {
 		f.OnRun(id, attempt, kind)
 	}
+	if f.ConfirmsLaterEnds {
+		f.confirmEnds(t, t.seenEnd)
+	}
 }
 
 // restartGapMS separates the start times of two incarnations.
@@ -197,11 +222,10 @@
 
 // exchange delivers a call with the network faults that the test has set for the target.
 //
-// A delayed start or stop reaches the incarnation that exists by then. A delayed listing
-// reaches only the incarnation that it was sent to: nothing in the call identifies the
-// incarnation, so a new one would lose the ends that the call confirms whatever the
-// leader does (an open question in docs/design/platform.md).
-func (f *StepFleet) exchange(ctx context.Context, to driver.Address, reachesNewIncarnation bool, handle func(*StepTarget) driver.Answer) (driver.Answer, error) {
+// A delayed call reaches the incarnation that exists by then; a delayed listing does so only once
+// that incarnation has taken a call that was not late. Fences protect it from then on. Before, it takes
+// whatever comes first, and no leader can keep a late listing from confirming ends there.
+func (f *StepFleet) exchange(ctx context.Context, to driver.Address, listing bool, handle func(*StepTarget) driver.Answer) (driver.Answer, error) {
 	f.mu.Lock()
 	t := f.targets[to.ID]
 	if t == nil || t.Replaced {
@@ -231,13 +255,14 @@
 			time.Sleep(delay)
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if current := f.targets[to.ID]; current == t || reachesNewIncarnation {
+			if current := f.targets[to.ID]; current == t || current.called || !listing {
 				handle(current)
 			}
 		}()
 		<-ctx.Done()
 		return driver.Answer{}, ctx.Err()
 	}
+	t.called = true
 	answer := handle(t)
 	f.mu.Unlock()
 	if lost {
@@ -262,7 +287,7 @@
 
 // Start starts a run, or refuses it.
 func (f *StepFleet) Start(ctx context.Context, to driver.Address, call driver.StartCall) (driver.Answer, error) {
-	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
+	return f.exchange(ctx, to, false, func(t *StepTarget) driver.Answer {
 		f.endDueRuns(t)
 		if !t.checkFence(call.Fence) {
 			return t.answer(driver.RefusedStaleFence)
@@ -321,7 +346,7 @@
 		case <-time.After(delay):
 		}
 	}
-	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
+	return f.exchange(ctx, to, false, func(t *StepTarget) driver.Answer {
 		f.endDueRuns(t)
 		if !t.checkFence(call.Fence) {
 			return t.answer(driver.RefusedStaleFence)
@@ -338,7 +363,7 @@
 
 // Pace sets the pace of a run.
 func (f *StepFleet) Pace(ctx context.Context, to driver.Address, call driver.PaceCall) (driver.Answer, error) {
-	return f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
+	return f.exchange(ctx, to, false, func(t *StepTarget) driver.Answer {
 		if !t.checkFence(call.Fence) {
 			return t.answer(driver.RefusedStaleFence)
 		}
@@ -367,7 +392,7 @@
 	if f.Lasting[id.Job] {
 		return 100
 	}
-	return 100 * float64(time.Since(t.running[id].begun)) / float64(t.Work)
+	return 100 * float64(time.Since(t.running[id].begun)) / float64(t.workOf(id))
 }
 
 // Renew renews the lease and lists the runs.
@@ -377,16 +402,17 @@
 		return driver.Listing{}, ctx.Err()
 	}
 	var listing driver.Listing
-	// A call reaches one incarnation only. If that ends during the call, no answer comes.
+	// The incarnation that holds the call. If it ends meanwhile, no answer comes.
 	var incarnation *StepTarget
+	lost := false
 	for deadline := time.Now().Add(min(call.Wait, 100*time.Millisecond)); ; time.Sleep(5 * time.Millisecond) {
 		if incarnation != nil && f.incarnation(to.ID) != incarnation {
 			<-ctx.Done()
 			return driver.Listing{}, ctx.Err()
 		}
-		answer, err := f.exchange(ctx, to, false, func(t *StepTarget) driver.Answer {
+		answer, err := f.exchange(ctx, to, true, func(t *StepTarget) driver.Answer {
 			first := incarnation == nil
-			incarnation = t
+			incarnation, lost = t, t.LoseConfirmations && call.SeenEnd > 0
 			f.endDueRuns(t)
 			if !t.checkFence(call.Fence) {
 				return t.answer(driver.RefusedStaleFence)
@@ -395,7 +421,7 @@
 				t.leaseUntilMS = max(t.leaseUntilMS, min(call.LeaseUntilMS, t.clock()+f.LeaseTTL.Milliseconds()))
 			}
 			if first {
-				f.forgetSeenEnds(t, call.SeenEnd)
+				f.confirmEnds(t, call.SeenEnd)
 			}
 			listing = driver.Listing{BornUnixMS: t.bornUnixMS, SeenEnd: call.SeenEnd, Ended: slices.Clone(t.ends)}
 			for id, run := range t.running {
@@ -407,6 +433,10 @@
 			// A delayed call fills the listing later, when it is carried out.
 			return driver.Listing{}, err
 		}
+		if lost {
+			<-ctx.Done()
+			return driver.Listing{}, ctx.Err()
+		}
 		listing.Answer = answer
 		if answer.Refusal != driver.Accepted || len(listing.Ended) > 0 || time.Now().After(deadline) {
 			return listing, nil
@@ -428,9 +458,14 @@
 	time.AfterFunc(t.LateRenewalBy, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.endDueRuns(t)
-		if t.checkFence(call.Fence) {
-			t.leaseUntilMS = max(t.leaseUntilMS, t.clock()+f.LeaseTTL.Milliseconds())
+		current := f.targets[id]
+		if current != t && !current.called {
+			return
+		}
+		f.endDueRuns(current)
+		if current.checkFence(call.Fence) {
+			current.leaseUntilMS = max(current.leaseUntilMS, current.clock()+f.LeaseTTL.Milliseconds())
+			f.confirmEnds(current, call.SeenEnd)
 		}
 	})
 	t.LateRenewalBy, t.Silent = 0, true
@@ -452,17 +487,22 @@
 	return f.targets[id]
 }
 
-// forgetSeenEnds removes the ends that the leader has confirmed.
-func (f *StepFleet) forgetSeenEnds(t *StepTarget, seen uint64) {
+// confirmEnds forgets the ends up to a number.
+func (f *StepFleet) confirmEnds(t *StepTarget, seen uint64) {
+	t.seenEnd = max(t.seenEnd, seen)
 	for len(t.ends) > 0 && t.ends[0].Number <= seen {
-		if t.ends[0].Kind == pb.EndKind_END_KIND_DONE && t.ends[0].Number > t.lapsedEnds {
-			if _, known := f.doneSeenAt[t.ends[0].Task]; !known {
-				f.doneSeenAt[t.ends[0].Task] = time.Now()
-			}
-		}
+		end := t.ends[0]
 		t.ends = t.ends[1:]
+		if end.Kind != pb.EndKind_END_KIND_DONE || end.Number <= t.lapsedEnds {
+			continue
+		}
+		if _, known := f.doneSeenAt[end.Task]; !known {
+			f.doneSeenAt[end.Task] = time.Now()
+		}
+		if f.OnDoneConfirmed != nil {
+			f.OnDoneConfirmed(end.Task, end.Attempt)
+		}
 	}
-	t.forgotten = max(t.forgotten, seen)
 }
 
 // Change changes a target under the fleet's lock.
