A drain does not count the closed gate of a former incarnation

A request on a target that was restarted during its drain could be cut off by the reboot: the VM counted as drained although the target's gate had closed only just before.

Cause: the leader kept since when a target has its gate closed by VM and drain. If the target was restarted, registered and echoed the drain between two of the leader's steps (a stall of half a second and more), the time of the former incarnation counted for the next one, to which an entry VM without a live session may have dispatched on its first announcements.

Fix: that time belongs to an incarnation. It begins anew with the next one, which costs such a drain at most 4 s.

TestDrainOfRestartedTarget failed before (drained within 3 s of the restart, 4 s are required) and passes.

--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -30,10 +30,11 @@
 	maxAbortedDrains = 2
 )
 
-// closedGate is since when all reports agree that the gate of a drain is
-// closed.
+// closedGate is since when all reports agree that one incarnation of a target
+// has closed its gate for a drain.
 type closedGate struct {
 	drainRevision uint64
+	incarnation   string
 	since         time.Time
 }
 
@@ -93,8 +94,8 @@
 	}
 	now := m.cfg.Now()
 	closed, ok := m.fleet.closedGates[vm.Name]
-	if !ok || closed.drainRevision != vm.DrainRevision {
-		closed = closedGate{drainRevision: vm.DrainRevision, since: now}
+	if !ok || closed.drainRevision != vm.DrainRevision || closed.incarnation != vm.Incarnation {
+		closed = closedGate{drainRevision: vm.DrainRevision, incarnation: vm.Incarnation, since: now}
 		m.fleet.closedGates[vm.Name] = closed
 	}
 	if now.Sub(closed.since) < gateSettleTime {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -292,6 +292,25 @@
 	r.runUntil("drained", 5*time.Second, r.inPhase("vm1", statepb.VMPhase_VM_PHASE_DRAINED))
 }
 
+// TestDrainOfRestartedTarget checks that a drain does not count the time for which the former
+// incarnation of its target had its gate closed: entry VMs may have dispatched to the next one on
+// its first announcements, before it echoed the drain. The leader makes no step between them.
+func TestDrainOfRestartedTarget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a")
+	r.addPool("p", false, 1)
+	f := r.addVM("vm1", "p", "a")
+	r.addVM("vm2", "p", "a")
+	r.run(time.Second)
+	r.startDrain("vm1")
+	r.run(gateSettleTime - time.Second)
+	is.Equal(r.phase("vm1"), statepb.VMPhase_VM_PHASE_DRAINING)
+	r.reboot(f)
+	r.run(gateSettleTime - time.Second)
+	is.Equal(r.phase("vm1"), statepb.VMPhase_VM_PHASE_DRAINING) // the gate of this incarnation closed 3 s ago
+	r.runUntil("drained", 3*time.Second, r.inPhase("vm1", statepb.VMPhase_VM_PHASE_DRAINED))
+}
+
 // TestDrainStopsJobs checks that a running job is asked to checkpoint and stop,
 // and that the drain completes only once its attempt has ended.
 func TestDrainStopsJobs(t *testing.T) {
