A late announcement of an unknown incarnation does not retire the living one

An entry VM that has never heard of a target's former incarnation, or has forgotten it after 60 s of silence, gets a late announcement of it after one of the living incarnation. It takes the former for the newer one, ignores the living one until the registry forgets the VM, and dispatches nothing to it.

Cause: names of incarnations have no order, and the registry took the one that came last for the newest, for good.

Fix: of a replaced incarnation the sequence number of its last announcement is kept. If it goes on announcing itself while the one that replaced it has been silent for MaxAnnouncementAge, the two change places. Until then dispatches name the wrong incarnation, and the target refuses them without running them. A late announcement beside a silent target may change them back, for MaxAnnouncementAge.

--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -42,7 +42,14 @@
 
 	health health
 	// retired holds earlier incarnations, which newer ones replaced.
-	retired []string
+	retired []retiredIncarnation
+}
+
+// retiredIncarnation is an incarnation that another one has replaced.
+type retiredIncarnation struct {
+	incarnation string
+	// sequence is that of its last announcement before.
+	sequence uint64
 }
 
 // Registry holds the announced targets of this zone.
@@ -90,13 +97,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.targets[a.VM]
-	if known != nil && slices.Contains(known.retired, a.Incarnation) {
+	if known != nil && known.replaced(a, r.now()) {
 		event.StaleIncarnation.Emit(event.F("vm", a.VM), event.F("incarnation", a.Incarnation))
 		return
 	}
 	if known == nil || known.Announcement.Incarnation != a.Incarnation {
 		event.TargetSeen.Emit(event.F("vm", a.VM), event.F("incarnation", a.Incarnation))
-		known = nextIncarnation(known)
+		known = nextIncarnation(known, a.Incarnation)
 		r.targets[a.VM] = known
 	} else if a.Sequence <= known.Announcement.Sequence {
 		return
@@ -109,13 +116,25 @@
 	r.notifyChanged()
 }
 
-// nextIncarnation returns the entry of a new incarnation. Slots that were taken
+// replaced reports whether an announcement is of an incarnation that another one has
+// replaced. Names of incarnations have no order: if the replaced one goes on announcing
+// itself and the other is silent, that one's announcement was the delayed one.
+func (t *Target) replaced(a Announcement, now time.Time) bool {
+	i := slices.IndexFunc(t.retired, func(r retiredIncarnation) bool { return r.incarnation == a.Incarnation })
+	if i < 0 {
+		return false
+	}
+	return a.Sequence <= t.retired[i].sequence || now.Sub(t.Seen) <= MaxAnnouncementAge
+}
+
+// nextIncarnation returns the entry of another incarnation. Slots that were taken
 // from the earlier entry still belong to that entry.
-func nextIncarnation(earlier *Target) *Target {
+func nextIncarnation(earlier *Target, incarnation string) *Target {
 	if earlier == nil {
 		return &Target{}
 	}
-	retired := append(slices.Clone(earlier.retired), earlier.Announcement.Incarnation)
+	retired := slices.DeleteFunc(slices.Clone(earlier.retired), func(r retiredIncarnation) bool { return r.incarnation == incarnation })
+	retired = append(retired, retiredIncarnation{earlier.Announcement.Incarnation, earlier.Announcement.Sequence})
 	if len(retired) > maxRetired {
 		retired = retired[len(retired)-maxRetired:]
 	}
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -100,6 +100,27 @@
 	is.Equal(f.registry.FreeSlots("p"), 3)
 }
 
+// TestLateAnnouncementOfUnknownIncarnation checks that a late announcement of an incarnation that
+// this daemon has never heard of, as after its own restart, does not keep the living one from
+// being used until the registry forgets the VM.
+func TestLateAnnouncementOfUnknownIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "p")
+	living := announcement("vm-1", 1)
+	living.Incarnation, living.Address = "i2", "http://127.0.0.1:2"
+	f.register(living)
+	f.announce(announcement("vm-1", 8)) // of i1, which ended before i2 was started
+	for end := f.now.Add(MaxAnnouncementAge + 2*AnnounceInterval); f.now.Before(end); f.now = f.now.Add(AnnounceInterval) {
+		living.Sequence++
+		f.announce(living)
+	}
+	slot := f.take()
+	is.True(slot != nil)
+	is.Equal(slot.Announcement, living.Token())
+	f.announce(announcement("vm-1", 9)) // another late one
+	is.Equal(f.take().Announcement, living.Token())
+}
+
 func TestUnregisteredOrDrainingTarget(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, "p", "other")
