A target whose clock was set back is known after a restart under its id

After a restart under the same id on a VM whose time of day was set back, the target's lasting task never ran again (5 minutes in the model), and an idle target never took a task again.

Cause: an incarnation with an earlier start than the known one counted as a former one, in announcements and in listings. The leader went on calling the target, renewed the leases of runs that had ended with the former incarnation, and each answered call prolonged the time for which they counted as running.

Fix: a listing that answers a call over a link was made by the incarnation that is up, since the link's incarnation was known before the call. If it states an earlier start, the link's incarnation has ended, as with a later one: runs that it had listed are lost, others are stopped first, and calls carry a higher fence. Announcements with an earlier start still change nothing, as they may be late; while the known incarnation is silent they make the leader call the target.

TestRestartWithEarlierClock (2 of 2 cases) and TestIdleRestartWithEarlierClock failed before and pass. TestModel, TestModelElections and TestModelLateGrants pass with 400 histories each. The model's VMs have a time of day that can be set back.

--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -91,6 +91,11 @@
 	// unannounced incarnations were found by a listing. They are not registered and get no
 	// starts until they announce themselves, since they may be of another kind.
 	unannounced bool
+	// contradictedAt is when an incarnation with an earlier start last announced itself while this one was silent: a
+	// call tells which of them is up.
+	contradictedAt time.Time
+	// clockSetBack incarnations state an earlier start than some former one, which has ended.
+	clockSetBack bool
 	// deregisteredAt is when the target said that it ends, closedAt when its host closed the
 	// connection of a listing call; zero if it has answered since.
 	deregisteredAt, closedAt time.Time
@@ -471,7 +476,7 @@
 // never listed its runs, or its last call failed and it gets no starts until it answers. So
 // must one that may have ended.
 func (d *Driver) needsCall(l *link) bool {
-	if l.mayHaveEnded(d.cfg.Now()) {
+	if l.mayHaveEnded(d.cfg.Now()) || d.cfg.Now().Sub(l.contradictedAt) <= 2*d.cfg.Limits.AnnounceInterval {
 		return true
 	}
 	announced := d.cfg.Now().Sub(l.lastAnnounced) <= 2*d.cfg.Limits.AnnounceInterval
@@ -628,14 +633,13 @@
 	return !l.leaving && !l.unannounced && !l.suspended && !l.mayHaveEnded(now) && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero()
 }
 
-// noteRestart handles a new incarnation under the same id before it has announced itself.
+// noteRestart handles a new incarnation under the same id before it has announced itself. It has answered a call that
+// was made after the link's incarnation was known: if it states an earlier start, its clock was set back.
 func (d *Driver) noteRestart(l *link, born int64) {
-	if born < l.target.BornUnixMs {
-		return
-	}
 	target := proto.CloneOf(l.target)
 	target.BornUnixMs, target.Leaving = born, false
-	d.beginIncarnation(l, target).unannounced = true
+	next := d.beginIncarnation(l, target)
+	next.unannounced, next.clockSetBack = true, next.clockSetBack || born < l.target.BornUnixMs
 }
 
 // beginIncarnation replaces the link by that of a new incarnation. Runs of the former one
@@ -649,7 +653,7 @@
 	d.noteEnded(old)
 	d.dropLink(old)
 	l := d.addLink(target)
-	l.formerLapseAt = d.inheritedLapse(old)
+	l.formerLapseAt, l.clockSetBack = d.inheritedLapse(old), old.clockSetBack
 	l.lastAnnounced = d.cfg.Now()
 	for r := range d.runs.on(target.Id) {
 		if r.born != target.BornUnixMs {
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -19,7 +19,15 @@
 	target := r.Target
 	d.mu.Lock()
 	commit := d.handleAnnouncement(r)
+	former := d.formerWithLaterStart(target)
 	d.mu.Unlock()
+	if commit && former != nil {
+		// Refused while runs are placed there; the next announcement tries again.
+		_, err := d.commitWithContext(ctx, &pb.Command{Body: &pb.Command_RemoveTargets{RemoveTargets: &pb.RemoveTargets{Targets: []*pb.Target{former}}}})
+		if err != nil {
+			return notReady("remove former target: " + err.Error())
+		}
+	}
 	if commit {
 		_, err := d.commitWithContext(ctx, &pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{target}}}})
 		if err != nil {
@@ -48,6 +56,11 @@
 		d.noteVMBack(target)
 		d.refuseLateStarts(l)
 	case target.BornUnixMs < l.target.BornUnixMs:
+		// A late announcement, unless the target's clock was set back.
+		if d.missedAnnouncements(l) {
+			l.contradictedAt = d.cfg.Now()
+			l.requestListing()
+		}
 		return false
 	case target.BornUnixMs > l.target.BornUnixMs:
 		l = d.beginIncarnation(l, target)
@@ -59,7 +72,7 @@
 		former := l
 		d.dropLink(former)
 		l = d.addLink(target)
-		l.formerLapseAt = d.inheritedLapse(former)
+		l.formerLapseAt, l.clockSetBack = d.inheritedLapse(former), former.clockSetBack
 		d.endIncarnationsOn(target.Vm, bornBefore(target.BornUnixMs), "its VM runs another target")
 		d.noteVMBack(target)
 	}
@@ -104,6 +117,21 @@
 		event.F("ended_ms_ago", ageMS(ended.at, d.cfg.Now())), event.F("leaving", target.Leaving), event.F("sequence", sequence), event.F("last_sequence", ended.sequence))
 }
 
+// formerWithLaterStart returns the registered incarnation of a target if it has ended although it states a later
+// start than the announced one, or nil. It must be removed first: a later start replaces an earlier one.
+func (d *Driver) formerWithLaterStart(target *pb.Target) (former *pb.Target) {
+	l := d.links[target.Id]
+	if l == nil || !l.clockSetBack || l.target.BornUnixMs != target.BornUnixMs {
+		return nil
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if known := v.Target(target.Id); known != nil && known.BornUnixMs > target.BornUnixMs {
+			former = known
+		}
+	})
+	return former
+}
+
 // targetChanged reports whether the committed target differs from the announced one.
 func (d *Driver) targetChanged(target *pb.Target) bool {
 	changed := false
--- a/test/standin/modelfleet.go
+++ b/test/standin/modelfleet.go
@@ -159,6 +159,8 @@
 	withdrawn bool
 	// fault is what happens to runs that start on the VM.
 	fault ModelRunFault
+	// clockBack is by how much the time of day of the VM is behind.
+	clockBack time.Duration
 }
 
 // ModelRunFault is a fault of a VM that its runs show.
@@ -295,6 +297,13 @@
 	f.vms[vm].labels = labels
 }
 
+// SetClockBack sets the time of day of a VM back, by which its next targets state their start.
+func (f *ModelFleet) SetClockBack(vm string, by time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[vm].clockBack = by
+}
+
 // RemoveVM ends the target on a VM and takes the VM from the platform.
 func (f *ModelFleet) RemoveVM(name string) {
 	f.mu.Lock()
@@ -360,7 +369,7 @@
 		return
 	}
 	vm.target = &ModelTarget{
-		id: id, vm: vm.name, bornUnixMS: now.UnixMilli(), bornAt: now, up: true, clockRate: clockRate,
+		id: id, vm: vm.name, bornUnixMS: now.Add(-vm.clockBack).UnixMilli(), bornAt: now, up: true, clockRate: clockRate,
 		running: make(map[modelRunID]*modelRun), blockedUpTo: make(map[workflow.TaskID]uint32),
 	}
 	f.note(vm.target, workflow.TaskID{}, "is born")
