A reboot waits for the gate of the incarnation that is up

A request on a target that was restarted after its drain, and before the reboot for which it was drained, was cut off by that reboot.

Cause: a drained VM stays drained when a new incarnation of its target registers. The reboot may wait for long, for complete reports of the zone or for the budget, and then looked at nothing of the target. An entry VM that was silent meanwhile, for which the VM still counts as active, may have dispatched to the next incarnation on its first announcements.

Fix: before the reboot the leader checks again what the drain had waited for, of the registered incarnation.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -311,6 +311,33 @@
 	r.runUntil("drained", 3*time.Second, r.inPhase("vm1", statepb.VMPhase_VM_PHASE_DRAINED))
 }
 
+// TestNoRebootOfRestartedTarget checks that the drain of a former incarnation does not allow a reboot:
+// an entry VM that was silent meanwhile has dispatched to the next one.
+func TestNoRebootOfRestartedTarget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a")
+	r.addPool("p", false, 1)
+	f := r.addVM("vm1", "p", "a")
+	r.addVM("vm2", "p", "a")
+	r.run(time.Second)
+	silent := r.entries[1].Id
+	r.declareWave("w", "vm1")
+	r.runUntil("draining", 5*time.Second, r.inPhase("vm1", statepb.VMPhase_VM_PHASE_DRAINING))
+	r.silent[silent] = true
+	r.runUntil("drained", 20*time.Second, r.inPhase("vm1", statepb.VMPhase_VM_PHASE_DRAINED))
+	f.inFlight = 1
+	r.reboot(f)
+	r.silent[silent] = false
+	r.sessions[silent] += "/2"
+	r.apply(&statepb.Command{Body: &statepb.Command_OpenSession{OpenSession: &statepb.OpenSession{
+		Session: &statepb.Session{Id: r.sessions[silent], Member: silent, Zone: "a"},
+	}}})
+	r.run(5 * time.Second)
+	is.Equal(r.platform.starts("vm1"), 0) // a request is in flight
+	f.inFlight = 0
+	r.runUntil("rebooted", 20*time.Second, func() bool { return r.platform.starts("vm1") == 1 })
+}
+
 // TestDrainStopsJobs checks that a running job is asked to checkpoint and stop,
 // and that the drain completes only once its attempt has ended.
 func TestDrainStopsJobs(t *testing.T) {
--- a/internal/control/waves.go
+++ b/internal/control/waves.go
@@ -221,6 +221,11 @@
 		m.reasons.Record("vm", vm.Name, "reboot waits: reports of availability zone %s are incomplete: %s", vm.Zone, reason)
 		return nil
 	}
+	// The target may have been restarted since the drain: its next incarnation has to close its gate, too.
+	if reason := m.drainBlocker(v, vm); reason != "" {
+		m.reasons.Record("vm", vm.Name, "reboot waits: %s", reason)
+		return nil
+	}
 	ok, err := m.advanceVM(ctx, &statepb.AdvanceVM{
 		Vm: vm.Name, BaseRevision: vm.Revision, Phase: statepb.VMPhase_VM_PHASE_REBOOTING, Reason: "wave " + id,
 	})
