Targets that keep no connection open get confirmations, too

What callers would see: with a target, or a proxy before it, that closes the connection after each answer, ends are listed for good, and from 500 on the leader no longer learns which runs are over.

--- a/internal/driver/target.go
+++ b/internal/driver/target.go
@@ -138,7 +138,8 @@
 //
 // A target that was restarted under its id numbers its ends anew and answers calls that were meant for
 // its former incarnation. So Renew confirms ends only over a connection on which that incarnation has listed its
-// runs before; over any other the call lists the runs and confirms nothing.
+// runs before; over any other the call lists the runs and confirms nothing. A target that keeps no connection open is
+// the exception: after several answers of the incarnation, a call follows that confirms.
 type TargetClient interface {
 	Start(ctx context.Context, to Address, call StartCall) (Answer, error)
 	Stop(ctx context.Context, to Address, call StopCall) (Answer, error)
