--- a/internal/driver/model_test.go
+++ b/internal/driver/model_test.go
@@ -108,7 +108,7 @@
 	}
 	// If confirmed numbers cover later ends, a confirmation that the next incarnation takes before any other call
 	// costs it ends, whatever the leader does then: TestLateConfirmationBeforeFirstCall.
-	// By the seed: another draw would change all recorded histories.
+	// The seed decides, since another draw would change all recorded histories.
 	p.Behaviour.ConfirmsLaterEnds = p.Seed%2 == 1
 	p.Behaviour.RenewBeforeFirstCall = !p.Behaviour.ConfirmsLaterEnds
 	for i := range rapid.IntRange(2, 4).Draw(t, "vms") {
--- a/test/standin/modelfleet.go
+++ b/test/standin/modelfleet.go
@@ -24,8 +24,9 @@
 	VMMove, VMMaintenance time.Duration
 }
 
-// ModelBehaviour turns on behaviour that the protocol allows and from which no leader that
-// starts work at once can protect itself. Each is off by default.
+// ModelBehaviour turns on behaviour that the protocol allows. From a start or, with
+// ConfirmsLaterEnds, a listing call that is the first to take effect on a new incarnation, no leader
+// that starts work at once can protect itself. Each is off by default.
 type ModelBehaviour struct {
 	// StartBeforeFirstCall lets a start that was sent to a former incarnation of a target take
 	// effect on a new one before any call that was sent after the birth of the new one. While
