Replica: candidates that collide or ask too early campaign again soon

A pre-vote that was asked a tick before the other voters' election timeout, and votes that two candidates had split, waited for another election timeout of 0.5 to 1 s. A new leader sent its first heartbeat after 150 ms and held no lease before.

Of two pre-candidates with equal logs the lower ID goes on. A voter that grants a pre-vote defers its own campaign. A campaign without success is repeated after 2 to 3 ticks, and the pause doubles up to an election timeout; it ends with the first message of a leader, so that the lease rule holds. A new leader sends a heartbeat round with its first entry, and the daemon looks for the lease every 2 ms.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -79,7 +79,9 @@
 	electionElapsed      int
 	electionTimeoutTicks int
 	heartbeatElapsed     int
-	round                uint64
+	// campaigns counts the requests for pre-votes since a leader was last known.
+	campaigns int
+	round     uint64
 
 	messages         []*wirepb.ReplicaMessage
 	receivedSnapshot *wirepb.ReplicaSnapshot
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -22,6 +22,25 @@
 	c.electionTimeoutTicks = c.cfg.ElectionTicks + c.cfg.Rand.Intn(c.cfg.ElectionTicks)
 }
 
+// campaignRetryTicks is the shortest pause between two campaigns of a member that has lost its
+// leader. Two ticks leave time for the round trips of a campaign without syncs of the disk.
+const campaignRetryTicks = 2
+
+// campaignPause returns the pause before the next campaign. It doubles with each campaign up to an
+// election timeout, so that voters with slow disks or links have time to answer.
+func (c *Core) campaignPause() int {
+	shortest := campaignRetryTicks
+	for range c.campaigns {
+		shortest = min(2*shortest, c.cfg.ElectionTicks)
+	}
+	return shortest + c.cfg.Rand.Intn(shortest)
+}
+
+// deferCampaign leaves time for the campaign of another member. It never brings a campaign forward.
+func (c *Core) deferCampaign() {
+	c.electionTimeoutTicks = max(c.electionTimeoutTicks, c.electionElapsed+c.campaignPause())
+}
+
 func (c *Core) becomeFollower(term uint64, lead string) {
 	if term > c.term {
 		c.term = term
@@ -39,13 +58,14 @@
 	c.leaderID = c.cfg.ID
 	c.votes = nil
 	c.progressByID = make(map[string]*progress)
-	c.round++
-	c.heartbeatElapsed = 0
+	c.campaigns = 0
 	c.electionElapsed = 0
 	c.updatePeers()
 	c.formerTerm = c.log.lastTerm()
 	c.appendAsLeader(&wirepb.Entry{Kind: wirepb.EntryKind_ENTRY_KIND_EMPTY})
 	c.broadcastAppend()
+	// The lease begins with the first round that a quorum answers.
+	c.Heartbeat()
 }
 
 // checkQuorum steps down when no quorum answered within one election timeout,
@@ -96,10 +116,14 @@
 	return values[c.quorum()-1]
 }
 
+// startPreVote asks for pre-votes. Voters that have heard from the leader a little later do not
+// answer: it asks again soon.
 func (c *Core) startPreVote() {
 	c.role = preCandidate
 	c.leaderID = ""
-	c.resetElectionTimer()
+	c.electionElapsed = 0
+	c.electionTimeoutTicks = c.campaignPause()
+	c.campaigns++
 	c.votes = map[string]bool{c.cfg.ID: true}
 	if c.countVotes() >= c.quorum() {
 		c.startVote(false)
@@ -162,6 +186,12 @@
 	}
 	mayVote := preVote && m.Term > c.term || m.Term == c.term && (c.vote == m.From || c.vote == "" && c.leaderID == "")
 	granted := mayVote && c.log.upToDate(m.Index, m.LogTerm)
+	if granted && preVote && c.role == preCandidate {
+		granted = c.yieldsTo(m)
+	}
+	if granted && preVote {
+		c.deferCampaign()
+	}
 	if granted && !preVote {
 		c.vote = m.From
 		c.resetElectionTimer()
@@ -173,6 +203,19 @@
 	c.send(&wirepb.ReplicaMessage{Type: answer, To: m.From, Term: term, Reject: !granted})
 }
 
+// yieldsTo decides between this pre-candidate and another one whose log is at least as up-to-date:
+// if both went on, they would split the votes. Of equal logs, the lower ID goes on. It returns
+// whether the other one does; this member's campaign is then over.
+func (c *Core) yieldsTo(m *wirepb.ReplicaMessage) bool {
+	sameLog := m.LogTerm == c.log.lastTerm() && m.Index == c.log.lastIndex()
+	if sameLog && m.From > c.cfg.ID {
+		return false
+	}
+	c.role = follower
+	c.votes = nil
+	return true
+}
+
 func (c *Core) handlePreVoteAnswer(m *wirepb.ReplicaMessage) {
 	if m.Reject && m.Term > c.term {
 		c.becomeFollower(m.Term, "")
@@ -192,6 +235,10 @@
 		return
 	}
 	c.votes[m.From] = !m.Reject
+	if m.Reject {
+		// The voter has voted for another candidate or knows a newer log: the vote may be split.
+		c.electionTimeoutTicks = min(c.electionTimeoutTicks, c.electionElapsed+c.campaignPause())
+	}
 	if c.countVotes() >= c.quorum() {
 		c.becomeLeader()
 	}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -26,6 +26,7 @@
 		c.becomeFollower(m.Term, m.From)
 	}
 	c.electionElapsed = 0
+	c.campaigns = 0
 }
 
 func (c *Core) handleAppend(m *wirepb.ReplicaMessage) {
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -371,7 +371,7 @@
 }
 
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
-const leasePollInterval = 10 * time.Millisecond
+const leasePollInterval = 2 * time.Millisecond
 
 func driverLimits(b config.PlatformBounds) driver.Limits {
 	return driver.Limits{
