Jobs beyond the rate of their workspace go after all others

Cause: the weight of a workspace is read nowhere on the way of a job of steps. Workspaces that send several times their usual number of jobs for some seconds make the jobs of all workspaces queue behind theirs.

Change: weight is a rate in jobs per second. The planner starts jobs beyond the rate on the room that the others leave, sheds them first, preempts nothing for them, and their need moves VMs only while no pool lacks room for its other jobs. Shown in event 7001, in explain, in the reason for which a task waits, and in driver_jobs_accepted. A weight of 0 states no rate.

--- a/internal/driver/copies.go
+++ b/internal/driver/copies.go
@@ -14,7 +14,7 @@
 // planCopies returns the copies (second, concurrent runs) that are worth starting for tasks
 // of a job, as a separate job that is planned after all waiting work.
 func (d *Driver) planCopies(v *workflow.View, job *workflow.Job, queue *pb.Queue, nowMS int64) assign.Job {
-	planned := assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs, Copy: true}
+	planned := assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs, BeyondRate: job.Spec.BeyondRate, Copy: true}
 	if !slices.ContainsFunc(job.Spec.Steps, func(step *pb.Step) bool { return step.Copies }) {
 		return planned
 	}
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -40,6 +40,10 @@
 	total, left, _ := d.chainTimes(job)
 	lines := []string{fmt.Sprintf("job %s of workspace %q in queue %s: %s, submitted at %d, longest chain of steps expected to take %d ms, %d ms of it left",
 		job.Spec.Id, job.Spec.Workspace, job.Spec.Queue, stateName(job.State), job.Spec.SubmittedUnixMs, total, left)}
+	if job.Spec.BeyondRate {
+		lines = append(lines, fmt.Sprintf("beyond the rate of its workspace when it was submitted (the weight is now %g jobs a second): jobs within their rates go first",
+			v.Workspace(job.Spec.Workspace).GetWeight()))
+	}
 	if job.Reason != "" {
 		lines = append(lines, "reason: "+job.Reason)
 	}
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -15,6 +15,15 @@
 	gometrics.GetOrRegisterCounter("driver_starts;answer="+r.String(), gometrics.DefaultRegistry).Inc(1)
 }
 
+// countAccepted counts an accepted job of a workspace.
+func countAccepted(workspace string, beyondRate bool) {
+	rate := "within"
+	if beyondRate {
+		rate = "beyond"
+	}
+	gometrics.GetOrRegisterCounter(metrics.Name("driver_jobs_accepted", metrics.L("workspace", workspace), metrics.L("rate", rate)), gometrics.DefaultRegistry).Inc(1)
+}
+
 // countMisdirected counts a listing call that another incarnation answered than the one it was meant for.
 func countMisdirected(call RenewCall, listing Listing) {
 	carried := "nothing"
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -67,14 +67,13 @@
 // noteWaits records since when a pool has had tasks that fit on no target, and
 // logs why jobs accepted some time ago wait.
 func (d *Driver) noteWaits(pool string, s *assign.Snapshot, waits []assign.Wait) {
+	now := d.cfg.Now()
+	beyondRate := func(w assign.Wait) bool { return w.WaitingJob.BeyondRate }
+	noteStuck(d.pools.stuckSince, pool, now, slices.ContainsFunc(waits, func(w assign.Wait) bool { return !beyondRate(w) }))
+	noteStuck(d.pools.beyondRateStuckSince, pool, now, slices.ContainsFunc(waits, beyondRate))
 	if len(waits) == 0 {
-		delete(d.pools.stuckSince, pool)
 		return
 	}
-	now := d.cfg.Now()
-	if _, ok := d.pools.stuckSince[pool]; !ok {
-		d.pools.stuckSince[pool] = now
-	}
 	if now.Sub(d.waitsReportedAt[pool]) < waitReportInterval {
 		return
 	}
@@ -100,6 +99,15 @@
 	}
 }
 
+// noteStuck records since when a pool has had waiting tasks.
+func noteStuck(since map[string]time.Time, pool string, now time.Time, waits bool) {
+	if !waits {
+		delete(since, pool)
+	} else if _, known := since[pool]; !known {
+		since[pool] = now
+	}
+}
+
 func startOf(v *workflow.View, s assign.Start) *pb.Start {
 	task := v.Task(s.Task)
 	return &pb.Start{
@@ -221,7 +229,7 @@
 // planJob returns the steps of a job that may start now, and the work left in the whole job. usedUp
 // is a waiting task whose attempts are used up, or nil.
 func (d *Driver) planJob(v *workflow.View, job *workflow.Job, queue *pb.Queue, nowMS int64) (planned assign.Job, usedUp *workflow.Task) {
-	planned = assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs}
+	planned = assign.Job{ID: job.Spec.Id, Workspace: job.Spec.Workspace, Priority: queue.Priority, SubmittedMS: job.Spec.SubmittedUnixMs, BeyondRate: job.Spec.BeyondRate}
 	for k := range job.Tasks {
 		if due := job.DueMS(k); due > nowMS {
 			continue
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -29,6 +29,10 @@
 	// stuckAfter is how long a waiting task may fit on no target before its pool gets
 	// another VM.
 	stuckAfter = 300 * time.Millisecond
+	// beyondRateDelay is the age from which on the work of a job beyond the rate of its workspace
+	// counts as that of any other: the job must run even if some pool always lacks room. It is
+	// several times the length of a workspace's burst, 5 to 7 s.
+	beyondRateDelay = 30 * time.Second
 )
 
 // poolState is what the leader remembers of VMs and pools, guarded by the driver's
@@ -45,6 +49,9 @@
 	draining map[string]bool
 	// stuckSince is since when a pool has had waiting tasks that fit on no target.
 	stuckSince map[string]time.Time
+	// beyondRateStuckSince is the same for tasks of jobs beyond the rate of their workspace, which
+	// stuckSince does not include.
+	beyondRateStuckSince map[string]time.Time
 	// belowMinVMs holds pools in which fewer VMs take starts than their lasting tasks must be
 	// spread over.
 	belowMinVMs map[string]bool
@@ -70,12 +77,12 @@
 func newPoolState() *poolState {
 	return &poolState{
 		arrivals: make(map[string]*pools.ArrivalHistory), moving: make(map[string]*move), idleSince: make(map[string]time.Time),
-		stuckSince: make(map[string]time.Time), draining: make(map[string]bool), belowMinVMs: make(map[string]bool), restingBusyUntil: make(map[string]time.Time),
+		stuckSince: make(map[string]time.Time), beyondRateStuckSince: make(map[string]time.Time), draining: make(map[string]bool), belowMinVMs: make(map[string]bool), restingBusyUntil: make(map[string]time.Time),
 	}
 }
 
 // noteArrival records an accepted job as an arrival of its pool, unless it is lasting.
-func (d *Driver) noteArrival(job *pb.Job, queue *pb.Queue) {
+func (d *Driver) noteArrival(job *pb.Job, queue *pb.Queue, beyondRate bool) {
 	if job.Steps[0].Lasting {
 		return
 	}
@@ -83,6 +90,10 @@
 	if d.pools.firstArrival.IsZero() {
 		d.pools.firstArrival = d.cfg.Now()
 	}
+	if beyondRate {
+		// More jobs like it give no right to VMs that other pools may need.
+		return
+	}
 	var work pools.Work
 	durations := make([]int64, len(job.Steps))
 	for i, step := range job.Steps {
@@ -202,12 +213,21 @@
 			pool.MinVMs = max(pool.MinVMs, vms)
 		}
 		need, passing := d.shortWork(job, queue, now).Need(d.cfg.Limits.VMMove.Milliseconds())
+		if job.Spec.BeyondRate && d.cfg.NowMS()-job.Spec.SubmittedUnixMs < beyondRateDelay.Milliseconds() {
+			pool.BeyondRate.NeedMillis += need
+			pool.BeyondRate.PassingMillis += passing
+			continue
+		}
 		pool.NeedMillis += need
 		pool.PassingMillis += passing
 	}
+	isStuck := func(since map[string]time.Time, pool string) bool {
+		at, ok := since[pool]
+		return ok && now.Sub(at) > stuckAfter
+	}
 	for i := range s.Pools {
-		since, ok := d.pools.stuckSince[s.Pools[i].Name]
-		s.Pools[i].Stuck = ok && now.Sub(since) > stuckAfter
+		pool := &s.Pools[i]
+		pool.Stuck, pool.BeyondRate.Stuck = isStuck(d.pools.stuckSince, pool.Name), isStuck(d.pools.beyondRateStuckSince, pool.Name)
 	}
 }
 
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -112,9 +112,16 @@
 		d.noteRefused(r, "invalid", out.Reason)
 		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: out.Reason}, false
 	}
-	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("index", out.Index))
+	beyondRate := false
+	d.cfg.Machine.View(func(v *workflow.View) {
+		if job := v.Job(r.Job.Id); job != nil {
+			beyondRate = job.Spec.BeyondRate
+		}
+	})
+	countAccepted(r.Job.Workspace, beyondRate)
+	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("beyond_rate", beyondRate), event.F("index", out.Index))
 	d.mu.Lock()
-	d.noteArrival(r.Job, queue)
+	d.noteArrival(r.Job, queue, beyondRate)
 	d.mu.Unlock()
 	d.requestRound()
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}, false
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -21,6 +21,7 @@
 	"team_upper_limit":       "Upper limit of a team, in units.",
 	"team_handed_out":        "Units of a team that are reserved by sessions or kept by VMs.",
 	"gateway_request_us":     "Time of requests that this daemon forwards to the leader, by operation and answer, in microseconds.",
+	"driver_jobs_accepted":   "Accepted jobs by workspace, within its rate (the weight in the catalogue) or beyond it.",
 	"driver_starts":          "Calls that start tasks on targets, by the target's answer.",
 	"driver_target_call_us":  "Time of calls to targets by call and outcome, in microseconds, without listing calls.",
 	"driver_misdirected":     "Listing calls that another incarnation of a target answered than the one they were meant for, by what they carried.",
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -4,7 +4,8 @@
 // in between. Jobs that can still meet their objective come first, the most
 // urgent of them first, as far as the pool has room for them (see shed); jobs
 // that are already late use what is left, so that one burst does not make all
-// later jobs late. The tasks of a step are placed in one availability zone if
+// later jobs late. Jobs beyond the rate of their workspace get what those within
+// it leave, but come before late ones if they can still be in time themselves. The tasks of a step are placed in one availability zone if
 // there is room, so that a zone that becomes unreachable delays only the jobs
 // there and not a part of every job.
 package assign
@@ -79,6 +80,9 @@
 	// value.
 	LateDeadlineMS int64
 	SubmittedMS    int64
+	// BeyondRate means that the workspace had submitted more jobs than its rate when it
+	// submitted this one.
+	BeyondRate bool
 	// Lasting jobs come first: they have value for as long as they run.
 	Lasting bool
 	// Copy means that the job holds second runs of tasks, which get the room that all
@@ -126,7 +130,7 @@
 // Plan returns the starts of one round, and why other tasks wait.
 func Plan(s *Snapshot) ([]Start, []Wait) {
 	p := newPlan(s)
-	p.shed = shed(s, func(j *Job) bool { return p.class(j) == classInTime })
+	p.shed = shed(s, func(j *Job) bool { return p.classWithinRate(j) == classInTime })
 	slices.SortStableFunc(s.Jobs, p.compare)
 	for i := range s.Jobs {
 		p.placeJob(&s.Jobs[i])
@@ -180,6 +184,8 @@
 	waitLimit = "its workspace is at its limit"
 	WaitRoom  = "it fits on no target now"
 	waitShed  = "the pool has no room to end it in time, others go first"
+	// WaitRate is the reason for jobs beyond the rate; no run is stopped for them.
+	WaitRate = "it is beyond the rate of its workspace, jobs within their rates go first"
 )
 
 // Classes of jobs by the value of an early start, in the order in which they are placed.
@@ -187,12 +193,32 @@
 	classLasting = iota
 	classInTime
 	classShed
+	classBeyondRateInTime
+	classBeyondRateShed
 	classLate
 	classWorthless
+	classBeyondRateLate
+	classBeyondRateWorthless
 	classCopy
+	classBeyondRateCopy
 )
 
+// beyondRate holds the class of jobs beyond the rate of their workspace, by the class that they
+// have within it.
+var beyondRate = map[int]int{
+	classLasting: classLasting, classInTime: classBeyondRateInTime, classShed: classBeyondRateShed,
+	classLate: classBeyondRateLate, classWorthless: classBeyondRateWorthless, classCopy: classBeyondRateCopy,
+}
+
 func (p *plan) class(j *Job) int {
+	if j.BeyondRate {
+		return beyondRate[p.classWithinRate(j)]
+	}
+	return p.classWithinRate(j)
+}
+
+// classWithinRate returns the class of a job if it were within the rate of its workspace.
+func (p *plan) classWithinRate(j *Job) int {
 	end := p.snapshot.NowMS + j.RemainingMS
 	switch {
 	case j.Copy:
@@ -219,7 +245,7 @@
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
-	if ca == classInTime || ca == classShed || ca == classLate {
+	if hasLatestStart(ca) {
 		if c := cmp.Compare(a.latestStartMS(), b.latestStartMS()); c != 0 {
 			return c
 		}
@@ -230,6 +256,15 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
+// hasLatestStart reports whether the jobs of a class are ordered by their latest start in time.
+func hasLatestStart(class int) bool {
+	switch class {
+	case classInTime, classShed, classLate, classBeyondRateInTime, classBeyondRateShed, classBeyondRateLate:
+		return true
+	}
+	return false
+}
+
 func (p *plan) placeJob(j *Job) {
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -270,7 +305,11 @@
 	if j.Copy {
 		return
 	}
-	if p.shed[j.ID] && reason == WaitRoom {
+	switch {
+	case reason != WaitRoom:
+	case j.BeyondRate && !j.Lasting:
+		reason = WaitRate
+	case p.shed[j.ID]:
 		reason = waitShed
 	}
 	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason, WaitingStep: step, WaitingJob: j})
--- a/internal/policy/assign/overload_test.go
+++ b/internal/policy/assign/overload_test.go
@@ -52,6 +52,9 @@
 	chainMS int64
 	// work is the processor time of all tasks, in core milliseconds.
 	work float64
+	// workspace is the number of the job's workspace, beyondRate whether the job is beyond its rate.
+	workspace  int
+	beyondRate bool
 }
 
 // objectiveMS is how long the job may take.
@@ -76,8 +79,13 @@
 }
 
 func newBurst(rng *rand.Rand) []*burstJob {
+	return newArrivals(rng, 0, burstLengthMS, burstJobsPerSecond)
+}
+
+// newArrivals returns the jobs that arrive from one time to another.
+func newArrivals(rng *rand.Rand, fromMS, toMS, jobsPerSecond float64) []*burstJob {
 	var jobs []*burstJob
-	for at := 0.0; at < burstLengthMS; at += rng.ExpFloat64() * 1000 / burstJobsPerSecond {
+	for at := fromMS; at < toMS; at += rng.ExpFloat64() * 1000 / jobsPerSecond {
 		j := &burstJob{id: fmt.Sprintf("%08x", rng.Uint32()), atMS: int64(at)}
 		for range int(max(1, math.Round(logNormal(rng, 1.6, 0.4, 4)))) {
 			takes, estimate := estimated(rng)
@@ -169,7 +177,7 @@
 	}
 	job := Job{
 		ID: j.id, RemainingMS: left, DeadlineMS: j.atMS + within, LateDeadlineMS: j.atMS + lateWithin*within, SubmittedMS: j.atMS,
-		WorkMillisMS: int64(workLeft), Worth: 0.3 + 0.7*min(workAll/1000/meanWork, 4),
+		WorkMillisMS: int64(workLeft), Worth: 0.3 + 0.7*min(workAll/1000/meanWork, 4), BeyondRate: j.beyondRate,
 	}
 	if len(step.Tasks) > 0 {
 		job.Steps = []Step{step}
@@ -188,11 +196,16 @@
 
 // replayBurst simulates a burst and returns the part of its worth that is earned.
 func replayBurst(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start) float64 {
+	return earnedPart(simulate(jobs, s, learned, lagMS, plan), meanWork(jobs))
+}
+
+// simulate runs jobs on a supply until all have ended and returns them.
+func simulate(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start) []*openJob {
 	targets := make([]Target, s.all)
 	for i := range targets {
 		targets[i] = Target{ID: fmt.Sprint(i), Zone: fmt.Sprint("z", i%3), Rack: fmt.Sprint("r", i/20), Slowness: 1, Free: workflow.Resources{CPUMillis: vmCPUMillis, MemoryMB: 1 << 40}}
 	}
-	open, all := make(map[string]*openJob), make(map[string]*openJob)
+	open, all := make(map[string]*openJob), []*openJob(nil)
 	var runs []burstRun
 	next, mean := 0, meanWork(jobs)
 	for now := int64(0); next < len(jobs) || len(open) > 0; now += roundMS {
@@ -221,7 +234,8 @@
 				j.done = append(j.done, new(runtimes.Step))
 			}
 			j.begin()
-			open[j.id], all[j.id] = j, j
+			open[j.id] = j
+			all = append(all, j)
 		}
 		snapshot := &Snapshot{NowMS: now, Targets: slices.Clone(targets[:s.at(now)]), CapacityMillis: int64(s.at(now+vmMoveMS)) * vmCPUMillis}
 		for _, j := range open {
@@ -238,8 +252,13 @@
 			runs = append(runs, burstRun{j, j.step, at, took, now + startLagMS + took + listLagMS + commitLagMS})
 		}
 	}
+	return all
+}
+
+// earnedPart returns the part of the worth of ended jobs that they earn.
+func earnedPart(jobs []*openJob, mean float64) float64 {
 	earned, owed := 0.0, 0.0
-	for _, j := range all {
+	for _, j := range jobs {
 		owed += j.worth(mean)
 		switch took := j.endedMS - j.atMS; {
 		case took <= j.objectiveMS():
--- a/internal/policy/assign/shed.go
+++ b/internal/policy/assign/shed.go
@@ -10,7 +10,7 @@
 // need more than the pool holds: ordered by least slack alone, each job starts at the last
 // moment and delays later ones until nearly all are late. The work that must start by a time
 // has to fit into the processor time available until then; otherwise the jobs with the least
-// worth per work left are shed. Shed jobs start on the room that the others leave, and every
+// worth per work left are shed, those beyond the rate of their workspace before all others. Shed jobs start on the room that the others leave, and every
 // round decides anew.
 func shed(s *Snapshot, inTime func(*Job) bool) map[string]bool {
 	if s.CapacityMillis <= 0 {
@@ -45,13 +45,17 @@
 // worthPerWork returns the worth of the job per unit of work that is left.
 func (j *Job) worthPerWork() float64 { return j.Worth / float64(max(j.WorkMillisMS, 1)) }
 
-// worthHeap is a heap with the job of least worth per work at its root.
+// worthHeap is a heap with the job to shed first at its root: one beyond the rate of its
+// workspace, if there is any, of the least worth per work.
 type worthHeap []*Job
 
 func (h worthHeap) Len() int      { return len(h) }
 func (h worthHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
 func (h worthHeap) Less(i, j int) bool {
+	if h[i].BeyondRate != h[j].BeyondRate {
+		return h[i].BeyondRate
+	}
 	if a, b := h[i].worthPerWork(), h[j].worthPerWork(); a != b {
 		return a < b
 	}
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -52,6 +52,8 @@
 	PassingMillis int64
 	// Stuck means that for a while some waiting task has fitted on no VM.
 	Stuck bool
+	// BeyondRate is the need of jobs beyond the rate of their workspace, in addition.
+	BeyondRate BeyondRate
 	// MinVMs is the least number of VMs of the pool, also if it needs less room.
 	MinVMs int
 	// NextBurstMS is when the next burst is expected, and BurstMillis the room it
@@ -64,6 +66,14 @@
 	VMs            []VM
 }
 
+// BeyondRate is the need of the jobs of a pool that are beyond the rate of their workspace. It counts
+// only while no pool lacks room for its other jobs: nothing is owed for these jobs, but with VMs to
+// spare they run as all others do.
+type BeyondRate struct {
+	NeedMillis, PassingMillis int64
+	Stuck                     bool
+}
+
 // Move sends a VM to another pool.
 type Move struct {
 	VM     string
@@ -104,6 +114,7 @@
 // Plan returns the moves of one round, and the VMs that should take no more
 // tasks, so that they become empty and can go to pools that lack room.
 func Plan(s *Snapshot) (moves []Move, drain []string) {
+	s.addBeyondRate()
 	var shortPools, sparePools []balance
 	for i := range s.Pools {
 		b := s.balance(&s.Pools[i])
@@ -131,6 +142,22 @@
 	return s.restIdle(sparePools, moves), drain
 }
 
+// addBeyondRate adds the needs of jobs beyond their rates unless some pool lacks room without them.
+func (s *Snapshot) addBeyondRate() {
+	for i := range s.Pools {
+		if b := s.balance(&s.Pools[i]); b.missing > 0 {
+			return
+		}
+	}
+	for i := range s.Pools {
+		p := &s.Pools[i]
+		p.NeedMillis += p.BeyondRate.NeedMillis
+		p.PassingMillis += p.BeyondRate.PassingMillis
+		p.Stuck = p.Stuck || p.BeyondRate.Stuck
+		p.BeyondRate = BeyondRate{}
+	}
+}
+
 // drain returns the VMs that each pool can spare, in the order in which they
 // become empty: tasks then go to the other VMs, and these are free when the next
 // burst needs them.
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -57,6 +57,10 @@
 		{"VMs on their way count", []Pool{rest(5), {Name: "p", NeedMillis: 30_000, Incoming: 2, IncomingMillis: 32_000}}, "rest", "p", 0},
 		{"a task that fits nowhere gets a VM", []Pool{rest(5), {Name: "p", NeedMillis: 1000, Stuck: true, VMs: vms("p", 1, busy)}}, "rest", "p", 1},
 		{"VMs move ahead of a burst", []Pool{rest(5), {Name: "p", NextBurstMS: 2500, BurstMillis: 30_000}}, "rest", "p", 2},
+		{"jobs beyond their rates get resting VMs", []Pool{rest(5), {Name: "p", BeyondRate: BeyondRate{NeedMillis: 45_000}}}, "rest", "p", 3},
+		{"a task beyond its rate that fits nowhere gets a VM", []Pool{rest(5), {Name: "p", BeyondRate: BeyondRate{NeedMillis: 1000, Stuck: true}, VMs: vms("p", 1, busy)}}, "rest", "p", 1},
+		{"jobs beyond their rates get none that others need", []Pool{rest(3), {Name: "p", BeyondRate: BeyondRate{NeedMillis: 60_000, Stuck: true}}, {Name: "q", NeedMillis: 14_000}}, "rest", "p", 0},
+		{"jobs within their rates get those kept for jobs beyond them", []Pool{{Name: "q", BeyondRate: BeyondRate{NeedMillis: 60_000}, VMs: vms("q", 4, nil)}, {Name: "p", NeedMillis: 30_000}}, "q", "p", 2},
 		{"no VM moves long before a burst", []Pool{rest(5), {Name: "p", NextBurstMS: 9000, BurstMillis: 30_000}}, "rest", "p", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -291,6 +291,7 @@
 	}
 	spec.Queue, spec.QueueHost, spec.QueuePath = queue.Name, queue.Host, queue.PathPrefix
 	spec.SubmittedUnixMs = m.nowMS
+	spec.BeyondRate = m.beyondRate(spec)
 	job := newJob(spec)
 	m.jobs[spec.Id] = job
 	m.openJobs[spec.Id] = job
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -15,6 +15,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/policy/shares"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
@@ -71,6 +72,8 @@
 	formerTargets map[string]*pb.FormerTarget
 	// leases holds what is known of the leases of targets, by target.
 	leases map[string]Lease
+	// rates holds the token buckets of workspaces whose catalogue entry states a rate, by name.
+	rates map[string]shares.Bucket
 	// formerQueues holds the queues of open jobs that have left the catalogue.
 	formerQueues map[queueID]*pb.Queue
 
@@ -112,6 +115,7 @@
 	m.leases = make(map[string]Lease)
 	m.formerTargets = make(map[string]*pb.FormerTarget)
 	m.formerQueues = make(map[queueID]*pb.Queue)
+	m.rates = make(map[string]shares.Bucket)
 	m.tasksByTarget = make(map[string]map[TaskID]*Task)
 	m.usedByTarget = make(map[string]TargetUse)
 	m.usedByWorkspace = make(map[string]Resources)
--- a/internal/workflow/snapshot.go
+++ b/internal/workflow/snapshot.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/policy/shares"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
@@ -15,7 +16,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := &pb.Snapshot{NowUnixMs: m.nowMS, Catalogue: m.catalogue, Waves: (*View)(m).Waves(), Leases: m.storeLeases(), LeaseEpoch: m.leaseEpoch}
+	s := &pb.Snapshot{NowUnixMs: m.nowMS, Catalogue: m.catalogue, Waves: (*View)(m).Waves(), Leases: m.storeLeases(), LeaseEpoch: m.leaseEpoch, Rates: m.storeRates()}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		s.Jobs = append(s.Jobs, storeJob(m.jobs[id]))
 	}
@@ -71,6 +72,9 @@
 	for _, former := range s.FormerTargets {
 		m.formerTargets[former.GetTarget().GetVm()] = former
 	}
+	for _, rate := range s.Rates {
+		m.rates[rate.Workspace] = shares.Bucket{Tokens: rate.Tokens, AtMS: rate.AtUnixMs}
+	}
 	for _, wave := range s.Waves {
 		m.waves[wave.Id] = wave
 	}
