Refuse jobs that would certainly end too late, check weights, measure jobs that begin and are late

Cause: in a burst that its pool cannot hold, jobs are accepted of which it is known that they end after their end has worth. Catalogues with negative or absurd weights are accepted, and a task above its workspace's limit waits without a clear reason. Of jobs that begin in time, it was not known where the rest of their time goes.

A new catalogue with a weight that is negative, no number or above 1e9 is refused by the leader; the state machine applies any, as logs may hold them.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -46,6 +46,12 @@
 	VMMaintenance Duration `yaml:"vm_maintenance"`
 }
 
+// Admission sets which jobs a leader refuses although it could accept them.
+type Admission struct {
+	// RefuseLate refuses jobs that would certainly end after their end has lost all worth.
+	RefuseLate bool `yaml:"refuse_late"`
+}
+
 // RoleSettings configure a daemon with a role.
 type RoleSettings struct {
 	Role   string `yaml:"role"`
@@ -69,6 +75,7 @@
 	PlatformAddress string         `yaml:"platform_address"`
 	AdviceAddress   string         `yaml:"advice_address"`
 	Bounds          PlatformBounds `yaml:"bounds"`
+	Admission       Admission      `yaml:"admission"`
 	// MemoryMB is the memory limit of the process; 0 for none.
 	MemoryMB int `yaml:"memory_mb"`
 }
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -38,6 +38,10 @@
 	is.Equal(s.Seeds, []string{"10.1.0.26:7000", "10.2.0.17:7000"})
 	is.Equal(s.Bounds.LeaseTTL.String(), "6s")
 	is.True(s.Bootstrap && s.TrustPeerNetwork)
+	is.True(!s.Admission.RefuseLate) // refusing jobs for load must be asked for
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"admission: {refuse_late: true}\n"))
+	is.NoErr(err)
+	is.True(s.Admission.RefuseLate)
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
@@ -56,6 +60,7 @@
 		{"bound without a unit", "shutdown_grace: 6s", "shutdown_grace: 6", "shutdown_grace"},
 		{"no VM move time", "  vm_move: 1.5s\n", "", "bounds.vm_move"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
+		{"unknown admission", "found: true", "found: true\nadmission: {refuse: true}", "admission.refuse"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
 	} {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -67,6 +67,8 @@
 	AppliedAt func(index uint64) (time.Time, bool)
 	// NowMS is the cluster's time of day in Unix milliseconds.
 	NowMS func() int64
+	// RefuseLate refuses jobs that would certainly end after their end has lost all worth.
+	RefuseLate bool
 }
 
 const (
@@ -122,6 +124,7 @@
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
+	admission   *admission
 	// answers holds the answer times of all targets, loss the share of calls without an
 	// answer, resends the calls that may be sent again.
 	answers callTimes
@@ -182,7 +185,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), startedAt: cfg.Now(),
 		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
-		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), leasesChanged: make(map[*link]struct{}), failing: make(map[string]bool), learned: newLearner(), waves: newWaveState(), pools: newPoolState(),
+		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), leasesChanged: make(map[*link]struct{}), failing: make(map[string]bool), learned: newLearner(), admission: newAdmission(), waves: newWaveState(), pools: newPoolState(),
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice: make(map[workflow.TaskID]*stepAdvice), kinds: make(map[kindSource]vmKind),
 		waitsReportedAt: make(map[string]time.Time), waitSpans: make(map[workflow.TaskID]waitSpan),
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -114,6 +114,9 @@
 		return "a task has failed as often as its queue allows, the job ends as failed"
 	}
 	workspace := v.Workspace(job.Spec.Workspace)
+	if workflow.ExceedsLimit(spec, workspace) {
+		return "one task needs more than the limit of its workspace, it waits for a catalogue with a higher one"
+	}
 	if workspace != nil && !v.WorkspaceUsage(workspace.Name).Add(workflow.ResourcesOf(spec.Needs)).WithinLimit(workflow.ResourcesOf(workspace.Limit)) {
 		return "its workspace is at its limit"
 	}
--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -120,6 +120,11 @@
 	return roundMS(l.model(queueKey(job.Spec)).Longest(float64(spec.EstimateMs), int(spec.Tasks), l.steps[stepID(job, occurrence, step)]))
 }
 
+// longestNew returns how long a step of a job that has not begun is expected to take, in milliseconds.
+func (l *learner) longestNew(queue string, step *pb.Step) int64 {
+	return roundMS(l.model(queue).Longest(float64(step.EstimateMs), int(step.Tasks), nil))
+}
+
 func roundMS(ms float64) int64 { return int64(math.Round(ms)) }
 
 // stepID identifies a step by its first task.
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -17,11 +17,24 @@
 
 // countAccepted counts an accepted job of a workspace.
 func countAccepted(workspace string, beyondRate bool) {
-	rate := "within"
+	gometrics.GetOrRegisterCounter(metrics.Name("driver_jobs_accepted", metrics.L("workspace", workspace), rateLabel(beyondRate)), gometrics.DefaultRegistry).Inc(1)
+}
+
+// countDone counts a job of a workspace that is done, by its outcome.
+func countDone(workspace string, beyondRate bool, outcome string) {
+	gometrics.GetOrRegisterCounter(metrics.Name("driver_jobs_done", metrics.L("workspace", workspace), rateLabel(beyondRate), metrics.L("outcome", outcome)), gometrics.DefaultRegistry).Inc(1)
+}
+
+func rateLabel(beyondRate bool) metrics.Label {
 	if beyondRate {
-		rate = "beyond"
+		return metrics.L("rate", "beyond")
 	}
-	gometrics.GetOrRegisterCounter(metrics.Name("driver_jobs_accepted", metrics.L("workspace", workspace), metrics.L("rate", rate)), gometrics.DefaultRegistry).Inc(1)
+	return metrics.L("rate", "within")
+}
+
+// countRefusedLate counts a job of a workspace that was refused since it would end too late.
+func countRefusedLate(workspace string) {
+	gometrics.GetOrRegisterCounter(metrics.Name("driver_jobs_refused_late", metrics.L("workspace", workspace)), gometrics.DefaultRegistry).Inc(1)
 }
 
 // countMisdirected counts a listing call that another incarnation answered than the one it was meant for.
--- a/internal/driver/outcomes.go
+++ b/internal/driver/outcomes.go
@@ -38,6 +38,8 @@
 	// begunInTime counts jobs that had slack at their first start, missed those of them that
 	// ended late all the same.
 	begunInTime, missed int64
+	// beyondRate counts jobs beyond the rate of their workspace.
+	beyondRate int64
 	// Sums over jobs: waits for the first start, slack and time to the end as expected then,
 	// the longest chain as known at the end, and the time from the first start to the end.
 	waitedMS, slackMS, expectedMS, chainMS, spentMS int64
@@ -105,6 +107,10 @@
 		t.worthless++
 		t.lateCoreMS += work
 	}
+	if job.Spec.BeyondRate {
+		t.beyondRate++
+	}
+	countDone(job.Spec.Workspace, job.Spec.BeyondRate, outcome)
 	if first.slackMS >= 0 {
 		t.begunInTime++
 		if took > allowed {
@@ -138,7 +144,7 @@
 	d.outcomes.reportedAt = now
 	for queue, t := range d.outcomes.tallies {
 		event.QueueOutcomes.Emit(event.F("queue", queue), event.F("jobs", t.jobs), event.F("in_time", t.inTime), event.F("late", t.late), event.F("worthless", t.worthless),
-			event.F("begun_in_time", t.begunInTime), event.F("missed", t.missed),
+			event.F("begun_in_time", t.begunInTime), event.F("missed", t.missed), event.F("beyond_rate", t.beyondRate),
 			event.F("mean_waited_ms", t.waitedMS/t.jobs), event.F("mean_slack_ms", t.slackMS/t.jobs), event.F("mean_expected_ms", t.expectedMS/t.jobs),
 			event.F("mean_chain_ms", t.chainMS/t.jobs), event.F("step_lag_ms", d.learned.stepLag()), event.F("mean_spent_ms", t.spentMS/t.jobs),
 			event.F("in_time_core_ms", t.usefulCoreMS), event.F("late_core_ms", t.lateCoreMS))
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -34,11 +34,13 @@
 		workspaces := workspacesOf(v)
 		for pool, snapshot := range d.snapshots(v) {
 			if !slices.ContainsFunc(snapshot.Jobs, func(j assign.Job) bool { return len(j.Steps) > 0 }) {
+				delete(d.admission.backlogs, pool)
 				continue
 			}
 			snapshot.Targets, snapshot.CapacityMillis = d.planTargets(v, pool)
 			snapshot.Workspaces = workspaces
 			planned, waits := assign.Plan(snapshot)
+			d.noteBacklog(v, pool, snapshot)
 			d.noteWaits(pool, snapshot, waits)
 			d.preempt(v, pool, snapshot, waits)
 			for _, start := range planned {
--- a/internal/driver/rates_test.go
+++ b/internal/driver/rates_test.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"testing"
@@ -74,6 +75,29 @@
 	is.True(!strings.Contains(strings.Join(d.explain(&pb.Request{QueueName: "q", Job: &pb.Job{Id: "within"}, Key: "k"}).Lines, "\n"), "beyond the rate"))
 }
 
+// TestBadWeightsAndLimits sends a catalogue with a negative weight, and a job of which a task exceeds its
+// workspace's limit: the first is refused unless it is in force already, the second waits and says why.
+func TestBadWeightsAndLimits(t *testing.T) {
+	is := is.New(t)
+	d := newTestDriver(t, time.Now)
+	d.cfg.Log = &machineLog{machine: d.cfg.Machine, index: 100, nowMS: d.cfg.NowMS}
+	catalogue := func(version uint64, weight float64) *pb.Catalogue {
+		return &pb.Catalogue{
+			Version: version, Pools: []*pb.Pool{{Name: "p"}}, Workspaces: []*pb.Workspace{{Name: "w", Keys: []string{"k"}, Weight: weight, Limit: &pb.Resources{CpuMillis: 500}}},
+			Queues: []*pb.Queue{{Name: "q", Host: "h", PathPrefix: "/p/", Pool: "p", TimeoutMs: 1000}},
+		}
+	}
+	refused := d.putCatalogue(context.Background(), catalogue(2, -1))
+	is.Equal(refused.Answer, pb.Answer_ANSWER_INVALID)
+	is.True(strings.Contains(refused.Reason, `workspace "w": weight is -1`))
+	is.Equal(d.putCatalogue(context.Background(), catalogue(2, 1)).Answer, pb.Answer_ANSWER_OK)
+	is.Equal(d.putCatalogue(context.Background(), catalogue(2, -1)).Answer, pb.Answer_ANSWER_OK) // not newer: no change
+	job := &pb.Job{Id: "large", Steps: []*pb.Step{{Tasks: 1, Needs: &pb.Resources{CpuMillis: 501}}}}
+	is.Equal(d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/x", Key: "k", Job: job}).Answer, pb.Answer_ANSWER_OK)
+	lines := d.explain(&pb.Request{QueueName: "q", Job: &pb.Job{Id: "large"}, Key: "k"}).Lines
+	is.True(strings.Contains(strings.Join(lines, "\n"), "one task needs more than the limit of its workspace"))
+}
+
 // TestBeyondRateWaits plans on one full target: a waiting task beyond its rate does not count as one
 // for which its pool lacks a VM, and no run is stopped for it.
 func TestBeyondRateWaits(t *testing.T) {
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"sapphirering/internal/event"
 	"sapphirering/internal/replica"
@@ -101,7 +102,15 @@
 	if known {
 		return &pb.Response{Answer: pb.Answer_ANSWER_OK}, false
 	}
+	if refusal := d.beginSubmit(r.Job, queue); refusal != nil {
+		d.noteRefused(r, pb.Answer_ANSWER_BUSY.String(), refusal.Reason)
+		countRefusedLate(r.Job.Workspace)
+		return &pb.Response{Answer: pb.Answer_ANSWER_BUSY, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfterMS}, false
+	}
 	out, err := d.commitWithContext(ctx, &pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: r.Job}}})
+	if err == nil || errors.Is(err, replica.ErrNotLeader) {
+		d.endSubmit(r.Job.Id)
+	}
 	if err != nil {
 		return commitFailed(err), false
 	}
@@ -117,6 +126,11 @@
 		if job := v.Job(r.Job.Id); job != nil {
 			beyondRate = job.Spec.BeyondRate
 		}
+		workspace := v.Workspace(r.Job.Workspace)
+		if at := slices.IndexFunc(r.Job.Steps, func(step *pb.Step) bool { return workflow.ExceedsLimit(step, workspace) }); at >= 0 {
+			event.JobExceedsLimit.Emit(event.F("job", r.Job.Id), event.F("workspace", workspace.Name), event.F("step", at),
+				event.F("needs", workflow.ResourcesOf(r.Job.Steps[at].Needs)), event.F("limit", workflow.ResourcesOf(workspace.Limit)))
+		}
 	})
 	countAccepted(r.Job.Workspace, beyondRate)
 	event.JobAccepted.Emit(event.F("job", r.Job.Id), event.F("queue", r.Job.Queue), event.F("workspace", r.Job.Workspace), event.F("beyond_rate", beyondRate), event.F("index", out.Index))
@@ -197,7 +211,15 @@
 
 // putCatalogue answers once the catalogue's version, or a later one, is committed.
 func (d *Driver) putCatalogue(ctx context.Context, c *pb.Catalogue) *pb.Response {
-	if err := workflow.CheckCatalogue(c); err != nil {
+	err := workflow.CheckCatalogue(c)
+	if err == nil {
+		d.cfg.Machine.View(func(v *workflow.View) {
+			if c.Version > v.Catalogue().GetVersion() {
+				err = workflow.CheckWeights(c)
+			}
+		})
+	}
+	if err != nil {
 		event.CatalogueRefused.Emit(event.F("version", c.GetVersion()), event.Err(err))
 		return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: err.Error()}
 	}
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -89,6 +89,8 @@
 	// other jobs leave.
 	Copy  bool
 	Steps []Step
+	// Shed is set by Plan: the pool has no room to end the job in time beside the others.
+	Shed bool
 }
 
 // Workspace is the resource use of a workspace and its limit.
@@ -132,6 +134,9 @@
 	p := newPlan(s)
 	p.shed = shed(s, func(j *Job) bool { return p.classWithinRate(j) == classInTime })
 	slices.SortStableFunc(s.Jobs, p.compare)
+	for i := range s.Jobs {
+		s.Jobs[i].Shed = p.shed[s.Jobs[i].ID] && !s.Jobs[i].Copy
+	}
 	for i := range s.Jobs {
 		p.placeJob(&s.Jobs[i])
 	}
--- a/internal/policy/assign/overload_test.go
+++ b/internal/policy/assign/overload_test.go
@@ -135,8 +135,18 @@
 	waiting    []int
 	done       []*runtimes.Step
 	endedMS    int64
+	refused    bool
+	// times holds the times of each step that has begun, slackMS the slack at the first start.
+	times   []stepTimes
+	slackMS int64
+	// beganShed is set if the pool had no room for the job when it began.
+	beganShed bool
 }
 
+// stepTimes holds when a step could start, when its first and last tasks were started, and when its end
+// was known.
+type stepTimes struct{ readyMS, firstMS, lastMS, endMS int64 }
+
 func (j *openJob) begin() {
 	j.left, j.waiting = len(j.steps[j.step].takesMS), nil
 	for i := range j.steps[j.step].takesMS {
@@ -201,6 +211,12 @@
 
 // simulate runs jobs on a supply until all have ended and returns them.
 func simulate(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start) []*openJob {
+	return simulateRefusals(jobs, s, learned, lagMS, plan, func(Job, int64, *Snapshot) bool { return false })
+}
+
+// simulateRefusals is simulate with jobs that are refused on their arrival, given the last planned snapshot.
+func simulateRefusals(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start, refuse func(Job, int64, *Snapshot) bool) []*openJob {
+	var last *Snapshot
 	targets := make([]Target, s.all)
 	for i := range targets {
 		targets[i] = Target{ID: fmt.Sprint(i), Zone: fmt.Sprint("z", i%3), Rack: fmt.Sprint("r", i/20), Slowness: 1, Free: workflow.Resources{CPUMillis: vmCPUMillis, MemoryMB: 1 << 40}}
@@ -220,7 +236,9 @@
 			if j.left--; j.left > 0 {
 				return true
 			}
+			j.times[j.step].endMS = now
 			if j.step++; j.step < len(j.steps) {
+				j.times = append(j.times, stepTimes{readyMS: now})
 				j.begin()
 				return true
 			}
@@ -234,20 +252,33 @@
 				j.done = append(j.done, new(runtimes.Step))
 			}
 			j.begin()
-			open[j.id] = j
 			all = append(all, j)
+			j.times = []stepTimes{{readyMS: now}}
+			if j.refused = refuse(j.describe(&learned, lagMS, mean), now, last); !j.refused {
+				open[j.id] = j
+			}
 		}
 		snapshot := &Snapshot{NowMS: now, Targets: slices.Clone(targets[:s.at(now)]), CapacityMillis: int64(s.at(now+vmMoveMS)) * vmCPUMillis}
 		for _, j := range open {
 			snapshot.Jobs = append(snapshot.Jobs, j.describe(&learned, lagMS, mean))
 		}
 		slices.SortFunc(snapshot.Jobs, func(a, b Job) int { return cmp.Compare(a.ID, b.ID) })
-		for _, start := range plan(snapshot) {
+		starts := plan(snapshot)
+		last = snapshot
+		for _, start := range starts {
 			j, at := open[start.Task.Job], 0
 			fmt.Sscan(start.Target, &at)
 			index := int(start.Task.Index)
 			j.waiting = slices.DeleteFunc(j.waiting, func(i int) bool { return i == index })
 			targets[at].Free.CPUMillis -= j.steps[j.step].cpu
+			times := &j.times[j.step]
+			if times.firstMS == 0 {
+				times.firstMS = now
+			}
+			if times.lastMS = now; len(j.times) == 1 && times.firstMS == now {
+				planned := plannedJob(snapshot, j.id)
+				j.slackMS, j.beganShed = planned.latestStartMS()-now, planned.Shed
+			}
 			took := j.steps[j.step].takesMS[index]
 			runs = append(runs, burstRun{j, j.step, at, took, now + startLagMS + took + listLagMS + commitLagMS})
 		}
@@ -261,6 +292,7 @@
 	for _, j := range jobs {
 		owed += j.worth(mean)
 		switch took := j.endedMS - j.atMS; {
+		case j.refused:
 		case took <= j.objectiveMS():
 			earned += j.worth(mean)
 		case took <= lateWithin*j.objectiveMS():
@@ -341,3 +373,57 @@
 		}
 	}
 }
+
+// plannedJob returns a job as it was planned.
+func plannedJob(s *Snapshot, id string) *Job {
+	return &s.Jobs[slices.IndexFunc(s.Jobs, func(j Job) bool { return j.ID == id })]
+}
+
+// TestReplayBegunAndLate shows where the time goes between the first start and the end of jobs that had slack
+// at their first start: those that end in time, and those that do not.
+func TestReplayBegunAndLate(t *testing.T) {
+	const seeds, lagMS = 4, startLagMS + commitLagMS
+	for _, share := range []float64{0.5, 0.8, 1.2} {
+		type sums struct{ jobs, shed, slack, chain, spent, firstWaits, laterStarts, betweenSteps, ran float64 }
+		var in, late sums
+		for seed := range int64(seeds) {
+			rng := rand.New(rand.NewSource(seed))
+			jobs := newBurst(rng)
+			for _, j := range simulate(jobs, supplyFor(jobs, share), learnedEstimates(rng), lagMS, planStarts) {
+				if j.slackMS < 0 {
+					continue
+				}
+				s := &in
+				if j.endedMS-j.atMS > j.objectiveMS() {
+					s = &late
+				}
+				s.jobs++
+				if j.beganShed {
+					s.shed++
+				}
+				s.slack += float64(j.slackMS)
+				s.chain += float64(j.chainMS)
+				s.spent += float64(j.endedMS - j.times[0].firstMS)
+				s.firstWaits += float64(j.times[0].firstMS - j.times[0].readyMS)
+				for k, times := range j.times {
+					if k > 0 {
+						s.betweenSteps += float64(times.firstMS - times.readyMS)
+					}
+					s.laterStarts += float64(times.lastMS - times.firstMS)
+					s.ran += float64(times.endMS - times.lastMS)
+				}
+			}
+		}
+		for _, g := range []struct {
+			name string
+			sums
+		}{{"in time", in}, {"late", late}} {
+			n := max(g.jobs, 1)
+			t.Logf("room for %.1f, begun in time, %s: %.0f jobs (%.0f began shed); means in ms: wait for the first start %.0f, slack then %.0f, chain %.0f, from the first start to the end %.0f: first to last start of steps %.0f, wait of later steps %.0f, last start to end of steps %.0f",
+				share, g.name, g.jobs, g.shed, g.firstWaits/n, g.slack/n, g.chain/n, g.spent/n, g.laterStarts/n, g.betweenSteps/n, g.ran/n)
+			if math.Abs(g.spent-g.laterStarts-g.betweenSteps-g.ran) > 1 {
+				t.Error("the parts don't add up")
+			}
+		}
+	}
+}
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -360,6 +360,7 @@
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
 		Limits: driverLimits(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		RefuseLate: c.settings.Admission.RefuseLate,
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
--- a/internal/workflow/catalogue.go
+++ b/internal/workflow/catalogue.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/policy/shares"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
 
@@ -35,6 +36,18 @@
 	return checkWorkspaces(c.Workspaces)
 }
 
+// CheckWeights returns why the weights of a catalogue are invalid, or nil. It is not part of CheckCatalogue,
+// and only for catalogues that are not in force yet: earlier versions accepted any weight, and what they
+// committed must be applied as they did. A weight that is not above 0 states no rate there.
+func CheckWeights(c *pb.Catalogue) error {
+	for _, w := range c.GetWorkspaces() {
+		if !(w.Weight >= 0 && w.Weight <= shares.MaxWeight) {
+			return invalidCatalogue("workspace %q: weight is %g jobs a second, must be from 0 (no rate) to %g", w.Name, w.Weight, shares.MaxWeight)
+		}
+	}
+	return nil
+}
+
 func checkQueues(queues []*pb.Queue, pools map[string]bool) error {
 	names := make(map[string]bool)
 	paths := make(map[[2]string]string)
--- a/internal/workflow/rates.go
+++ b/internal/workflow/rates.go
@@ -27,6 +27,13 @@
 	return !within
 }
 
+// BeyondRate reports whether a job would be beyond the rate of its workspace if it were submitted now.
+func (v *View) BeyondRate(spec *pb.Job, nowMS int64) bool {
+	workspace := v.lookup.workspaces[spec.GetWorkspace()]
+	bucket, known := v.rates[workspace.GetName()]
+	return known && !bucket.Take(workspace.GetWeight(), nowMS)
+}
+
 // forgetRates removes the buckets of workspaces that the catalogue does not have or give a rate.
 func (m *Machine) forgetRates() {
 	maps.DeleteFunc(m.rates, func(name string, _ shares.Bucket) bool { return !(m.lookup.workspaces[name].GetWeight() > 0) })
--- a/internal/workflow/rates_test.go
+++ b/internal/workflow/rates_test.go
@@ -1,7 +1,9 @@
 package workflow
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -71,6 +73,25 @@
 	}
 }
 
+// TestCheckWeights checks which weights a new catalogue may hold, and that the state still applies any: a log
+// of an earlier version may hold them.
+func TestCheckWeights(t *testing.T) {
+	for _, test := range []struct {
+		weight float64
+		valid  bool
+	}{
+		{0, true}, {1, true}, {0.001, true}, {1e9, true}, {-1, false}, {2e9, false}, {math.Inf(1), false}, {math.Inf(-1), false}, {math.NaN(), false},
+	} {
+		c := &pb.Catalogue{Version: 1, Workspaces: []*pb.Workspace{{Name: "w", Weight: test.weight}}}
+		if err := CheckWeights(c); (err == nil) != test.valid || err != nil && !errors.Is(err, ErrInvalidCatalogue) {
+			t.Errorf("weight %g: %v", test.weight, err)
+		}
+		if err := CheckCatalogue(c); err != nil {
+			t.Errorf("weight %g of an earlier version: %v", test.weight, err)
+		}
+	}
+}
+
 // TestRateChange changes the weight of a workspace that has used up its rate: the new rate counts from
 // then on, and a smaller bucket holds no more than it may.
 func TestRateChange(t *testing.T) {
