--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -40,6 +40,10 @@
 	total, left, _ := d.chainTimes(job)
 	lines := []string{fmt.Sprintf("job %s of workspace %q in queue %s: %s, submitted at %d, longest chain of steps expected to take %d ms, %d ms of it left",
 		job.Spec.Id, job.Spec.Workspace, job.Spec.Queue, stateName(job.State), job.Spec.SubmittedUnixMs, total, left)}
+	if job.Spec.BeyondRate {
+		lines = append(lines, fmt.Sprintf("beyond the rate of its workspace when it was submitted (the weight is now %g jobs a second): jobs within their rates go first",
+			v.Workspace(job.Spec.Workspace).GetWeight()))
+	}
 	if job.Reason != "" {
 		lines = append(lines, "reason: "+job.Reason)
 	}
@@ -110,6 +114,9 @@
 		return "a task has failed as often as its queue allows, the job ends as failed"
 	}
 	workspace := v.Workspace(job.Spec.Workspace)
+	if workflow.ExceedsLimit(spec, workspace) {
+		return "one task needs more than the limit of its workspace, it waits for a catalogue with a higher one"
+	}
 	if workspace != nil && !v.WorkspaceUsage(workspace.Name).Add(workflow.ResourcesOf(spec.Needs)).WithinLimit(workflow.ResourcesOf(workspace.Limit)) {
 		return "its workspace is at its limit"
 	}
--- a/internal/policy/assign/overload_test.go
+++ b/internal/policy/assign/overload_test.go
@@ -52,6 +52,9 @@
 	chainMS int64
 	// work is the processor time of all tasks, in core milliseconds.
 	work float64
+	// workspace is the number of the job's workspace, beyondRate whether the job is beyond its rate.
+	workspace  int
+	beyondRate bool
 }
 
 // objectiveMS is how long the job may take.
@@ -76,8 +79,13 @@
 }
 
 func newBurst(rng *rand.Rand) []*burstJob {
+	return newArrivals(rng, 0, burstLengthMS, burstJobsPerSecond)
+}
+
+// newArrivals returns the jobs that arrive from one time to another.
+func newArrivals(rng *rand.Rand, fromMS, toMS, jobsPerSecond float64) []*burstJob {
 	var jobs []*burstJob
-	for at := 0.0; at < burstLengthMS; at += rng.ExpFloat64() * 1000 / burstJobsPerSecond {
+	for at := fromMS; at < toMS; at += rng.ExpFloat64() * 1000 / jobsPerSecond {
 		j := &burstJob{id: fmt.Sprintf("%08x", rng.Uint32()), atMS: int64(at)}
 		for range int(max(1, math.Round(logNormal(rng, 1.6, 0.4, 4)))) {
 			takes, estimate := estimated(rng)
@@ -127,8 +135,18 @@
 	waiting    []int
 	done       []*runtimes.Step
 	endedMS    int64
+	refused    bool
+	// times holds the times of each step that has begun, slackMS the slack at the first start.
+	times   []stepTimes
+	slackMS int64
+	// beganShed is set if the pool had no room for the job when it began.
+	beganShed bool
 }
 
+// stepTimes holds when a step could start, when its first and last tasks were started, and when its end
+// was known.
+type stepTimes struct{ readyMS, firstMS, lastMS, endMS int64 }
+
 func (j *openJob) begin() {
 	j.left, j.waiting = len(j.steps[j.step].takesMS), nil
 	for i := range j.steps[j.step].takesMS {
@@ -169,7 +187,7 @@
 	}
 	job := Job{
 		ID: j.id, RemainingMS: left, DeadlineMS: j.atMS + within, LateDeadlineMS: j.atMS + lateWithin*within, SubmittedMS: j.atMS,
-		WorkMillisMS: int64(workLeft), Worth: 0.3 + 0.7*min(workAll/1000/meanWork, 4),
+		WorkMillisMS: int64(workLeft), Worth: 0.3 + 0.7*min(workAll/1000/meanWork, 4), BeyondRate: j.beyondRate,
 	}
 	if len(step.Tasks) > 0 {
 		job.Steps = []Step{step}
@@ -188,11 +206,22 @@
 
 // replayBurst simulates a burst and returns the part of its worth that is earned.
 func replayBurst(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start) float64 {
+	return earnedPart(simulate(jobs, s, learned, lagMS, plan), meanWork(jobs))
+}
+
+// simulate runs jobs on a supply until all have ended and returns them.
+func simulate(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start) []*openJob {
+	return simulateRefusals(jobs, s, learned, lagMS, plan, func(Job, int64, *Snapshot) bool { return false })
+}
+
+// simulateRefusals is simulate with jobs that are refused on their arrival, given the last planned snapshot.
+func simulateRefusals(jobs []*burstJob, s supply, learned runtimes.Model, lagMS int64, plan func(*Snapshot) []Start, refuse func(Job, int64, *Snapshot) bool) []*openJob {
+	var last *Snapshot
 	targets := make([]Target, s.all)
 	for i := range targets {
 		targets[i] = Target{ID: fmt.Sprint(i), Zone: fmt.Sprint("z", i%3), Rack: fmt.Sprint("r", i/20), Slowness: 1, Free: workflow.Resources{CPUMillis: vmCPUMillis, MemoryMB: 1 << 40}}
 	}
-	open, all := make(map[string]*openJob), make(map[string]*openJob)
+	open, all := make(map[string]*openJob), []*openJob(nil)
 	var runs []burstRun
 	next, mean := 0, meanWork(jobs)
 	for now := int64(0); next < len(jobs) || len(open) > 0; now += roundMS {
@@ -207,7 +236,9 @@
 			if j.left--; j.left > 0 {
 				return true
 			}
+			j.times[j.step].endMS = now
 			if j.step++; j.step < len(j.steps) {
+				j.times = append(j.times, stepTimes{readyMS: now})
 				j.begin()
 				return true
 			}
@@ -221,27 +252,47 @@
 				j.done = append(j.done, new(runtimes.Step))
 			}
 			j.begin()
-			open[j.id], all[j.id] = j, j
+			all = append(all, j)
+			j.times = []stepTimes{{readyMS: now}}
+			if j.refused = refuse(j.describe(&learned, lagMS, mean), now, last); !j.refused {
+				open[j.id] = j
+			}
 		}
 		snapshot := &Snapshot{NowMS: now, Targets: slices.Clone(targets[:s.at(now)]), CapacityMillis: int64(s.at(now+vmMoveMS)) * vmCPUMillis}
 		for _, j := range open {
 			snapshot.Jobs = append(snapshot.Jobs, j.describe(&learned, lagMS, mean))
 		}
 		slices.SortFunc(snapshot.Jobs, func(a, b Job) int { return cmp.Compare(a.ID, b.ID) })
-		for _, start := range plan(snapshot) {
+		starts := plan(snapshot)
+		last = snapshot
+		for _, start := range starts {
 			j, at := open[start.Task.Job], 0
 			fmt.Sscan(start.Target, &at)
 			index := int(start.Task.Index)
 			j.waiting = slices.DeleteFunc(j.waiting, func(i int) bool { return i == index })
 			targets[at].Free.CPUMillis -= j.steps[j.step].cpu
+			times := &j.times[j.step]
+			if times.firstMS == 0 {
+				times.firstMS = now
+			}
+			if times.lastMS = now; len(j.times) == 1 && times.firstMS == now {
+				planned := plannedJob(snapshot, j.id)
+				j.slackMS, j.beganShed = planned.latestStartMS()-now, planned.Shed
+			}
 			took := j.steps[j.step].takesMS[index]
 			runs = append(runs, burstRun{j, j.step, at, took, now + startLagMS + took + listLagMS + commitLagMS})
 		}
 	}
+	return all
+}
+
+// earnedPart returns the part of the worth of ended jobs that they earn.
+func earnedPart(jobs []*openJob, mean float64) float64 {
 	earned, owed := 0.0, 0.0
-	for _, j := range all {
+	for _, j := range jobs {
 		owed += j.worth(mean)
 		switch took := j.endedMS - j.atMS; {
+		case j.refused:
 		case took <= j.objectiveMS():
 			earned += j.worth(mean)
 		case took <= lateWithin*j.objectiveMS():
@@ -322,3 +373,57 @@
 		}
 	}
 }
+
+// plannedJob returns a job as it was planned.
+func plannedJob(s *Snapshot, id string) *Job {
+	return &s.Jobs[slices.IndexFunc(s.Jobs, func(j Job) bool { return j.ID == id })]
+}
+
+// TestReplayBegunAndLate shows where the time goes between the first start and the end of jobs that had slack
+// at their first start: those that end in time, and those that do not.
+func TestReplayBegunAndLate(t *testing.T) {
+	const seeds, lagMS = 4, startLagMS + commitLagMS
+	for _, share := range []float64{0.5, 0.8, 1.2} {
+		type sums struct{ jobs, shed, slack, chain, spent, firstWaits, laterStarts, betweenSteps, ran float64 }
+		var in, late sums
+		for seed := range int64(seeds) {
+			rng := rand.New(rand.NewSource(seed))
+			jobs := newBurst(rng)
+			for _, j := range simulate(jobs, supplyFor(jobs, share), learnedEstimates(rng), lagMS, planStarts) {
+				if j.slackMS < 0 {
+					continue
+				}
+				s := &in
+				if j.endedMS-j.atMS > j.objectiveMS() {
+					s = &late
+				}
+				s.jobs++
+				if j.beganShed {
+					s.shed++
+				}
+				s.slack += float64(j.slackMS)
+				s.chain += float64(j.chainMS)
+				s.spent += float64(j.endedMS - j.times[0].firstMS)
+				s.firstWaits += float64(j.times[0].firstMS - j.times[0].readyMS)
+				for k, times := range j.times {
+					if k > 0 {
+						s.betweenSteps += float64(times.firstMS - times.readyMS)
+					}
+					s.laterStarts += float64(times.lastMS - times.firstMS)
+					s.ran += float64(times.endMS - times.lastMS)
+				}
+			}
+		}
+		for _, g := range []struct {
+			name string
+			sums
+		}{{"in time", in}, {"late", late}} {
+			n := max(g.jobs, 1)
+			t.Logf("room for %.1f, begun in time, %s: %.0f jobs (%.0f began shed); means in ms: wait for the first start %.0f, slack then %.0f, chain %.0f, from the first start to the end %.0f: first to last start of steps %.0f, wait of later steps %.0f, last start to end of steps %.0f",
+				share, g.name, g.jobs, g.shed, g.firstWaits/n, g.slack/n, g.chain/n, g.spent/n, g.laterStarts/n, g.betweenSteps/n, g.ran/n)
+			if math.Abs(g.spent-g.laterStarts-g.betweenSteps-g.ran) > 1 {
+				t.Error("the parts don't add up")
+			}
+		}
+	}
+}
