--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -110,6 +110,14 @@
 	return err
 }
 
+// raw sends a request without a body to each entry VM in turn until one answers it, and returns
+// the text of the answer.
+func (c *client) raw(method, path string) ([]byte, error) {
+	var answer json.RawMessage
+	err := c.do(method, path, "", nil, &answer)
+	return answer, err
+}
+
 func (c *client) requestFrom(address, method, path, opID string, body, out any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -65,8 +65,8 @@
 	run      func(env *Env, args []string) error
 	// flags adds the flags of commands about VMs, pools and waves.
 	flags func(set *flag.FlagSet, f *fleetFlags)
-	// local subcommands need no running system.
-	local bool
+	// local subcommands need no running system; those with connects use one if an address is given.
+	local, connects bool
 }
 
 func subcommands() []subcommand {
@@ -181,7 +181,7 @@
 		fmt.Fprintf(errOut, "sapphirering %s: -o: %q is not table or json\n", sub.name, o.output)
 		return ExitUsage
 	}
-	if !sub.local {
+	if !sub.local || sub.connects && o.address != "" {
 		client, cancel, err := newClient(o.address, o.keyFile, o.caFile, o.timeout)
 		if err != nil {
 			fmt.Fprintf(errOut, "sapphirering %s: %v\n", sub.name, err)
