Evacuation of an availability zone: the order, the check of starts, wire and API

Operators order that no task is started in a zone, and revoke that. The paths answered 404.

An order names the number of the zone's last order that its sender knew, so that one that is late is refused and the order acknowledged last holds. Zones of targets are remembered; the leader records those of the settings, members and VMs. The paths, and the calls of the HTTP interface, exist where bounds.evacuation is set. explain names the evacuation.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -44,14 +44,22 @@
 	// and VMMaintenance how long during its maintenance.
 	VMMove        Duration `yaml:"vm_move"`
 	VMMaintenance Duration `yaml:"vm_maintenance"`
+	// Evacuation is the time after the acknowledged order to evacuate an availability zone from which
+	// on no task may be started there; 0 if zones are not evacuated.
+	Evacuation Duration `yaml:"evacuation"`
 }
 
+// Evacuates reports whether operators may order the evacuation of availability zones.
+func (b *PlatformBounds) Evacuates() bool { return b.Evacuation.Duration > 0 }
+
 // RoleSettings configure a daemon with a role.
 type RoleSettings struct {
 	Role   string `yaml:"role"`
 	Name   string `yaml:"name"`
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
+	// Zones are the availability zones of the deployment (core).
+	Zones []string `yaml:"zones"`
 	// DataFolder holds the replicated log (core).
 	DataFolder string     `yaml:"data_folder"`
 	Listen     RoleListen `yaml:"listen"`
@@ -137,6 +145,9 @@
 	if !s.TrustPeerNetwork {
 		src.addFault("trust_peer_network", "must be true: daemons with a role connect to each other without TLS")
 	}
+	for i, zone := range s.Zones {
+		requireName(src, fmt.Sprintf("zones[%d]", i), zone)
+	}
 	if s.MemoryMB < 0 {
 		src.addFault("memory_mb", "%d is below 0", s.MemoryMB)
 	}
@@ -161,4 +172,7 @@
 	} {
 		requireRange(src, "bounds."+bound.field, bound.value, time.Millisecond, maxBound)
 	}
+	if b.Evacuation.Duration != 0 {
+		requireRange(src, "bounds.evacuation", b.Evacuation, time.Millisecond, maxBound)
+	}
 }
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -38,6 +38,11 @@
 	is.Equal(s.Seeds, []string{"10.1.0.26:7000", "10.2.0.17:7000"})
 	is.Equal(s.Bounds.LeaseTTL.String(), "6s")
 	is.True(s.Bootstrap && s.TrustPeerNetwork)
+	is.True(!s.Bounds.Evacuates()) // unless the settings ask for it
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"  evacuation: 5s\nzones: [\"zone-a\", \"zone-b\"]\n"))
+	is.NoErr(err)
+	is.True(s.Bounds.Evacuates())
+	is.Equal(s.Zones, []string{"zone-a", "zone-b"})
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
@@ -57,6 +62,8 @@
 		{"no VM move time", "  vm_move: 1.5s\n", "", "bounds.vm_move"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
+		{"negative evacuation", "bounds:\n", "bounds:\n  evacuation: -1s\n", "bounds.evacuation"},
+		{"zone without a name", "zone: zone-a\n", "zone: zone-a\nzones: [\"\"]\n", "zones[0]"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/driver/advice.go
+++ b/internal/driver/advice.go
@@ -67,7 +67,7 @@
 			delete(known.tickets, key)
 			continue
 		}
-		if d.acceptsStarts(l) {
+		if d.acceptsStarts(l) && !v.Evacuated(l.target.Zone) {
 			allowed[key.id] = true
 		}
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -67,6 +67,9 @@
 	AppliedAt func(index uint64) (time.Time, bool)
 	// NowMS is the cluster's time of day in Unix milliseconds.
 	NowMS func() int64
+	// Zones returns the availability zones that the settings and the member list name. It is nil if
+	// zones are not evacuated.
+	Zones func() []string
 }
 
 const (
@@ -140,6 +143,8 @@
 	// prunedAt is when old jobs were last pruned, checkedAt when runs and targets were last
 	// checked; only the loop uses them.
 	prunedAt, checkedAt time.Time
+	// zonesNoted holds the availability zones that this leader has recorded; only the loop uses it.
+	zonesNoted []string
 	// waitsReportedAt is when the waits of a pool were last logged.
 	waitsReportedAt map[string]time.Time
 	// waitSpans holds the current waits for room, by the step's first task.
@@ -296,6 +301,7 @@
 	again = d.changeTasks()
 	d.timePart(partPools, d.movePools)
 	if due {
+		d.noteZones()
 		d.failUnplaceableJobs()
 		d.timePart(partWaves, d.runWaves)
 		d.prune()
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -119,5 +119,5 @@
 			return "it starts in the next round, or jobs ahead of it take the room"
 		}
 	}
-	return fmt.Sprintf("no room on any of the %d targets of pool %s that accept starts", len(targets), queue.Pool)
+	return fmt.Sprintf("no room on any of the %d targets of pool %s that accept starts", len(targets), queue.Pool) + evacuatedNote(v, queue.Pool)
 }
--- a/internal/driver/explainvm.go
+++ b/internal/driver/explainvm.go
@@ -103,6 +103,11 @@
 	add(d.waves.cordoned(vm), "it is being drained for maintenance")
 	add(v.MaintenanceOrdered(vm), "its maintenance is ordered")
 	l := d.linkOfVM(vm)
+	zone := d.fleet.vms[vm].Zone
+	if l != nil {
+		zone = zoneOf(v, l)
+	}
+	add(v.Evacuated(zone), "availability zone %q is evacuated", zone)
 	if l == nil {
 		return reasons
 	}
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -119,8 +119,8 @@
 // planTargets returns the targets of a pool that may get starts, and their CPU capacity for
 // tasks that are not lasting, whether in use or free, including that of VMs moving to the pool.
 func (d *Driver) planTargets(v *workflow.View, pool string) (out []assign.Target, capacity int64) {
-	for _, m := range d.pools.moving {
-		if m.to == pool {
+	for vm, m := range d.pools.moving {
+		if m.to == pool && !v.Evacuated(d.fleet.vms[vm].Zone) {
 			capacity += m.cpu
 		}
 	}
@@ -130,7 +130,7 @@
 		if known == nil || known.Pool != pool || known.Leaving || known.BornUnixMs != l.target.BornUnixMs {
 			continue
 		}
-		if !d.acceptsStarts(l) || d.waves.cordoned(known.Vm) || v.MaintenanceOrdered(known.Vm) || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.allowsStarts(now) {
+		if v.Evacuated(known.Zone) || !d.acceptsStarts(l) || d.waves.cordoned(known.Vm) || v.MaintenanceOrdered(known.Vm) || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.allowsStarts(now) {
 			continue
 		}
 		used := v.UsedOn(id)
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -39,6 +39,10 @@
 		return d.declareWave(ctx, r.Wave)
 	case pb.Operation_OPERATION_GET_WAVE:
 		return d.getWave(r.Wave.GetId())
+	case pb.Operation_OPERATION_BEGIN_EVACUATION, pb.Operation_OPERATION_END_EVACUATION:
+		return d.orderEvacuation(ctx, r)
+	case pb.Operation_OPERATION_GET_EVACUATION:
+		return d.getEvacuation(r.Zone)
 	}
 	return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: "unknown operation"}
 }
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -67,6 +67,8 @@
 	placedAt, phaseAnsweredAt, runningSince time.Time
 	// startCalls counts the start calls, startsInProgress those that have not ended.
 	startCalls, startsInProgress int
+	// evacuated is set if the start has no answer and the zone of the target was evacuated when it was last checked.
+	evacuated bool
 	// refusedLate is set once the lease in a start was over when it arrived.
 	refusedLate bool
 	// formerLapseAt is when leases of a former leader's start calls for an adopted run have certainly lapsed; zero if
@@ -240,6 +242,7 @@
 		call, ok := d.startCall(r, l)
 		if !ok {
 			r.phase = runUnanswered
+			d.endUnsent(r, l)
 			continue
 		}
 		return r, call, d.beginStart(r, l, call, func() {
@@ -266,8 +269,8 @@
 	l.queuedStarts = nil
 }
 
-// startCall returns the start call for a run; false if the run is no longer needed or the
-// target's clock is unknown, so that no lease can be granted.
+// startCall returns the start call for a run; false if the run is no longer needed, its target's zone
+// is evacuated, or the target's clock is unknown, so that no lease can be granted.
 func (d *Driver) startCall(r *run, l *link) (StartCall, bool) {
 	call := StartCall{Task: r.task, Attempt: r.attempt, Fence: l.fence, Lease: d.leaseForStart(r, l), Ticket: d.ticketFor(r.task, l)}
 	if call.Lease > startLease && !l.grantOpen {
@@ -278,7 +281,7 @@
 	found := false
 	d.cfg.Machine.View(func(v *workflow.View) {
 		task := v.Task(r.task)
-		if task == nil || task.TargetOf(r.attempt) == "" || !runNeeded(task) {
+		if task == nil || task.TargetOf(r.attempt) == "" || !runNeeded(task) || v.Evacuated(zoneOf(v, l)) {
 			return
 		}
 		call.Payload, call.Checkpoint, found = task.Job.Spec.Payload, task.Checkpoint, true
@@ -587,6 +590,7 @@
 				continue
 			}
 			mustStop := !runNeeded(task)
+			r.evacuated = r.phase == runUnanswered && d.inEvacuatedZone(v, r)
 			if r.phase == runConfirmed && (d.stalled(task, r, now) || d.mustSaveNow(task, r, now)) {
 				mustStop = true
 			}
@@ -650,7 +654,7 @@
 
 // checkRun returns the call to make for a run, and ends it if its target is gone. A lasting run
 // may be at work although its start has no answer: its start is sent until it is answered or
-// listed, or the lease has lapsed.
+// listed, or the lease has lapsed. In an evacuated zone no start is sent again: the run is stopped.
 func (d *Driver) checkRun(r *run, mustStop, lasting bool, now time.Time) runAction {
 	if now.Sub(r.lastCallAt) < retryPause {
 		return actionNone
@@ -678,6 +682,8 @@
 			return actionStop
 		case r.adopted && !l.everListed:
 			// The first listing shows whether it already runs.
+		case r.evacuated:
+			return actionStop
 		case !lasting && (now.Sub(r.placedAt) > startRetryPeriod && !r.adopted || now.Sub(r.placedAt) > 3*startRetryPeriod):
 			return actionStop
 		default:
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -151,7 +151,7 @@
 	}{
 		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.gateway)},
 		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
-		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway)},
+		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway, c.settings.Bounds.Evacuates())},
 	} {
 		server, err := serveRole(service.field, service.address, service.handler)
 		if err != nil {
@@ -360,6 +360,7 @@
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
 		Limits: driverLimits(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Zones: c.namedZones(),
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
@@ -370,6 +371,23 @@
 	d.Run(ctx)
 }
 
+// namedZones returns the function that lists the availability zones that the settings and the members
+// name, or nil if the settings do not ask for evacuations.
+func (c *Core) namedZones() func() []string {
+	if !c.settings.Bounds.Evacuates() {
+		return nil
+	}
+	return func() []string {
+		zones := append(slices.Clone(c.settings.Zones), c.settings.Zone)
+		for _, member := range c.membership.Load().GetMembers() {
+			if zone := c.zoneOf(member); zone != "" {
+				zones = append(zones, zone)
+			}
+		}
+		return zones
+	}
+}
+
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
 const leasePollInterval = 10 * time.Millisecond
 
--- a/internal/server/core_test.go
+++ b/internal/server/core_test.go
@@ -56,6 +56,12 @@
 }
 
 func newCoreCluster(t *testing.T, size int) *coreCluster {
+	t.Helper()
+	return newCoreClusterWith(t, size, func(*config.RoleSettings) {})
+}
+
+// newCoreClusterWith is newCoreCluster with changes to the settings of every daemon.
+func newCoreClusterWith(t *testing.T, size int, change func(*config.RoleSettings)) *coreCluster {
 	t.Helper()
 	c := &coreCluster{t: t}
 	var seeds []string
@@ -70,6 +76,7 @@
 		}})
 	}
 	for _, n := range c.nodes {
+		change(n.settings)
 		c.start(n)
 	}
 	t.Cleanup(func() {
--- a/internal/server/edge.go
+++ b/internal/server/edge.go
@@ -45,7 +45,7 @@
 		{"listen.callers", s.Listen.Callers, e.closeWhileNotReady(adapter.Callers(e.gateway))},
 		{"listen.health", s.Listen.Health, adapter.Health(e.ready)},
 		{"listen.metrics", s.Listen.Metrics, metricsHandler()},
-		{"listen.api", s.Listen.API, stepapi.New(e.gateway)},
+		{"listen.api", s.Listen.API, stepapi.New(e.gateway, s.Bounds.Evacuates())},
 	} {
 		server, err := serveRole(service.field, service.address, service.handler)
 		if err != nil {
--- /dev/null
+++ b/internal/server/evacuation.go
@@ -0,0 +1,34 @@
+package server
+
+import (
+	"context"
+	"crypto/rand"
+
+	"google.golang.org/protobuf/proto"
+
+	"sapphirering/internal/workflow/workflowpb"
+)
+
+// orderEvacuation sends an order to begin or end the evacuation of a zone. It first asks for the
+// number of the zone's last order and names it in the request. If another order is applied first, it is
+// sent again with the number of that one, as long as the caller waits. A try that arrives after the caller
+// has given up is refused if any other order has been applied since, so that the order
+// acknowledged last holds.
+func (g *Gateway) orderEvacuation(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
+	order := proto.CloneOf(r)
+	order.OrderId = rand.Text()
+	for {
+		last := g.do(ctx, &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_GET_EVACUATION, Zone: r.Zone})
+		if last.Answer != workflowpb.Answer_ANSWER_OK {
+			return last
+		}
+		order.OrderAfter = last.OrderNumber
+		response := g.do(ctx, order)
+		if response.Answer != workflowpb.Answer_ANSWER_CONFLICT {
+			return response
+		}
+		if ctx.Err() != nil {
+			return &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_UNKNOWN, Reason: response.Reason}
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/evacuation_test.go
@@ -0,0 +1,127 @@
+package server
+
+import (
+	"context"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sapphirering/internal/config"
+	"sapphirering/internal/workflow/workflowpb"
+)
+
+const (
+	beginEvacuation = workflowpb.Operation_OPERATION_BEGIN_EVACUATION
+	endEvacuation   = workflowpb.Operation_OPERATION_END_EVACUATION
+)
+
+func newEvacuationCluster(t *testing.T) *coreCluster {
+	t.Helper()
+	return newCoreClusterWith(t, 3, func(s *config.RoleSettings) {
+		s.Bounds.Evacuation.Duration, s.Zones = 5*time.Second, []string{"zone-0", "zone-1"}
+	})
+}
+
+func (n *coreNode) evacuation(operation workflowpb.Operation, zone string) *workflowpb.Response {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return n.running().gateway.Do(ctx, &workflowpb.Request{Operation: operation, Zone: zone})
+}
+
+func (n *coreNode) evacuated(zone string) bool {
+	return n.evacuation(workflowpb.Operation_OPERATION_GET_EVACUATION, zone).Evacuated
+}
+
+// TestEvacuationOutlivesDaemons acknowledges orders and then loses all processes at once, and the disks of the
+// daemons one after the other: the order must still hold.
+func TestEvacuationOutlivesDaemons(t *testing.T) {
+	is := is.New(t)
+	c := newEvacuationCluster(t)
+	is.Equal(c.nodes[0].evacuation(beginEvacuation, "zone-1").Answer, workflowpb.Answer_ANSWER_OK)
+	for _, n := range c.nodes {
+		n.kill()
+	}
+	for _, n := range c.nodes {
+		n.settings.Bootstrap = false
+		c.start(n)
+	}
+	c.eventually("the order holds after the loss of all processes", maxRecoveryTime, func() bool { return c.nodes[2].evacuated("zone-1") })
+	for _, n := range c.nodes {
+		n.kill()
+		is.NoErr(os.RemoveAll(n.settings.DataFolder))
+		c.start(n)
+		id := n.running().identity.MemberID
+		c.eventually("the replaced daemon votes", 10*time.Second, func() bool {
+			voters := n.voters()
+			return voters[id] && len(voters) == 3
+		})
+	}
+	c.eventually("the order holds after the loss of all disks in turn", maxRecoveryTime, func() bool { return c.nodes[0].evacuated("zone-1") })
+	is.Equal(c.nodes[1].evacuation(endEvacuation, "zone-1").Answer, workflowpb.Answer_ANSWER_OK)
+	is.True(!c.nodes[2].evacuated("zone-1"))
+}
+
+// TestEvacuationOrdersAtOnce sends begin and finish through two daemons at the same time: both are
+// acknowledged, and the one that was applied last holds.
+func TestEvacuationOrdersAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newEvacuationCluster(t)
+	is.Equal(c.nodes[0].evacuation(endEvacuation, "zone-0").Answer, workflowpb.Answer_ANSWER_OK)
+	for range 20 {
+		var begun, ended *workflowpb.Response
+		var orders sync.WaitGroup
+		orders.Go(func() { begun = c.nodes[0].evacuation(beginEvacuation, "zone-0") })
+		orders.Go(func() { ended = c.nodes[1].evacuation(endEvacuation, "zone-0") })
+		orders.Wait()
+		is.Equal(begun.Answer, workflowpb.Answer_ANSWER_OK)
+		is.Equal(ended.Answer, workflowpb.Answer_ANSWER_OK)
+		is.Equal(c.nodes[2].evacuated("zone-0"), begun.OrderNumber > ended.OrderNumber)
+	}
+	// In quick succession, through different daemons, the last one holds.
+	for i := range 20 {
+		begin := i%2 == 0
+		operation := endEvacuation
+		if begin {
+			operation = beginEvacuation
+		}
+		is.Equal(c.nodes[i%3].evacuation(operation, "zone-0").Answer, workflowpb.Answer_ANSWER_OK)
+		is.Equal(c.nodes[(i+1)%3].evacuated("zone-0"), begin)
+	}
+}
+
+// TestEvacuationOrderSentAgain loses the answer to an order that was carried out: the gateway must send the
+// same order again, and not a new one.
+func TestEvacuationOrderSentAgain(t *testing.T) {
+	is := is.New(t)
+	c := newEvacuationCluster(t)
+	is.Equal(c.nodes[0].evacuation(endEvacuation, "zone-0").Answer, workflowpb.Answer_ANSWER_OK)
+	gateway := c.nodes[0].running().gateway
+	serve, lost := gateway.serveLocal, 0
+	leader := func() *coreNode {
+		for _, n := range c.nodes {
+			if n.running().driver.Load() != nil {
+				return n
+			}
+		}
+		return nil
+	}
+	c.eventually("a daemon leads", 5*time.Second, func() bool { return leader() != nil })
+	var ids []string
+	gateway.serveLocal = func(ctx context.Context, r *workflowpb.Request) (*workflowpb.Response, bool) {
+		if r.Operation != beginEvacuation {
+			return serve(ctx, r)
+		}
+		ids = append(ids, r.OrderId)
+		response, _ := leader().running().serveLocal(ctx, r)
+		if lost++; lost == 1 {
+			return &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_UNKNOWN, Reason: "lost"}, true
+		}
+		return response, true
+	}
+	is.Equal(c.nodes[0].evacuation(beginEvacuation, "zone-0").Answer, workflowpb.Answer_ANSWER_OK)
+	is.Equal(len(ids), 2)
+	is.True(ids[0] != "" && ids[0] == ids[1])
+}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -179,12 +179,21 @@
 // been carried out.
 func (g *Gateway) Do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	began := time.Now()
-	response := g.do(ctx, r)
+	response := g.route(ctx, r)
 	metrics.Observe(metrics.Name("gateway_request_us",
 		metrics.L("operation", r.Operation.String()), metrics.L("answer", response.Answer.String())), time.Since(began))
 	return response
 }
 
+// route sends a request the way that its operation needs.
+func (g *Gateway) route(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
+	switch r.Operation {
+	case workflowpb.Operation_OPERATION_BEGIN_EVACUATION, workflowpb.Operation_OPERATION_END_EVACUATION:
+		return g.orderEvacuation(ctx, r)
+	}
+	return g.do(ctx, r)
+}
+
 func (g *Gateway) do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	unknown := false
 	var lastReason string
@@ -219,10 +228,15 @@
 }
 
 // holdsForEarlierTries reports whether an answer also holds for earlier tries of the same request: it
-// was carried out, or what it contains is refused whenever it arrives. Other refusals rest on what
+// was carried out, or what it contains is refused whenever it arrives, as is an order that another one
+// has overtaken. Other refusals rest on what
 // was in force at the last try, such as the keys and queues.
 func holdsForEarlierTries(answer workflowpb.Answer) bool {
-	return answer == workflowpb.Answer_ANSWER_OK || answer == workflowpb.Answer_ANSWER_INVALID
+	switch answer {
+	case workflowpb.Answer_ANSWER_OK, workflowpb.Answer_ANSWER_INVALID, workflowpb.Answer_ANSWER_CONFLICT:
+		return true
+	}
+	return false
 }
 
 // changesState reports whether an operation changes the state: without an answer, its outcome
@@ -230,7 +244,8 @@
 func changesState(operation workflowpb.Operation) bool {
 	switch operation {
 	case workflowpb.Operation_OPERATION_STATUS, workflowpb.Operation_OPERATION_COUNT, workflowpb.Operation_OPERATION_EXPLAIN,
-		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS:
+		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS,
+		workflowpb.Operation_OPERATION_GET_EVACUATION:
 		return false
 	}
 	return true
--- a/internal/stepapi/stepapi.go
+++ b/internal/stepapi/stepapi.go
@@ -1,5 +1,5 @@
 // Package stepapi is the product's own HTTP interface to jobs of steps, the
-// catalogue, waves and explanations. Bodies are JSON with the field names of the
+// catalogue, waves, evacuations and explanations. Bodies are JSON with the field names of the
 // messages in workflow.proto.
 package stepapi
 
@@ -38,8 +38,9 @@
 
 type api struct{ requester Requester }
 
-// New returns the HTTP handler of the interface.
-func New(requester Requester) http.Handler {
+// New returns the HTTP handler of the interface; evacuations tells whether it takes orders to evacuate
+// availability zones.
+func New(requester Requester, evacuations bool) http.Handler {
 	a := &api{requester: requester}
 	r := mux.NewRouter()
 	jobs := r.PathPrefix("/v1/queues/{queue}").Subrouter()
@@ -54,6 +55,12 @@
 	r.HandleFunc("/v1/catalogue", a.getCatalogue).Methods(http.MethodGet)
 	r.HandleFunc("/v1/waves/{wave}", a.putWave).Methods(http.MethodPut)
 	r.HandleFunc("/v1/waves/{wave}", a.getWave).Methods(http.MethodGet)
+	if evacuations {
+		const path = "/v1/evacuations/{zone}"
+		r.HandleFunc(path, a.evacuation(pb.Operation_OPERATION_BEGIN_EVACUATION)).Methods(http.MethodPut)
+		r.HandleFunc(path, a.evacuation(pb.Operation_OPERATION_END_EVACUATION)).Methods(http.MethodDelete)
+		r.HandleFunc(path, a.evacuation(pb.Operation_OPERATION_GET_EVACUATION)).Methods(http.MethodGet)
+	}
 	return r
 }
 
@@ -75,7 +82,7 @@
 	pb.Answer_ANSWER_GONE: http.StatusNotFound, pb.Answer_ANSWER_NO_QUEUE: http.StatusNotFound,
 	pb.Answer_ANSWER_BAD_KEY: http.StatusUnauthorized, pb.Answer_ANSWER_BUSY: http.StatusTooManyRequests,
 	pb.Answer_ANSWER_INVALID: http.StatusBadRequest, pb.Answer_ANSWER_NOT_READY: http.StatusServiceUnavailable,
-	pb.Answer_ANSWER_UNKNOWN: http.StatusGatewayTimeout,
+	pb.Answer_ANSWER_UNKNOWN: http.StatusGatewayTimeout, pb.Answer_ANSWER_CONFLICT: http.StatusConflict,
 }
 
 // writeRefusal answers with the reason. 429 and 503 guarantee that nothing was run.
@@ -115,7 +122,7 @@
 // writeResponse answers with the fields of the response that are meant for callers.
 func writeResponse(w http.ResponseWriter, response *pb.Response) {
 	visible := &pb.Response{
-		State: response.State, Reason: response.Reason, Waiting: response.Waiting, Complete: response.Complete, Lines: response.Lines,
+		State: response.State, Reason: response.Reason, Waiting: response.Waiting, Complete: response.Complete, Lines: response.Lines, Evacuated: response.Evacuated,
 	}
 	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(visible)
 	if err != nil {
@@ -194,6 +201,13 @@
 	}
 }
 
+// evacuation returns a handler for calls about the evacuation of an availability zone.
+func (a *api) evacuation(operation pb.Operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a.forward(w, r, &pb.Request{Operation: operation, Zone: mux.Vars(r)["zone"]})
+	}
+}
+
 func waveNumber(w http.ResponseWriter, r *http.Request) (uint64, bool) {
 	id, err := strconv.ParseUint(mux.Vars(r)["wave"], 10, 64)
 	if err != nil {
--- a/internal/stepapi/stepapi_test.go
+++ b/internal/stepapi/stepapi_test.go
@@ -27,7 +27,7 @@
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
 	request.Header.Set("Authorization", "Bearer secret")
 	response := httptest.NewRecorder()
-	New(r).ServeHTTP(response, request)
+	New(r, true).ServeHTTP(response, request)
 	return response
 }
 
@@ -52,10 +52,14 @@
 		{http.MethodGet, "/v1/queues/proofs/jobs", pb.Operation_OPERATION_COUNT},
 		{http.MethodGet, "/v1/catalogue", pb.Operation_OPERATION_GET_CATALOGUE},
 		{http.MethodGet, "/v1/waves/4", pb.Operation_OPERATION_GET_WAVE},
+		{http.MethodPut, "/v1/evacuations/z", pb.Operation_OPERATION_BEGIN_EVACUATION},
+		{http.MethodDelete, "/v1/evacuations/z", pb.Operation_OPERATION_END_EVACUATION},
+		{http.MethodGet, "/v1/evacuations/z", pb.Operation_OPERATION_GET_EVACUATION},
 	} {
 		is.Equal(call(r, test.method, test.path, "").Code, http.StatusOK)
 		is.Equal(r.last.Operation, test.want)
 	}
+	is.Equal(r.last.Zone, "z")
 	call(r, http.MethodGet, "/v1/queues/proofs/jobs/j1/tasks/0.1.7/explain", "")
 	is.True(r.last.Job.Id == "j1" && r.last.Task.Step == 1 && r.last.Task.Index == 7)
 	call(r, http.MethodGet, "/v1/vms/m-1/explain", "")
@@ -102,3 +106,14 @@
 		call(&recorder{answer: &pb.Response{Answer: pb.Answer_ANSWER_OK}}, http.MethodPut, "/v1/queues/q/jobs/j", body)
 	})
 }
+
+// TestNoEvacuationsUnlessConfigured checks that the paths of evacuations do not exist where the
+// settings do not ask for them.
+func TestNoEvacuationsUnlessConfigured(t *testing.T) {
+	r := &recorder{answer: &pb.Response{Answer: pb.Answer_ANSWER_OK}}
+	response := httptest.NewRecorder()
+	New(r, false).ServeHTTP(response, httptest.NewRequest(http.MethodPut, "/v1/evacuations/z", nil))
+	if response.Code != http.StatusNotFound || r.last != nil {
+		t.Errorf("got %d", response.Code)
+	}
+}
--- /dev/null
+++ b/internal/workflow/evacuations_test.go
@@ -0,0 +1,75 @@
+package workflow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+func evacuationOrder(zone, id string, after uint64, begin bool) *pb.Command {
+	order := &pb.EvacuationOrder{Zone: zone, Id: id, After: after}
+	if begin {
+		return &pb.Command{Body: &pb.Command_BeginEvacuation{BeginEvacuation: &pb.BeginEvacuation{Order: order}}}
+	}
+	return &pb.Command{Body: &pb.Command_EndEvacuation{EndEvacuation: &pb.EndEvacuation{Order: order}}}
+}
+
+// TestLateEvacuationOrders applies orders that were sent again, or that arrive after a later one was
+// acknowledged: the order acknowledged last must hold, also in the state restored from a snapshot.
+func TestLateEvacuationOrders(t *testing.T) {
+	is := is.New(t)
+	m := &testMachine{t: t, machine: New()}
+	for _, step := range []struct {
+		id        string
+		after     uint64
+		begin     bool
+		code      Code
+		evacuated bool
+	}{
+		{"a", 0, false, OK, false},     // an end without a begin
+		{"b", 0, true, Refused, false}, // overtaken by the end, although that changed nothing
+		{"c", 1, true, OK, true},
+		{"c", 1, true, OK, true}, // sent again
+		{"d", 1, false, Refused, true},
+		{"e", 3, true, OK, true}, // begun twice
+		{"f", 6, false, OK, false},
+		{"e", 3, true, Refused, false}, // sent again after the end
+	} {
+		out := m.apply(evacuationOrder("z", step.id, step.after, step.begin))
+		is.Equal(out.Code, step.code)
+		snapshot, err := m.machine.Snapshot()
+		is.NoErr(err)
+		is.NoErr(m.machine.Restore(snapshot))
+		m.machine.View(func(v *View) { is.Equal(v.Evacuated("z"), step.evacuated) })
+	}
+	is.Equal(m.apply(evacuationOrder("", "g", 0, true)).Code, Invalid)
+}
+
+// TestZonesAreRemembered removes the targets of a zone: an order for it must still be possible. The
+// zones of a snapshot of a version that stored none come from its targets. The number of zones is
+// limited, since their names come from announcements.
+func TestZonesAreRemembered(t *testing.T) {
+	is := is.New(t)
+	m := &testMachine{t: t, machine: New()}
+	targets := []*pb.Target{{Id: "t", BornUnixMs: 1, Zone: "z", Vm: "m"}}
+	m.apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: targets}}})
+	m.machine.zones = nil
+	snapshot, err := m.machine.Snapshot()
+	is.NoErr(err)
+	is.NoErr(m.machine.Restore(snapshot))
+	m.apply(&pb.Command{Body: &pb.Command_RemoveTargets{RemoveTargets: &pb.RemoveTargets{Targets: targets}}})
+	is.True((*View)(m.machine).Zone("z") != nil)
+	var names []string
+	for i := range maxZones + 5 {
+		names = append(names, fmt.Sprintf("z%d", i))
+	}
+	names = append(names, "", strings.Repeat("z", maxZoneName+1))
+	m.apply(&pb.Command{Body: &pb.Command_NoteZones{NoteZones: &pb.NoteZones{Zones: names}}})
+	is.Equal(len(m.machine.zones), maxZones)
+	is.Equal(m.apply(evacuationOrder("one too many", "a", 0, true)).Code, Invalid)
+	is.Equal(m.apply(evacuationOrder("z", "a", 0, true)).Code, OK)
+}
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -3,7 +3,7 @@
 // catalogue of queues, pools and workspaces. Apply is deterministic and reads no
 // clock. The safety rules (order of steps, one run of a task at a time unless its
 // step allows copies, maximum attempts, workspace limits, maximum tasks per target,
-// limits on maintenance) are checked when a command is applied, whichever process
+// evacuated zones, limits on maintenance) are checked when a command is applied, whichever process
 // planned it.
 package workflow
 
@@ -73,6 +73,8 @@
 	leases map[string]Lease
 	// formerQueues holds the queues of open jobs that have left the catalogue.
 	formerQueues map[queueID]*pb.Queue
+	// zones holds the availability zones that are known, by name.
+	zones map[string]*pb.StoredZone
 
 	// Derived from the fields above.
 	openJobs map[string]*Job
@@ -112,6 +114,7 @@
 	m.leases = make(map[string]Lease)
 	m.formerTargets = make(map[string]*pb.FormerTarget)
 	m.formerQueues = make(map[queueID]*pb.Queue)
+	m.zones = make(map[string]*pb.StoredZone)
 	m.tasksByTarget = make(map[string]map[TaskID]*Task)
 	m.usedByTarget = make(map[string]TargetUse)
 	m.usedByWorkspace = make(map[string]Resources)
@@ -154,6 +157,15 @@
 		return m.endMaintenance(body.EndMaintenance)
 	case *pb.Command_NoteProgress:
 		return m.noteProgress(body.NoteProgress)
+	case *pb.Command_BeginEvacuation:
+		return m.orderEvacuation(body.BeginEvacuation.GetOrder(), true)
+	case *pb.Command_EndEvacuation:
+		return m.orderEvacuation(body.EndEvacuation.GetOrder(), false)
+	case *pb.Command_NoteZones:
+		for _, zone := range body.NoteZones.Zones {
+			m.noteZone(zone)
+		}
+		return m.ok()
 	case *pb.Command_Prune:
 		return m.prune(body.Prune)
 	}
--- a/internal/workflow/property_test.go
+++ b/internal/workflow/property_test.go
@@ -34,6 +34,7 @@
 	cancelled        map[string]bool
 	targets          map[string]*pb.Target
 	down             map[string]bool
+	evacuated        map[string]bool
 }
 
 type modelRun struct {
@@ -45,7 +46,7 @@
 	m := &runModel{
 		t: t, machine: New(), newest: make(map[TaskID]modelRun), copies: make(map[TaskID]modelRun), attempts: make(map[TaskID]uint32),
 		failed: make(map[TaskID]uint32), superseded: make(map[TaskID]bool), done: make(map[TaskID]bool), jobs: make(map[string]*pb.Job),
-		cancelled: make(map[string]bool), targets: make(map[string]*pb.Target), down: make(map[string]bool),
+		cancelled: make(map[string]bool), targets: make(map[string]*pb.Target), down: make(map[string]bool), evacuated: make(map[string]bool),
 	}
 	m.apply(&pb.Command{Body: &pb.Command_PutCatalogue{PutCatalogue: &pb.PutCatalogue{Catalogue: &pb.Catalogue{
 		Version: 1,
@@ -99,6 +100,7 @@
 		born = known.BornUnixMs + int64(rapid.IntRange(0, 1).Draw(m.t, "restarted"))
 	}
 	target := &pb.Target{Id: id, BornUnixMs: born, Pool: propertyPool, Vm: "vm-" + id, Capacity: &pb.Resources{CpuMillis: 16000}}
+	target.Zone = propertyZones[(id[1]-'0')%2]
 	if id == "t4" {
 		target.Pool = "other"
 	}
@@ -112,6 +114,24 @@
 	m.targets[id] = target
 }
 
+var propertyZones = []string{"z0", "z1"}
+
+// orderEvacuation begins or ends the evacuation of a zone, sometimes by an order that another one has overtaken.
+func (m *runModel) orderEvacuation() {
+	zone := rapid.SampledFrom(propertyZones).Draw(m.t, "zone")
+	begin, overtaken := rapid.IntRange(0, 2).Draw(m.t, "begin") == 0, rapid.IntRange(0, 3).Draw(m.t, "overtaken") == 0
+	after := m.machine.zones[zone].GetLastOrder()
+	if overtaken {
+		after++
+	}
+	if out := m.apply(evacuationOrder(zone, "", after, begin)); (out.Code == OK) == overtaken {
+		m.t.Fatalf("order after %d: %s", after, out.Reason)
+	}
+	if !overtaken {
+		m.evacuated[zone] = begin
+	}
+}
+
 func (m *runModel) drawTask() (TaskID, bool) {
 	if len(m.jobs) == 0 {
 		return TaskID{}, false
@@ -172,6 +192,8 @@
 		m.t.Fatalf("%s started after %d failed runs", id, m.failed[id])
 	case target == nil || target.BornUnixMs != start.TargetBornUnixMs || target.Leaving || target.Pool != propertyPool:
 		m.t.Fatalf("%s started on %v", id, target)
+	case m.evacuated[target.Zone]:
+		m.t.Fatalf("%s started in the evacuated zone of %v", id, target)
 	case step.Label != "" && !slices.Contains(target.Labels, step.Label):
 		m.t.Fatalf("%s started on a target without label %q", id, step.Label)
 	}
@@ -458,7 +480,7 @@
 // incarnations, cancels and restarts. No task may run twice at once unless its step
 // allows copies, again after it is done, before earlier steps are done, beyond its
 // maximum attempts, its workspace's limit or its maximum per target, on a wrong target,
-// or after its job has ended.
+// in an evacuated zone, or after its job has ended.
 func TestTasksProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newRunModel(rt)
@@ -467,7 +489,9 @@
 		}
 		m.submit()
 		for range rapid.IntRange(20, 120).Draw(rt, "length") {
-			switch rapid.IntRange(0, 19).Draw(rt, "action") {
+			switch rapid.IntRange(0, 20).Draw(rt, "action") {
+			case 20:
+				m.orderEvacuation()
 			case 0:
 				m.submit()
 			case 1, 2:
--- a/internal/workflow/snapshot.go
+++ b/internal/workflow/snapshot.go
@@ -31,6 +31,7 @@
 	slices.SortFunc(s.FormerQueues, func(a, b *pb.FormerQueue) int {
 		return cmp.Or(cmp.Compare(a.JobQueueHost, b.JobQueueHost), cmp.Compare(a.JobQueuePath, b.JobQueuePath), cmp.Compare(a.JobQueue, b.JobQueue))
 	})
+	s.Zones = (*View)(m).Zones()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
 		return nil, fmt.Errorf("marshal snapshot: %w", err)
@@ -71,6 +72,16 @@
 	for _, former := range s.FormerTargets {
 		m.formerTargets[former.GetTarget().GetVm()] = former
 	}
+	for _, zone := range s.Zones {
+		m.zones[zone.Name] = zone
+	}
+	// Snapshots of older versions hold no zones.
+	for _, target := range s.Targets {
+		m.noteZone(target.Zone)
+	}
+	for _, former := range s.FormerTargets {
+		m.noteZone(former.GetTarget().GetZone())
+	}
 	for _, wave := range s.Waves {
 		m.waves[wave.Id] = wave
 	}
--- a/internal/workflow/targets.go
+++ b/internal/workflow/targets.go
@@ -24,6 +24,7 @@
 			stored.Leaving = known.Leaving || target.Leaving
 		}
 		m.targets[target.Id] = stored
+		m.noteZone(stored.Zone)
 	}
 	return m.ok()
 }
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -100,6 +100,8 @@
 		return fmt.Sprintf("target is of pool %q, the queue uses %q", target.Pool, queue.Pool)
 	case target.Leaving:
 		return "target is leaving"
+	case m.evacuated(target.Zone):
+		return fmt.Sprintf("availability zone %q is evacuated", target.Zone)
 	case step.Label != "" && !slices.Contains(target.Labels, step.Label):
 		return fmt.Sprintf("target has no label %q", step.Label)
 	case !job.Ready(int(task.ID.Occurrence), int(task.ID.Step)):
--- a/review/harness/installation.go
+++ b/review/harness/installation.go
@@ -190,9 +190,12 @@
 		quoted[i] = `"` + seed + `"`
 	}
 	text = strings.ReplaceAll(text, `{{#seeds}}"{{.}}"{{,}} {{/seeds}}`, strings.Join(quoted, ", "))
+	// The zones are known from members and targets.
+	text = strings.ReplaceAll(text, `{{#zones}}"{{@}}"{{,}} {{/zones}}`, "")
+	text = strings.NewReplacer("{{#bounds.evacMs}}", "", "{{/bounds.evacMs}}", "").Replace(text)
 	all := map[string]string{
 		"portRange.0": fmt.Sprint(peerPort), "heartbeatMs": fmt.Sprint(HeartbeatInterval.Milliseconds()),
-		"bounds.maxTtlMs": fmt.Sprint(MaxLease.Milliseconds()), "bounds.graceS": "6",
+		"bounds.maxTtlMs": fmt.Sprint(MaxLease.Milliseconds()), "bounds.graceS": "6", "bounds.evacMs": "5000",
 		"bounds.migrateS": fmt.Sprint(MoveTime.Seconds()), "bounds.maintS": fmt.Sprint(UpkeepTime.Seconds()),
 	}
 	for name, value := range values {
--- a/test/standin/steps.go
+++ b/test/standin/steps.go
@@ -60,6 +60,8 @@
 	Replaced, Ended bool
 	// Leaving makes the target announce that it leaves.
 	Leaving bool
+	// Zone is the availability zone that the target announces.
+	Zone string
 	// Gauge returns the tail latency of a lasting run, given the paces of all runs on the target.
 	Gauge func(id workflow.TaskID, pace map[workflow.TaskID]int) float64
 
@@ -128,7 +130,7 @@
 
 func (f *StepFleet) add(id string, born int64) *StepTarget {
 	t := &StepTarget{
-		id: id, vm: "vm-" + id, bornUnixMS: born, Work: 60 * time.Millisecond, Room: 4, clockStart: time.Now(),
+		id: id, vm: "vm-" + id, bornUnixMS: born, Zone: "a", Work: 60 * time.Millisecond, Room: 4, clockStart: time.Now(),
 		running: make(map[workflow.TaskID]stepRun), blockedUpTo: make(map[workflow.TaskID]uint32),
 	}
 	f.targets[id] = t
@@ -567,7 +569,7 @@
 		requests = append(requests, &pb.Request{
 			Operation: pb.Operation_OPERATION_ANNOUNCE, TargetClockMs: t.clock(), Sequence: uint64(time.Now().UnixNano()),
 			Target: &pb.Target{
-				Id: t.id, Address: t.id, BornUnixMs: t.bornUnixMS, Pool: pool, Zone: "a", Vm: t.vm, Leaving: t.Leaving,
+				Id: t.id, Address: t.id, BornUnixMs: t.bornUnixMS, Pool: pool, Zone: t.Zone, Vm: t.vm, Leaving: t.Leaving,
 				Labels: []string{"kind", "rack"}, Capacity: &pb.Resources{CpuMillis: room * 1000, MemoryMb: 1000},
 			},
 		})
