Evacuated zones are no supply, and long-running tasks move out of them

VMs of an evacuated zone still counted for their pools, were moved to pools in need, and came in no particular place in a wave. Long-running tasks stayed there.

Such VMs now count as unavailable, also resting ones and those on their way. In a wave they come first, up to its cap at once, since their maintenance takes no capacity.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -304,6 +304,7 @@
 		d.noteZones()
 		d.failUnplaceableJobs()
 		d.timePart(partWaves, d.runWaves)
+		d.timePart(partWaves, d.evacuateZones)
 		d.prune()
 		d.timePart(partPace, d.paceFillers)
 	}
--- a/internal/driver/evacuations.go
+++ b/internal/driver/evacuations.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/evacuation"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -179,6 +180,14 @@
 	return l.target.Zone
 }
 
+// zoneOfVM returns the availability zone of a VM: that of its target, or as listed if no target is known.
+func zoneOfVM(v *workflow.View, vm VM, l *link) string {
+	if l != nil {
+		return zoneOf(v, l)
+	}
+	return vm.Zone
+}
+
 // inEvacuatedZone reports whether the target of a run is in an evacuated zone.
 func (d *Driver) inEvacuatedZone(v *workflow.View, r *run) bool {
 	l := d.links[r.target]
@@ -197,3 +206,94 @@
 		d.endRun(r, pb.EndKind_END_KIND_NOT_RUN, "its zone is evacuated, no start was sent")
 	}
 }
+
+// evacuateZones stops long-running tasks in evacuated zones that have room elsewhere, within the
+// availability budgets of their steps.
+func (d *Driver) evacuateZones() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stop := make(map[*run]string)
+	d.cfg.Machine.View(func(v *workflow.View) {
+		leaving := d.lastingInEvacuatedZones(v)
+		for pool, tasks := range leaving {
+			snapshot := d.evacuationSnapshot(v, pool, tasks)
+			for _, id := range evacuation.Plan(snapshot) {
+				task := v.Task(id)
+				stop[d.runOn(task, task.Target)] = v.Target(task.Target).GetVm()
+				event.TaskLeavesZone.Emit(event.F("task", id.String()), event.F("attempt", task.Attempt), event.F("target", task.Target), event.F("zone", v.Target(task.Target).GetZone()))
+			}
+		}
+	})
+	for r, vm := range stop {
+		countLeftZone()
+		d.vmDecisions.note(d.cfg.Now(), vm, "long-running task %s is stopped, its zone is evacuated", r.task)
+		d.callStop(r)
+	}
+}
+
+// lastingInEvacuatedZones returns the long-running tasks that are at work in evacuated zones, by pool.
+func (d *Driver) lastingInEvacuatedZones(v *workflow.View) map[string][]*workflow.Task {
+	var out map[string][]*workflow.Task
+	for id, target := range v.Targets() {
+		if !v.Evacuated(target.Zone) || v.UsedOn(id).Lasting == 0 {
+			continue
+		}
+		for _, task := range v.PlacedOn(id) {
+			r := d.runOn(task, id)
+			if !task.Spec().Lasting || workflow.Ended(task.Job.State) || r == nil || r.phase != runConfirmed {
+				continue
+			}
+			if out == nil {
+				out = make(map[string][]*workflow.Task)
+			}
+			out[target.Pool] = append(out[target.Pool], task)
+		}
+	}
+	return out
+}
+
+// evacuationSnapshot describes the long-running tasks of a pool and where there is room for them.
+func (d *Driver) evacuationSnapshot(v *workflow.View, pool string, leaving []*workflow.Task) *evacuation.Snapshot {
+	s := &evacuation.Snapshot{Steps: make(map[workflow.TaskID]*evacuation.Step)}
+	targets, _ := d.planTargets(v, pool)
+	for i := range targets {
+		s.Targets = append(s.Targets, evacuation.Target{ID: targets[i].ID, Free: targets[i].Free})
+	}
+	describe := func(task *workflow.Task) evacuation.Task {
+		spec, first := task.Spec(), task.ID.FirstOfStep()
+		if s.Steps[first] == nil {
+			step := stepRequirements(v, spec, task.Job.Tasks[first.Occurrence][first.Step])
+			s.Steps[first] = &evacuation.Step{
+				Budget: int(spec.MaxUnavailable), Away: d.unavailableElsewhere(v, first, ""),
+				MaxPerTarget: step.MaxPerTarget, OnTarget: step.OnTarget,
+			}
+		}
+		return evacuation.Task{ID: task.ID, Room: workflow.RequiredCapacity(spec), Admits: func(at int) bool {
+			return spec.Label == "" || slices.Contains(targets[at].Labels, spec.Label)
+		}}
+	}
+	for _, job := range v.OpenJobs() {
+		queue := v.QueueOf(job)
+		if queue == nil || queue.Pool != pool || workflow.Ended(job.State) || !slices.ContainsFunc(job.Spec.Steps, (*pb.Step).GetLasting) {
+			continue
+		}
+		job.EachTask(func(task *workflow.Task) {
+			if task.Spec().Lasting && job.DueMS(int(task.ID.Occurrence)) <= d.cfg.NowMS() && d.isUnplaced(task) {
+				s.Unplaced = append(s.Unplaced, describe(task))
+			}
+		})
+	}
+	for _, task := range leaving {
+		s.Leaving = append(s.Leaving, describe(task))
+	}
+	return s
+}
+
+// isUnplaced reports whether a long-running task waits for a start or is being stopped.
+func (d *Driver) isUnplaced(task *workflow.Task) bool {
+	if task.State != pb.TaskState_TASK_STATE_PLACED {
+		return task.State == pb.TaskState_TASK_STATE_WAITING
+	}
+	r := d.runOn(task, task.Target)
+	return r != nil && r.phase >= runStopping
+}
--- a/internal/driver/evacuations_test.go
+++ b/internal/driver/evacuations_test.go
@@ -1,8 +1,10 @@
 package driver_test
 
 import (
+	"context"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -163,3 +165,90 @@
 	is.Equal(lines[1], "4 tasks run on its 1 targets, 0 of them long-running")
 	is.True(slices.ContainsFunc(lines, func(line string) bool { return strings.HasPrefix(line, "b on VM vm-b runs j.0.0.") }))
 }
+
+// TestLastingTasksLeaveEvacuatedZone evacuates a zone with long-running tasks: they move to the other zone as far as
+// there is room, and of a step that bears one task away never more than one is.
+func TestLastingTasksLeaveEvacuatedZone(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		room, stay int
+	}{{"room for all", 8, 0}, {"room for three", 3, 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newZoneRig(t)
+			r.fleet.Lasting = map[string]bool{"j": true}
+			r.fleet.Change("a", func(t *standin.StepTarget) { t.Room = test.room })
+			r.fleet.Restart("a") // announces its room
+			r.fleet.Change("a", func(t *standin.StepTarget) { t.Room = test.room })
+			r.eventually("the room is registered", testWait, func() bool {
+				cpu := int64(0)
+				r.machine.View(func(v *workflow.View) { cpu = v.Target("a").GetCapacity().GetCpuMillis() })
+				return cpu == int64(test.room)*1000
+			})
+			answer := r.request(&pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/p/j", Job: &pb.Job{Id: "j", Steps: []*pb.Step{{
+				Tasks: 4, Needs: &pb.Resources{CpuMillis: 1000, MemoryMb: 10}, Lasting: true, MaxUnavailable: 1,
+			}}}})
+			is.Equal(answer.Answer, pb.Answer_ANSWER_OK)
+			running := func() int { return r.fleet.Running("a") + r.fleet.Running("b") }
+			r.eventually("all tasks run", testWait, func() bool { return running() == 4 })
+			is.Equal(r.fleet.Running("b"), 2)
+			r.beginEvacuation("b")
+			least := 4
+			r.eventually("the tasks have moved", 2*testWait, func() bool {
+				least = min(least, running())
+				return r.fleet.Running("b") == test.stay && running() == 4
+			})
+			time.Sleep(time.Second)
+			is.Equal(r.fleet.Running("b"), test.stay)
+			is.Equal(least, 3)
+			r.reportFaults()
+		})
+	}
+}
+
+// orderRecorder takes every VM down and records the VMs in the order in which they were ordered.
+type orderRecorder struct {
+	busyPlatform
+	mu     sync.Mutex
+	orders []string
+}
+
+func (p *orderRecorder) Maintain(_ context.Context, order driver.VMOrder, _ uint64) (driver.VMRefusal, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(p.orders, order.VM) {
+		p.orders = append(p.orders, order.VM)
+	}
+	return driver.VMAccepted, nil
+}
+
+func (p *orderRecorder) ordered() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.orders)
+}
+
+// TestWaveBeginsInEvacuatedZone declares a wave that has time to take one VM down after the other. Those of an evacuated
+// zone must go first, as many at once as the cap allows.
+func TestWaveBeginsInEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, "a")
+	platform := &orderRecorder{}
+	wave := &pb.Wave{Id: 1, Cap: 3, DurationMs: 60_000}
+	for _, vm := range []driver.VM{{Name: "x1", Zone: "a"}, {Name: "x2", Zone: "a"}, {Name: "y1", Zone: "b"}, {Name: "y2", Zone: "b"}, {Name: "y3", Zone: "b"}} {
+		vm.State = driver.VMInMaintenance
+		platform.listed = append(platform.listed, vm)
+		wave.Vms = append(wave.Vms, vm.Name)
+	}
+	r.vms = platform
+	r.startLeader()
+	r.eventually("the VMs are listed", testWait, func() bool {
+		return r.orderEvacuation(pb.Operation_OPERATION_GET_EVACUATION, "b").Answer == pb.Answer_ANSWER_OK
+	})
+	r.beginEvacuation("b")
+	is.Equal(r.request(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: wave}).Answer, pb.Answer_ANSWER_OK)
+	r.eventually("the VMs of the zone are ordered down", testWait, func() bool { return len(platform.ordered()) >= 3 })
+	first := platform.ordered()
+	slices.Sort(first)
+	is.Equal(first, []string{"y1", "y2", "y3"})
+}
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -32,6 +32,11 @@
 	gometrics.GetOrRegisterCounter("driver_ends_missing", gometrics.DefaultRegistry).Inc(1)
 }
 
+// countLeftZone counts a long-running task that is stopped because its zone is evacuated.
+func countLeftZone() {
+	gometrics.GetOrRegisterCounter("driver_zone_moves", gometrics.DefaultRegistry).Inc(1)
+}
+
 // observeCall adds the time of a call to a target. Listings are not observed: the
 // target delays them on purpose.
 func observeCall(call string, began, now time.Time, err error) {
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -272,8 +272,9 @@
 func (d *Driver) addVMs(v *workflow.View, s *pools.Snapshot, index map[string]int, now time.Time) {
 	links := d.linksByVM()
 	for name, vm := range d.fleet.vms {
+		evacuated := v.Evacuated(zoneOfVM(v, vm, links[name]))
 		if m := d.pools.moving[name]; m != nil {
-			if at, ok := index[m.to]; ok && !s.Pools[at].Resting {
+			if at, ok := index[m.to]; ok && !s.Pools[at].Resting && !evacuated {
 				s.Pools[at].IncomingMillis += m.cpu
 				s.Pools[at].Incoming++
 			}
@@ -289,7 +290,7 @@
 		} else if !d.describeVM(v, links[name], &described, now) {
 			continue
 		}
-		described.Unavailable = described.Unavailable || d.waves.cordoned(name) || v.MaintenanceOrdered(name)
+		described.Unavailable = described.Unavailable || evacuated || d.waves.cordoned(name) || v.MaintenanceOrdered(name)
 		described.Fixed = described.Fixed || described.Unavailable
 		s.Pools[at].VMs = append(s.Pools[at].VMs, described)
 	}
--- a/internal/driver/queuedevacuation_test.go
+++ b/internal/driver/queuedevacuation_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"sapphirering/internal/policy/maintenance"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -29,10 +30,10 @@
 	registered := proto.CloneOf(d.links[target].target)
 	registered.Zone = "z"
 	applyAt(t, d, index, &pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{registered}}}})
-	applyAt(t, d, index+1, evacuation("z"))
+	applyAt(t, d, index+1, beginEvacuationOf("z"))
 }
 
-func evacuation(zone string) *pb.Command {
+func beginEvacuationOf(zone string) *pb.Command {
 	return &pb.Command{Body: &pb.Command_BeginEvacuation{BeginEvacuation: &pb.BeginEvacuation{Order: &pb.EvacuationOrder{Zone: zone}}}}
 }
 
@@ -69,3 +70,45 @@
 		})
 	}
 }
+
+// TestEvacuatedZoneIsNoSupply evacuates the zone of one of three VMs of a pool: its room must not count, it must
+// not move to another pool, and its maintenance comes before that of the others, also beyond the wave's pace.
+func TestEvacuatedZoneIsNoSupply(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	d := newTestDriver(t, func() time.Time { return now })
+	d.fleet.vms = make(map[string]VM)
+	for _, id := range []string{"t0", "t1", "t2"} {
+		d.fleet.vms["vm-"+id] = VM{Name: "vm-" + id, Pool: "p", Capacity: workflow.Resources{CPUMillis: 1000}}
+		d.links[id].clockAt, d.links[id].lastAnnounced = now, now
+	}
+	d.pools.moving["vm-away"] = &move{to: "p", cpu: 1000}
+	d.fleet.vms["vm-away"] = VM{Name: "vm-away", Zone: "z"}
+	describe := func() (unavailable, incoming int, capacity int64, targets int) {
+		d.cfg.Machine.View(func(v *workflow.View) {
+			pool := d.poolSnapshot(v, now).Pools[0]
+			for _, vm := range pool.VMs {
+				if vm.Unavailable && vm.Fixed {
+					unavailable++
+				}
+			}
+			plan, room := d.planTargets(v, "p")
+			incoming, capacity, targets = pool.Incoming, room, len(plan)
+		})
+		return
+	}
+	unavailable, incoming, capacity, targets := describe()
+	is.Equal([]int{unavailable, incoming, int(capacity), targets}, []int{0, 1, 3*900 + 1000, 3})
+	evacuateAt(t, d, 100, "t2")
+	unavailable, incoming, capacity, targets = describe()
+	is.Equal([]int{unavailable, incoming, int(capacity), targets}, []int{1, 0, 2 * 900, 2})
+
+	wave := &pb.Wave{Id: 1, Vms: []string{"vm-t0", "vm-t1", "vm-t2"}, Cap: 2}
+	candidates := d.candidates(wave, wave.Vms)
+	maintenance.SortForMaintenance(candidates)
+	is.Equal(candidates[0].VM, "vm-t2")
+	is.Equal(maintenance.ToCordon(candidates, 1, time.Hour, time.Second), []string{"vm-t2"})
+	d.cfg.Machine.View(func(v *workflow.View) {
+		is.Equal(d.noStartReasons(v, "vm-t2"), []string{`availability zone "z" is evacuated`})
+	})
+}
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -224,7 +224,9 @@
 	}
 	atOnce := d.atOnce(w, len(left)+len(ordered))
 	candidates := d.candidates(w, left)
-	d.cordonNext(w, candidates, atOnce-len(ordered))
+	// Maintenance in an evacuated zone takes no capacity: only the wave's cap limits how many VMs go at once.
+	evacuated := min(int(w.Cap)-len(ordered), maintenance.CountEvacuated(candidates))
+	d.cordonNext(w, candidates, max(atOnce-len(ordered)+drainAhead, evacuated))
 	down := len(ordered)
 	for _, vm := range left {
 		if d.waves.maintenance(w.Id, vm).calling {
@@ -235,7 +237,11 @@
 	maintenance.SortForMaintenance(candidates)
 	for _, candidate := range candidates {
 		vm := candidate.VM
-		if down >= atOnce || down >= forOthers && len(candidate.Steps) == 0 {
+		switch {
+		case down >= int(w.Cap):
+			return
+		case candidate.Evacuated:
+		case down >= atOnce || down >= forOthers && len(candidate.Steps) == 0:
 			return
 		}
 		if m := d.waves.maintenance(w.Id, vm); !m.cordoned() || m.calling || !d.drained(vm, m) {
@@ -341,7 +347,7 @@
 			if !m.calling && (d.waves.takenByOther(vm, m) || v.MaintenanceOrdered(vm)) {
 				continue
 			}
-			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned()}
+			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned(), Evacuated: v.Evacuated(zoneOfVM(v, d.fleet.vms[vm], links[vm]))}
 			if l := links[vm]; l != nil {
 				c.LoadMillis, c.Steps = v.UsedOn(l.target.Id).Room.CPUMillis, lastingSteps(v, l.target.Id)
 			}
@@ -352,13 +358,13 @@
 }
 
 // cordonNext begins to drain VMs of the wave, so that one is ready when the wave's cap and
-// pace allow it.
-func (d *Driver) cordonNext(w *pb.Wave, left []maintenance.Candidate, free int) {
+// pace allow it; want are to be drained.
+func (d *Driver) cordonNext(w *pb.Wave, left []maintenance.Candidate, want int) {
 	load := make(map[string]int64, len(left))
 	for _, c := range left {
 		load[c.VM] = c.LoadMillis
 	}
-	for _, vm := range maintenance.ToCordon(left, free+drainAhead, d.waveTimeLeft(w), d.cfg.Limits.VMMaintenance+drainTime) {
+	for _, vm := range maintenance.ToCordon(left, want, d.waveTimeLeft(w), d.cfg.Limits.VMMaintenance+drainTime) {
 		d.waves.maintenance(w.Id, vm).cordonedAt = d.cfg.Now()
 		d.noteProgress(w.Id, &pb.VMProgress{Vm: vm, CordonedIndex: 1})
 		event.VMCordoned.Emit(event.F("vm", vm), event.F("wave", w.Id), event.F("cpu_millis", load[vm]))
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -25,6 +25,7 @@
 	"driver_target_call_us":  "Time of calls to targets by call and outcome, in microseconds, without listing calls.",
 	"driver_misdirected":     "Listing calls that another incarnation of a target answered than the one they were meant for, by what they carried.",
 	"driver_ends_missing":    "Runs that a target has listed as running and then lists no more, without an end.",
+	"driver_zone_moves":      "Long-running tasks stopped because their availability zone is evacuated.",
 	"driver_commit_us":       "Time of the leader's commits by outcome, in microseconds.",
 	"driver_round_us":        "Time of the rounds of the leader's driver by part, in microseconds.",
 	"driver_work_core_ms":    "Processor time of ended jobs by outcome, in core milliseconds.",
--- a/internal/policy/maintenance/lasting.go
+++ b/internal/policy/maintenance/lasting.go
@@ -13,6 +13,8 @@
 	LoadMillis int64
 	// Cordoned VMs take no starts already.
 	Cordoned bool
+	// Evacuated VMs are in an availability zone that gets no starts: their maintenance takes no capacity.
+	Evacuated bool
 	// Steps are the lasting steps that run on it.
 	Steps []LastingStep
 }
@@ -23,10 +25,10 @@
 	Budget int
 }
 
-// ToCordon returns the VMs to cordon, so that want VMs of the wave are. Those with the least load
-// come first. VMs that run tasks of one lasting step go down one after the other, each for
+// ToCordon returns the VMs to cordon, so that want VMs of the wave are. Those in evacuated zones come first,
+// then those with the least load. VMs that run tasks of one lasting step go down one after the other, each for
 // about perVM, and would come last by their load: where such a chain takes a good part of the
-// time left, as many of them as its budget allows, and one more, come before all others.
+// time left, as many of them as its budget allows, and one more, come before all others outside of evacuated zones.
 func ToCordon(vms []Candidate, want int, timeLeft, perVM time.Duration) []string {
 	vms = slices.Clone(vms)
 	slices.SortStableFunc(vms, func(a, b Candidate) int { return cmp.Compare(a.LoadMillis, b.LoadMillis) })
@@ -50,6 +52,11 @@
 		}
 		next = append(next, vm.VM)
 	}
+	for i := range vms {
+		if vm := &vms[i]; vm.Evacuated && !vm.Cordoned && cordoned < want {
+			take(vm)
+		}
+	}
 	for i := range vms {
 		vm := &vms[i]
 		urgent := slices.ContainsFunc(vm.Steps, func(s LastingStep) bool { return long[s.ID] > 0 })
@@ -66,10 +73,29 @@
 	return next
 }
 
-// SortForMaintenance sorts VMs by which may go down first: those with lasting steps come before
-// others, which could take their places at any time.
+// SortForMaintenance sorts VMs by which may go down first: those in evacuated zones, and then those with
+// lasting steps come before others, which could take their places at any time.
 func SortForMaintenance(vms []Candidate) {
-	slices.SortStableFunc(vms, func(a, b Candidate) int { return cmp.Compare(len(b.Steps), len(a.Steps)) })
+	slices.SortStableFunc(vms, func(a, b Candidate) int {
+		if a.Evacuated != b.Evacuated {
+			if a.Evacuated {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(len(b.Steps), len(a.Steps))
+	})
+}
+
+// CountEvacuated returns the number of VMs in evacuated zones.
+func CountEvacuated(vms []Candidate) int {
+	count := 0
+	for i := range vms {
+		if vms[i].Evacuated {
+			count++
+		}
+	}
+	return count
 }
 
 // Reserved returns how many of the VMs that may be down at once are kept for those of long
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -35,7 +35,7 @@
 	// Fixed means that the VM may not move now.
 	Fixed bool
 	// Unavailable means that the VM takes no tasks: it is in maintenance, about to be,
-	// or leaving.
+	// leaving, or in an evacuated availability zone.
 	Unavailable bool
 }
 
