Evacuation orders sent again answer with the order's own number

A resend was answered with the index of the resend, which is above that of orders applied in between. The outcome now holds the number under which the order was recorded.

--- a/internal/workflow/evacuations.go
+++ b/internal/workflow/evacuations.go
@@ -26,7 +26,8 @@
 }
 
 // orderEvacuation begins or ends the evacuation of an availability zone. An order that changes
-// nothing is recorded as well, so that an earlier one that is late is refused.
+// nothing is recorded as well, so that an earlier one that is late is refused. The outcome's index is the
+// number of the order, also if it was sent again.
 func (m *Machine) orderEvacuation(order *pb.EvacuationOrder, evacuate bool) *Outcome {
 	if order.GetZone() == "" || len(order.Zone) > maxZoneName || len(order.Id) > maxOrderID {
 		return m.outcome(Invalid, "evacuation: the zone or the id of the order is empty or too long")
@@ -36,7 +37,7 @@
 	case zone == nil:
 		return m.outcome(Invalid, "evacuation of zone %q: %d zones are known, no more are possible", order.Zone, maxZones)
 	case order.Id != "" && order.Id == zone.LastOrderId:
-		return m.ok()
+		return &Outcome{Index: zone.LastOrder}
 	case order.After != zone.LastOrder:
 		return m.outcome(Refused, "evacuation of zone %q: order %d has been applied since order %d", order.Zone, zone.LastOrder, order.After)
 	}
--- a/internal/workflow/evacuations_test.go
+++ b/internal/workflow/evacuations_test.go
@@ -41,6 +41,9 @@
 	} {
 		out := m.apply(evacuationOrder("z", step.id, step.after, step.begin))
 		is.Equal(out.Code, step.code)
+		if out.Code == OK {
+			is.Equal(out.Index, (*View)(m.machine).Zone("z").LastOrder) // the order's number
+		}
 		snapshot, err := m.machine.Snapshot()
 		is.NoErr(err)
 		is.NoErr(m.machine.Restore(snapshot))
