Targets that announce a warm-up get their share gradually

After an evacuation all targets of a zone may be slow for some time, which they announce as warmupLeftMs. Nothing read it: they got a full share at once, and made jobs late that a warm target would have finished in time.

Where bounds.evacuation is set, such a target offers a quarter of its processors at first and more as it warms up, comes after others, and gets no job that it would make late while that can still be in time. Runs that begin there are expected to take longer and teach nothing about run times. By how much it is slower is not stated; 2 is assumed (internal/policy/warmup, 7103).

--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -225,7 +225,7 @@
 }
 
 func (d *Driver) learnRunTime(l *link, r *run, now time.Time) {
-	if r.runningSince.IsZero() || r.adopted || r.attempt > 1 {
+	if r.runningSince.IsZero() || r.adopted || r.attempt > 1 || r.coldFor > 0 {
 		return
 	}
 	d.cfg.Machine.View(func(v *workflow.View) {
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -68,6 +68,10 @@
 	// incarnation, have certainly lapsed; they are refused once the target has listed its runs
 	// over this link.
 	formerLapseAt time.Time
+	// warmAt is when the target is no longer slow, as it has announced; zero if it is not slow. warmup is the
+	// longest time that it has stated since it became slow.
+	warmAt time.Time
+	warmup time.Duration
 	// grantOpen is set while the committed record allows whole leases, suspended while it allows none.
 	grantOpen, suspended bool
 	// wantsGrantAt is when such a record was last asked for.
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -135,9 +135,11 @@
 		}
 		used := v.UsedOn(id)
 		free := workflow.ResourcesOf(known.Capacity).Sub(l.unplacedRoom(v, used.Changes)).Sub(used.Room)
+		free = l.offered(now, workflow.ResourcesOf(known.Capacity), free)
 		capacity += used.ShortMillis + max(free.CPUMillis, 0)
 		out = append(out, assign.Target{
 			ID: id, Zone: known.Zone, Rack: rackOf(known), Labels: known.Labels, Free: free, Lasting: used.Lasting, Slowness: l.health.slowness(),
+			ColdFor: l.warmupLeft(now),
 		})
 	}
 	slices.SortFunc(out, func(a, b assign.Target) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -339,8 +339,8 @@
 // speed once that is known. A task without progress that has taken longer than expected is
 // assumed to be half done.
 func (d *Driver) remainingMS(task *workflow.Task, target string, now time.Time) int64 {
-	expected := d.learned.expectedOf(task)
 	r := d.runOn(task, target)
+	expected := d.expectedOn(task, r)
 	if r == nil || r.runningSince.IsZero() {
 		return expected
 	}
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -80,6 +80,7 @@
 	l.lastAnnounced = d.cfg.Now()
 	l.announcedAt = l.lastAnnounced
 	l.noteHeard()
+	l.noteWarmup(time.Duration(r.WarmupLeftMs)*time.Millisecond, l.announcedAt)
 	if l.clockAt.IsZero() {
 		d.noteClock(l, r.TargetClockMs)
 	}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -69,6 +69,8 @@
 	startCalls, startsInProgress int
 	// evacuated is set if the start has no answer and the zone of the target was evacuated when it was last checked.
 	evacuated bool
+	// coldFor is how much longer the target was slow when the start was last sent.
+	coldFor time.Duration
 	// refusedLate is set once the lease in a start was over when it arrived.
 	refusedLate bool
 	// formerLapseAt is when leases of a former leader's start calls for an adopted run have certainly lapsed; zero if
@@ -210,6 +212,7 @@
 func (d *Driver) beginStart(r *run, l *link, call StartCall, onLate func()) *callInProgress {
 	r.lastCallAt = d.cfg.Now()
 	r.startSentAt = r.lastCallAt
+	r.coldFor = l.warmupLeft(r.lastCallAt)
 	r.startCalls++
 	r.startsInProgress++
 	open := d.beginCall(l, r, "start", 0, onLate)
--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -41,7 +41,7 @@
 		// The progress of a run on a silent target is not known.
 		return false
 	}
-	expected := time.Duration(d.learned.expectedOf(task)) * time.Millisecond
+	expected := time.Duration(d.expectedOn(task, r)) * time.Millisecond
 	reason := stallReason(r, expected, l.answeredAt)
 	if reason == "" || now.Sub(r.lastCallAt) < retryPause {
 		return false
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -73,6 +73,7 @@
 	EvacuationBegun     = define(7100, log.InfoLevel, "evacuation of an availability zone ordered, no task is started there", "")
 	EvacuationEnded     = define(7101, log.InfoLevel, "evacuation of an availability zone revoked", "")
 	TaskLeavesZone      = define(7102, log.InfoLevel, "long-running task in an evacuated zone stopped, it restarts in another zone", "")
+	TargetCold          = define(7103, log.InfoLevel, "target announces that it is slow for some time, it gets its share gradually", "")
 	AdviceTaken         = define(7042, log.InfoLevel, "advice service answered on the targets of a step", "")
 	AdviceSilent        = define(7043, log.WarnLevel, "advice service gave no answer, the step waits", "Check the advice service.")
 	PlatformSilent      = define(7055, log.WarnLevel, "platform gave no answer", "Check the platform.")
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -12,8 +12,11 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
+	"time"
 
+	"sapphirering/internal/policy/warmup"
 	"sapphirering/internal/workflow"
 )
 
@@ -29,6 +32,8 @@
 	Lasting int
 	// Slowness is the learned ratio of run times there to those of its peers; 1 is normal.
 	Slowness float64
+	// ColdFor is how much longer the target is slow because it was idle; 0 if it is not.
+	ColdFor time.Duration
 }
 
 // Step holds the waiting tasks of one step in one occurrence of its job.
@@ -142,6 +147,10 @@
 	// and every task tries each of its candidates.
 	withRoom, all []int
 	zones         map[string]string
+	// slackMS is what the job that is being placed may lose without being late, if it can still be in time.
+	slackMS int64
+	// remainingMS is the expected time of what is left of it.
+	remainingMS int64
 	// shed holds jobs that the pool has no room to end in time beside the others.
 	shed   map[string]bool
 	starts []Start
@@ -231,6 +240,10 @@
 }
 
 func (p *plan) placeJob(j *Job) {
+	p.slackMS, p.remainingMS = math.MaxInt64, j.RemainingMS
+	if class := p.class(j); class == classInTime || class == classShed {
+		p.slackMS = j.DeadlineMS - p.snapshot.NowMS - j.RemainingMS
+	}
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		p.dropFullTargets()
@@ -371,7 +384,7 @@
 	}
 	for _, i := range p.candidates(step) {
 		target := &p.targets[i]
-		if step.MayRunOn(target) {
+		if step.MayRunOn(target) && target.ColdFor == 0 {
 			slots[target.Zone] += target.Free.Slots(step.Room)
 		}
 	}
@@ -416,7 +429,7 @@
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
 		}
-		if !step.MayRunOn(target) || !step.BelowTargetLimit(target) {
+		if !step.MayRunOn(target) || !step.BelowTargetLimit(target) || p.makesLate(target) {
 			continue
 		}
 		if score := score(step, target, step.OnTarget[target.ID], home); best < 0 || score < bestScore {
@@ -426,6 +439,20 @@
 	return best
 }
 
+// makesLate reports whether the job that is being placed would be late because the target is cold. It waits
+// for a warm one: once it is late anyway, cold ones count too.
+func (p *plan) makesLate(target *Target) bool {
+	return target.ColdFor > 0 && warmup.Delay(time.Duration(p.remainingMS)*time.Millisecond, target.ColdFor).Milliseconds() > p.slackMS
+}
+
+// slowness returns the ratio of the run times on the target to those of its peers.
+func (t *Target) slowness() float64 {
+	if t.ColdFor > 0 {
+		return max(t.Slowness, warmup.Slowness)
+	}
+	return t.Slowness
+}
+
 // Weights of the score, in units of a normal run time.
 const (
 	weightSlowness = 4.0
@@ -450,7 +477,7 @@
 
 // score returns the cost of placing a task on a target; the lowest is best.
 func score(step *Step, target *Target, onTarget int, home string) float64 {
-	s := weightSlowness * max(0, target.Slowness-normalSlowness)
+	s := weightSlowness * max(0, target.slowness()-normalSlowness)
 	if step.Avoid[target.ID] {
 		s += weightAvoid
 	}
