--- a/internal/command/steps.go
+++ b/internal/command/steps.go
@@ -26,6 +26,8 @@
 	Reason  string   `json:"reason,omitempty"`
 	Waiting string   `json:"waiting,omitempty"`
 	Lines   []string `json:"lines,omitempty"`
+	// Evacuated is set if no task is started in the zone that was asked about.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 func runSteps(env *Env, args []string) error {
