Jobs wait for a warm target only where there is one

Where all targets that may run a step were cold, a job that one of them would make late waited until it was late, although nothing could finish it sooner; the assumed slowness may also be too high. Such jobs now start at once.

TestColdTargets has both cases; TestZoneComesBack still has no late job.

--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -151,6 +151,8 @@
 	slackMS int64
 	// remainingMS is the expected time of what is left of it.
 	remainingMS int64
+	// cold is set if a target is cold, warm if one that is not may run the step that is being placed.
+	cold, warm bool
 	// shed holds jobs that the pool has no room to end in time beside the others.
 	shed   map[string]bool
 	starts []Start
@@ -162,6 +164,7 @@
 	for i := range s.Targets {
 		p.all = append(p.all, i)
 		p.zones[s.Targets[i].ID] = s.Targets[i].Zone
+		p.cold = p.cold || s.Targets[i].ColdFor > 0
 	}
 	p.withRoom = slices.Clone(p.all)
 	return p
@@ -247,6 +250,7 @@
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		p.dropFullTargets()
+		p.warm = p.cold && slices.ContainsFunc(p.targets, func(t Target) bool { return t.ColdFor == 0 && step.MayRunOn(&t) })
 		if step.Gang {
 			if !p.placeGang(j, step) {
 				p.addWait(j, step, 0, WaitRoom)
@@ -440,9 +444,9 @@
 }
 
 // makesLate reports whether the job that is being placed would be late because the target is cold. It waits
-// for a warm one: once it is late anyway, cold ones count too.
+// for a warm one, if there is any: once it is late anyway, cold ones count too.
 func (p *plan) makesLate(target *Target) bool {
-	return target.ColdFor > 0 && warmup.Delay(time.Duration(p.remainingMS)*time.Millisecond, target.ColdFor).Milliseconds() > p.slackMS
+	return target.ColdFor > 0 && p.warm && warmup.Delay(time.Duration(p.remainingMS)*time.Millisecond, target.ColdFor).Milliseconds() > p.slackMS
 }
 
 // slowness returns the ratio of the run times on the target to those of its peers.
--- a/internal/policy/assign/cold_test.go
+++ b/internal/policy/assign/cold_test.go
@@ -34,6 +34,8 @@
 		{"a job that would be late waits", []Target{cold, target("warm", 2000)}, job(1500, same), map[string]int{"warm": 2}},
 		{"almost warm", []Target{almostWarm, target("warm", 2000)}, job(1500, same), map[string]int{"warm": 2, "cold": 1}},
 		{"late anyway", []Target{cold, target("warm", 2000)}, job(900, same), map[string]int{"warm": 2, "cold": 1}},
+		{"all are cold", []Target{cold}, job(1500, same), map[string]int{"cold": 3}},
+		{"the warm one lacks the label", []Target{cold, target("warm", 2000)}, job(1500, func(j *Job) { j.Steps[0].Label = "rcold" }), map[string]int{"cold": 3}},
 		{"long-running", []Target{cold}, job(900, func(j *Job) { j.Lasting, j.Steps[0].Lasting = true, true }), map[string]int{"cold": 3}},
 		{"no part of a gang", []Target{cold, target("warm", 2000)}, job(1500, func(j *Job) { j.Steps[0].Gang = true }), map[string]int{}},
 	} {
