--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -42,6 +42,11 @@
 	s, err = ParseRoleSettings("f", []byte(coreSettings+"admission: {refuse_late: true}\n"))
 	is.NoErr(err)
 	is.True(s.Admission.RefuseLate)
+	is.True(!s.Bounds.Evacuates()) // unless the settings ask for it
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"  evacuation: 5s\nzones: [\"zone-a\", \"zone-b\"]\n"))
+	is.NoErr(err)
+	is.True(s.Bounds.Evacuates())
+	is.Equal(s.Zones, []string{"zone-a", "zone-b"})
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
@@ -62,6 +67,8 @@
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"unknown admission", "found: true", "found: true\nadmission: {refuse: true}", "admission.refuse"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
+		{"negative evacuation", "bounds:\n", "bounds:\n  evacuation: -1s\n", "bounds.evacuation"},
+		{"zone without a name", "zone: zone-a\n", "zone: zone-a\nzones: [\"\"]\n", "zones[0]"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -69,6 +69,9 @@
 	NowMS func() int64
 	// RefuseLate refuses jobs that would certainly end after their end has lost all worth.
 	RefuseLate bool
+	// Zones returns the availability zones that the settings and the member list name. It is nil if
+	// zones are not evacuated.
+	Zones func() []string
 }
 
 const (
@@ -143,6 +146,8 @@
 	// prunedAt is when old jobs were last pruned, checkedAt when runs and targets were last
 	// checked; only the loop uses them.
 	prunedAt, checkedAt time.Time
+	// zonesNoted holds the availability zones that this leader has recorded; only the loop uses it.
+	zonesNoted []string
 	// waitsReportedAt is when the waits of a pool were last logged.
 	waitsReportedAt map[string]time.Time
 	// waitSpans holds the current waits for room, by the step's first task.
@@ -299,8 +304,10 @@
 	again = d.changeTasks()
 	d.timePart(partPools, d.movePools)
 	if due {
+		d.noteZones()
 		d.failUnplaceableJobs()
 		d.timePart(partWaves, d.runWaves)
+		d.timePart(partWaves, d.evacuateZones)
 		d.prune()
 		d.timePart(partPace, d.paceFillers)
 	}
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -36,6 +36,7 @@
 	"metrics_series_dropped":   "Series left out of this scrape because it reached the limit.",
 	"process_heap_bytes":       "Bytes of allocated heap objects.",
 	"process_goroutines":       "Goroutines.",
+	"driver_zone_moves":        "Long-running tasks stopped because their availability zone is evacuated.",
 }
 
 // helpOf returns the HELP text of a metric, or a reference to the runbook if it has none.
