--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -13,6 +13,8 @@
 	IdentityCreated    = define(1007, log.InfoLevel, "data folder is empty, a new member identity was created", "If this VM was a voter, follow 'replace a voter' in the runbook.")
 	ClockSkewed        = define(1009, log.WarnLevel, "clock of this VM differs from those of the other daemons", "Correct the VM's clock; until then commands are stamped with the median of the clocks.")
 	ListenerFailed     = define(1008, log.ErrorLevel, "listener failed", "Check the listen addresses in the settings.")
+	SnapshotNotSaved   = define(1020, log.WarnLevel, "snapshot could not be saved, it is taken again later and the log is kept until then", "If it repeats, check the free file descriptors of the process and its disk.")
+	NoDescriptors      = define(1021, log.WarnLevel, "no free file descriptor, the step is tried again", "Raise the limit of open files of the process, or find who holds the connections.")
 )
 
 // Events of consensus and membership.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -25,6 +25,9 @@
 	maxInputsPerSync = 256
 	// probePollInterval is the time between two checks of the answers to a probe.
 	probePollInterval = 5 * time.Millisecond
+	// snapshotRetryDelay is the time until a snapshot is taken again that could not be saved. Each attempt
+	// encodes the whole state.
+	snapshotRetryDelay = 2 * time.Second
 )
 
 // StateMachine applies committed commands in log order.
@@ -76,6 +79,8 @@
 	// confirmation or under a lease. The commit index then needs no sync of its
 	// own: after a restart nothing is read here before a leader has sent it again.
 	ConfirmedReads bool
+	// OnSnapshotNotSaved is called when a snapshot could not be saved and is taken again later.
+	OnSnapshotNotSaved func(err error)
 	// OnFatal is called when a save, a snapshot or a restore fails, or when the core
 	// reports a fault. The node processes nothing after that.
 	OnFatal func(err error)
@@ -139,6 +144,8 @@
 	lastTerm          uint64
 	lastMembership    *wirepb.Membership
 	lastSnapshotIndex uint64
+	// snapshotRetryAt is when the next snapshot may be taken after one that could not be saved.
+	snapshotRetryAt time.Time
 
 	lease leaderLease
 	// transferring is set from a request to another voter to campaign until the
@@ -460,10 +467,11 @@
 	return nil
 }
 
-// maybeSnapshot compacts the log once enough entries were applied.
+// maybeSnapshot compacts the log once enough entries were applied. If the snapshot cannot be saved and
+// the stored log is whole, the next one replaces it.
 func (n *Node) maybeSnapshot() error {
 	applied := n.core.log.applied
-	if n.cfg.SnapshotEntries == 0 || applied-n.lastSnapshotIndex < n.cfg.SnapshotEntries {
+	if n.cfg.SnapshotEntries == 0 || applied-n.lastSnapshotIndex < n.cfg.SnapshotEntries || time.Now().Before(n.snapshotRetryAt) {
 		return nil
 	}
 	state, err := n.cfg.Machine.Snapshot()
@@ -474,16 +482,24 @@
 	if meta == nil {
 		return nil
 	}
-	n.lastSnapshotIndex = applied
 	if n.cfg.Storage == nil {
+		n.lastSnapshotIndex = applied
 		return nil
 	}
 	err = n.cfg.Storage.Save(store.Batch{
 		Snapshot: &wirepb.ReplicaSnapshot{Meta: meta, State: state}, KeepFrom: n.core.log.base,
 	})
+	if errors.Is(err, store.ErrSnapshotNotSaved) {
+		n.snapshotRetryAt = time.Now().Add(snapshotRetryDelay)
+		if n.cfg.OnSnapshotNotSaved != nil {
+			n.cfg.OnSnapshotNotSaved(err)
+		}
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("save snapshot %d: %w", meta.Index, err)
 	}
+	n.lastSnapshotIndex = applied
 	return nil
 }
 
--- a/internal/replica/store/append.go
+++ b/internal/replica/store/append.go
@@ -57,27 +57,44 @@
 	saveErr error
 	// OnDiskFull is called once for each write that has to wait for a full disk.
 	OnDiskFull func(error)
-	// interrupted is set to end the wait for a full disk.
+	// OnNoDescriptors is called once for each received snapshot that has to wait for a free file
+	// descriptor.
+	OnNoDescriptors func(error)
+	// interrupted is set to end the wait for a full disk or for a descriptor.
 	interrupted atomic.Bool
 }
 
-// diskFullRetryInterval is the pause between attempts to write to a full disk.
+// diskFullRetryInterval is the pause between attempts to write to a full disk, or to open a file
+// without a free descriptor.
 const diskFullRetryInterval = 100 * time.Millisecond
 
-// Interrupt makes a Save that waits for a full disk fail, also a later one.
+// spareDescriptors are what a new segment needs at the same time: its file, and its folder to sync it.
+const spareDescriptors = 2
+
+// ErrSnapshotNotSaved is in the error of a Save whose snapshot could not be written, while the
+// former snapshot and the whole log are as they were. Later saves are accepted, and a later
+// snapshot can replace this one.
+var ErrSnapshotNotSaved = errors.New("snapshot not saved, the log is kept")
+
+// Interrupt makes a Save that waits for a full disk or a descriptor fail, also a later one.
 func (a *AppendLog) Interrupt() { a.interrupted.Store(true) }
 
 // retryWhileFull repeats f while the disk is full. Waiting is safe because only
 // synced data is acknowledged, and ending the process would not free space.
 func (a *AppendLog) retryWhileFull(f func() error) error {
+	return a.retryWhile(func(err error) bool { return errors.Is(err, syscall.ENOSPC) }, a.OnDiskFull, f)
+}
+
+// retryWhile repeats f while its error passes. It reports the first one.
+func (a *AppendLog) retryWhile(passes func(error) bool, report func(error), f func() error) error {
 	reported := false
 	for {
 		err := f()
-		if err == nil || !errors.Is(err, syscall.ENOSPC) || a.interrupted.Load() {
+		if err == nil || !passes(err) || a.interrupted.Load() {
 			return err
 		}
-		if !reported && a.OnDiskFull != nil {
-			a.OnDiskFull(err)
+		if !reported && report != nil {
+			report(err)
 		}
 		reported = true
 		time.Sleep(diskFullRetryInterval)
@@ -86,7 +103,9 @@
 
 // OpenAppend opens or creates the log in the folder. It reads the newest segment
 // that holds a whole frame.
-func OpenAppend(folder string) (*AppendLog, error) { return OpenAppendOn(fsys.OS, folder) }
+func OpenAppend(folder string) (*AppendLog, error) {
+	return OpenAppendOn(fsys.WithReserve(fsys.OS, spareDescriptors), folder)
+}
 
 // OpenAppendOn is OpenAppend on a file system.
 func OpenAppendOn(fs fsys.FS, folder string) (*AppendLog, error) {
@@ -317,17 +336,15 @@
 	return loaded, nil
 }
 
-// Save writes the batch and syncs it.
+// Save writes the batch and syncs it. After an error nothing more can be saved, except for
+// ErrSnapshotNotSaved, which only a batch with nothing but a snapshot and KeepFrom returns.
 func (a *AppendLog) Save(b Batch) error {
 	if a.saveErr != nil {
 		return a.saveErr
 	}
 	a.applyBatch(b)
 	if b.Snapshot != nil {
-		if err := a.retryWhileFull(a.beginSegment); err != nil {
-			return a.recordFailure(err)
-		}
-		return nil
+		return a.saveSnapshot(b)
 	}
 	a.buffer.Reset()
 	if err := a.addBatch(b.HardState, nil, b.Entries); err != nil {
@@ -342,6 +359,24 @@
 	return nil
 }
 
+// saveSnapshot begins a segment with the batch. Only a snapshot of what the current segment holds
+// anyway can be given up; a received one waits for a descriptor.
+func (a *AppendLog) saveSnapshot(b Batch) error {
+	compacts := !b.Reset && b.HardState == nil && len(b.Entries) == 0
+	begin := a.beginSegment
+	if !compacts {
+		begin = func() error { return a.retryWhile(fsys.OutOfDescriptors, a.OnNoDescriptors, a.beginSegment) }
+	}
+	err := a.retryWhileFull(begin)
+	if err == nil {
+		return nil
+	}
+	if compacts && !errors.Is(err, errSegmentLeft) && !a.interrupted.Load() {
+		return fmt.Errorf("%w: %w", ErrSnapshotNotSaved, err)
+	}
+	return a.recordFailure(err)
+}
+
 func (a *AppendLog) recordFailure(err error) error {
 	a.saveErr = fmt.Errorf("save: %w", err)
 	return a.saveErr
@@ -385,10 +420,14 @@
 	}
 	old, oldSize := a.file, a.size
 	a.file, a.size = file, 0
-	if err := errors.Join(a.writeFrame(), a.fs.SyncFolder(a.folder)); err != nil {
+	err = a.writeFrame()
+	if err == nil {
+		err = a.fs.SyncFolder(a.folder)
+	}
+	if err != nil {
 		// The old segment still holds everything that was acknowledged.
 		a.file, a.size = old, oldSize
-		return errors.Join(err, file.Close(), a.fs.RemoveAll(file.Name()))
+		return errors.Join(err, a.discardSegment(file))
 	}
 	a.segmentNumber++
 	if old != nil {
@@ -398,6 +437,19 @@
 	return nil
 }
 
+// errSegmentLeft is returned for a segment that may be read at the next start although it could not
+// be completed: what is appended to the current one would be lost then.
+var errSegmentLeft = errors.New("an incomplete segment could not be emptied")
+
+// discardSegment empties a segment that could not be completed, and removes it. The removal of its name
+// may not survive a loss of power, so that its content must be durably gone.
+func (a *AppendLog) discardSegment(file fsys.File) error {
+	if err := errors.Join(file.Truncate(0), file.Sync()); err != nil {
+		return errors.Join(fmt.Errorf("%w: %w", errSegmentLeft, err), file.Close(), a.fs.RemoveAll(file.Name()))
+	}
+	return errors.Join(file.Close(), a.fs.RemoveAll(file.Name()))
+}
+
 // Erase removes everything in a data folder, but not the folder, which may be a mount point. A
 // loss of power meanwhile leaves the folder as it was or without its log, never an earlier
 // state of the log, and afterwards nothing comes back.
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -176,6 +176,7 @@
 	}
 	c.log = log
 	c.log.OnDiskFull = func(err error) { event.DiskFull.Emit(event.Err(err)) }
+	c.log.OnNoDescriptors = func(err error) { event.NoDescriptors.Emit(event.F("step", "save received snapshot"), event.Err(err)) }
 	id, found, err := log.Identity()
 	if err != nil {
 		return store.Loaded{}, err
@@ -298,7 +299,8 @@
 		Machine: replica.WithAppliedTimes(c.machine, c.applied), Storage: c.log, Sender: coreSender{c}, TickInterval: coreTickInterval,
 		SlowSaveThreshold: slowSaveThreshold, SnapshotEntries: coreSnapshotEntries, SnapshotTail: coreSnapshotTail,
 		OnLeaderChange: c.onLeaderChange, ConfirmedReads: true,
-		OnSlowDisk: func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
+		OnSlowDisk:         func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
+		OnSnapshotNotSaved: func(err error) { event.SnapshotNotSaved.Emit(event.Err(err)) },
 		OnFatal: func(err error) {
 			event.StorageFailed.Emit(event.Err(err))
 			c.fatal <- err
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -10,11 +11,13 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/fsys"
 	"sapphirering/internal/wire/wirepb"
 )
 
@@ -158,17 +161,38 @@
 	sessions map[*session]struct{}
 }
 
-// Serve accepts connections until Close is called.
+const (
+	// minAcceptRetry and maxAcceptRetry bound the growing pause after an accept that failed for now.
+	minAcceptRetry, maxAcceptRetry = 5 * time.Millisecond, time.Second
+)
+
+// Serve accepts connections until Close is called. A connection that could not be accepted for lack
+// of file descriptors, or because it was aborted, does not end it.
 func (s *Server) Serve() error {
+	pause := time.Duration(0)
 	for {
 		conn, err := s.Listener.Accept()
-		if err != nil {
+		if err == nil {
+			pause = 0
+			go s.serveConn(conn)
+			continue
+		}
+		if !acceptPasses(err) {
 			return fmt.Errorf("accept on %s: %w", s.Listener.Addr(), err)
 		}
-		go s.serveConn(conn)
+		if pause == 0 {
+			event.NoDescriptors.Emit(event.F("step", "accept"), event.F("address", s.Listener.Addr().String()), event.Err(err))
+		}
+		pause = min(max(2*pause, minAcceptRetry), maxAcceptRetry)
+		time.Sleep(pause)
 	}
 }
 
+// acceptPasses reports whether an accept may succeed after one that failed with an error.
+func acceptPasses(err error) bool {
+	return fsys.OutOfDescriptors(err) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 func (s *Server) serveConn(conn net.Conn) {
 	opened, err := newSession(conn, yamux.Server)
 	if err != nil {
