Bound the connections to targets by the descriptors of the process

Cause: a leader uses up to three connections to each target, one of them always in a listing that waits. With 3,000 targets that is more than its 4,096 descriptors. A client for an address was dropped while the first call over it opened its connection, so that this connection was lost to later calls.

From 975 targets on, a target gets one sender of starts, at most half of the connections may be in listings that wait, and the pause between listings grows so that targets with runs are listed 3,000 times a second at most. Below that number of targets nothing changes.

--- a/internal/driver/changes_test.go
+++ b/internal/driver/changes_test.go
@@ -63,6 +63,6 @@
 		{time.Second, maxListingPause},
 	} {
 		d.commitTook.Store(int64(test.commit))
-		is.New(t).Equal(d.pauseBetweenListings(), test.want)
+		is.New(t).Equal(d.pauseBetweenListings(&link{}), test.want)
 	}
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -44,6 +44,9 @@
 	LateCalls time.Duration
 	// VMMove is how long a VM is away during a move, VMMaintenance during maintenance.
 	VMMove, VMMaintenance time.Duration
+	// TargetConnections is the number of connections to targets that this process can keep open; 0 for
+	// no bound.
+	TargetConnections int
 }
 
 // Config holds what a Driver needs.
@@ -129,6 +132,10 @@
 	resends silence.Budget
 	waves   *waveState
 	pools   *poolState
+	// waiting counts the listings in progress that may wait for an end; callsShort is set while calls
+	// are limited for lack of connections.
+	waiting    int
+	callsShort bool
 	// advice holds the advice by step, adviceCalls counts the calls in progress.
 	advice      map[workflow.TaskID]*stepAdvice
 	adviceCalls int
@@ -311,6 +318,7 @@
 	defer d.mu.Unlock()
 	d.checkLinks()
 	d.checkRuns()
+	d.reportShare()
 	d.leaseScanDue = true
 	d.reportOutcomes(d.cfg.Now())
 }
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -356,6 +356,9 @@
 		asked := d.cfg.Now()
 		listing, err := d.cfg.Targets.Renew(callCtx, l.address(), call)
 		cancel()
+		if call.Wait > 0 {
+			d.noteWaitOver()
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -365,7 +368,7 @@
 		if err != nil || listing.Refusal != Accepted {
 			clock.Sleep(ctx, d.pauseAfterFailure(l))
 		} else if !d.renewsNext(l) {
-			clock.Sleep(ctx, d.pauseBetweenListings())
+			clock.Sleep(ctx, d.pauseBetweenListings(l))
 		}
 	}
 }
@@ -378,9 +381,21 @@
 }
 
 // pauseBetweenListings returns the time between listings of a target that answers: it follows the
-// time that commands take to commit, so that a leader short of processor time makes fewer calls.
-func (d *Driver) pauseBetweenListings() time.Duration {
-	return min(max(listingCommits*time.Duration(d.commitTook.Load()), listingPause), maxListingPause)
+// time that commands take to commit, so that a leader short of processor time makes fewer calls, and
+// grows with the number of targets with runs once connections are short.
+func (d *Driver) pauseBetweenListings(l *link) time.Duration {
+	usual := min(max(listingCommits*time.Duration(d.commitTook.Load()), listingPause), maxListingPause)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pause := d.share().Pause(d.runs.targets(), usual)
+	if pause == usual {
+		return usual
+	}
+	if d.waves.active {
+		pause = min(pause, max(usual, maxListingAge/2))
+	}
+	// A listing must come just before the common renewal of the target's lease, which follows its answer.
+	return max(min(pause, d.waitForRenewal(l)-renewalLead), usual)
 }
 
 // pauseAfterFailure returns the time before the next listing call after one that failed.
@@ -431,6 +446,9 @@
 		call.Wait = 0
 	}
 	call.Wait = min(call.Wait, d.waitForRenewal(l))
+	if call.Wait > 0 && !d.share().MayWait(d.waiting) {
+		call.Wait = 0
+	}
 	renews := due && l.grantOpen
 	if renews {
 		call.LeaseUntilMS, call.Wait = d.grantLease(l, d.cfg.Limits.LeaseTTL), 0
@@ -440,6 +458,9 @@
 	if !d.cfg.Log.HoldsLease() {
 		return RenewCall{}, nil, retryPause
 	}
+	if call.Wait > 0 {
+		d.waiting++
+	}
 	open := d.beginCall(l, nil, "list", call.Wait, func() { d.listAgain(ctx, l) })
 	if renews {
 		open.grants(d.cfg.Limits.LeaseTTL)
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -79,6 +79,9 @@
 	epoch   uint64
 	advice  driver.AdviceClient
 	vms     driver.VMClient
+	// targets replaces the fleet as the client if it is set; connections is the bound on connections.
+	targets     driver.TargetClient
+	connections int
 	// muteAnnouncements stops the announcements of targets.
 	muteAnnouncements atomic.Bool
 	stop              func()
@@ -122,9 +125,13 @@
 	}
 	r.epoch++
 	r.log = &fakeLog{machine: r.machine, index: r.log.index}
+	var targets driver.TargetClient = r.fleet
+	if r.targets != nil {
+		targets = r.targets
+	}
 	r.driver = driver.New(driver.Config{
-		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test",
-		Limits: driver.Limits{LeaseTTL: r.fleet.LeaseTTL, AnnounceInterval: 200 * time.Millisecond, LateCalls: testLateCalls, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond},
+		Machine: r.machine, Log: r.log, Targets: targets, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test",
+		Limits: driver.Limits{LeaseTTL: r.fleet.LeaseTTL, AnnounceInterval: 200 * time.Millisecond, LateCalls: testLateCalls, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond, TargetConnections: r.connections},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -140,10 +140,11 @@
 // sendQueued sends the queued starts of a target, unless an answer is late: if the target is
 // gone, a run whose start was never sent may start elsewhere at once.
 func (d *Driver) sendQueued(l *link) {
-	if len(l.queuedStarts) == 0 || l.senders == maxStartSenders || l.holdsBack(d.cfg.Now()) {
+	senders := d.share().Senders(maxStartSenders)
+	if len(l.queuedStarts) == 0 || l.senders >= senders || l.holdsBack(d.cfg.Now()) {
 		return
 	}
-	for n := min(len(l.queuedStarts), maxStartSenders); l.senders < n; {
+	for n := min(len(l.queuedStarts), senders); l.senders < n; {
 		l.senders++
 		d.background(func() { d.sendStarts(l) })
 	}
--- a/internal/driver/runtable.go
+++ b/internal/driver/runtable.go
@@ -53,5 +53,8 @@
 // on returns the runs of a target, of whichever incarnation.
 func (t *runTable) on(target string) iter.Seq[*run] { return maps.Values(t.byTarget[target]) }
 
+// targets returns the number of targets that have runs.
+func (t *runTable) targets() int { return len(t.byTarget) }
+
 // count returns the number of runs of a target, of whichever incarnation.
 func (t *runTable) count(target string) int { return len(t.byTarget[target]) }
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -361,7 +361,7 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds, TargetConnections()), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
@@ -375,9 +375,10 @@
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
 const leasePollInterval = 10 * time.Millisecond
 
-func driverLimits(b config.PlatformBounds) driver.Limits {
+func driverLimits(b config.PlatformBounds, connections int) driver.Limits {
 	return driver.Limits{
-		LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
+		TargetConnections: connections,
+		LeaseTTL:          b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
 		VMMove: b.VMMove.Duration, VMMaintenance: b.VMMaintenance.Duration,
 	}
 }
