Collect repeated announcements at the core daemon that receives them

Cause: the leader names its own address in the answer to each announcement, so that it holds a connection to each target and serves 2,000 announcements a second at 3,000 targets.

Change: while connections to targets are short (targetcalls), the leader names an address spread over the other core daemons, by rendezvous hashing over those that asked for the member list in the last 2 s. A daemon acknowledges a plain repetition of what the leader has acknowledged and sends the leader a list of such targets each 400 ms. All else is passed on and waits for the leader's answer as before: a new target or incarnation, one that leaves, any changed field. After a second without a list taken by a leader nothing is acknowledged. The leader answers with the targets that it does not know as they were listed, which are passed on whole next.

The daemons' own listings, leases and the log are unchanged.

--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -20,6 +20,7 @@
 	d.mu.Lock()
 	commit := d.handleAnnouncement(r)
 	former := d.formerWithLaterStart(target)
+	collect := d.share().Short()
 	d.mu.Unlock()
 	if commit && former != nil {
 		// Refused while runs are placed there; the next announcement tries again.
@@ -35,7 +36,7 @@
 		}
 		d.requestRound()
 	}
-	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
+	return &pb.Response{Answer: pb.Answer_ANSWER_OK, CollectRepeats: collect}
 }
 
 // handleAnnouncement updates the link of the target and reports whether the
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -29,6 +29,8 @@
 		return d.count(r)
 	case pb.Operation_OPERATION_ANNOUNCE:
 		return d.Announce(ctx, r)
+	case pb.Operation_OPERATION_NOTE_HEARD:
+		return d.noteHeardTargets(r.Heard)
 	case pb.Operation_OPERATION_DEREGISTER:
 		return d.Deregister(r.Target.GetId(), r.Target.GetBornUnixMs())
 	case pb.Operation_OPERATION_PUT_CATALOGUE:
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -86,6 +86,7 @@
 	LeaderLost           = define(7066, log.WarnLevel, "leader cannot be reached", "")
 	LeaderFound          = define(7067, log.InfoLevel, "leader is reached again", "")
 	BadInput             = define(7068, log.InfoLevel, "malformed or oversize input refused, or an answer could not be written", "")
+	HeardNotTaken        = define(7112, log.InfoLevel, "leader did not take the list of targets that were heard", "")
 	TargetCallsLimited   = define(7110, log.InfoLevel, "too few descriptors for three connections to each target, listings are shorter and starts use one connection", "Raise the limit of open files of the process, or expect ends to be noticed up to a second later.")
 	TargetCallsUnlimited = define(7111, log.InfoLevel, "descriptors are enough for three connections to each target again", "")
 	DiskFull             = define(7070, log.ErrorLevel, "disk is full, writing waits for free space", "Free space on the data folder's disk.")
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -7,6 +7,7 @@
 	"answers_dropped":            "Answers of targets dropped because they were late, truncated, too large or for another request.",
 	"link_sent_bytes":            "Bytes sent on links to other daemons.",
 	"link_received_bytes":        "Bytes received on links to other daemons.",
+	"announcements":              "Announcements that targets sent to this core daemon, by how they were handled.",
 	"applied_index":              "Index of the last log entry applied on this VM.",
 	"session_live":               "1 while this VM holds a session lease, 0 while it refuses work submitted with a team's key.",
 	"session_renewed_age_ms":     "Time since the last successful renewal of the session was sent, in milliseconds.",
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -84,6 +84,7 @@
 	peers      *wire.Peers
 	peerServer *wire.Server
 	gateway    *Gateway
+	collector  *collector
 	clock      *clock.Estimator
 	refusals   refusals
 	servers    []*http.Server
@@ -94,7 +95,9 @@
 
 	// zones holds the availability zones that members have told this daemon, by member id: the
 	// list of a new cluster holds none.
-	zones      sync.Map
+	zones sync.Map
+	// controls holds the addresses for announcements of the daemons that call this one while it leads.
+	controls   controlAddresses
 	leader     atomic.Pointer[string]
 	membership atomic.Pointer[wirepb.Membership]
 	driver     atomic.Pointer[driver.Driver]
@@ -132,7 +135,8 @@
 	}
 	c.gateway.serveLocal = c.serveLocal
 	c.gateway.memberID = func() string { return c.identity.MemberID }
-	c.gateway.zone = s.Zone
+	c.gateway.zone, c.gateway.control = s.Zone, s.Listen.Control
+	c.collector = newCollector(c.gateway, func() bool { return c.driver.Load() != nil })
 	c.gateway.onRemoved = func() {
 		select {
 		case c.fatal <- errRemoved:
@@ -149,7 +153,7 @@
 		field, address string
 		handler        http.Handler
 	}{
-		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.gateway)},
+		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.collector)},
 		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
 		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway)},
 	} {
@@ -412,10 +416,14 @@
 		if r.Member != "" && r.MemberZone != "" {
 			c.zones.Store(r.Member, r.MemberZone)
 		}
+		c.controls.note(r.Member, r.MemberControl, time.Now())
 		return c.memberList(ctx, r.Member), true
 	}
 	response := d.Serve(ctx, r)
 	response.AnnounceAddress = c.settings.Listen.Control
+	if response.CollectRepeats && r.Operation == workflowpb.Operation_OPERATION_ANNOUNCE {
+		response.AnnounceAddress = c.controls.addressFor(r.Target.GetId(), c.settings.Listen.Control, time.Now())
+	}
 	return response, true
 }
 
@@ -533,6 +541,7 @@
 	go c.peerServer.Serve()
 	go c.node.Run()
 	go c.gateway.watch(c.background)
+	go c.collector.run(c.background)
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -51,8 +51,8 @@
 	// leader answers that this member was removed. Both are nil on an edge daemon.
 	memberID  func() string
 	onRemoved func()
-	// zone is the availability zone of a core daemon.
-	zone string
+	// zone is the availability zone of a core daemon, control its address for announcements.
+	zone, control string
 	// serveLocal serves a core daemon's requests to itself; nil on an edge daemon.
 	serveLocal func(context.Context, *workflowpb.Request) (*workflowpb.Response, bool)
 
@@ -230,7 +230,8 @@
 func changesState(operation workflowpb.Operation) bool {
 	switch operation {
 	case workflowpb.Operation_OPERATION_STATUS, workflowpb.Operation_OPERATION_COUNT, workflowpb.Operation_OPERATION_EXPLAIN,
-		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS:
+		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS,
+		workflowpb.Operation_OPERATION_NOTE_HEARD:
 		return false
 	}
 	return true
@@ -292,7 +293,7 @@
 		tryCtx, cancel := context.WithTimeout(ctx, memberListTimeout)
 		request := &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS}
 		if g.memberID != nil {
-			request.Member, request.MemberZone = g.memberID(), g.zone
+			request.Member, request.MemberZone, request.MemberControl = g.memberID(), g.zone, g.control
 		}
 		response, _, err := g.try(tryCtx, request)
 		cancel()
