--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -25,6 +25,9 @@
 	maxInputsPerSync = 256
 	// probePollInterval is the time between two checks of the answers to a probe.
 	probePollInterval = 5 * time.Millisecond
+	// snapshotRetryDelay is the time until a snapshot is taken again that could not be saved. Each attempt
+	// encodes the whole state.
+	snapshotRetryDelay = 2 * time.Second
 )
 
 // StateMachine applies committed commands in log order.
@@ -76,6 +79,8 @@
 	// confirmation or under a lease. The commit index then needs no sync of its
 	// own: after a restart nothing is read here before a leader has sent it again.
 	ConfirmedReads bool
+	// OnSnapshotNotSaved is called when a snapshot could not be saved and is taken again later.
+	OnSnapshotNotSaved func(err error)
 	// OnFatal is called when a save, a snapshot or a restore fails, or when the core
 	// reports a fault. The node processes nothing after that.
 	OnFatal func(err error)
@@ -147,6 +152,8 @@
 	// saving is set while a save is in progress, which began at saveBegan.
 	saving    bool
 	saveBegan time.Time
+	// snapshotRetryAt is when the next snapshot may be taken after one that could not be saved.
+	snapshotRetryAt time.Time
 
 	lease leaderLease
 	// transferring is set from a request to another voter to campaign until the
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -84,6 +84,7 @@
 	peers      *wire.Peers
 	peerServer *wire.Server
 	gateway    *Gateway
+	collector  *collector
 	clock      *clock.Estimator
 	refusals   refusals
 	servers    []*http.Server
@@ -94,7 +95,9 @@
 
 	// zones holds the availability zones that members have told this daemon, by member id: the
 	// list of a new cluster holds none.
-	zones      sync.Map
+	zones sync.Map
+	// controls holds the addresses for announcements of the daemons that call this one while it leads.
+	controls   controlAddresses
 	leader     atomic.Pointer[string]
 	membership atomic.Pointer[wirepb.Membership]
 	driver     atomic.Pointer[driver.Driver]
@@ -132,7 +135,8 @@
 	}
 	c.gateway.serveLocal = c.serveLocal
 	c.gateway.memberID = func() string { return c.identity.MemberID }
-	c.gateway.zone = s.Zone
+	c.gateway.zone, c.gateway.control = s.Zone, s.Listen.Control
+	c.collector = newCollector(c.gateway, func() bool { return c.driver.Load() != nil })
 	c.gateway.onRemoved = func() {
 		select {
 		case c.fatal <- errRemoved:
@@ -149,7 +153,7 @@
 		field, address string
 		handler        http.Handler
 	}{
-		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.gateway)},
+		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.collector)},
 		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
 		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway, c.settings.Bounds.Evacuates())},
 	} {
@@ -176,6 +180,7 @@
 	}
 	c.log = log
 	c.log.OnDiskFull = func(err error) { event.DiskFull.Emit(event.Err(err)) }
+	c.log.OnNoDescriptors = func(err error) { event.NoDescriptors.Emit(event.F("step", "save received snapshot"), event.Err(err)) }
 	id, found, err := log.Identity()
 	if err != nil {
 		return store.Loaded{}, err
@@ -298,7 +303,8 @@
 		Machine: replica.WithAppliedTimes(c.machine, c.applied), Storage: c.log, Sender: coreSender{c}, TickInterval: coreTickInterval,
 		SlowSaveThreshold: slowSaveThreshold, SnapshotEntries: coreSnapshotEntries, SnapshotTail: coreSnapshotTail,
 		OnLeaderChange: c.onLeaderChange, ConfirmedReads: true,
-		OnSlowDisk: func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
+		OnSlowDisk:         func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
+		OnSnapshotNotSaved: func(err error) { event.SnapshotNotSaved.Emit(event.Err(err)) },
 		OnFatal: func(err error) {
 			event.StorageFailed.Emit(event.Err(err))
 			c.fatal <- err
@@ -359,7 +365,7 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds, TargetConnections()), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 		RefuseLate: c.settings.Admission.RefuseLate,
 		Zones:      c.namedZones(),
 	})
@@ -392,9 +398,10 @@
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
 const leasePollInterval = 2 * time.Millisecond
 
-func driverLimits(b config.PlatformBounds) driver.Limits {
+func driverLimits(b config.PlatformBounds, connections int) driver.Limits {
 	return driver.Limits{
-		LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
+		TargetConnections: connections,
+		LeaseTTL:          b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
 		VMMove: b.VMMove.Duration, VMMaintenance: b.VMMaintenance.Duration,
 	}
 }
@@ -428,10 +435,14 @@
 		if r.Member != "" && r.MemberZone != "" {
 			c.zones.Store(r.Member, r.MemberZone)
 		}
+		c.controls.note(r.Member, r.MemberControl, time.Now())
 		return c.memberList(ctx, r.Member), true
 	}
 	response := d.Serve(ctx, r)
 	response.AnnounceAddress = c.settings.Listen.Control
+	if response.CollectRepeats && r.Operation == workflowpb.Operation_OPERATION_ANNOUNCE {
+		response.AnnounceAddress = c.controls.addressFor(r.Target.GetId(), c.settings.Listen.Control, time.Now())
+	}
 	return response, true
 }
 
@@ -549,6 +560,7 @@
 	go c.peerServer.Serve()
 	go c.node.Run()
 	go c.gateway.watch(c.background)
+	go c.collector.run(c.background)
 	var err error
 	select {
 	case <-ctx.Done():
