Keep a summary of what is learned from finished runs

Cause: run times by queue, the rhythm of bursts and the slowness of targets were held in the memory of one leadership. Each new leader predicted from the callers' estimates again, which are wrong by a factor.

The leader commits it in the background, apart from its rounds: the first as soon as a handful of runs have finished, further ones at most every 5 s and only if enough has changed. Entries of queues and pools that leave the catalogue are dropped. A new leader starts from it, with weights that fall with age; a summary of another version or with values that are not finite is ignored with one log event. `learning: {keep: false}` in the role file switches it off.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -46,6 +46,15 @@
 	VMMaintenance Duration `yaml:"vm_maintenance"`
 }
 
+// LearningSettings switch the uses of what is learned from finished runs (core).
+type LearningSettings struct {
+	// Keep stores a summary in the replicated state and uses it after a change of leader; on if absent.
+	Keep *bool `yaml:"keep"`
+}
+
+// KeepsSummary reports whether summaries are kept.
+func (l LearningSettings) KeepsSummary() bool { return l.Keep == nil || *l.Keep }
+
 // RoleSettings configure a daemon with a role.
 type RoleSettings struct {
 	Role   string `yaml:"role"`
@@ -70,7 +79,8 @@
 	AdviceAddress   string         `yaml:"advice_address"`
 	Bounds          PlatformBounds `yaml:"bounds"`
 	// MemoryMB is the memory limit of the process; 0 for none.
-	MemoryMB int `yaml:"memory_mb"`
+	MemoryMB int              `yaml:"memory_mb"`
+	Learning LearningSettings `yaml:"learning"`
 }
 
 // maxBound is the longest time that PlatformBounds may hold.
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -38,6 +38,10 @@
 	is.Equal(s.Seeds, []string{"10.1.0.26:7000", "10.2.0.17:7000"})
 	is.Equal(s.Bounds.LeaseTTL.String(), "6s")
 	is.True(s.Bootstrap && s.TrustPeerNetwork)
+	is.True(s.Learning.KeepsSummary()) // on if absent
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"learning:\n  keep: false\n"))
+	is.NoErr(err)
+	is.True(!s.Learning.KeepsSummary())
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -53,8 +53,9 @@
 	Targets TargetClient
 	VMs     VMClient
 	// Advice may be nil if no queue needs it.
-	Advice AdviceClient
-	Limits Limits
+	Advice   AdviceClient
+	Limits   Limits
+	Learning Learning
 	// Epoch is the fencing token of this leadership; later leaders have higher ones.
 	Epoch uint64
 	// FormerEpoch is that of the last leadership before this one that may have made calls.
@@ -200,6 +201,9 @@
 
 // Run runs rounds until ctx ends, then waits for all calls. Prepare must be called before.
 func (d *Driver) Run(ctx context.Context) {
+	if d.cfg.Learning.Keep {
+		d.background(func() { d.keepLearned(ctx) })
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -261,6 +265,9 @@
 				d.addRun(r)
 			}
 		}
+		if d.cfg.Learning.Keep {
+			d.takeLearned(v.Learned())
+		}
 	})
 }
 
--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
-	"strings"
 	"time"
 
 	"sapphirering/internal/event"
 	"sapphirering/internal/policy/runtimes"
+	"sapphirering/internal/policy/summary"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -49,12 +49,35 @@
 	meanWork map[string]float64
 	// lastFailedOn is the last target on which each task failed or stalled.
 	lastFailedOn map[workflow.TaskID]string
+	// finished holds what is known of the runs behind runTimes, by queue.
+	finished map[string]*finishedRuns
+	// change is how much was learned since the last summary.
+	change float64
 	// placeable holds open jobs that some target can run.
 	placeable map[string]bool
 }
 
 func newLearner() *learner {
-	return &learner{runTimes: make(map[string]*runtimes.Model), steps: make(map[workflow.TaskID]*runtimes.Step), meanWork: make(map[string]float64), lastFailedOn: make(map[workflow.TaskID]string), placeable: make(map[string]bool)}
+	return &learner{runTimes: make(map[string]*runtimes.Model), steps: make(map[workflow.TaskID]*runtimes.Step), meanWork: make(map[string]float64), lastFailedOn: make(map[workflow.TaskID]string), placeable: make(map[string]bool), finished: make(map[string]*finishedRuns)}
+}
+
+// finishedRuns counts the finished runs that were learned from in a queue.
+type finishedRuns struct {
+	count uint64
+	// lastMS is the cluster time of the newest, weighedMS the time for which the model's weights hold.
+	lastMS, weighedMS int64
+}
+
+// noteFinished counts a run that was learned from.
+func (l *learner) noteFinished(queue string, nowMS int64) {
+	runs := l.finished[queue]
+	if runs == nil {
+		runs = new(finishedRuns)
+		l.finished[queue] = runs
+	}
+	runs.count++
+	runs.lastMS, runs.weighedMS = nowMS, nowMS
+	l.change += summary.Change(l.model(queue).Runs())
 }
 
 // estimatedWork returns the work of a job by its caller's estimates, in thousandths of a core
@@ -69,10 +92,7 @@
 
 // queueKey identifies the queue of a job, whatever its name is now.
 func queueKey(job *pb.Job) string {
-	if job.QueueHost == "" && job.QueuePath == "" {
-		return job.Queue
-	}
-	return strings.ToLower(job.QueueHost) + job.QueuePath
+	return workflow.QueueKey(job.Queue, job.QueueHost, job.QueuePath)
 }
 
 // noteJobWork adds an accepted job to the mean work of its queue's jobs.
@@ -169,6 +189,8 @@
 	// last reported as slow.
 	reportSlowness float64
 	reportedSlow   bool
+	// lastMS is the cluster time of the last run that was learned from.
+	lastMS int64
 }
 
 // slowness returns the ratio of the target's run times to the expected ones; 1 is normal.
@@ -235,6 +257,7 @@
 		}
 		model, estimate, took := d.learned.model(queueKey(task.Job.Spec)), float64(task.Spec().EstimateMs), float64(now.Sub(r.runningSince).Milliseconds())
 		ratio := min(max(took/float64(max(d.learned.expectedOf(task), 1)), minRatio), maxRatio)
+		d.learned.noteFinished(queueKey(task.Job.Spec), d.cfg.NowMS())
 		model.Note(estimate, took)
 		// A long run on a slow target is due to the target, not to its step.
 		d.learned.noteStep(task, took/max(l.health.slowness(), 1))
@@ -242,9 +265,11 @@
 			l.health.startSlowness, l.health.reportSlowness = 1, 1
 		}
 		l.health.runs++
+		l.health.lastMS = d.cfg.NowMS()
 		l.health.startSlowness += slownessRate * (ratio - l.health.startSlowness)
 		l.health.reportSlowness += reportRate * (ratio - l.health.reportSlowness)
 		if l.health.slownessChanged() {
+			d.learned.change += summary.Change(0)
 			event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reportedSlow),
 				event.F("slowness", l.health.reportSlowness), event.F("runs", l.health.runs))
 		}
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -79,6 +79,8 @@
 	epoch   uint64
 	advice  driver.AdviceClient
 	vms     driver.VMClient
+	// learning is that of later leaders.
+	learning driver.Learning
 	// muteAnnouncements stops the announcements of targets.
 	muteAnnouncements atomic.Bool
 	stop              func()
@@ -123,7 +125,7 @@
 	r.epoch++
 	r.log = &fakeLog{machine: r.machine, index: r.log.index}
 	r.driver = driver.New(driver.Config{
-		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test",
+		Machine: r.machine, Log: r.log, Targets: r.fleet, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test", Learning: r.learning,
 		Limits: driver.Limits{LeaseTTL: r.fleet.LeaseTTL, AnnounceInterval: 200 * time.Millisecond, LateCalls: testLateCalls, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
--- a/internal/policy/pools/arrivals.go
+++ b/internal/policy/pools/arrivals.go
@@ -47,6 +47,54 @@
 	inBurst bool
 	// quietSince is the time since which the load has been low; 0 while it is not.
 	quietSince int64
+	// restored is the number of the oldest entries of starts that a former leader noted.
+	restored int
+}
+
+// Rhythm returns when the newest bursts started and the largest load of the newest one.
+func (t *ArrivalHistory) Rhythm() (starts []int64, peakMillis int64) { return t.starts, t.peak }
+
+// RestoreRhythm takes over the bursts that a former leader noted, at most maxBursts, by the clock of this history.
+// Bursts that have stopped by nowMS are left out: a gap in the rhythm would hide the next bursts for longer than
+// a new history needs to find them.
+func (t *ArrivalHistory) RestoreRhythm(starts []int64, peakMillis, nowMS int64) {
+	n := len(starts)
+	if n == 0 || n > maxBursts || starts[n-1] > nowMS {
+		return
+	}
+	period := int64(historyBins * binMS)
+	if n > 1 {
+		period = (starts[n-1] - starts[0]) / int64(n-1)
+	}
+	if nowMS > starts[n-1]+period*3/2 {
+		return
+	}
+	t.starts, t.peak, t.restored = append([]int64(nil), starts...), peakMillis, n
+}
+
+// noteStart adds the start of a burst, and reports whether it is one. While the newest start known is that of a
+// former leader, the first load of a new history may look like a burst, and a burst may have been missed between
+// the leaders.
+func (t *ArrivalHistory) noteStart(nowMS, load int64) bool {
+	if n := len(t.starts); t.restored > 0 && n == t.restored {
+		regular := false
+		if n > 1 {
+			period, gap := (t.starts[n-1]-t.starts[0])/int64(n-1), nowMS-t.starts[n-1]
+			regular = gap >= period*3/4 && gap <= period*5/4
+		}
+		if t.last-t.first < 4*recentBins && (!regular || float64(load) < burstEndShare*float64(t.peak)) {
+			return false
+		}
+		if !regular && n > 1 {
+			t.starts, t.restored = nil, 0
+		}
+	}
+	t.starts = append(t.starts, nowMS)
+	if len(t.starts) > maxBursts {
+		t.starts = t.starts[1:]
+		t.restored = max(t.restored-1, 0)
+	}
+	return true
 }
 
 // Note adds work that has arrived.
@@ -144,10 +192,8 @@
 	if !quiet {
 		return
 	}
-	t.inBurst, t.peak = true, load
-	t.starts = append(t.starts, nowMS)
-	if len(t.starts) > maxBursts {
-		t.starts = t.starts[1:]
+	if t.noteStart(nowMS, load) {
+		t.inBurst, t.peak = true, load
 	}
 }
 
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -265,3 +265,35 @@
 		})
 	}
 }
+
+// TestRhythmOutlivesLeader replays bursts every 15 s and a leader that is lost every 20 s. It guards against bursts
+// that no leader foresees because each starts to count anew, and against a rhythm that is kept after it has changed.
+func TestRhythmOutlivesLeader(t *testing.T) {
+	is := is.New(t)
+	history := new(ArrivalHistory)
+	foreseen := 0
+	for nowMS := int64(1); nowMS < 150_000; nowMS += 100 {
+		if nowMS%20_000 == 1 {
+			starts, peak := history.Rhythm()
+			next := new(ArrivalHistory)
+			next.RestoreRhythm(starts, peak, nowMS)
+			history = next
+		}
+		if nowMS > 60_000 && nowMS%15_000 == 14_001 {
+			if at, _ := history.NextBurst(nowMS); at > nowMS-1000 && at < nowMS+3000 {
+				foreseen++
+			}
+		}
+		work := int64(20_000)
+		if nowMS%15_000 < 4500 {
+			work = 2_000_000
+		}
+		history.Note(nowMS, Work{MillisMS: work, ChainMS: 100, LeftMS: 1000})
+	}
+	t.Logf("%d of 6 bursts foreseen", foreseen)
+	is.True(foreseen >= 4)
+	starts, peak := history.Rhythm()
+	stopped := new(ArrivalHistory)
+	stopped.RestoreRhythm(starts, peak, 150_000+60_000)
+	is.Equal(len(stopped.starts), 0)
+}
--- a/internal/policy/runtimes/runtimes.go
+++ b/internal/policy/runtimes/runtimes.go
@@ -33,6 +33,22 @@
 	residual float64
 }
 
+// Sums are the decayed sums of a model, as they are stored.
+type Sums struct{ Runs, X, Y, XX, XY, Residual float64 }
+
+// Sums returns the sums of the model with another weight, between 0 and 1.
+func (m *Model) Sums(weight float64) Sums {
+	return Sums{weight * m.runs, weight * m.x, weight * m.y, weight * m.xx, weight * m.xy, weight * m.residual}
+}
+
+// FromSums returns the model with the sums, each with the weight.
+func FromSums(s Sums, weight float64) *Model {
+	return &Model{runs: weight * s.Runs, x: weight * s.X, y: weight * s.Y, xx: weight * s.XX, xy: weight * s.XY, residual: weight * s.Residual}
+}
+
+// Runs returns the decayed number of runs.
+func (m *Model) Runs() float64 { return m.runs }
+
 // Step sums up the finished runs of one step.
 type Step struct {
 	runs             int
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -359,7 +359,7 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds), Learning: driver.Learning{Keep: c.settings.Learning.KeepsSummary()}, Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
--- a/internal/workflow/catalogue.go
+++ b/internal/workflow/catalogue.go
@@ -94,6 +94,7 @@
 		}
 	}
 	m.catalogue, m.lookup, m.formerQueues = lookup.catalogue, lookup, former
+	m.dropUnknownLearned()
 	return m.ok()
 }
 
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -73,6 +73,8 @@
 	leases map[string]Lease
 	// formerQueues holds the queues of open jobs that have left the catalogue.
 	formerQueues map[queueID]*pb.Queue
+	// learned is the newest summary of what leaders have learned, or nil. No command depends on it.
+	learned *pb.Learned
 
 	// Derived from the fields above.
 	openJobs map[string]*Job
@@ -103,7 +105,7 @@
 }
 
 func (m *Machine) reset() {
-	m.nowMS, m.leaseEpoch = 0, 0
+	m.nowMS, m.leaseEpoch, m.learned = 0, 0, nil
 	m.catalogue, m.lookup = nil, newCatalogueLookup(nil)
 	m.jobs = make(map[string]*Job)
 	m.openJobs = make(map[string]*Job)
@@ -156,6 +158,8 @@
 		return m.noteProgress(body.NoteProgress)
 	case *pb.Command_Prune:
 		return m.prune(body.Prune)
+	case *pb.Command_PutLearned:
+		return m.putLearned(body.PutLearned.GetLearned())
 	}
 	return m.outcome(Invalid, "command has no known body")
 }
--- a/internal/workflow/snapshot.go
+++ b/internal/workflow/snapshot.go
@@ -15,7 +15,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := &pb.Snapshot{NowUnixMs: m.nowMS, Catalogue: m.catalogue, Waves: (*View)(m).Waves(), Leases: m.storeLeases(), LeaseEpoch: m.leaseEpoch}
+	s := &pb.Snapshot{NowUnixMs: m.nowMS, Catalogue: m.catalogue, Waves: (*View)(m).Waves(), Leases: m.storeLeases(), LeaseEpoch: m.leaseEpoch, Learned: m.learned}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		s.Jobs = append(s.Jobs, storeJob(m.jobs[id]))
 	}
@@ -58,7 +58,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reset()
-	m.nowMS, m.leaseEpoch = s.NowUnixMs, s.LeaseEpoch
+	m.nowMS, m.leaseEpoch, m.learned = s.NowUnixMs, s.LeaseEpoch, s.Learned
 	if s.Catalogue != nil {
 		m.catalogue, m.lookup = s.Catalogue, newCatalogueLookup(s.Catalogue)
 	}
