Learn bounds from runs that were cut off, and predict quantiles

Cause: only runs that ended as done on their first target counted, so that a queue whose long runs are cut off seems short, and one whose runs are on slow targets seems long. Copies and stalls were decided by the mean alone, although estimates are wrong by a factor while little is known of a queue.

Change: the model of run times gives quantiles of the run time of one task and of the longest of n tasks, and takes lower and upper bounds: in their place it learns the expected logarithm beyond the bound. With `learning: {quantiles: true}` stopped, lost and adopted runs are lower bounds, runs on slow targets, away from their data and of fillers upper ones; copies and stalls use the 0.9 quantile. Without it the driver learns as before. The share of runs within their 0.9 quantile is counted and kept with the summary. Sums over logarithms need no sketch of samples, so no library is added.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -50,6 +50,9 @@
 type LearningSettings struct {
 	// Keep stores a summary in the replicated state and uses it after a change of leader; on if absent.
 	Keep *bool `yaml:"keep"`
+	// Quantiles learns from runs that were cut off as from bounds, and uses quantiles of run times for copies
+	// and stalls; off if absent.
+	Quantiles bool `yaml:"quantiles"`
 }
 
 // KeepsSummary reports whether summaries are kept.
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -39,9 +39,9 @@
 	is.Equal(s.Bounds.LeaseTTL.String(), "6s")
 	is.True(s.Bootstrap && s.TrustPeerNetwork)
 	is.True(s.Learning.KeepsSummary()) // on if absent
-	s, err = ParseRoleSettings("f", []byte(coreSettings+"learning:\n  keep: false\n"))
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"learning:\n  keep: false\n  quantiles: true\n"))
 	is.NoErr(err)
-	is.True(!s.Learning.KeepsSummary())
+	is.True(!s.Learning.KeepsSummary() && s.Learning.Quantiles)
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
--- a/internal/driver/copies.go
+++ b/internal/driver/copies.go
@@ -77,6 +77,9 @@
 // progressOf returns the progress of a run and its expected run time.
 func (d *Driver) progressOf(task *workflow.Task, r *run, now time.Time) copies.Run {
 	in := copies.Run{Expected: time.Duration(d.learned.expectedOf(task)) * time.Millisecond}
+	if d.cfg.Learning.Quantiles {
+		in.Pessimistic = time.Duration(d.learned.pessimisticOf(task)) * time.Millisecond
+	}
 	if !r.runningSince.IsZero() && !r.progressAt.IsZero() {
 		in.Worked, in.Percent, in.Quiet = r.progressAt.Sub(r.runningSince), r.percent, now.Sub(r.progressAt)
 	}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -402,6 +402,11 @@
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	for _, e := range ends {
+		if e.link == nil && e.end.Kind == pb.EndKind_END_KIND_LOST {
+			if r := d.runs.find(workflow.TaskIDOf(e.end.Task), e.end.Task.Attempt); r != nil {
+				d.learnCutOff(r)
+			}
+		}
 		d.forgetRun(e.end)
 		if e.link != nil {
 			d.learned.endLag.Note(float64(now.Sub(e.listed).Milliseconds()))
--- a/internal/driver/kept.go
+++ b/internal/driver/kept.go
@@ -22,6 +22,9 @@
 type Learning struct {
 	// Keep stores a summary in the replicated state and takes over that of former leaders.
 	Keep bool
+	// Quantiles learns from runs that were cut off or slowed down as from bounds of their run time, and uses the
+	// 0.9 quantile for copies and stalls.
+	Quantiles bool
 }
 
 const (
@@ -88,7 +91,7 @@
 		runs := d.learned.finished[key]
 		sums := d.learned.model(key).Sums(summary.Weight(nowMS-runs.weighedMS, runTimeHalfLifeMS))
 		out.Queues = append(out.Queues, &pb.LearnedQueue{
-			Queue: key, Runs: sums.Runs, X: sums.X, Y: sums.Y, Xx: sums.XX, Xy: sums.XY, Residual: sums.Residual,
+			Queue: key, Runs: sums.Runs, X: sums.X, Y: sums.Y, Xx: sums.XX, Xy: sums.XY, Residual: sums.Residual, Predicted: sums.Predicted, Within: sums.Within,
 			Finished: runs.count, LastUnixMs: runs.lastMS,
 		})
 	}
@@ -126,7 +129,8 @@
 	nowMS := d.cfg.NowMS()
 	weight := summary.Weight(nowMS-learned.AtUnixMs, runTimeHalfLifeMS)
 	for _, q := range learned.Queues {
-		d.learned.runTimes[q.Queue] = runtimes.FromSums(runtimes.Sums{Runs: q.Runs, X: q.X, Y: q.Y, XX: q.Xx, XY: q.Xy, Residual: q.Residual}, weight)
+		sums := runtimes.Sums{Runs: q.Runs, X: q.X, Y: q.Y, XX: q.Xx, XY: q.Xy, Residual: q.Residual, Predicted: q.Predicted, Within: q.Within}
+		d.learned.runTimes[q.Queue] = runtimes.FromSums(sums, weight)
 		d.learned.finished[q.Queue] = &finishedRuns{count: q.Finished, lastMS: q.LastUnixMs, weighedMS: nowMS}
 	}
 	for _, pool := range learned.Pools {
--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -134,6 +134,19 @@
 	return roundMS(l.model(queueKey(job.Spec)).ExpectedIn(float64(spec.EstimateMs), l.steps[stepID(job, occurrence, step)]))
 }
 
+// pessimisticQuantile is the quantile of run times at which a long run is no surprise.
+const pessimisticQuantile = 0.9
+
+// pessimisticOf returns the run time that a task does not exceed with probability pessimisticQuantile, in
+// milliseconds.
+func (l *learner) pessimisticOf(task *workflow.Task) int64 {
+	return l.pessimisticIn(task.Job, int(task.ID.Occurrence), int(task.ID.Step))
+}
+
+func (l *learner) pessimisticIn(job *workflow.Job, occurrence, step int) int64 {
+	return roundMS(l.model(queueKey(job.Spec)).QuantileIn(float64(job.Spec.Steps[step].EstimateMs), l.steps[stepID(job, occurrence, step)], pessimisticQuantile))
+}
+
 // longestOf returns how long a step is expected to take, in milliseconds.
 func (l *learner) longestOf(job *workflow.Job, occurrence, step int) int64 {
 	spec := job.Spec.Steps[step]
@@ -243,35 +256,94 @@
 		l.health.noteSuccess()
 		delete(d.learned.lastFailedOn, r.task)
 		d.learnRunTime(l, r, now)
+	case pb.EndKind_END_KIND_STOPPED, pb.EndKind_END_KIND_LAPSED, pb.EndKind_END_KIND_LOST:
+		d.learnCutOff(r)
 	}
 }
 
 func (d *Driver) learnRunTime(l *link, r *run, now time.Time) {
-	if r.runningSince.IsZero() || r.adopted || r.attempt > 1 {
+	if r.runningSince.IsZero() || (r.adopted || r.attempt > 1) && !d.cfg.Learning.Quantiles {
 		return
 	}
 	d.cfg.Machine.View(func(v *workflow.View) {
 		task := v.Task(r.task)
-		if task == nil || task.Spec().EstimateMs <= 0 || task.Spec().Lasting || task.Checkpoint != "" {
+		if !learnsFrom(task) {
 			return
 		}
-		model, estimate, took := d.learned.model(queueKey(task.Job.Spec)), float64(task.Spec().EstimateMs), float64(now.Sub(r.runningSince).Milliseconds())
+		took := float64(now.Sub(r.runningSince).Milliseconds())
 		ratio := min(max(took/float64(max(d.learned.expectedOf(task), 1)), minRatio), maxRatio)
-		d.learned.noteFinished(queueKey(task.Job.Spec), d.cfg.NowMS())
-		model.Note(estimate, took)
+		if !d.noteTime(l, r, task, took) {
+			return
+		}
 		// A long run on a slow target is due to the target, not to its step.
 		d.learned.noteStep(task, took/max(l.health.slowness(), 1))
-		if l.health.runs == 0 {
-			l.health.startSlowness, l.health.reportSlowness = 1, 1
+		d.noteSlowness(l, ratio)
+	})
+}
+
+// learnsFrom reports whether run times are learned from the runs of a task.
+func learnsFrom(task *workflow.Task) bool {
+	return task != nil && task.Spec().EstimateMs > 0 && !task.Spec().Lasting && task.Checkpoint == ""
+}
+
+// noteTime learns the time of a finished run, and reports whether it was known exactly.
+func (d *Driver) noteTime(l *link, r *run, task *workflow.Task, tookMS float64) (exact bool) {
+	queue, estimate := queueKey(task.Job.Spec), float64(task.Spec().EstimateMs)
+	if !d.cfg.Learning.Quantiles {
+		d.noteExactTime(queue, estimate, tookMS)
+		return true
+	}
+	spec := task.Spec()
+	switch {
+	case r.adopted:
+		// It may have run for long before this leader heard of it.
+		d.learned.model(queue).NoteAtLeast(estimate, tookMS)
+		return false
+	case spec.Fills, l.health.slowness() >= slowAt, spec.DataRack != "" && spec.DataRack != rackOf(l.target):
+		d.learned.model(queue).NoteAtMost(estimate, tookMS)
+	default:
+		d.noteExactTime(queue, estimate, tookMS)
+	}
+	return true
+}
+
+func (d *Driver) noteExactTime(queue string, estimateMS, tookMS float64) {
+	d.learned.noteFinished(queue, d.cfg.NowMS())
+	d.learned.model(queue).Note(estimateMS, tookMS)
+}
+
+// learnCutOff learns from a run that ended before its work was done. It has worked at least until its last progress.
+// Gangs wait for their members, so their runs tell nothing.
+func (d *Driver) learnCutOff(r *run) {
+	if !d.cfg.Learning.Quantiles || r.runningSince.IsZero() || !r.progressAt.After(r.runningSince) {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		task := v.Task(r.task)
+		if !learnsFrom(task) || task.Spec().Gang || task.Spec().Fills {
+			return
 		}
-		l.health.runs++
-		l.health.lastMS = d.cfg.NowMS()
-		l.health.startSlowness += slownessRate * (ratio - l.health.startSlowness)
-		l.health.reportSlowness += reportRate * (ratio - l.health.reportSlowness)
-		if l.health.slownessChanged() {
-			d.learned.change += summary.Change(0)
-			event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reportedSlow),
-				event.F("slowness", l.health.reportSlowness), event.F("runs", l.health.runs))
+		ran := float64(r.progressAt.Sub(r.runningSince).Milliseconds())
+		if l := d.links[r.target]; l != nil {
+			// On a slow target less of the work was done in that time.
+			ran /= max(l.health.slowness(), 1)
 		}
+		d.learned.model(queueKey(task.Job.Spec)).NoteAtLeast(float64(task.Spec().EstimateMs), ran)
 	})
 }
+
+// noteSlowness adds the ratio of a run's time to the expected one to the slowness of its target.
+func (d *Driver) noteSlowness(l *link, ratio float64) {
+	if l.health.runs == 0 {
+		l.health.startSlowness, l.health.reportSlowness = 1, 1
+	}
+	l.health.runs++
+	l.health.lastMS = d.cfg.NowMS()
+	l.health.startSlowness += slownessRate * (ratio - l.health.startSlowness)
+	l.health.reportSlowness += reportRate * (ratio - l.health.reportSlowness)
+	if l.health.slownessChanged() {
+		d.learned.change += summary.Change(0)
+		event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reportedSlow),
+			event.F("slowness", l.health.reportSlowness), event.F("runs", l.health.runs))
+	}
+}
--- a/internal/driver/learn_test.go
+++ b/internal/driver/learn_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
 )
 
 // TestSlownessIsReportedOnce lets a target become slow and normal again: one report for
@@ -55,3 +56,27 @@
 	d.learned.pruneSteps(nil)
 	is.Equal(len(d.learned.steps), 0) // its job is no longer open
 }
+
+// TestCutOffRunsAreBounds guards against runs that were stopped or adopted and count as short ones, and against
+// a deployment that is served differently without the setting.
+func TestCutOffRunsAreBounds(t *testing.T) {
+	is := is.New(t)
+	for _, quantiles := range []bool{false, true} {
+		now := time.Now()
+		d := newTestDriver(t, func() time.Time { return now })
+		d.cfg.Learning.Quantiles = quantiles
+		var task *workflow.Task
+		d.cfg.Machine.View(func(v *workflow.View) { task = v.Task(workflow.TaskID{Job: "j"}) })
+		task.Spec().EstimateMs, task.Spec().Lasting = 1000, false
+		for range 30 {
+			cut := &run{task: task.ID, target: "t0", attempt: 1, runningSince: now.Add(-9 * time.Second), progressAt: now.Add(-6 * time.Second)}
+			d.learnEnd(d.links["t0"], cut, pb.EndKind_END_KIND_STOPPED)
+			adopted := &run{task: task.ID, target: "t0", attempt: 1, adopted: true, runningSince: now.Add(-10 * time.Millisecond)}
+			d.learnEnd(d.links["t0"], adopted, pb.EndKind_END_KIND_DONE)
+		}
+		expected := d.learned.expectedOf(task)
+		t.Logf("quantiles %v: %d ms expected", quantiles, expected)
+		is.True(quantiles && expected > 2000 || !quantiles && expected == 1000)
+		is.Equal(len(d.learned.finished), 0) // none has finished
+	}
+}
--- a/internal/driver/stuck.go
+++ b/internal/driver/stuck.go
@@ -42,6 +42,10 @@
 		return false
 	}
 	expected := time.Duration(d.learned.expectedOf(task)) * time.Millisecond
+	if d.cfg.Learning.Quantiles {
+		// While little is known of a queue, a run that takes longer than expected is no stalled one.
+		expected = time.Duration(d.learned.pessimisticOf(task)) * time.Millisecond
+	}
 	reason := stallReason(r, expected, l.answeredAt)
 	if reason == "" || now.Sub(r.lastCallAt) < retryPause {
 		return false
--- a/internal/policy/copies/copies.go
+++ b/internal/policy/copies/copies.go
@@ -31,6 +31,8 @@
 type Run struct {
 	// Expected is the learned run time of the task on a healthy target.
 	Expected time.Duration
+	// Pessimistic is the 0.9 quantile of the run time there; 0 if quantiles are not used.
+	Pessimistic time.Duration
 	// Silent is how long an answer of the target has been outstanding; 0 if none is.
 	Silent time.Duration
 	// Worked is how long the run had been known to work when it last showed progress,
@@ -51,7 +53,7 @@
 	if r.Silent > silenceBound {
 		return "its target is silent"
 	}
-	if r.MissesSlack() && r.remaining() > time.Duration(minGainFactor*float64(r.newRunTime()))+startEndMargin {
+	if r.MissesSlack() && r.remaining() > r.minGain()+startEndMargin {
 		return "it is slower than a new run"
 	}
 	return ""
@@ -82,6 +84,15 @@
 // remaining returns how long the run still takes at its own speed.
 func (r Run) remaining() time.Duration { return r.total() - r.Worked - r.Quiet }
 
+// minGain returns how long the run must still take, apart from startEndMargin, to get a copy. If the slowness of its
+// target explains all of its delay, the new run's time is only known by its queue, and by its quantile.
+func (r Run) minGain() time.Duration {
+	if r.Pessimistic > 0 && r.newRunTime() == r.Expected {
+		return r.Pessimistic
+	}
+	return time.Duration(minGainFactor * float64(r.newRunTime()))
+}
+
 // newRunTime returns how long a new run takes on a healthy target: what this run takes beyond
 // the slowness of its target is due to the task itself.
 func (r Run) newRunTime() time.Duration {
--- a/internal/policy/copies/copies_test.go
+++ b/internal/policy/copies/copies_test.go
@@ -80,3 +80,18 @@
 		}
 	}
 }
+
+// TestCopyByQuantile guards against copies of runs that only seem slow because little is known of their queue.
+func TestCopyByQuantile(t *testing.T) {
+	run := Run{Expected: time.Second, Worked: 2 * time.Second, Percent: 49, Slack: time.Second, TargetSlowness: 4}
+	for _, test := range []struct {
+		pessimistic time.Duration
+		copied      bool
+	}{{0, true}, {3 * time.Second, false}, {1200 * time.Millisecond, true}} {
+		// 2 s are left, a new run takes one.
+		run.Pessimistic = test.pessimistic
+		if got := Reason(run) != ""; got != test.copied {
+			t.Errorf("0.9 quantile %s: copied %v", test.pessimistic, got)
+		}
+	}
+}
--- a/internal/policy/runtimes/runtimes.go
+++ b/internal/policy/runtimes/runtimes.go
@@ -31,19 +31,25 @@
 	runs, x, y, xx, xy float64
 	// residual is the decayed sum of squared differences from the predictions.
 	residual float64
+	// predicted and within are the decayed numbers of runs whose 0.9 quantile was predicted, and of those that
+	// took no longer.
+	predicted, within float64
 }
 
 // Sums are the decayed sums of a model, as they are stored.
-type Sums struct{ Runs, X, Y, XX, XY, Residual float64 }
+type Sums struct{ Runs, X, Y, XX, XY, Residual, Predicted, Within float64 }
 
 // Sums returns the sums of the model with another weight, between 0 and 1.
 func (m *Model) Sums(weight float64) Sums {
-	return Sums{weight * m.runs, weight * m.x, weight * m.y, weight * m.xx, weight * m.xy, weight * m.residual}
+	return Sums{weight * m.runs, weight * m.x, weight * m.y, weight * m.xx, weight * m.xy, weight * m.residual, weight * m.predicted, weight * m.within}
 }
 
 // FromSums returns the model with the sums, each with the weight.
 func FromSums(s Sums, weight float64) *Model {
-	return &Model{runs: weight * s.Runs, x: weight * s.X, y: weight * s.Y, xx: weight * s.XX, xy: weight * s.XY, residual: weight * s.Residual}
+	return &Model{
+		runs: weight * s.Runs, x: weight * s.X, y: weight * s.Y, xx: weight * s.XX, xy: weight * s.XY,
+		residual: weight * s.Residual, predicted: weight * s.Predicted, within: weight * s.Within,
+	}
 }
 
 // Runs returns the decayed number of runs.
@@ -89,10 +95,16 @@
 	if estimateMS <= 0 || tookMS <= 0 {
 		return
 	}
+	m.noteWithin(tookMS <= m.Quantile(estimateMS, calibrated))
 	x := math.Log(estimateMS)
-	predicted := m.logMedian(x)
-	deviation := min(max(math.Log(tookMS)-predicted, -maxDeviation), maxDeviation)
-	y := predicted + deviation
+	deviation := min(max(math.Log(tookMS)-m.logMedian(x), -maxDeviation), maxDeviation)
+	m.add(x, deviation, deviation*deviation)
+}
+
+// add adds a run by the logarithm of its estimate, the difference of that of its time from the prediction, and the
+// square of that difference.
+func (m *Model) add(x, deviation, squared float64) {
+	y := m.logMedian(x) + deviation
 	for _, sum := range []*float64{&m.runs, &m.x, &m.y, &m.xx, &m.xy, &m.residual} {
 		*sum *= decay
 	}
@@ -101,7 +113,7 @@
 	m.y += y
 	m.xx += x * x
 	m.xy += x * y
-	m.residual += deviation * deviation
+	m.residual += squared
 }
 
 // Expected returns the expected mean run time, in milliseconds; 0 without an estimate.
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -359,7 +359,7 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds), Learning: driver.Learning{Keep: c.settings.Learning.KeepsSummary()}, Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds), Learning: driverLearning(c.settings.Learning), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
@@ -373,6 +373,10 @@
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
 const leasePollInterval = 10 * time.Millisecond
 
+func driverLearning(l config.LearningSettings) driver.Learning {
+	return driver.Learning{Keep: l.KeepsSummary(), Quantiles: l.Quantiles}
+}
+
 func driverLimits(b config.PlatformBounds) driver.Limits {
 	return driver.Limits{
 		LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
