Keep long tasks off VMs that a wave is about to take, and off slow targets

Cause: a task of several seconds was placed on a VM of a maintenance wave until the VM was cordoned, and was cut off 4 s later; a slow target got tasks whose jobs then missed their objective although other VMs had room.

Change: with `learning: {placement: true}` a step avoids, as long as other targets have room, those on VMs that an unfinished wave has still to take if its 0.9 quantile is longer than the 4 s of a drain, and slow ones if the additional time exceeds its job's slack. The decision is internal/policy/outlast.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -53,6 +53,8 @@
 	// Quantiles learns from runs that were cut off as from bounds, and uses quantiles of run times for copies
 	// and stalls; off if absent.
 	Quantiles bool `yaml:"quantiles"`
+	// Placement avoids targets on which a task would be cut off or miss its objective; off if absent.
+	Placement bool `yaml:"placement"`
 }
 
 // KeepsSummary reports whether summaries are kept.
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -39,9 +39,9 @@
 	is.Equal(s.Bounds.LeaseTTL.String(), "6s")
 	is.True(s.Bootstrap && s.TrustPeerNetwork)
 	is.True(s.Learning.KeepsSummary()) // on if absent
-	s, err = ParseRoleSettings("f", []byte(coreSettings+"learning:\n  keep: false\n  quantiles: true\n"))
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"learning:\n  keep: false\n  quantiles: true\n  placement: true\n"))
 	is.NoErr(err)
-	is.True(!s.Learning.KeepsSummary() && s.Learning.Quantiles)
+	is.True(!s.Learning.KeepsSummary() && s.Learning.Quantiles && s.Learning.Placement)
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -19,6 +19,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/outlast"
 	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -123,6 +124,8 @@
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
+	// suspects holds the targets of the current plan that may be unsuitable for long tasks.
+	suspects map[string]outlast.Target
 	// answers holds the answer times of all targets, loss the share of calls without an
 	// answer, resends the calls that may be sent again.
 	answers callTimes
--- a/internal/driver/kept.go
+++ b/internal/driver/kept.go
@@ -25,6 +25,8 @@
 	// Quantiles learns from runs that were cut off or slowed down as from bounds of their run time, and uses the
 	// 0.9 quantile for copies and stalls.
 	Quantiles bool
+	// Placement avoids targets on which a task would be cut off or miss its objective.
+	Placement bool
 }
 
 const (
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -31,6 +31,7 @@
 	var starts []*pb.Start
 	d.cfg.Machine.View(func(v *workflow.View) {
 		d.forgetAdvice(v)
+		d.suspects = d.suspectTargets(v)
 		workspaces := workspacesOf(v)
 		for pool, snapshot := range d.snapshots(v) {
 			if !slices.ContainsFunc(snapshot.Jobs, func(j assign.Job) bool { return len(j.Steps) > 0 }) {
@@ -246,6 +247,7 @@
 				continue
 			}
 			step := d.planStep(v, job, k, s, waiting)
+			d.avoidSuspects(&step, job, k, s, queue, nowMS)
 			if queue.Advised {
 				step.Allowed = d.advisedTargets(v, step.Tasks[0], queue.Pool)
 			}
--- a/internal/policy/summary/summary.go
+++ b/internal/policy/summary/summary.go
@@ -24,7 +24,7 @@
 	MinIntervalMS = 5000
 	// maxIntervalMS is the time after which any change is kept.
 	maxIntervalMS = 60_000
-	// minChange is the change from which on a summary is kept: of a queue without runs, five new ones reach it.
+	// minChange is the change from which on a summary is kept: four runs of a new queue reach it.
 	minChange = 0.3
 	// minChangePerQueue makes summaries of many well-known queues rarer: each of them is known again to within
 	// a few percent without the newest runs.
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -374,7 +374,7 @@
 const leasePollInterval = 10 * time.Millisecond
 
 func driverLearning(l config.LearningSettings) driver.Learning {
-	return driver.Learning{Keep: l.KeepsSummary(), Quantiles: l.Quantiles}
+	return driver.Learning{Keep: l.KeepsSummary(), Quantiles: l.Quantiles, Placement: l.Placement}
 }
 
 func driverLimits(b config.PlatformBounds) driver.Limits {
