Show what is learned from finished runs

Cause: nobody could see what run times the leader expects of a queue, from what they come, and how good they are.

Change: `sapphirering learned [QUEUE]` (GET /v1/learned) and `steps explain` show for a queue the number, age and weight of finished runs, mean and quantiles for typical estimates, and the share of runs within their predicted 0.9 quantile; without a queue also slow VMs and expected bursts. The leader has the same as metrics, for the 100 queues with the most runs.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,7 +72,7 @@
 func subcommands() []subcommand {
 	all := []subcommand{
 		applyCommand, deleteCommand, diffCommand, getCommand, keyCommand, poolCommand, vmCommand, jobCommand,
-		memberCommand, statusCommand, checkCommand, explainCommand, waveCommand, stepsCommand,
+		memberCommand, statusCommand, checkCommand, explainCommand, waveCommand, stepsCommand, learnedCommand,
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
 	return all
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -124,6 +124,8 @@
 	// pendingEnds holds ends that are not committed yet.
 	pendingEnds []pendingEnd
 	learned     *learner
+	// learnedSeries holds the names of the metrics that publishLearned has registered.
+	learnedSeries map[string]bool
 	// suspects holds the targets of the current plan that may be unsuitable for long tasks.
 	suspects map[string]outlast.Target
 	// answers holds the answer times of all targets, loss the share of calls without an
@@ -229,6 +231,9 @@
 		event.TargetSilent.Emit(event.F("step", "close connections"), event.Err(err))
 	}
 	d.running.Wait()
+	d.mu.Lock()
+	d.unpublishLearned(nil)
+	d.mu.Unlock()
 	event.DriverStopped.Emit(event.F("epoch", d.cfg.Epoch))
 }
 
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -40,6 +40,7 @@
 	total, left, _ := d.chainTimes(job)
 	lines := []string{fmt.Sprintf("job %s of workspace %q in queue %s: %s, submitted at %d, longest chain of steps expected to take %d ms, %d ms of it left",
 		job.Spec.Id, job.Spec.Workspace, job.Spec.Queue, stateName(job.State), job.Spec.SubmittedUnixMs, total, left)}
+	lines = append(lines, "run times of its queue: "+d.explainRunTimes(queueKey(job.Spec)))
 	if job.Reason != "" {
 		lines = append(lines, "reason: "+job.Reason)
 	}
--- a/internal/driver/prune.go
+++ b/internal/driver/prune.go
@@ -30,6 +30,7 @@
 	d.pruneLateStarts(now)
 	maps.DeleteFunc(d.formerLapse, func(_ string, lapse time.Time) bool { return now.After(lapse) })
 	d.pruneWaits(now)
+	d.publishLearned()
 	d.cfg.Machine.View(func(v *workflow.View) {
 		d.learned.pruneSteps(v.OpenJobs())
 		d.pruneFirstStarts(v.OpenJobs())
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -25,6 +25,8 @@
 		return d.cancel(ctx, r)
 	case pb.Operation_OPERATION_EXPLAIN:
 		return d.explain(r)
+	case pb.Operation_OPERATION_GET_LEARNED:
+		return d.learnedOf(r.QueueName)
 	case pb.Operation_OPERATION_COUNT:
 		return d.count(r)
 	case pb.Operation_OPERATION_ANNOUNCE:
--- a/internal/stepapi/stepapi.go
+++ b/internal/stepapi/stepapi.go
@@ -50,6 +50,7 @@
 	jobs.HandleFunc("/jobs/{id}/explain", a.jobCall(pb.Operation_OPERATION_EXPLAIN)).Methods(http.MethodGet)
 	jobs.HandleFunc("/jobs/{id}/tasks/{task}/explain", a.explainTask).Methods(http.MethodGet)
 	r.HandleFunc("/v1/vms/{vm}/explain", a.explainVM).Methods(http.MethodGet)
+	r.HandleFunc("/v1/learned", a.learned).Methods(http.MethodGet)
 	r.HandleFunc("/v1/catalogue", a.putCatalogue).Methods(http.MethodPut)
 	r.HandleFunc("/v1/catalogue", a.getCatalogue).Methods(http.MethodGet)
 	r.HandleFunc("/v1/waves/{wave}", a.putWave).Methods(http.MethodPut)
@@ -160,6 +161,11 @@
 	a.forward(w, r, &pb.Request{Operation: pb.Operation_OPERATION_EXPLAIN, Vm: mux.Vars(r)["vm"]})
 }
 
+// learned answers what was learned of one queue, or of all.
+func (a *api) learned(w http.ResponseWriter, r *http.Request) {
+	a.forward(w, r, &pb.Request{Operation: pb.Operation_OPERATION_GET_LEARNED, QueueName: r.URL.Query().Get("queue")})
+}
+
 // jobCall returns a handler for calls that name a job and have no body.
 func (a *api) jobCall(operation pb.Operation) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/stepapi/stepapi_test.go
+++ b/internal/stepapi/stepapi_test.go
@@ -49,6 +49,7 @@
 		{http.MethodGet, "/v1/queues/proofs/jobs/j1/explain", pb.Operation_OPERATION_EXPLAIN},
 		{http.MethodGet, "/v1/queues/proofs/jobs/j1/tasks/0.1.7/explain", pb.Operation_OPERATION_EXPLAIN},
 		{http.MethodGet, "/v1/vms/m-1/explain", pb.Operation_OPERATION_EXPLAIN},
+		{http.MethodGet, "/v1/learned?queue=proofs", pb.Operation_OPERATION_GET_LEARNED},
 		{http.MethodGet, "/v1/queues/proofs/jobs", pb.Operation_OPERATION_COUNT},
 		{http.MethodGet, "/v1/catalogue", pb.Operation_OPERATION_GET_CATALOGUE},
 		{http.MethodGet, "/v1/waves/4", pb.Operation_OPERATION_GET_WAVE},
@@ -60,6 +61,8 @@
 	is.True(r.last.Job.Id == "j1" && r.last.Task.Step == 1 && r.last.Task.Index == 7)
 	call(r, http.MethodGet, "/v1/vms/m-1/explain", "")
 	is.Equal(r.last.Vm, "m-1")
+	call(r, http.MethodGet, "/v1/learned?queue=proofs", "")
+	is.Equal(r.last.QueueName, "proofs")
 	is.Equal(call(r, http.MethodGet, "/v1/queues/proofs/jobs/j1/tasks/1.7/explain", "").Code, http.StatusBadRequest)
 	is.Equal(call(r, http.MethodPut, "/v1/waves/4", `{"vms":["a"],"cap":1}`).Code, http.StatusOK)
 	is.True(r.last.Wave.Id == 4 && r.last.Wave.Cap == 1)
