A new burst counts for the next summary

Cause: only finished runs made a summary due, so that a rhythm of bursts was kept late in a pool whose runs are few.

Change: ArrivalHistory.Note reports the start of a burst, and each counts as half of the change that a summary takes.

--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -26,6 +26,9 @@
 	// resting pool: by then lasting jobs are placed, and the first busy period of a queue has
 	// shown its demand.
 	restAfter = 3 * time.Second
+	// burstChange is how much the start of a burst changes what is known, as summary.Change: half of what a
+	// summary takes.
+	burstChange = 0.15
 	// stuckAfter is how long a waiting task may fit on no target before its pool gets
 	// another VM.
 	stuckAfter = 300 * time.Millisecond
@@ -96,7 +99,10 @@
 		history = new(pools.ArrivalHistory)
 		d.pools.arrivals[queue.Pool] = history
 	}
-	history.Note(d.monotonicMS(), work)
+	if history.Note(d.monotonicMS(), work) {
+		// A rhythm is three bursts: each counts for the next summary.
+		d.learned.change += burstChange
+	}
 }
 
 // monotonicMS is the time since this leadership began, for the history of arrivals; unlike
--- a/internal/policy/pools/arrivals.go
+++ b/internal/policy/pools/arrivals.go
@@ -97,14 +97,14 @@
 	return true
 }
 
-// Note adds work that has arrived.
-func (t *ArrivalHistory) Note(nowMS int64, work Work) {
+// Note adds work that has arrived, and reports whether a burst has started with it.
+func (t *ArrivalHistory) Note(nowMS int64, work Work) (burst bool) {
 	t.advance(nowMS)
 	t.bins[t.last%historyBins] += work.MillisMS
 	t.needs[t.last%historyBins] += work.need()
 	t.jobs[t.last%historyBins]++
 	t.total += work.MillisMS
-	t.trackBurst(nowMS)
+	return t.trackBurst(nowMS)
 }
 
 // Arriving returns the room that the work arriving within aheadMS will need: as
@@ -171,30 +171,31 @@
 }
 
 // trackBurst detects bursts: one starts when the load rises far above the mean
-// after a quiet time, and ends when the load falls to a small part of its peak.
-func (t *ArrivalHistory) trackBurst(nowMS int64) {
+// after a quiet time, and ends when the load falls to a small part of its peak. It reports whether one has started.
+func (t *ArrivalHistory) trackBurst(nowMS int64) (started bool) {
 	load, mean := t.Load(nowMS), t.mean()
 	if t.inBurst {
 		t.peak = max(t.peak, load)
 		if float64(load) < burstEndShare*float64(t.peak) {
 			t.inBurst, t.quietSince = false, nowMS
 		}
-		return
+		return false
 	}
 	if float64(load) <= burstStartFactor*float64(mean) {
 		if t.quietSince == 0 {
 			t.quietSince = nowMS
 		}
-		return
+		return false
 	}
 	quiet := t.quietSince == 0 || nowMS-t.quietSince >= minQuietMS
 	t.quietSince = 0
 	if !quiet {
-		return
+		return false
 	}
-	if t.noteStart(nowMS, load) {
+	if started = t.noteStart(nowMS, load); started {
 		t.inBurst, t.peak = true, load
 	}
+	return started
 }
 
 // NextBurst returns when the next burst is expected and the room it will need. The
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -271,7 +271,7 @@
 func TestRhythmOutlivesLeader(t *testing.T) {
 	is := is.New(t)
 	history := new(ArrivalHistory)
-	foreseen := 0
+	foreseen, bursts := 0, 0
 	for nowMS := int64(1); nowMS < 150_000; nowMS += 100 {
 		if nowMS%20_000 == 1 {
 			starts, peak := history.Rhythm()
@@ -288,9 +288,12 @@
 		if nowMS%15_000 < 4500 {
 			work = 2_000_000
 		}
-		history.Note(nowMS, Work{MillisMS: work, ChainMS: 100, LeftMS: 1000})
+		if history.Note(nowMS, Work{MillisMS: work, ChainMS: 100, LeftMS: 1000}) {
+			bursts++
+		}
 	}
-	t.Logf("%d of 6 bursts foreseen", foreseen)
+	t.Logf("%d of 6 bursts foreseen, %d of 10 seen", foreseen, bursts)
+	is.Equal(bursts, 10)
 	is.True(foreseen >= 4)
 	starts, peak := history.Rhythm()
 	stopped := new(ArrivalHistory)
