--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -58,6 +58,20 @@
 // Evacuates reports whether operators may order the evacuation of availability zones.
 func (b *PlatformBounds) Evacuates() bool { return b.Evacuation.Duration > 0 }
 
+// LearningSettings switch the uses of what is learned from finished runs (core).
+type LearningSettings struct {
+	// Keep stores a summary in the replicated state and uses it after a change of leader; on if absent.
+	Keep *bool `yaml:"keep"`
+	// Quantiles learns from runs that were cut off as from bounds, and uses quantiles of run times for copies
+	// and stalls; off if absent.
+	Quantiles bool `yaml:"quantiles"`
+	// Placement avoids targets on which a task would be cut off or miss its objective; off if absent.
+	Placement bool `yaml:"placement"`
+}
+
+// KeepsSummary reports whether summaries are kept.
+func (l LearningSettings) KeepsSummary() bool { return l.Keep == nil || *l.Keep }
+
 // RoleSettings configure a daemon with a role.
 type RoleSettings struct {
 	Role   string `yaml:"role"`
@@ -85,7 +99,8 @@
 	Bounds          PlatformBounds `yaml:"bounds"`
 	Admission       Admission      `yaml:"admission"`
 	// MemoryMB is the memory limit of the process; 0 for none.
-	MemoryMB int `yaml:"memory_mb"`
+	MemoryMB int              `yaml:"memory_mb"`
+	Learning LearningSettings `yaml:"learning"`
 }
 
 // maxBound is the longest time that PlatformBounds may hold.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -19,6 +19,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/outlast"
 	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -56,8 +57,9 @@
 	Targets TargetClient
 	VMs     VMClient
 	// Advice may be nil if no queue needs it.
-	Advice AdviceClient
-	Limits Limits
+	Advice   AdviceClient
+	Limits   Limits
+	Learning Learning
 	// Epoch is the fencing token of this leadership; later leaders have higher ones.
 	Epoch uint64
 	// FormerEpoch is that of the last leadership before this one that may have made calls.
@@ -131,6 +133,10 @@
 	pendingEnds []pendingEnd
 	learned     *learner
 	admission   *admission
+	// learnedSeries holds the names of the metrics that publishLearned has registered.
+	learnedSeries map[string]bool
+	// suspects holds the targets of the current plan that may be unsuitable for long tasks.
+	suspects map[string]outlast.Target
 	// answers holds the answer times of all targets, loss the share of calls without an
 	// answer, resends the calls that may be sent again.
 	answers callTimes
@@ -215,6 +221,9 @@
 
 // Run runs rounds until ctx ends, then waits for all calls. Prepare must be called before.
 func (d *Driver) Run(ctx context.Context) {
+	if d.cfg.Learning.Keep {
+		d.background(func() { d.keepLearned(ctx) })
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -237,6 +246,9 @@
 		event.TargetSilent.Emit(event.F("step", "close connections"), event.Err(err))
 	}
 	d.running.Wait()
+	d.mu.Lock()
+	d.unpublishLearned(nil)
+	d.mu.Unlock()
 	event.DriverStopped.Emit(event.F("epoch", d.cfg.Epoch))
 }
 
@@ -276,6 +288,9 @@
 				d.addRun(r)
 			}
 		}
+		if d.cfg.Learning.Keep {
+			d.takeLearned(v.Learned())
+		}
 	})
 }
 
@@ -413,6 +428,11 @@
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	for _, e := range ends {
+		if e.link == nil && e.end.Kind == pb.EndKind_END_KIND_LOST {
+			if r := d.runs.find(workflow.TaskIDOf(e.end.Task), e.end.Task.Attempt); r != nil {
+				d.learnCutOff(r)
+			}
+		}
 		d.forgetRun(e.end)
 		if e.link != nil {
 			d.learned.endLag.Note(float64(now.Sub(e.listed).Milliseconds()))
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -44,6 +44,7 @@
 		lines = append(lines, fmt.Sprintf("beyond the rate of its workspace when it was submitted (the weight is now %g jobs a second): jobs within their rates go first",
 			v.Workspace(job.Spec.Workspace).GetWeight()))
 	}
+	lines = append(lines, "run times of its queue: "+d.explainRunTimes(queueKey(job.Spec)))
 	if job.Reason != "" {
 		lines = append(lines, "reason: "+job.Reason)
 	}
--- a/internal/driver/learn.go
+++ b/internal/driver/learn.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
-	"strings"
 	"time"
 
 	"sapphirering/internal/event"
 	"sapphirering/internal/policy/runtimes"
+	"sapphirering/internal/policy/summary"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -49,12 +49,35 @@
 	meanWork map[string]float64
 	// lastFailedOn is the last target on which each task failed or stalled.
 	lastFailedOn map[workflow.TaskID]string
+	// finished holds what is known of the runs behind runTimes, by queue.
+	finished map[string]*finishedRuns
+	// change is how much was learned since the last summary.
+	change float64
 	// placeable holds open jobs that some target can run.
 	placeable map[string]bool
 }
 
 func newLearner() *learner {
-	return &learner{runTimes: make(map[string]*runtimes.Model), steps: make(map[workflow.TaskID]*runtimes.Step), meanWork: make(map[string]float64), lastFailedOn: make(map[workflow.TaskID]string), placeable: make(map[string]bool)}
+	return &learner{runTimes: make(map[string]*runtimes.Model), steps: make(map[workflow.TaskID]*runtimes.Step), meanWork: make(map[string]float64), lastFailedOn: make(map[workflow.TaskID]string), placeable: make(map[string]bool), finished: make(map[string]*finishedRuns)}
+}
+
+// finishedRuns counts the finished runs that were learned from in a queue.
+type finishedRuns struct {
+	count uint64
+	// lastMS is the cluster time of the newest, weighedMS the time for which the model's weights hold.
+	lastMS, weighedMS int64
+}
+
+// noteFinished counts a run that was learned from.
+func (l *learner) noteFinished(queue string, nowMS int64) {
+	runs := l.finished[queue]
+	if runs == nil {
+		runs = new(finishedRuns)
+		l.finished[queue] = runs
+	}
+	runs.count++
+	runs.lastMS, runs.weighedMS = nowMS, nowMS
+	l.change += summary.Change(l.model(queue).Runs())
 }
 
 // estimatedWork returns the work of a job by its caller's estimates, in thousandths of a core
@@ -69,10 +92,7 @@
 
 // queueKey identifies the queue of a job, whatever its name is now.
 func queueKey(job *pb.Job) string {
-	if job.QueueHost == "" && job.QueuePath == "" {
-		return job.Queue
-	}
-	return strings.ToLower(job.QueueHost) + job.QueuePath
+	return workflow.QueueKey(job.Queue, job.QueueHost, job.QueuePath)
 }
 
 // noteJobWork adds an accepted job to the mean work of its queue's jobs.
@@ -114,6 +134,19 @@
 	return roundMS(l.model(queueKey(job.Spec)).ExpectedIn(float64(spec.EstimateMs), l.steps[stepID(job, occurrence, step)]))
 }
 
+// pessimisticQuantile is the quantile of run times at which a long run is no surprise.
+const pessimisticQuantile = 0.9
+
+// pessimisticOf returns the run time that a task does not exceed with probability pessimisticQuantile, in
+// milliseconds.
+func (l *learner) pessimisticOf(task *workflow.Task) int64 {
+	return l.pessimisticIn(task.Job, int(task.ID.Occurrence), int(task.ID.Step))
+}
+
+func (l *learner) pessimisticIn(job *workflow.Job, occurrence, step int) int64 {
+	return roundMS(l.model(queueKey(job.Spec)).QuantileIn(float64(job.Spec.Steps[step].EstimateMs), l.steps[stepID(job, occurrence, step)], pessimisticQuantile))
+}
+
 // longestOf returns how long a step is expected to take, in milliseconds.
 func (l *learner) longestOf(job *workflow.Job, occurrence, step int) int64 {
 	spec := job.Spec.Steps[step]
@@ -174,6 +207,8 @@
 	// last reported as slow.
 	reportSlowness float64
 	reportedSlow   bool
+	// lastMS is the cluster time of the last run that was learned from.
+	lastMS int64
 }
 
 // slowness returns the ratio of the target's run times to the expected ones; 1 is normal.
@@ -226,32 +261,94 @@
 		l.health.noteSuccess()
 		delete(d.learned.lastFailedOn, r.task)
 		d.learnRunTime(l, r, now)
+	case pb.EndKind_END_KIND_STOPPED, pb.EndKind_END_KIND_LAPSED, pb.EndKind_END_KIND_LOST:
+		d.learnCutOff(r)
 	}
 }
 
 func (d *Driver) learnRunTime(l *link, r *run, now time.Time) {
-	if r.runningSince.IsZero() || r.adopted || r.attempt > 1 || r.coldFor > 0 {
+	if r.runningSince.IsZero() || r.coldFor > 0 || (r.adopted || r.attempt > 1) && !d.cfg.Learning.Quantiles {
 		return
 	}
 	d.cfg.Machine.View(func(v *workflow.View) {
 		task := v.Task(r.task)
-		if task == nil || task.Spec().EstimateMs <= 0 || task.Spec().Lasting || task.Checkpoint != "" {
+		if !learnsFrom(task) {
 			return
 		}
-		model, estimate, took := d.learned.model(queueKey(task.Job.Spec)), float64(task.Spec().EstimateMs), float64(now.Sub(r.runningSince).Milliseconds())
+		took := float64(now.Sub(r.runningSince).Milliseconds())
 		ratio := min(max(took/float64(max(d.learned.expectedOf(task), 1)), minRatio), maxRatio)
-		model.Note(estimate, took)
+		if !d.noteTime(l, r, task, took) {
+			return
+		}
 		// A long run on a slow target is due to the target, not to its step.
 		d.learned.noteStep(task, took/max(l.health.slowness(), 1))
-		if l.health.runs == 0 {
-			l.health.startSlowness, l.health.reportSlowness = 1, 1
+		d.noteSlowness(l, ratio)
+	})
+}
+
+// learnsFrom reports whether run times are learned from the runs of a task.
+func learnsFrom(task *workflow.Task) bool {
+	return task != nil && task.Spec().EstimateMs > 0 && !task.Spec().Lasting && task.Checkpoint == ""
+}
+
+// noteTime learns the time of a finished run, and reports whether it was known exactly.
+func (d *Driver) noteTime(l *link, r *run, task *workflow.Task, tookMS float64) (exact bool) {
+	queue, estimate := queueKey(task.Job.Spec), float64(task.Spec().EstimateMs)
+	if !d.cfg.Learning.Quantiles {
+		d.noteExactTime(queue, estimate, tookMS)
+		return true
+	}
+	spec := task.Spec()
+	switch {
+	case r.adopted:
+		// It may have run for long before this leader heard of it.
+		d.learned.model(queue).NoteAtLeast(estimate, tookMS)
+		return false
+	case spec.Fills, l.health.slowness() >= slowAt, spec.DataRack != "" && spec.DataRack != rackOf(l.target):
+		d.learned.model(queue).NoteAtMost(estimate, tookMS)
+	default:
+		d.noteExactTime(queue, estimate, tookMS)
+	}
+	return true
+}
+
+func (d *Driver) noteExactTime(queue string, estimateMS, tookMS float64) {
+	d.learned.noteFinished(queue, d.cfg.NowMS())
+	d.learned.model(queue).Note(estimateMS, tookMS)
+}
+
+// learnCutOff learns from a run that ended before its work was done. It has worked at least until its last progress.
+// Gangs wait for their members, so their runs tell nothing.
+func (d *Driver) learnCutOff(r *run) {
+	if !d.cfg.Learning.Quantiles || r.runningSince.IsZero() || !r.progressAt.After(r.runningSince) {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		task := v.Task(r.task)
+		if !learnsFrom(task) || task.Spec().Gang || task.Spec().Fills {
+			return
 		}
-		l.health.runs++
-		l.health.startSlowness += slownessRate * (ratio - l.health.startSlowness)
-		l.health.reportSlowness += reportRate * (ratio - l.health.reportSlowness)
-		if l.health.slownessChanged() {
-			event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reportedSlow),
-				event.F("slowness", l.health.reportSlowness), event.F("runs", l.health.runs))
+		ran := float64(r.progressAt.Sub(r.runningSince).Milliseconds())
+		if l := d.links[r.target]; l != nil {
+			// On a slow target less of the work was done in that time.
+			ran /= max(l.health.slowness(), 1)
 		}
+		d.learned.model(queueKey(task.Job.Spec)).NoteAtLeast(float64(task.Spec().EstimateMs), ran)
 	})
 }
+
+// noteSlowness adds the ratio of a run's time to the expected one to the slowness of its target.
+func (d *Driver) noteSlowness(l *link, ratio float64) {
+	if l.health.runs == 0 {
+		l.health.startSlowness, l.health.reportSlowness = 1, 1
+	}
+	l.health.runs++
+	l.health.lastMS = d.cfg.NowMS()
+	l.health.startSlowness += slownessRate * (ratio - l.health.startSlowness)
+	l.health.reportSlowness += reportRate * (ratio - l.health.reportSlowness)
+	if l.health.slownessChanged() {
+		d.learned.change += summary.Change(0)
+		event.TargetSlowness.Emit(event.F("target", l.target.Id), event.F("vm", l.target.Vm), event.F("slow", l.health.reportedSlow),
+			event.F("slowness", l.health.reportSlowness), event.F("runs", l.health.runs))
+	}
+}
--- a/internal/driver/rig_test.go
+++ b/internal/driver/rig_test.go
@@ -82,6 +82,8 @@
 	// targets replaces the fleet as the client if it is set; connections is the bound on connections.
 	targets     driver.TargetClient
 	connections int
+	// learning is that of later leaders.
+	learning driver.Learning
 	// muteAnnouncements stops the announcements of targets.
 	muteAnnouncements atomic.Bool
 	stop              func()
@@ -130,7 +132,7 @@
 		targets = r.targets
 	}
 	r.driver = driver.New(driver.Config{
-		Machine: r.machine, Log: r.log, Targets: targets, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test",
+		Machine: r.machine, Log: r.log, Targets: targets, VMs: r.vms, Advice: r.advice, Epoch: r.epoch, Holder: "test", Learning: r.learning,
 		Limits: driver.Limits{LeaseTTL: r.fleet.LeaseTTL, AnnounceInterval: 200 * time.Millisecond, LateCalls: testLateCalls, VMMove: 100 * time.Millisecond, VMMaintenance: 150 * time.Millisecond, TargetConnections: r.connections},
 		Now:    time.Now, NowMS: func() int64 { return time.Now().UnixMilli() },
 	})
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -42,6 +42,9 @@
 	"target_connections":         "Open connections to targets.",
 	"target_connections_opened":  "Connections to targets that were opened.",
 	"target_connections_evicted": "Idle connections to targets that were closed to make room for others.",
+	"driver_learned_runs":        "Finished runs that run times were learned from, by queue; only the queues with the most.",
+	"driver_learned_age_ms":      "Time since the last run that run times were learned from, by queue, in milliseconds.",
+	"driver_learned_within":      "Share of the last runs that took no longer than the 0.9 quantile predicted for them, by queue.",
 }
 
 // helpOf returns the HELP text of a metric, or a reference to the runbook if it has none.
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -365,7 +365,7 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds, TargetConnections()), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds, TargetConnections()), Learning: driverLearning(c.settings.Learning), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 		RefuseLate: c.settings.Admission.RefuseLate,
 		Zones:      c.namedZones(),
 	})
@@ -395,6 +395,10 @@
 	}
 }
 
+func driverLearning(l config.LearningSettings) driver.Learning {
+	return driver.Learning{Keep: l.KeepsSummary(), Quantiles: l.Quantiles, Placement: l.Placement}
+}
+
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
 const leasePollInterval = 2 * time.Millisecond
 
