Sessions end at once after a peer's violation of the protocol

Cause: after a violation, yamux's reading goroutine ends without a failed read, and the closing goroutine waited 1 s for one. Each such session held 9 KB and a goroutine beyond its connection: 9,000 short connections in 4 s took a daemon to 98 MB.

Change: silenceConn notes when yamux itself closes it, which it does once the session is shut down.

Result: TestCloseAfterViolation, which fails without the change.

--- a/internal/wire/close_test.go
+++ b/internal/wire/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -146,3 +147,23 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// TestCloseAfterViolation guards against a session that is held for closeTimeout after its peer
+// has violated the protocol: many such peers used up the memory of a process.
+func TestCloseAfterViolation(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	opened, err := newSession(ours, yamux.Server)
+	is.NoErr(err)
+	go io.Copy(io.Discard, theirs)
+	_, err = theirs.Write([]byte("GET / HTTP/1.1\r\n"))
+	is.NoErr(err)
+	<-opened.CloseChan()
+	select {
+	case <-opened.conn.readFailed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a close waits for a read that never fails")
+	}
+	is.NoErr(opened.Close())
+}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// Close closes the connection. yamux calls it once its session is shut down; after a violation of
+// the protocol its reading goroutine has ended without a failed read, for which nobody has to wait.
+// Otherwise such a session holds its buffers for closeTimeout after its connection was closed.
+func (c *silenceConn) Close() error {
+	c.failOnce.Do(func() { close(c.readFailed) })
+	return c.Conn.Close()
+}
+
 // Read sets a new deadline, reads and counts the bytes.
 func (c *silenceConn) Read(b []byte) (int, error) {
 	n, err := c.readWithDeadline(b)
