One budget of memory and descriptors for accepted connections

Change: internal/intake charges each accepted connection of all listeners, with and without a role, to one budget derived from memory_mb (or GOMEMLIMIT) and RLIMIT_NOFILE. Bodies are charged as they arrive. internal/policy/eviction (pure, with a replay) decides who is closed: whoever holds most for longest without progress, idle connections first when descriptors are short, and never one whose request has been passed on. Headers and bodies have a minimum rate, answers a write timeout. Settings `intake:`, and `memory_mb` for a daemon without a role; events 4057 (text changed) to 4061, four metrics, design note, operator docs. TestConnectionLimit moves from internal/server to internal/intake, where it also checks links and idle connections. io.ReadAll of the operators' and the cancel interface is replaced, so that no body is read past the budget.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -71,6 +71,8 @@
 	Bounds          PlatformBounds `yaml:"bounds"`
 	// MemoryMB is the memory limit of the process; 0 for none.
 	MemoryMB int `yaml:"memory_mb"`
+	// Intake limits what accepted connections may use.
+	Intake Intake `yaml:"intake"`
 }
 
 // maxBound is the longest time that PlatformBounds may hold.
@@ -140,6 +142,7 @@
 	if s.MemoryMB < 0 {
 		src.addFault("memory_mb", "%d is below 0", s.MemoryMB)
 	}
+	s.Intake.validate(src)
 	s.Bounds.validate(src)
 }
 
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -57,6 +57,12 @@
 		{"no VM move time", "  vm_move: 1.5s\n", "", "bounds.vm_move"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
+		{"memory share that is no number", "found: true", "found: true\nintake: {memory_share: .nan}", "intake.memory_share"},
+		{"memory share above the runtime's limit", "found: true", "found: true\nintake: {memory_share: 0.5}", "intake.memory_share"},
+		{"negative descriptors", "found: true", "found: true\nintake: {reserved_descriptors: -1}", "intake.reserved_descriptors"},
+		{"negative rate", "found: true", "found: true\nintake: {min_rate: -1}", "intake.min_rate"},
+		{"short window", "found: true", "found: true\nintake: {progress_window: 1ms}", "intake.progress_window"},
+		{"short write timeout", "found: true", "found: true\nintake: {write_timeout: 1ms}", "intake.write_timeout"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -103,6 +103,11 @@
 	ShutdownDelay Duration `yaml:"shutdown_delay"`
 	// PlatformURL is the base URL of the platform that reboots VMs; empty for none.
 	PlatformURL string `yaml:"platform_url"`
+	// MemoryMB is the memory that the budget of connections is a part of; 0 for the environment's
+	// GOMEMLIMIT / 0.6, or 1 GiB without one.
+	MemoryMB int `yaml:"memory_mb"`
+	// Intake limits what accepted connections may use.
+	Intake Intake `yaml:"intake"`
 }
 
 const (
@@ -203,6 +208,10 @@
 	if s.PlatformURL != "" {
 		requireURL(src, "platform_url", s.PlatformURL)
 	}
+	if s.MemoryMB < 0 {
+		src.addFault("memory_mb", "%d is below 0", s.MemoryMB)
+	}
+	s.Intake.validate(src)
 }
 
 func (s *Settings) validateListeners(src *source) {
--- a/internal/entry/joblist.go
+++ b/internal/entry/joblist.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -108,7 +108,11 @@
 }
 
 func readCancelRequest(r *http.Request) (*CancelRequest, *Refusal) {
-	decoder := json.NewDecoder(io.LimitReader(r.Body, MaxBodyBytes))
+	body, refusal := readBody(r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	request := new(CancelRequest)
 	if err := decoder.Decode(request); err != nil {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"sapphirering/internal/intake"
 	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/target"
@@ -139,14 +140,17 @@
 }
 
 func readBody(r *http.Request) ([]byte, *Refusal) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
-	if err != nil {
-		return nil, refuse(http.StatusBadRequest, ReasonBadRequest, "body: "+err.Error())
-	}
-	if len(body) > MaxBodyBytes {
+	body, err := intake.ReadBody(r, r.Body, MaxBodyBytes)
+	switch {
+	case err == nil:
+		return body, nil
+	case intake.Refused(err):
+		return nil, refuse(http.StatusServiceUnavailable, ReasonOverload, "body: "+err.Error())
+	case errors.Is(err, intake.ErrTooLarge):
 		return nil, refuse(http.StatusRequestEntityTooLarge, ReasonTooLarge, fmt.Sprintf("body: more than %d bytes", MaxBodyBytes))
+	default:
+		return nil, refuse(http.StatusBadRequest, ReasonBadRequest, "body: "+err.Error())
 	}
-	return body, nil
 }
 
 // execute runs an admitted request; a non-repeatable one under a claim.
--- a/internal/event/catalogue_requests.go
+++ b/internal/event/catalogue_requests.go
@@ -11,5 +11,10 @@
 	ConnectionSilent  = define(4054, log.WarnLevel, "no data sent to or received from a target for too long, connection closed", "")
 	ShutdownDraining  = define(4055, log.InfoLevel, "readiness withdrawn, waiting until the load balancer sends no more requests", "")
 	ShutdownDrained   = define(4056, log.InfoLevel, "all requests in flight have finished, including forwarded ones", "")
-	ConnectionRefused = define(4057, log.WarnLevel, "connection limit of a listener reached", "Add entry VMs, or find the caller that opens so many connections.")
+	ConnectionRefused = define(4057, log.WarnLevel, "no memory or descriptor is left for a connection or a request, refused", "Add VMs, or find the caller that opens so many connections.")
+
+	IntakeMemoryShort      = define(4058, log.WarnLevel, "memory for connections is short, the one that held most for longest without progress was closed", "Find the caller that sends incomplete requests; see 'Limits of connections' in OPERATIONS.md.")
+	IntakeDescriptorsShort = define(4059, log.WarnLevel, "descriptors for connections are short, an idle or stalled connection was closed", "Find the caller that opens so many connections; see 'Limits of connections' in OPERATIONS.md.")
+	IntakeTooSlow          = define(4060, log.WarnLevel, "header or body arrives too slowly, connection closed", "Check the caller and its network.")
+	IntakeAnswerUnread     = define(4061, log.WarnLevel, "answer was not read in time, connection closed", "Check the caller and its network.")
 )
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -2,6 +2,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -18,6 +19,7 @@
 
 	"sapphirering/internal/config"
 	"sapphirering/internal/event"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/state"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/wire/wirepb"
@@ -301,19 +303,24 @@
 // readBody decodes exactly one JSON value without unknown fields. When it cannot, it
 // answers with the error and returns false.
 func readBody(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := intake.ReadBody(r, r.Body, maxBodyBytes)
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
+	if err == nil {
+		err = decoder.Decode(into)
+	}
 	if err == nil {
 		if _, extra := decoder.Token(); !errors.Is(extra, io.EOF) {
 			err = errors.New("more than one JSON value")
 		}
 	}
-	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return true
-	case errors.As(err, &tooLarge):
+	case intake.Refused(err):
+		intake.SetRefusalHeaders(w, err)
+		writeUnavailable(w, err)
+	case errors.Is(err, intake.ErrTooLarge):
 		message := fmt.Sprintf("body: larger than %d bytes", maxBodyBytes)
 		writeJSON(w, http.StatusRequestEntityTooLarge, Result{Code: codeInvalid, Message: message})
 	default:
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/state/statepb"
 	"sapphirering/internal/target"
 )
@@ -37,9 +37,11 @@
 // ServeHTTP handles one announcement.
 func (a *announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(registerTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	data, err := intake.ReadBody(r, r.Body, maxAnnouncementBytes)
 	if err != nil {
-		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		status := intake.Status(err)
+		intake.SetRefusalHeaders(w, err)
+		http.Error(w, "announcement: "+err.Error(), status)
 		return
 	}
 	var announcement target.Announcement
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -23,6 +23,7 @@
 	"sapphirering/internal/driver"
 	"sapphirering/internal/event"
 	"sapphirering/internal/fsys"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/replica/store"
 	"sapphirering/internal/stepapi"
@@ -83,6 +84,7 @@
 	dialer     *wire.Dialer
 	peers      *wire.Peers
 	peerServer *wire.Server
+	budget     *intake.Budget
 	gateway    *Gateway
 	clock      *clock.Estimator
 	refusals   refusals
@@ -113,6 +115,7 @@
 	c := &Core{
 		settings: s, adapter: newAdapter(s), machine: workflow.New(), applied: replica.NewAppliedTimes(time.Now), dialer: &wire.Dialer{},
 		clock: clock.New(time.Now), fatal: make(chan error, 1),
+		budget: newBudget(s.Intake, s.MemoryMB, reservedByCore),
 	}
 	c.background, c.cancel = context.WithCancel(context.Background())
 	c.gateway = newGateway(c.dialer, s.Listen.Peers, s.Seeds)
@@ -139,7 +142,9 @@
 		default:
 		}
 	}
-	c.peerServer = &wire.Server{Listener: listener, Handler: c.serveStream}
+	c.peerServer = &wire.Server{
+		Listener: intake.NewListener(listener, "listen.peers", c.budget), Handler: c.serveStream, Established: intake.Establish,
+	}
 	return c, c.listen()
 }
 
@@ -153,7 +158,7 @@
 		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
 		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway)},
 	} {
-		server, err := serveRole(service.field, service.address, service.handler)
+		server, err := serveRole(c.budget, service.field, service.address, service.handler)
 		if err != nil {
 			return err
 		}
@@ -549,6 +554,7 @@
 	c.peerServer.Close()
 	c.peers.Close()
 	c.dialer.Close()
+	c.budget.Close()
 	event.DaemonStopped.Emit()
 	return errors.Join(err, c.log.Close())
 }
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -17,6 +17,7 @@
 	"sapphirering/internal/control"
 	"sapphirering/internal/entry"
 	"sapphirering/internal/event"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/operator"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/replica/store"
@@ -56,6 +57,7 @@
 	peers      *wire.Peers
 	dialer     *wire.Dialer
 	peerServer *wire.Server
+	budget     *intake.Budget
 	leader     *leaderClient
 	refusals   refusals
 	// serveIndex is the index to apply before the HTTP listeners answer.
@@ -88,7 +90,10 @@
 // New opens the data folder, joins or creates the cluster, and returns a
 // daemon that is ready to run.
 func New(ctx context.Context, settings *config.Settings, options Options) (*Daemon, error) {
-	d := &Daemon{settings: settings, fatal: make(chan error, 1), machine: state.New()}
+	d := &Daemon{
+		settings: settings, fatal: make(chan error, 1), machine: state.New(),
+		budget: newBudget(settings.Intake, settings.MemoryMB, reservedByEntry),
+	}
 	d.background, d.cancelBackground = context.WithCancel(context.Background())
 	clientTLS, serverTLS, err := loadTLS(settings.TLS)
 	if err != nil {
@@ -214,10 +219,11 @@
 	if err != nil {
 		return fmt.Errorf("listen.peers: %w", err)
 	}
+	peers = intake.NewListener(peers, "listen.peers", d.budget)
 	if peerTLS != nil {
 		peers = tls.NewListener(peers, peerTLS)
 	}
-	d.peerServer = &wire.Server{Listener: peers, Handler: d.serveStream}
+	d.peerServer = &wire.Server{Listener: peers, Handler: d.serveStream, Established: intake.Establish}
 	api := operator.NewServer(operator.Config{
 		Machine: d.machine, Cluster: d, Keys: options.OperatorKeys, Ready: d.entry.Ready,
 	})
@@ -244,11 +250,10 @@
 }
 
 func (d *Daemon) serveHTTP(field, address string, handler http.Handler, tlsConfig *tls.Config) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenHTTP(d.budget, field, address)
 	if err != nil {
-		return fmt.Errorf("%s: %w", field, err)
+		return err
 	}
-	listener = &limitListener{Listener: listener, field: field, limit: maxConnections}
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
@@ -262,9 +267,11 @@
 }
 
 func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	intake.Attach(server)
+	return server
 }
 
 // serve serves a listener until the server is closed.
@@ -326,6 +333,7 @@
 		d.peers.Close()
 	}
 	d.dialer.Close()
+	d.budget.Close()
 	if d.store != nil {
 		d.store.Close()
 	}
--- a/internal/server/edge.go
+++ b/internal/server/edge.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -11,6 +9,7 @@
 	"sapphirering/internal/clock"
 	"sapphirering/internal/config"
 	"sapphirering/internal/event"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/stepapi"
 	"sapphirering/internal/wire"
 )
@@ -29,13 +28,14 @@
 	settings *config.RoleSettings
 	gateway  *Gateway
 	dialer   *wire.Dialer
+	budget   *intake.Budget
 	leaving  atomic.Bool
 	servers  []*http.Server
 }
 
 // NewEdge opens the listeners of an edge daemon.
 func NewEdge(s *config.RoleSettings, newAdapter NewAdapter) (*Edge, error) {
-	e := &Edge{settings: s, dialer: &wire.Dialer{}}
+	e := &Edge{settings: s, dialer: &wire.Dialer{}, budget: newBudget(s.Intake, s.MemoryMB, reservedByEdge)}
 	e.gateway = newGateway(e.dialer, s.Name, s.Seeds)
 	adapter := newAdapter(s)
 	for _, service := range []struct {
@@ -47,7 +47,7 @@
 		{"listen.metrics", s.Listen.Metrics, metricsHandler()},
 		{"listen.api", s.Listen.API, stepapi.New(e.gateway)},
 	} {
-		server, err := serveRole(service.field, service.address, service.handler)
+		server, err := serveRole(e.budget, service.field, service.address, service.handler)
 		if err != nil {
 			return nil, err
 		}
@@ -98,20 +98,21 @@
 			event.ShutdownIncomplete.Emit(event.Err(err))
 		}
 	}
+	e.budget.Close()
 	event.DaemonStopped.Emit()
 	return nil
 }
 
 // serveRole opens a listener and serves it; it returns nil if the address is empty.
-func serveRole(field, address string, handler http.Handler) (*http.Server, error) {
+func serveRole(budget *intake.Budget, field, address string, handler http.Handler) (*http.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := listenHTTP(budget, field, address)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", field, err)
+		return nil, err
 	}
 	server := newHTTPServer(handler)
-	go serve(server, field, &limitListener{Listener: listener, field: field, limit: maxConnections})
+	go serve(server, field, listener)
 	return server, nil
 }
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -1,74 +1,45 @@
 package server
 
 import (
+	"fmt"
 	"net"
-	"sync"
-	"time"
 
-	"sapphirering/internal/event"
+	"sapphirering/internal/config"
+	"sapphirering/internal/intake"
 )
 
+// Descriptors kept for the process's own files and connections.
 const (
-	// maxConnections bounds the open connections of one listener.
-	maxConnections = 4096
-	// limitEventInterval is the shortest time between two events of a listener at its limit.
-	limitEventInterval = 10 * time.Second
+	// reservedByCore suffices for a leader's three connections to each of 350 targets, its log,
+	// snapshots, links and calls to the platform.
+	reservedByCore = 1536
+	// reservedByEdge suffices for links to core daemons.
+	reservedByEdge = 256
+	// reservedByEntry suffices for the connections of a daemon without a role to its targets.
+	reservedByEntry = 1024
 )
 
-// limitListener closes connections above its limit at once, so that many connections cannot
-// use up the file descriptors of the process.
-type limitListener struct {
-	net.Listener
-	field string
-	limit int
-
-	mu           sync.Mutex
-	open         int
-	lastReported time.Time
-}
-
-// Accept returns the next connection within the limit.
-func (l *limitListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.acquire() {
-			return &limitConn{Conn: conn, listener: l}, nil
-		}
-		conn.Close()
+// newBudget returns the budget of the connections that this process accepts.
+func newBudget(s config.Intake, memoryMB, reserved int) *intake.Budget {
+	if s.ReservedDescriptors > 0 {
+		reserved = s.ReservedDescriptors
 	}
+	return intake.New(intake.Settings{
+		MemoryBytes: int64(memoryMB) << 20, MemoryShare: s.MemoryShare, ReservedDescriptors: reserved,
+		MinRate: s.MinRate, ProgressWindow: s.ProgressWindow.Duration, WriteTimeout: s.WriteTimeout.Duration,
+	})
 }
 
-func (l *limitListener) acquire() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.open < l.limit {
-		l.open++
-		return true
+// listenHTTP opens a listener whose connections are charged to the budget.
+func listenHTTP(budget *intake.Budget, field, address string) (net.Listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", field, err)
 	}
-	if time.Since(l.lastReported) > limitEventInterval {
-		l.lastReported = time.Now()
-		event.ConnectionRefused.Emit(event.F("field", l.field), event.F("limit", l.limit))
+	listener := intake.NewListener(inner, field, budget)
+	if err := listener.LimitSocketBuffers(); err != nil {
+		inner.Close()
+		return nil, fmt.Errorf("%s: limit socket buffers: %w", field, err)
 	}
-	return false
-}
-
-func (l *limitListener) release() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open--
-}
-
-type limitConn struct {
-	net.Conn
-	listener *limitListener
-	once     sync.Once
-}
-
-// Close closes the connection and, on the first call, no longer counts it towards the limit.
-func (c *limitConn) Close() error {
-	c.once.Do(c.listener.release)
-	return c.Conn.Close()
+	return listener, nil
 }
--- a/internal/stepapi/stepapi.go
+++ b/internal/stepapi/stepapi.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -29,8 +28,6 @@
 	callTimeout = 5 * time.Second
 )
 
-var errTooLarge = errors.New("body is too large")
-
 // Requester sends requests to the leader.
 type Requester interface {
 	Do(ctx context.Context, r *pb.Request) *pb.Response
@@ -93,21 +90,18 @@
 // readMessage decodes the body and reports whether it could; unknown fields are refused.
 // If not, it logs the error and answers with 400 or 413.
 func readMessage(w http.ResponseWriter, r *http.Request, into proto.Message) bool {
-	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
-	if err == nil && len(data) > MaxBodyBytes {
-		err = errTooLarge
-	}
+	data, err := intake.ReadBody(r, r.Body, MaxBodyBytes)
 	if err == nil {
 		err = protojson.Unmarshal(data, into)
 	}
 	if err == nil {
 		return true
 	}
-	status := http.StatusBadRequest
-	if errors.Is(err, errTooLarge) {
-		status = http.StatusRequestEntityTooLarge
+	status := intake.Status(err)
+	if !intake.Refused(err) {
+		event.BadInput.Emit(event.F("path", r.URL.Path), event.F("peer", r.RemoteAddr), event.F("status", status), event.Err(err))
 	}
-	event.BadInput.Emit(event.F("path", r.URL.Path), event.F("peer", r.RemoteAddr), event.F("status", status), event.Err(err))
+	intake.SetRefusalHeaders(w, err)
 	http.Error(w, err.Error(), status)
 	return false
 }
--- a/internal/wire/link.go
+++ b/internal/wire/link.go
@@ -152,6 +152,9 @@
 type Server struct {
 	Listener net.Listener
 	Handler  StreamHandler
+	// Established is called with the connection of each stream that has sent a valid hello; it may
+	// be nil.
+	Established func(net.Conn)
 
 	mu       sync.Mutex
 	closed   bool
@@ -194,7 +197,7 @@
 		go func() {
 			defer limit.releaseStream()
 			defer reportPanic(accepted)
-			s.serveStream(&stream{Conn: accepted, budget: limit})
+			s.serveStream(conn, &stream{Conn: accepted, budget: limit})
 		}()
 	}
 }
@@ -208,7 +211,7 @@
 }
 
 // serveStream reads the hello and calls the handler. A malformed hello closes only this stream.
-func (s *Server) serveStream(stream net.Conn) {
+func (s *Server) serveStream(conn, stream net.Conn) {
 	defer stream.Close()
 	hello := new(wirepb.Hello)
 	if stream.SetReadDeadline(time.Now().Add(helloTimeout)) != nil {
@@ -225,6 +228,9 @@
 	if stream.SetReadDeadline(time.Time{}) != nil {
 		return
 	}
+	if s.Established != nil {
+		s.Established(conn)
+	}
 	s.Handler(hello, stream)
 }
 
--- a/test/crowd/process_test.go
+++ b/test/crowd/process_test.go
@@ -54,7 +54,7 @@
 	exited   chan struct{}
 }
 
-func startProcess(t *testing.T, memoryMB int, env, flag, settings string, more ...string) *process {
+func startProcess(t *testing.T, descriptors, memoryMB int, env, flag, settings string, more ...string) *process {
 	t.Helper()
 	folder := t.TempDir()
 	path := filepath.Join(folder, "settings.yaml")
@@ -65,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, nofile)
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
 	cmd := exec.Command("sh", append([]string{"-c", script, binary, flag, path}, more...)...)
 	cmd.Env = append(os.Environ(), env)
 	cmd.Stdout, cmd.Stderr = log, log
@@ -126,8 +126,11 @@
 
 const manifest = `{"version":1,"routes":[{"name":"proofs","host":"proofs.example","prefix":"/p/","timeoutMs":3000,"sloMs":600,"service":"render","maxAttempts":3,"slackFactor":1.6}],"services":[{"name":"render","admissionCheck":true}],"tenants":[{"name":"kita","apiKeys":["` + key + `"],"weight":1}]}`
 
-// start starts an installation and waits until it accepts jobs.
-func start(t *testing.T) *installation {
+// start starts an installation with little memory and few descriptors and waits until it accepts
+// jobs.
+func start(t *testing.T) *installation { return startWith(t, nofile, edgeMemoryMB, coreMemoryMB) }
+
+func startWith(t *testing.T, descriptors, edgeMemoryMB, coreMemoryMB int) *installation {
 	t.Helper()
 	in := &installation{}
 	for _, address := range []*string{
@@ -136,10 +139,10 @@
 		*address = linktest.FreeAddress(t)
 	}
 	common := fmt.Sprintf("zone: z1\nseeds: [%q]\npeer_port: %s\ntrust_peer_network: true\n%s", in.peers, in.peers[strings.LastIndexByte(in.peers, ':')+1:], bounds)
-	in.core = startProcess(t, coreMemoryMB, "", "-role", fmt.Sprintf(
+	in.core = startProcess(t, descriptors, coreMemoryMB, "", "-role", fmt.Sprintf(
 		"role: core\nname: core-1\ndata_folder: %s\nfound: true\nplatform_address: 127.0.0.1:1\nmemory_mb: %d\nlisten: {control: %q, peers: %q, api: %q, metrics: %q}\n%s",
 		t.TempDir(), coreMemoryMB, in.control, in.peers, in.coreAPI, in.coreMetrics, common))
-	in.edge = startProcess(t, edgeMemoryMB, "", "-role", fmt.Sprintf(
+	in.edge = startProcess(t, descriptors, edgeMemoryMB, "", "-role", fmt.Sprintf(
 		"role: edge\nname: edge-1\nmemory_mb: %d\nlisten: {callers: %q, health: %q, api: %q, metrics: %q}\n%s",
 		edgeMemoryMB, in.callers, in.health, in.edgeAPI, in.edgeMetrics, common))
 	waitFor(t, func() error { return call("POST", in.control, "/config/replace", manifest, 200) })
@@ -163,7 +166,7 @@
 		listen = append(listen, fmt.Sprintf("%s: %q", name, addresses[name]))
 	}
 	limit := fmt.Sprintf("GOMEMLIMIT=%.0f", runtimeShare*float64(edgeMemoryMB<<20))
-	p := startProcess(t, edgeMemoryMB, limit, "-settings", fmt.Sprintf(
+	p := startProcess(t, nofile, edgeMemoryMB, limit, "-settings", fmt.Sprintf(
 		"name: entry-1\nzone: z1\nvoter: true\noperator_key_file: %s\ndata_folder: %s\nlisten: {%s}\nsession_lease: 2s\nseeds: [%q]\n",
 		keyFile, filepath.Join(folder, "data"), strings.Join(listen, ", "), addresses["peers"]), "-bootstrap")
 	waitFor(t, func() error { return call("GET", addresses["callers"], "/readyz", "", 200) })
