--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -99,7 +99,9 @@
 	Bounds          PlatformBounds `yaml:"bounds"`
 	Admission       Admission      `yaml:"admission"`
 	// MemoryMB is the memory limit of the process; 0 for none.
-	MemoryMB int              `yaml:"memory_mb"`
+	MemoryMB int `yaml:"memory_mb"`
+	// Intake limits what accepted connections may use.
+	Intake   Intake           `yaml:"intake"`
 	Learning LearningSettings `yaml:"learning"`
 }
 
@@ -173,6 +175,7 @@
 	if s.MemoryMB < 0 {
 		src.addFault("memory_mb", "%d is below 0", s.MemoryMB)
 	}
+	s.Intake.validate(src)
 	s.Bounds.validate(src)
 }
 
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -45,6 +45,10 @@
 	"driver_learned_runs":        "Finished runs that run times were learned from, by queue; only the queues with the most.",
 	"driver_learned_age_ms":      "Time since the last run that run times were learned from, by queue, in milliseconds.",
 	"driver_learned_within":      "Share of the last runs that took no longer than the 0.9 quantile predicted for them, by queue.",
+	"intake_closed":              "Connections closed to make room or for lack of progress, by reason and listener.",
+	"intake_refused":             "Connections and requests refused for lack of memory or descriptors, by reason and listener.",
+	"intake_memory_bytes":        "Memory charged to accepted connections, in bytes.",
+	"intake_connections":         "Accepted connections that are open.",
 }
 
 // helpOf returns the HELP text of a metric, or a reference to the runbook if it has none.
