Callers: a call waits for the next leader, and gives up early only where another daemon can help

A call was answered after 0.4 of its caller's time, 1.2 s of 3 s, also while the core had no leader. That does not always cover the detection of a lost leader, the election and the first commits, and calls in that time got 503 or 504.

It is given up at 0.4 as before if its try used up the time at a leader that answers, or if the daemon has never reached the core. A daemon that is cut off answers at once, as before.

--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -20,6 +20,9 @@
 	// gatewayTryTimeout bounds one try, so that a core daemon that does not answer does not
 	// use up the whole time of a request.
 	gatewayTryTimeout = 900 * time.Millisecond
+	// minSlowTry is how long a try without an answer takes at least if the leader is slow. A shorter
+	// one that was ended by the caller's time tells nothing.
+	minSlowTry = 200 * time.Millisecond
 	// gatewayRetryDelay is the wait between two tries.
 	gatewayRetryDelay = 40 * time.Millisecond
 	// connectedTimeout is how long after an answer the core counts as reachable. With the two
@@ -122,6 +125,13 @@
 	return known[g.nextIndex%len(known)]
 }
 
+// leaderAnswers reports whether the leader has answered a call of this daemon lately.
+func (g *Gateway) leaderAnswers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.leaderAnsweredAt.IsZero() && time.Since(g.leaderAnsweredAt) < connectedTimeout
+}
+
 func (g *Gateway) setLeader(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,10 +183,26 @@
 	return !g.connectedAt.IsZero() && time.Since(g.connectedAt) < connectedTimeout
 }
 
-// Do sends a request to the leader and returns its answer. It tries again until ctx ends or
-// this daemon is cut off: requests carry ids or versions that make a resend idempotent.
-// Without an answer that holds for all tries, the response says whether the request may have
-// been carried out.
+// answerByKey is the key of the time in a context made by WithAnswerBy.
+type answerByKey struct{}
+
+// WithAnswerBy returns a context with which Do gives up at a time before ctx ends, unless the core
+// is without a leader: then no other daemon could answer either, and waiting until ctx ends lets
+// the next leader answer.
+func WithAnswerBy(ctx context.Context, by time.Time) context.Context {
+	return context.WithValue(ctx, answerByKey{}, by)
+}
+
+// AnswerBy returns the time of WithAnswerBy, or false without one.
+func AnswerBy(ctx context.Context) (time.Time, bool) {
+	by, ok := ctx.Value(answerByKey{}).(time.Time)
+	return by, ok
+}
+
+// Do sends a request to the leader and returns its answer. It tries again until ctx ends, the
+// time of WithAnswerBy has come or this daemon is cut off: requests carry ids or versions that
+// make a resend idempotent. Without an answer that holds for all tries, the response says
+// whether the request may have been carried out.
 func (g *Gateway) Do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	began := time.Now()
 	response := g.do(ctx, r)
@@ -188,8 +214,17 @@
 func (g *Gateway) do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	unknown := false
 	var lastReason string
+	answerBy, limited := AnswerBy(ctx)
 	for {
-		response, maybeReceived, err := g.try(ctx, r)
+		tryCtx, cancel := ctx, context.CancelFunc(func() {})
+		if limited && time.Now().Before(answerBy) {
+			tryCtx, cancel = context.WithDeadline(ctx, answerBy)
+		}
+		began := time.Now()
+		response, maybeReceived, err := g.try(tryCtx, r)
+		// The try used up its time, although there is a leader.
+		leaderSlow := tryCtx.Err() != nil && time.Since(began) >= minSlowTry && (err == nil || g.leaderAnswers())
+		cancel()
 		switch {
 		case err != nil:
 			unknown = unknown || maybeReceived && changesState(r.Operation)
@@ -208,6 +243,9 @@
 			// Waiting would only use up the time that the caller has for another daemon.
 			return g.giveUp(r, unknown, lastReason)
 		}
+		if limited && !time.Now().Before(answerBy) && (leaderSlow || !g.Connected()) {
+			return g.giveUp(r, unknown, lastReason)
+		}
 		timer := time.NewTimer(gatewayRetryDelay)
 		select {
 		case <-ctx.Done():
