Tests of core daemons: ports that outgoing connections do not take

On a machine with a load above 25, daemons that a test starts again failed with "address already in use" (TestCoreReplacedInSeries, TestCoreWipedVoterIsReplaced, TestRemovedMemberJoinsAnew, TestEvacuationOutlivesDaemons): their ports were of the range that the system gives to outgoing connections. Ports are now drawn below it. TestCoreReplacedInSeries and TestEvacuation* pass twice in a row under the same load; the whole package has not been run since.

--- a/internal/server/core_test.go
+++ b/internal/server/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -45,14 +46,21 @@
 	nodes []*coreNode
 }
 
+// freeAddress returns an address that nothing listens on. Its port is below those that the system gives to
+// outgoing connections: one of these could take it while a daemon of the test is down.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const lowest, highest, tries = 10_000, 32_000, 100
+	for range tries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest)))
+		if err != nil {
+			continue
+		}
+		defer listener.Close()
+		return listener.Addr().String()
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func newCoreCluster(t *testing.T, size int) *coreCluster {
