One count of descriptors for accepted connections and connections to targets

Cause: accepted connections could take 2,560 of 4,096 descriptors and those to targets 2,922, more than there are together; both trusted the limit that the system reports. Change: a core daemon keeps back what it may open to targets; `descriptors` of the role file lowers the limit. Result: 974 and 2,922 of 4,096, 200 left for files.

--- a/internal/config/intake.go
+++ b/internal/config/intake.go
@@ -7,7 +7,7 @@
 type Intake struct {
 	// MemoryShare is the part of the process's memory for requests and buffers of connections.
 	MemoryShare float64 `yaml:"memory_share"`
-	// ReservedDescriptors are kept for the process's own files and connections, but at most half of
+	// ReservedDescriptors are kept for the process's own files and connections, but at most four fifths of
 	// all.
 	ReservedDescriptors int `yaml:"reserved_descriptors"`
 	// MinRate is the least number of bytes a second that a header or a body must bring on average
--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -100,6 +100,8 @@
 	Admission       Admission      `yaml:"admission"`
 	// MemoryMB is the memory limit of the process; 0 for none.
 	MemoryMB int `yaml:"memory_mb"`
+	// Descriptors is the number of files that the process may have open; 0 for what the system reports.
+	Descriptors int `yaml:"descriptors"`
 	// Intake limits what accepted connections may use.
 	Intake   Intake           `yaml:"intake"`
 	Learning LearningSettings `yaml:"learning"`
@@ -175,6 +177,9 @@
 	if s.MemoryMB < 0 {
 		src.addFault("memory_mb", "%d is below 0", s.MemoryMB)
 	}
+	if s.Descriptors < 0 {
+		src.addFault("descriptors", "%d is below 0", s.Descriptors)
+	}
 	s.Intake.validate(src)
 	s.Bounds.validate(src)
 }
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -70,6 +70,7 @@
 		{"no VM move time", "  vm_move: 1.5s\n", "", "bounds.vm_move"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"unknown admission", "found: true", "found: true\nadmission: {refuse: true}", "admission.refuse"},
+		{"negative descriptors of the process", "found: true", "found: true\ndescriptors: -1", "descriptors"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
 		{"negative evacuation", "bounds:\n", "bounds:\n  evacuation: -1s\n", "bounds.evacuation"},
 		{"zone without a name", "zone: zone-a\n", "zone: zone-a\nzones: [\"\"]\n", "zones[0]"},
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -29,6 +29,8 @@
 	runtimeShare = 0.6
 	// unlimitedMemory is the memory that a process without any limit is taken to have.
 	unlimitedMemory = 1 << 30
+	// unknownDescriptors is the usual limit of open files of a process.
+	unknownDescriptors = 1024
 
 	defaultMinRate        = 1 << 10
 	defaultProgressWindow = 10 * time.Second
@@ -52,8 +54,10 @@
 	// MemoryBytes is the memory of the process; MemoryShare is the part of it for connections.
 	MemoryBytes int64
 	MemoryShare float64
-	// ReservedDescriptors are kept for the process's own files and connections, but at most half
-	// of all.
+	// Descriptors is the number of files that the process may have open; 0 for what the system reports.
+	Descriptors int
+	// ReservedDescriptors are kept for the process's own files and connections, but at most four
+	// fifths of all.
 	ReservedDescriptors int
 	// MinRate is the least number of bytes a second that a header or a body must bring on average
 	// over each ProgressWindow.
@@ -104,20 +108,28 @@
 // New returns the budget of this process and starts to check the progress of its connections.
 func New(s Settings) *Budget {
 	s.setDefaults()
-	descriptors := 1024
-	var limit unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
-		descriptors = int(min(limit.Cur, math.MaxInt32))
+	descriptors := s.Descriptors
+	if descriptors == 0 {
+		descriptors = systemDescriptors()
 	}
 	b := &Budget{
 		settings: s, memory: int64(float64(s.MemoryBytes) * s.MemoryShare),
-		connections: max(1, descriptors-min(s.ReservedDescriptors, descriptors/2)),
+		connections: max(1, descriptors-min(s.ReservedDescriptors, descriptors*4/5)),
 		began:       time.Now(), stop: make(chan struct{}), conns: make(map[*Conn]struct{}),
 	}
 	go b.run()
 	return b
 }
 
+// systemDescriptors returns the limit of open files that the system reports.
+func systemDescriptors() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return unknownDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // Close ends the checks of progress.
 func (b *Budget) Close() { b.stopOnce.Do(func() { close(b.stop) }) }
 
--- a/internal/server/accept_test.go
+++ b/internal/server/accept_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"sapphirering/internal/intake"
 )
 
 // exhaustedListener refuses the first accepts for lack of file descriptors.
@@ -31,8 +33,10 @@
 	is.NoErr(err)
 	exhausted := &exhaustedListener{Listener: listener}
 	exhausted.left.Store(3)
+	budget := intake.New(intake.Settings{})
+	defer budget.Close()
 	server := newHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	go serve(server, "listen.control", &limitListener{Listener: exhausted, field: "listen.control", limit: 2})
+	go serve(server, "listen.control", intake.NewListener(exhausted, "listen.control", budget))
 	defer server.Close()
 	response, err := http.Get("http://" + listener.Addr().String())
 	is.NoErr(err)
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -118,7 +118,7 @@
 	c := &Core{
 		settings: s, adapter: newAdapter(s), machine: workflow.New(), applied: replica.NewAppliedTimes(time.Now), dialer: &wire.Dialer{},
 		clock: clock.New(time.Now), fatal: make(chan error, 1),
-		budget: newBudget(s.Intake, s.MemoryMB, reservedByCore),
+		budget: newBudget(s.Intake, s.MemoryMB, s.Descriptors, max(reservedByCore, reservedFiles+TargetConnections(s))),
 	}
 	c.background, c.cancel = context.WithCancel(context.Background())
 	c.gateway = newGateway(c.dialer, s.Listen.Peers, s.Seeds)
@@ -370,7 +370,7 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds, TargetConnections()), Learning: driverLearning(c.settings.Learning), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds, TargetConnections(c.settings)), Learning: driverLearning(c.settings.Learning), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 		RefuseLate: c.settings.Admission.RefuseLate,
 		Zones:      c.namedZones(),
 	})
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -92,7 +92,7 @@
 func New(ctx context.Context, settings *config.Settings, options Options) (*Daemon, error) {
 	d := &Daemon{
 		settings: settings, fatal: make(chan error, 1), machine: state.New(),
-		budget: newBudget(settings.Intake, settings.MemoryMB, reservedByEntry),
+		budget: newBudget(settings.Intake, settings.MemoryMB, 0, reservedByEntry),
 	}
 	d.background, d.cancelBackground = context.WithCancel(context.Background())
 	clientTLS, serverTLS, err := loadTLS(settings.TLS)
--- a/internal/server/edge.go
+++ b/internal/server/edge.go
@@ -35,7 +35,7 @@
 
 // NewEdge opens the listeners of an edge daemon.
 func NewEdge(s *config.RoleSettings, newAdapter NewAdapter) (*Edge, error) {
-	e := &Edge{settings: s, dialer: &wire.Dialer{}, budget: newBudget(s.Intake, s.MemoryMB, reservedByEdge)}
+	e := &Edge{settings: s, dialer: &wire.Dialer{}, budget: newBudget(s.Intake, s.MemoryMB, s.Descriptors, reservedByEdge)}
 	e.gateway = newGateway(e.dialer, s.Name, s.Seeds)
 	adapter := newAdapter(s)
 	for _, service := range []struct {
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -11,8 +11,10 @@
 // Descriptors kept for the process's own files and connections.
 const (
 	// reservedByCore suffices for a leader's three connections to each of 350 targets, its log,
-	// snapshots, links and calls to the platform.
+	// snapshots, links and calls to the platform. A process with many descriptors keeps as many back as
+	// it may open to targets (TargetConnections), and reservedFiles.
 	reservedByCore = 1536
+	reservedFiles  = 200
 	// reservedByEdge suffices for links to core daemons.
 	reservedByEdge = 256
 	// reservedByEntry suffices for the connections of a daemon without a role to its targets.
@@ -20,12 +22,12 @@
 )
 
 // newBudget returns the budget of the connections that this process accepts.
-func newBudget(s config.Intake, memoryMB, reserved int) *intake.Budget {
+func newBudget(s config.Intake, memoryMB, descriptors, reserved int) *intake.Budget {
 	if s.ReservedDescriptors > 0 {
 		reserved = s.ReservedDescriptors
 	}
 	return intake.New(intake.Settings{
-		MemoryBytes: int64(memoryMB) << 20, MemoryShare: s.MemoryShare, ReservedDescriptors: reserved,
+		MemoryBytes: int64(memoryMB) << 20, MemoryShare: s.MemoryShare, Descriptors: descriptorLimit(descriptors), ReservedDescriptors: reserved,
 		MinRate: s.MinRate, ProgressWindow: s.ProgressWindow.Duration, WriteTimeout: s.WriteTimeout.Duration,
 	})
 }
