Replica: a leader confirms reads once it has applied its first entry

Cause: finishConfirmations and updateLease relied on LeaderReady, which reports that the leader's first entry is committed. In between, a new leader held the lease and confirmed reads without what its predecessor had acknowledged.

Change: both need LeaderApplied, the application of the leader's first entry. A confirmation also needs that what was committed when it was requested is applied: another member may have applied it and shown it before. Both indexes are fixed, so a stream of commits does not delay them.

TestConfirmedReadCoversCommit fails without the commit index of the request.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -91,8 +91,9 @@
 	saving    bool
 	restoring bool
 	fault     error
-	// formerTerm is the term of the last entry before this leader's first.
+	// formerTerm is the term of the last entry before this leader's first, whose index is firstOwn.
 	formerTerm uint64
+	firstOwn   uint64
 }
 
 // Persisted is the state that storage held at start.
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -13,6 +13,13 @@
 	return c.role == leader && ok && term == c.term
 }
 
+// LeaderApplied reports whether this member leads and has applied the first entry of its own term.
+// All that its predecessors have acknowledged is below that entry. A committed entry is applied
+// later than LeaderReady reports it, if the commit index has to be synced first.
+func (c *Core) LeaderApplied() bool {
+	return c.role == leader && c.log.applied >= c.firstOwn
+}
+
 func (c *Core) selfIsVoter() bool { return isVoter(FindMember(c.Membership(), c.cfg.ID)) }
 
 func (c *Core) quorum() int { return VoterCount(c.Membership())/2 + 1 }
@@ -62,7 +69,7 @@
 	c.electionElapsed = 0
 	c.updatePeers()
 	c.formerTerm = c.log.lastTerm()
-	c.appendAsLeader(&wirepb.Entry{Kind: wirepb.EntryKind_ENTRY_KIND_EMPTY})
+	c.firstOwn = c.appendAsLeader(&wirepb.Entry{Kind: wirepb.EntryKind_ENTRY_KIND_EMPTY})
 	c.broadcastAppend()
 	// The lease begins with the first round that a quorum answers.
 	c.Heartbeat()
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -57,7 +57,7 @@
 	n.recordRoundStart()
 	confirmed := n.core.ConfirmedRound()
 	started, ok := n.lease.roundStarts[confirmed]
-	if !ok || !n.core.LeaderReady() || n.transferring {
+	if !ok || !n.core.LeaderApplied() || n.transferring {
 		return
 	}
 	length := time.Duration(float64(n.cfg.TickInterval) * float64(n.cfg.Core.ElectionTicks) * leaseFraction)
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -119,7 +119,10 @@
 
 type confirmation struct {
 	round uint64
-	reply chan error
+	// commit is the commit index at the time of the call. Other members may have shown the state at
+	// this index before.
+	commit uint64
+	reply  chan error
 }
 
 // Node drives a Core. All access to the core is on one goroutine.
@@ -442,7 +445,7 @@
 	confirmed := n.core.ConfirmedRound()
 	rest := n.confirmations[:0]
 	for _, c := range n.confirmations {
-		if c.round <= confirmed && n.core.LeaderReady() {
+		if c.round <= confirmed && n.core.LeaderApplied() && n.core.log.applied >= c.commit {
 			c.reply <- nil
 			continue
 		}
@@ -552,7 +555,7 @@
 }
 
 // ConfirmLeadership returns nil once a quorum has confirmed, after the call
-// began, that this member leads.
+// began, that this member leads. All that was acknowledged before the call is then applied.
 func (n *Node) ConfirmLeadership(ctx context.Context) error {
 	reply := make(chan error, 1)
 	err := n.runOnLoop(ctx, func() {
@@ -560,7 +563,7 @@
 			reply <- ErrNotLeader
 			return
 		}
-		n.confirmations = append(n.confirmations, confirmation{n.core.NextRound(), reply})
+		n.confirmations = append(n.confirmations, confirmation{n.core.NextRound(), n.core.Commit(), reply})
 	})
 	if err != nil {
 		return err
