Replica: a voter refuses votes after a heartbeat although it has forgotten the leader

Cause: a voter decided by leaderID whether a leader may be alive. A late message with a newer term, such as the refusal of an earlier campaign, cleared it, and the voter voted and campaigned while a lease relied on the heartbeat that it had just answered. Candidates that had split the votes, and campaign again after a short pause since, were then elected within the lease of a leader that had returned for one round.

Change: noVoteTicks, which held only after a restart, begins with each answered heartbeat, apart from leaderID and the election timer. Within it a voter answers no unforced request and does not campaign. As after a restart, only configurations with LeaderLease have it; the older rule by leaderID stays for all. A transfer ends the lease before it asks for the campaign: its forced requests pass as before and end this time, so that an election after a failed transfer is not later than before. The pause after a refused vote is unchanged: any quorum of an unforced vote now contains a voter that the lease protects.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -72,8 +72,9 @@
 	progressByID map[string]*progress
 	memberships  []membershipRecord
 
-	// noVoteTicks is how long after a restart no vote is granted: the previous
-	// process may have answered a heartbeat that a leader's lease relies on.
+	// noVoteTicks is how long this member neither campaigns nor grants a vote that is not forced:
+	// it, or its process before a restart, may have answered a heartbeat that a leader's lease relies
+	// on. It does not depend on leaderID, which a late message with a newer term clears.
 	noVoteTicks int
 
 	electionElapsed      int
@@ -123,9 +124,7 @@
 		}
 	}
 	c.becomeFollower(c.term, "")
-	if cfg.LeaderLease {
-		c.noVoteTicks = cfg.ElectionTicks
-	}
+	c.protectLease()
 	return c, nil
 }
 
@@ -165,7 +164,7 @@
 		c.tickLeader()
 		return
 	}
-	if c.electionElapsed >= c.electionTimeoutTicks && c.selfIsVoter() {
+	if c.electionElapsed >= c.electionTimeoutTicks && c.noVoteTicks == 0 && c.selfIsVoter() {
 		c.startPreVote()
 	}
 }
@@ -218,6 +217,7 @@
 		c.handleHeartbeatAnswer(m)
 	case wirepb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW:
 		if c.selfIsVoter() {
+			c.noVoteTicks = 0 // the leader has given up its lease
 			c.startVote(true)
 		}
 	}
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -29,6 +29,13 @@
 	c.electionTimeoutTicks = c.cfg.ElectionTicks + c.cfg.Rand.Intn(c.cfg.ElectionTicks)
 }
 
+// protectLease begins the time in which a leader's lease may rely on this member.
+func (c *Core) protectLease() {
+	if c.cfg.LeaderLease {
+		c.noVoteTicks = c.cfg.ElectionTicks
+	}
+}
+
 // campaignRetryTicks is the shortest pause between two campaigns of a member that has lost its
 // leader. Two ticks leave time for the round trips of a campaign without syncs of the disk.
 const campaignRetryTicks = 2
@@ -189,6 +196,11 @@
 	if preVote {
 		answer = wirepb.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER
 	} else if m.Term > c.term {
+		if m.Forced {
+			// The leader of the term before m.Term has given up its lease to ask for this vote, and this
+			// member has answered no later one.
+			c.noVoteTicks = 0
+		}
 		c.becomeFollower(m.Term, "")
 	}
 	mayVote := preVote && m.Term > c.term || m.Term == c.term && (c.vote == m.From || c.vote == "" && c.leaderID == "")
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -119,6 +119,7 @@
 
 func (c *Core) handleHeartbeat(m *wirepb.ReplicaMessage) {
 	c.acceptLeader(m)
+	c.protectLease()
 	c.log.commit = max(c.log.commit, min(m.Commit, c.log.lastIndex()))
 	c.send(&wirepb.ReplicaMessage{
 		Type: wirepb.MessageType_MESSAGE_TYPE_HEARTBEAT_ANSWER, To: m.From, Round: m.Round, Index: c.log.lastIndex(),
--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -42,7 +42,7 @@
 	for seed := range *randomSeeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			n := newNetwork(t, seed, "n1", "n2", "n3", "n4", "n5")
-			n.slowSaves, n.applyUnsynced = true, seed%2 == 0
+			n.slowSaves, n.applyUnsynced, n.leaderLease = true, seed%2 == 0, seed%4 < 2
 			for _, id := range n.ids {
 				n.crash(n.members[id])
 				n.start(n.members[id])
