--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -13,6 +13,13 @@
 	return c.role == leader && ok && term == c.term
 }
 
+// LeaderApplied reports whether this member leads and has applied the first entry of its own term.
+// All that its predecessors have acknowledged is below that entry. A committed entry is applied
+// later than LeaderReady reports it, if the commit index has to be synced first.
+func (c *Core) LeaderApplied() bool {
+	return c.role == leader && c.log.applied >= c.firstOwn
+}
+
 func (c *Core) selfIsVoter() bool { return isVoter(FindMember(c.Membership(), c.cfg.ID)) }
 
 func (c *Core) quorum() int { return VoterCount(c.Membership())/2 + 1 }
@@ -22,6 +29,13 @@
 	c.electionTimeoutTicks = c.cfg.ElectionTicks + c.cfg.Rand.Intn(c.cfg.ElectionTicks)
 }
 
+// protectLease begins the time in which a leader's lease may rely on this member.
+func (c *Core) protectLease() {
+	if c.cfg.LeaderLease {
+		c.noVoteTicks = c.cfg.ElectionTicks
+	}
+}
+
 // campaignRetryTicks is the shortest pause between two campaigns of a member that has lost its
 // leader. Two ticks leave time for the round trips of a campaign without syncs of the disk.
 const campaignRetryTicks = 2
@@ -62,7 +76,7 @@
 	c.electionElapsed = 0
 	c.updatePeers()
 	c.formerTerm = c.log.lastTerm()
-	c.appendAsLeader(&wirepb.Entry{Kind: wirepb.EntryKind_ENTRY_KIND_EMPTY})
+	c.firstOwn = c.appendAsLeader(&wirepb.Entry{Kind: wirepb.EntryKind_ENTRY_KIND_EMPTY})
 	c.broadcastAppend()
 	// The lease begins with the first round that a quorum answers.
 	c.Heartbeat()
@@ -182,6 +196,11 @@
 	if preVote {
 		answer = wirepb.MessageType_MESSAGE_TYPE_PRE_VOTE_ANSWER
 	} else if m.Term > c.term {
+		if m.Forced {
+			// The leader of the term before m.Term has given up its lease to ask for this vote, and this
+			// member has answered no later one.
+			c.noVoteTicks = 0
+		}
 		c.becomeFollower(m.Term, "")
 	}
 	mayVote := preVote && m.Term > c.term || m.Term == c.term && (c.vote == m.From || c.vote == "" && c.leaderID == "")
