Evacuation: a long-running task stays where advice allows no other target

Cause: the check of where a task of an evacuated zone may run looked only at its label. A task of an advised queue was stopped although advice allowed no other target, and could start nowhere. Change: the check is that of the start plan, with the targets that have a valid ticket. Advice that is not known is asked for, except for steps without a budget, and the task stays until it is known. Result: TestEvacuatedTaskStaysWhereAdviceAllowsNoOther fails without the change and passes with it; TestEvacuatedTaskMovesWhereAdviceAllowsAnother passes (go test -race).

--- /dev/null
+++ b/internal/driver/evacuationmoves_test.go
@@ -0,0 +1,71 @@
+package driver_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"sapphirering/internal/driver"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+	"sapphirering/test/standin"
+)
+
+// adviseOnly grants tickets for the targets whose ids the string contains.
+type adviseOnly struct{ allowed string }
+
+func (a adviseOnly) Advise(_ context.Context, _ workflow.TaskID, targets []string) (driver.Advice, error) {
+	out := driver.Advice{Tickets: map[string]string{}, ValidFor: time.Minute}
+	for _, t := range targets {
+		if strings.Contains(a.allowed, t) {
+			out.Tickets[t] = "ticket"
+		}
+	}
+	return out, nil
+}
+
+// submitLastingStep submits job "j" with one step of long-running tasks.
+func (r *rig) submitLastingStep(tasks, maxUnavailable, maxPerTarget uint32) {
+	r.t.Helper()
+	r.fleet.Lasting = map[string]bool{"j": true}
+	answer := r.request(&pb.Request{Operation: pb.Operation_OPERATION_SUBMIT, Host: "h", Path: "/p/j", Job: &pb.Job{Id: "j", Steps: []*pb.Step{{
+		Tasks: tasks, Needs: &pb.Resources{CpuMillis: 1000, MemoryMb: 10}, Lasting: true, MaxUnavailable: maxUnavailable, MaxPerTarget: maxPerTarget,
+	}}}})
+	if answer.Answer != pb.Answer_ANSWER_OK {
+		r.t.Fatal(answer)
+	}
+}
+
+// TestEvacuatedTaskStaysWhereAdviceAllowsNoOther guards against a stop of a long-running task that advice lets run on
+// no target outside of its evacuated zone: it could start nowhere.
+func TestEvacuatedTaskStaysWhereAdviceAllowsNoOther(t *testing.T) {
+	r := newZoneRig(t)
+	r.advice = adviseOnly{"b"}
+	r.startLeader()
+	r.putCatalogue(2, true)
+	r.submitLastingStep(1, 1, 0)
+	r.eventually("runs on b", testWait, func() bool { return r.fleet.Running("b") == 1 })
+	time.Sleep(time.Second)
+	r.beginEvacuation("b")
+	time.Sleep(3 * time.Second)
+	if r.fleet.Running("b") != 1 {
+		t.Errorf("the task was stopped though advice lets it run nowhere else: a %d b %d", r.fleet.Running("a"), r.fleet.Running("b"))
+	}
+}
+
+// TestEvacuatedTaskMovesWhereAdviceAllowsAnother guards against a task that stays although advice, once it is asked
+// for, allows a target outside of its evacuated zone.
+func TestEvacuatedTaskMovesWhereAdviceAllowsAnother(t *testing.T) {
+	r := newZoneRig(t)
+	r.advice = adviseOnly{"ab"}
+	r.startLeader()
+	r.putCatalogue(2, true)
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.Silent = true })
+	time.Sleep(time.Second)
+	r.submitLastingStep(1, 1, 0)
+	r.eventually("runs on b", testWait, func() bool { return r.fleet.Running("b") == 1 })
+	r.fleet.Change("a", func(t *standin.StepTarget) { t.Silent = false })
+	r.beginEvacuation("b")
+	r.eventually("runs on a", testWait, func() bool { return r.fleet.Running("a") == 1 && r.fleet.Running("b") == 0 })
+}
--- a/internal/driver/evacuations.go
+++ b/internal/driver/evacuations.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/assign"
 	"sapphirering/internal/policy/evacuation"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -259,17 +260,23 @@
 	for i := range targets {
 		s.Targets = append(s.Targets, evacuation.Target{ID: targets[i].ID, Free: targets[i].Free})
 	}
+	requirements := make(map[workflow.TaskID]*assign.Step)
 	describe := func(task *workflow.Task) evacuation.Task {
 		spec, first := task.Spec(), task.ID.FirstOfStep()
 		if s.Steps[first] == nil {
 			step := stepRequirements(v, spec, task.Job.Tasks[first.Occurrence][first.Step])
+			// A step without a budget stays: nothing is asked for it.
+			if queue := v.QueueOf(task.Job); queue != nil && queue.Advised && spec.MaxUnavailable > 0 {
+				step.Allowed = d.advisedTargets(v, first, pool)
+			}
+			requirements[first] = &step
 			s.Steps[first] = &evacuation.Step{
 				Budget: int(spec.MaxUnavailable), Away: d.unavailableElsewhere(v, first, ""),
 				MaxPerTarget: step.MaxPerTarget, OnTarget: step.OnTarget,
 			}
 		}
 		return evacuation.Task{ID: task.ID, Room: workflow.RequiredCapacity(spec), Admits: func(at int) bool {
-			return spec.Label == "" || slices.Contains(targets[at].Labels, spec.Label)
+			return requirements[first].MayRunOn(&targets[at])
 		}}
 	}
 	for _, job := range v.OpenJobs() {
