Waves: a VM of an evacuated zone with long-running tasks goes like any other

Cause: every VM of an evacuated zone went first, without the wave's pace. A long-running task that has room nowhere else was taken down first and could not come back there. Change: only VMs of an evacuated zone without long-running tasks count as evacuated for a wave. TestEvacuatedZoneIsNoSupply expected the old order for a VM on which a long-running task runs; it now expects that such a VM does not count, and, once the task has ended, what it expected before.

--- a/internal/driver/evacuationmoves_test.go
+++ b/internal/driver/evacuationmoves_test.go
@@ -69,3 +69,26 @@
 	r.beginEvacuation("b")
 	r.eventually("runs on a", testWait, func() bool { return r.fleet.Running("a") == 1 && r.fleet.Running("b") == 0 })
 }
+
+// TestWaveTakesEvacuatedVMWithLastingTaskLikeOthers guards against a wave that takes a VM of an evacuated zone down
+// first although its long-running task has room nowhere else.
+func TestWaveTakesEvacuatedVMWithLastingTaskLikeOthers(t *testing.T) {
+	r := newZoneRig(t)
+	platform := &orderRecorder{}
+	platform.listed = []driver.VM{{Name: "vm-a", Zone: "a", State: driver.VMUp, Pool: "render"}, {Name: "vm-b", Zone: "b", State: driver.VMUp, Pool: "render"}}
+	r.vms = platform
+	r.startLeader()
+	r.submitLastingStep(2, 1, 1) // one on a, one on b; a has no place for the second
+	r.eventually("both", testWait, func() bool { return r.fleet.Running("a") == 1 && r.fleet.Running("b") == 1 })
+	time.Sleep(time.Second)
+	r.beginEvacuation("b")
+	time.Sleep(time.Second)
+	if r.fleet.Running("b") != 1 {
+		t.Fatal("the task was stopped although it has room nowhere else")
+	}
+	r.request(&pb.Request{Operation: pb.Operation_OPERATION_DECLARE_WAVE, Wave: &pb.Wave{Id: 1, Vms: []string{"vm-a", "vm-b"}, Cap: 1, DurationMs: 60_000}})
+	r.eventually("an order", testWait, func() bool { return len(platform.ordered()) > 0 })
+	if platform.ordered()[0] == "vm-b" {
+		t.Error("the VM of the evacuated zone goes down first with a long-running task that has room nowhere else and can't come back there")
+	}
+}
--- a/internal/driver/queuedevacuation_test.go
+++ b/internal/driver/queuedevacuation_test.go
@@ -72,7 +72,8 @@
 }
 
 // TestEvacuatedZoneIsNoSupply evacuates the zone of one of three VMs of a pool: its room must not count, it must
-// not move to another pool, and its maintenance comes before that of the others, also beyond the wave's pace.
+// not move to another pool, and once no long-running task is left there, its maintenance comes before that of the
+// others, also beyond the wave's pace.
 func TestEvacuatedZoneIsNoSupply(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
@@ -105,6 +106,15 @@
 
 	wave := &pb.Wave{Id: 1, Vms: []string{"vm-t0", "vm-t1", "vm-t2"}, Cap: 2}
 	candidates := d.candidates(wave, wave.Vms)
+	is.Equal(maintenance.CountEvacuated(candidates), 0) // a long-running task is still there
+	var left workflow.TaskID
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for id := range v.PlacedOn("t2") {
+			left = id
+		}
+	})
+	applyAt(t, d, 102, &pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: &pb.ChangeTasks{Ends: []*pb.End{{Task: left.Ref(1), Target: "t2", Kind: pb.EndKind_END_KIND_NOT_RUN}}}}})
+	candidates = d.candidates(wave, wave.Vms)
 	maintenance.SortForMaintenance(candidates)
 	is.Equal(candidates[0].VM, "vm-t2")
 	is.Equal(maintenance.ToCordon(candidates, 1, time.Hour, time.Second), []string{"vm-t2"})
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -224,7 +224,7 @@
 	}
 	atOnce := d.atOnce(w, len(left)+len(ordered))
 	candidates := d.candidates(w, left)
-	// Maintenance in an evacuated zone takes no capacity: only the wave's cap limits how many VMs go at once.
+	// Maintenance of VMs in an evacuated zone without long-running tasks takes no capacity: only the wave's cap limits how many VMs go at once.
 	evacuated := min(int(w.Cap)-len(ordered), maintenance.CountEvacuated(candidates))
 	d.cordonNext(w, candidates, max(atOnce-len(ordered)+drainAhead, evacuated))
 	down := len(ordered)
@@ -347,8 +347,11 @@
 			if !m.calling && (d.waves.takenByOther(vm, m) || v.MaintenanceOrdered(vm)) {
 				continue
 			}
-			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned(), Evacuated: v.Evacuated(zoneOfVM(v, d.fleet.vms[vm], links[vm]))}
-			if l := links[vm]; l != nil {
+			l := links[vm]
+			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned(), Evacuated: v.Evacuated(zoneOfVM(v, d.fleet.vms[vm], l))}
+			if l != nil {
+				// Long-running tasks that are still there have no room elsewhere yet: a VM with such tasks is not cheap.
+				c.Evacuated = c.Evacuated && v.UsedOn(l.target.Id).Lasting == 0
 				c.LoadMillis, c.Steps = v.UsedOn(l.target.Id).Room.CPUMillis, lastingSteps(v, l.target.Id)
 			}
 			out = append(out, c)
--- a/internal/policy/maintenance/lasting.go
+++ b/internal/policy/maintenance/lasting.go
@@ -13,7 +13,8 @@
 	LoadMillis int64
 	// Cordoned VMs take no starts already.
 	Cordoned bool
-	// Evacuated VMs are in an availability zone that gets no starts: their maintenance takes no capacity.
+	// Evacuated VMs are in an availability zone that gets no starts and run no lasting tasks: their
+	// maintenance takes no capacity.
 	Evacuated bool
 	// Steps are the lasting steps that run on it.
 	Steps []LastingStep
