Waves: VMs of an evacuated zone that share a step do not take all places

Cause: the check of how many VMs of one lasting step are cordoned at once was not made for VMs of evacuated zones. Change: it holds for them too. Result: TestEvacuatedChainLeavesPlacesToOthers fails without the change (three VMs of the step, no idle one) and passes with it (go test -race ./internal/policy/maintenance).

--- a/internal/policy/maintenance/lasting.go
+++ b/internal/policy/maintenance/lasting.go
@@ -30,6 +30,7 @@
 // then those with the least load. VMs that run tasks of one lasting step go down one after the other, each for
 // about perVM, and would come last by their load: where such a chain takes a good part of the
 // time left, as many of them as its budget allows, and one more, come before all others outside of evacuated zones.
+// In evacuated zones, too, no more VMs of one step come first: the others would wait for them.
 func ToCordon(vms []Candidate, want int, timeLeft, perVM time.Duration) []string {
 	vms = slices.Clone(vms)
 	slices.SortStableFunc(vms, func(a, b Candidate) int { return cmp.Compare(a.LoadMillis, b.LoadMillis) })
@@ -53,16 +54,18 @@
 		}
 		next = append(next, vm.VM)
 	}
+	mayTake := func(vm *Candidate) bool {
+		return !slices.ContainsFunc(vm.Steps, func(s LastingStep) bool { return taken[s.ID] > max(s.Budget, 1) })
+	}
 	for i := range vms {
-		if vm := &vms[i]; vm.Evacuated && !vm.Cordoned && cordoned < want {
+		if vm := &vms[i]; vm.Evacuated && mayTake(vm) && !vm.Cordoned && cordoned < want {
 			take(vm)
 		}
 	}
 	for i := range vms {
 		vm := &vms[i]
 		urgent := slices.ContainsFunc(vm.Steps, func(s LastingStep) bool { return long[s.ID] > 0 })
-		room := !slices.ContainsFunc(vm.Steps, func(s LastingStep) bool { return taken[s.ID] > max(s.Budget, 1) })
-		if urgent && room && !vm.Cordoned && cordoned < want {
+		if urgent && mayTake(vm) && !vm.Cordoned && cordoned < want {
 			take(vm)
 		}
 	}
--- a/internal/policy/maintenance/lasting_test.go
+++ b/internal/policy/maintenance/lasting_test.go
@@ -75,3 +75,17 @@
 	is.Equal(ToCordon(vms, 3, 24*time.Second, 3*time.Second), []string{"vm0"})
 	is.Equal(ToCordon(vms, 2, 24*time.Second, 3*time.Second), nil)
 }
+
+// TestEvacuatedChainLeavesPlacesToOthers guards against VMs of an evacuated zone whose tasks belong to one step and
+// that take all places, so that idle VMs wait for a chain of which few may go down at once.
+func TestEvacuatedChainLeavesPlacesToOthers(t *testing.T) {
+	is := is.New(t)
+	var vms []Candidate
+	for i := range 5 {
+		vms = append(vms, Candidate{VM: fmt.Sprintf("evac-%d", i), LoadMillis: 1000, Evacuated: true, Steps: []LastingStep{{ID: "s", Budget: 1}}})
+	}
+	for i := range 5 {
+		vms = append(vms, Candidate{VM: fmt.Sprintf("idle-%d", i)})
+	}
+	is.Equal(ToCordon(vms, 3, time.Hour, time.Minute), []string{"evac-0", "evac-1", "idle-0"})
+}
