Preemption: a cold target that would make a job late is no place for it

Cause: the assignment makes a job wait rather than start it on a cold target that would make it late, but the free room there kept preemption from stopping a run elsewhere. The job got neither target. Change: a wait holds which cold targets would make its job late, and preemption leaves these out. Result: TestColdTargetDoesNotStopPreemption fails without the change and passes with it, as do the tests of internal/policy/assign and, with -race, those of cold targets and preemption of internal/driver.

--- a/internal/driver/preempt.go
+++ b/internal/driver/preempt.go
@@ -75,7 +75,9 @@
 		Room: step.Room, Priority: job.Priority, Lasting: step.Lasting, WaitsMS: now.Sub(span.since).Milliseconds(),
 		SlackMS: job.DeadlineMS - job.RemainingMS - s.NowMS, RunMS: job.RemainingMS,
 		Admits: func(target int) bool {
-			return step.MayRunOn(&s.Targets[target]) && step.BelowTargetLimit(&s.Targets[target])
+			// A cold target that would make the job late gets no start of it, so its room does not count.
+			at := &s.Targets[target]
+			return step.MayRunOn(at) && step.BelowTargetLimit(at) && !wait.MakesLate(at)
 		},
 	}
 	if !template.MayStop(lowest) {
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -132,8 +132,12 @@
 	// and to its job.
 	WaitingStep *Step
 	WaitingJob  *Job
+	cold        coldLimit
 }
 
+// MakesLate reports whether the job waits rather than start on a target with room, since the target is cold.
+func (w *Wait) MakesLate(target *Target) bool { return w.cold.makesLate(target) }
+
 // Plan returns the starts of one round, and why other tasks wait.
 func Plan(s *Snapshot) ([]Start, []Wait) {
 	p := newPlan(s)
@@ -156,12 +160,10 @@
 	// and every task tries each of its candidates.
 	withRoom, all []int
 	zones         map[string]string
-	// slackMS is what the job that is being placed may lose without being late, if it can still be in time.
-	slackMS int64
-	// remainingMS is the expected time of what is left of it.
-	remainingMS int64
-	// cold is set if a target is cold, warm if one that is not may run the step that is being placed.
-	cold, warm bool
+	// anyCold is set if a target is cold.
+	anyCold bool
+	// cold is for the step that is being placed.
+	cold coldLimit
 	// shed holds jobs that the pool has no room to end in time beside the others.
 	shed   map[string]bool
 	starts []Start
@@ -173,7 +175,7 @@
 	for i := range s.Targets {
 		p.all = append(p.all, i)
 		p.zones[s.Targets[i].ID] = s.Targets[i].Zone
-		p.cold = p.cold || s.Targets[i].ColdFor > 0
+		p.anyCold = p.anyCold || s.Targets[i].ColdFor > 0
 	}
 	p.withRoom = slices.Clone(p.all)
 	return p
@@ -283,14 +285,14 @@
 }
 
 func (p *plan) placeJob(j *Job) {
-	p.slackMS, p.remainingMS = math.MaxInt64, j.RemainingMS
+	p.cold = coldLimit{slackMS: math.MaxInt64, remainingMS: j.RemainingMS}
 	if class := p.class(j); class == classInTime || class == classShed {
-		p.slackMS = j.DeadlineMS - p.snapshot.NowMS - j.RemainingMS
+		p.cold.slackMS = j.DeadlineMS - p.snapshot.NowMS - j.RemainingMS
 	}
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		p.dropFullTargets()
-		p.warm = p.cold && slices.ContainsFunc(p.targets, func(t Target) bool { return t.ColdFor == 0 && step.MayRunOn(&t) })
+		p.cold.warm = p.anyCold && slices.ContainsFunc(p.targets, func(t Target) bool { return t.ColdFor == 0 && step.MayRunOn(&t) })
 		if step.Gang {
 			if !p.placeGang(j, step) {
 				p.addWait(j, step, 0, WaitRoom)
@@ -334,7 +336,7 @@
 	case p.shed[j.ID]:
 		reason = waitShed
 	}
-	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason, WaitingStep: step, WaitingJob: j})
+	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason, WaitingStep: step, WaitingJob: j, cold: p.cold})
 }
 
 // placeGang places all tasks of a gang or none. Single racks are tried first if
@@ -477,7 +479,7 @@
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
 		}
-		if !step.MayRunOn(target) || !step.BelowTargetLimit(target) || p.makesLate(target) {
+		if !step.MayRunOn(target) || !step.BelowTargetLimit(target) || p.cold.makesLate(target) {
 			continue
 		}
 		if score := score(step, target, step.OnTarget[target.ID], home); best < 0 || score < bestScore {
@@ -487,10 +489,20 @@
 	return best
 }
 
-// makesLate reports whether the job that is being placed would be late because the target is cold. It waits
+// coldLimit decides which cold targets a step may start on.
+type coldLimit struct {
+	// slackMS is what the job may lose without being late, if it can still be in time.
+	slackMS int64
+	// remainingMS is the expected time of what is left of the job.
+	remainingMS int64
+	// warm is set if a target that is not cold may run the step.
+	warm bool
+}
+
+// makesLate reports whether the job would be late because the target is cold. It waits
 // for a warm one, if there is any: once it is late anyway, cold ones count too.
-func (p *plan) makesLate(target *Target) bool {
-	return target.ColdFor > 0 && p.warm && warmup.Delay(time.Duration(p.remainingMS)*time.Millisecond, target.ColdFor).Milliseconds() > p.slackMS
+func (c coldLimit) makesLate(target *Target) bool {
+	return target.ColdFor > 0 && c.warm && warmup.Delay(time.Duration(c.remainingMS)*time.Millisecond, target.ColdFor).Milliseconds() > c.slackMS
 }
 
 // slowness returns the ratio of the run times on the target to those of its peers.
