Evacuation: tasks on leaving targets count as away for the stops

Cause: a target that has given notice may end its tasks at any moment, but they counted as available. A task in an evacuated zone was stopped beside them, and its step could have more tasks away than max_unavailable. Change: an evacuation counts tasks on leaving targets as away. Waves count as before. Result: TestTasksOnLeavingTargetsCountAsAway fails without the change and passes with it, as do the tests of evacuations of internal/driver (go test -race).

--- a/internal/driver/evacuationmoves_test.go
+++ b/internal/driver/evacuationmoves_test.go
@@ -92,3 +92,40 @@
 		t.Error("the VM of the evacuated zone goes down first with a long-running task that has room nowhere else and can't come back there")
 	}
 }
+
+// TestTasksOnLeavingTargetsCountAsAway guards against a stop of a task in an evacuated zone while another one of its
+// step may end at any moment, since its target has given notice: the step's budget is one.
+func TestTasksOnLeavingTargetsCountAsAway(t *testing.T) {
+	r := newRig(t, "a", "b", "c")
+	r.fleet.Change("b", func(t *standin.StepTarget) { t.Zone = "b" })
+	r.fleet.Restart("b")
+	r.fleet.Change("b", func(t *standin.StepTarget) { t.Zone = "b" })
+	r.eventually("zone", testWait, func() (ok bool) {
+		r.machine.View(func(v *workflow.View) { ok = v.Target("b").GetZone() == "b" })
+		return
+	})
+	r.submitLastingStep(3, 1, 1)
+	r.eventually("all run", testWait, func() bool {
+		return r.fleet.Running("a") == 1 && r.fleet.Running("b") == 1 && r.fleet.Running("c") == 1
+	})
+	time.Sleep(time.Second)
+	r.fleet.Add("d")
+	r.eventually("d registered", testWait, func() (ok bool) {
+		r.machine.View(func(v *workflow.View) { ok = v.Target("d") != nil })
+		return
+	})
+	r.fleet.Change("c", func(t *standin.StepTarget) { t.Leaving = true })
+	r.eventually("leaving", testWait, func() (ok bool) {
+		r.machine.View(func(v *workflow.View) { ok = v.Target("c").GetLeaving() })
+		return
+	})
+	time.Sleep(time.Second)
+	r.beginEvacuation("b")
+	for range 40 {
+		if r.fleet.Running("b") == 0 && r.fleet.Running("c") == 1 {
+			t.Error("the task in zone b was stopped although c's may end at any moment by the notice, and the budget is 1")
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/driver/evacuations.go
+++ b/internal/driver/evacuations.go
@@ -271,7 +271,7 @@
 			}
 			requirements[first] = &step
 			s.Steps[first] = &evacuation.Step{
-				Budget: int(spec.MaxUnavailable), Away: d.unavailableElsewhere(v, first, ""),
+				Budget: int(spec.MaxUnavailable), Away: d.awayOrLeaving(v, first),
 				MaxPerTarget: step.MaxPerTarget, OnTarget: step.OnTarget,
 			}
 		}
@@ -296,6 +296,18 @@
 	return s
 }
 
+// awayOrLeaving counts the tasks of a long-running step that are not available, or on targets that are leaving: these
+// may end at any moment.
+func (d *Driver) awayOrLeaving(v *workflow.View, first workflow.TaskID) int {
+	away := 0
+	for _, task := range v.Job(first.Job).Tasks[first.Occurrence][first.Step] {
+		if l := d.links[task.Target]; d.isUnavailable(v, task) || l != nil && l.leaving {
+			away++
+		}
+	}
+	return away
+}
+
 // isUnplaced reports whether a long-running task waits for a start or is being stopped.
 func (d *Driver) isUnplaced(task *workflow.Task) bool {
 	if task.State != pb.TaskState_TASK_STATE_PLACED {
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -487,22 +487,26 @@
 // work, have only just started, or are about to end by an order.
 func (d *Driver) unavailableElsewhere(v *workflow.View, first workflow.TaskID, except string) int {
 	away := 0
-	now := d.cfg.Now()
 	for _, task := range v.Job(first.Job).Tasks[first.Occurrence][first.Step] {
-		vm := v.Target(task.Target).GetVm()
-		if task.State == pb.TaskState_TASK_STATE_PLACED && vm == except {
+		if task.State == pb.TaskState_TASK_STATE_PLACED && v.Target(task.Target).GetVm() == except {
 			continue
 		}
-		r := d.runOn(task, task.Target)
-		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
-			r.percent >= fullPace && d.hasFreshListing(task.Target)
-		if !atWork || now.Sub(r.progressAt) < minTimeAtWork || d.waves.calling(vm) || v.MaintenanceOrdered(vm) {
+		if d.isUnavailable(v, task) {
 			away++
 		}
 	}
 	return away
 }
 
+// isUnavailable reports whether a lasting task is not at work, has only just started, or is about to end by an order.
+func (d *Driver) isUnavailable(v *workflow.View, task *workflow.Task) bool {
+	vm := v.Target(task.Target).GetVm()
+	r := d.runOn(task, task.Target)
+	atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
+		r.percent >= fullPace && d.hasFreshListing(task.Target)
+	return !atWork || d.cfg.Now().Sub(r.progressAt) < minTimeAtWork || d.waves.calling(vm) || v.MaintenanceOrdered(vm)
+}
+
 // maxListingAge limits the age of a listing on which an order relies.
 const maxListingAge = 900 * time.Millisecond
 
