Zones: a named zone replaces an unused one once 256 are known

Cause: zones of announcements could fill the list of 256 zones, and an order for a zone of the settings was then refused for good. Change: an order or NoteZones of a new zone replaces the first zone by name that no present or former target is in, that is not evacuated and that no order was given for. The number of a last order has to stay: it refuses late orders. So a zone is still refused once all of the 256 have targets or orders. TestZonesAreRemembered expected the refusal; it now expects that the order succeeds within the limit, and TestNamedZonesReplaceUnused checks what is replaced, what stays, and the refusal when nothing can be replaced.

--- a/internal/workflow/evacuations.go
+++ b/internal/workflow/evacuations.go
@@ -25,6 +25,29 @@
 	return zone
 }
 
+// noteNamedZone remembers an availability zone that an order or the leader names. If there is no room, it replaces
+// the first zone by name that no target is or was in and that no order was given for: names of
+// announcements would otherwise keep the zones of the settings from being evacuated. A zone with
+// an order stays, since the number of its last order refuses late ones.
+func (m *Machine) noteNamedZone(name string) *pb.StoredZone {
+	if m.zones[name] == nil && name != "" && len(name) <= maxZoneName && len(m.zones) >= maxZones {
+		inUse := make(map[string]bool)
+		for _, target := range m.targets {
+			inUse[target.Zone] = true
+		}
+		for _, former := range m.formerTargets {
+			inUse[former.GetTarget().GetZone()] = true
+		}
+		for _, known := range slices.Sorted(maps.Keys(m.zones)) {
+			if zone := m.zones[known]; !inUse[known] && !zone.Evacuated && zone.LastOrder == 0 {
+				delete(m.zones, known)
+				break
+			}
+		}
+	}
+	return m.noteZone(name)
+}
+
 // orderEvacuation begins or ends the evacuation of an availability zone. An order that changes
 // nothing is recorded as well, so that an earlier one that is late is refused. The outcome's index is the
 // number of the order, also if it was sent again.
@@ -32,7 +55,7 @@
 	if order.GetZone() == "" || len(order.Zone) > maxZoneName || len(order.Id) > maxOrderID {
 		return m.outcome(Invalid, "evacuation: the zone or the id of the order is empty or too long")
 	}
-	zone := m.noteZone(order.Zone)
+	zone := m.noteNamedZone(order.Zone)
 	switch {
 	case zone == nil:
 		return m.outcome(Invalid, "evacuation of zone %q: %d zones are known, no more are possible", order.Zone, maxZones)
--- a/internal/workflow/evacuations_test.go
+++ b/internal/workflow/evacuations_test.go
@@ -73,6 +73,40 @@
 	names = append(names, "", strings.Repeat("z", maxZoneName+1))
 	m.apply(&pb.Command{Body: &pb.Command_NoteZones{NoteZones: &pb.NoteZones{Zones: names}}})
 	is.Equal(len(m.machine.zones), maxZones)
-	is.Equal(m.apply(evacuationOrder("one too many", "a", 0, true)).Code, Invalid)
+	is.Equal(m.apply(evacuationOrder("one too many", "a", 0, true)).Code, OK)
+	is.Equal(len(m.machine.zones), maxZones)
 	is.Equal(m.apply(evacuationOrder("z", "a", 0, true)).Code, OK)
 }
+
+// TestNamedZonesReplaceUnused fills the list of zones with names of announcements: it guards against orders for zones
+// of the settings that are then refused for good. Zones of present and former targets and those with an order stay.
+func TestNamedZonesReplaceUnused(t *testing.T) {
+	is := is.New(t)
+	m := &testMachine{t: t, machine: New()}
+	present := &pb.Target{Id: "t", BornUnixMs: 1, Zone: "a-present", Vm: "m"}
+	former := &pb.Target{Id: "u", BornUnixMs: 1, Zone: "a-former", Vm: "n"}
+	m.apply(&pb.Command{Body: &pb.Command_PutTargets{PutTargets: &pb.PutTargets{Targets: []*pb.Target{present, former}}}})
+	m.apply(&pb.Command{Body: &pb.Command_RemoveTargets{RemoveTargets: &pb.RemoveTargets{Targets: []*pb.Target{former}}}})
+	is.Equal(m.apply(evacuationOrder("a-ended", "a", 0, false)).Code, OK) // its order's number refuses late orders
+	for i := len(m.machine.zones); i < maxZones; i++ {
+		m.machine.noteZone(fmt.Sprintf("junk-%03d", i))
+	}
+	is.True(m.machine.noteZone("z") == nil) // announcements replace nothing
+	is.Equal(m.apply(evacuationOrder("zone-0", "1", 0, true)).Code, OK)
+	m.apply(&pb.Command{Body: &pb.Command_NoteZones{NoteZones: &pb.NoteZones{Zones: []string{"zone-1", "zone-0", "", "a-present"}}}})
+	v := (*View)(m.machine)
+	for _, name := range []string{"a-present", "a-former", "a-ended", "zone-0", "zone-1", "junk-005"} {
+		is.True(v.Zone(name) != nil) // stays or was noted
+	}
+	for _, name := range []string{"junk-003", "junk-004"} {
+		is.True(v.Zone(name) == nil) // the first by name are replaced
+	}
+	is.Equal(len(m.machine.zones), maxZones)
+	// With orders for all others, nothing can be replaced.
+	for i := range maxZones - 4 {
+		m.apply(evacuationOrder(fmt.Sprintf("y-%03d", i), "y", 0, false))
+	}
+	is.Equal(m.apply(evacuationOrder("one too many", "a", 0, true)).Code, Invalid)
+	is.Equal(len(m.machine.zones), maxZones)
+	is.True(v.Evacuated("zone-0"))
+}
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -169,7 +169,7 @@
 		return m.orderEvacuation(body.EndEvacuation.GetOrder(), false)
 	case *pb.Command_NoteZones:
 		for _, zone := range body.NoteZones.Zones {
-			m.noteZone(zone)
+			m.noteNamedZone(zone)
 		}
 		return m.ok()
 	case *pb.Command_Prune:
