Evacuation orders: an unknown outcome stays unknown in the next tries

Cause: if a try of an order had no answer and a later one was refused as overtaken, the next question or try began without that knowledge. If the leader was lost then, the answer was 503 'nothing was changed', although the first try may have been carried out. Change: the unknown outcome is kept until the order is answered; the answer is then 504.

--- a/internal/server/evacuation_test.go
+++ b/internal/server/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"sapphirering/internal/config"
+	"sapphirering/internal/wire"
 	"sapphirering/internal/workflow/workflowpb"
 )
 
@@ -133,3 +134,41 @@
 	is.Equal(len(ids), 2)
 	is.True(ids[0] != "" && ids[0] == ids[1])
 }
+
+// TestEvacuationOrderStaysUnknown guards against the answer "nothing was changed" to an order of which an earlier try
+// was carried out without an answer: the next try is refused as overtaken, and then the leader is lost.
+func TestEvacuationOrderStaysUnknown(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// lostOn is the operation from which on there is no leader once the order was overtaken.
+		lostOn workflowpb.Operation
+	}{
+		{"before the number is asked for", workflowpb.Operation_OPERATION_GET_EVACUATION},
+		{"before the order is sent again", beginEvacuation},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGateway(&wire.Dialer{}, "test", []string{"127.0.0.1:1"})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			orders, lost := 0, false
+			g.serveLocal = func(_ context.Context, r *workflowpb.Request) (*workflowpb.Response, bool) {
+				if orders >= 2 && r.Operation == test.lostOn {
+					lost = true
+					cancel()
+					return nil, false // and no daemon answers at the other address
+				}
+				if r.Operation == workflowpb.Operation_OPERATION_GET_EVACUATION {
+					return &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_OK}, true
+				}
+				if orders++; orders == 1 {
+					return &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_UNKNOWN, Reason: "lost"}, true
+				}
+				return &workflowpb.Response{Answer: workflowpb.Answer_ANSWER_CONFLICT, Reason: "overtaken"}, true
+			}
+			response := g.Do(ctx, &workflowpb.Request{Operation: beginEvacuation, Zone: "z"})
+			is.True(lost)
+			is.Equal(response.Answer, workflowpb.Answer_ANSWER_UNKNOWN)
+		})
+	}
+}
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -221,7 +221,13 @@
 }
 
 func (g *Gateway) do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
-	unknown := false
+	response, _ := g.doAfter(ctx, r, false)
+	return response
+}
+
+// doAfter is do for a request of which the outcome of earlier tries may be unknown. It also returns
+// whether that of any try is.
+func (g *Gateway) doAfter(ctx context.Context, r *workflowpb.Request, unknown bool) (*workflowpb.Response, bool) {
 	var lastReason string
 	answerBy, limited := AnswerBy(ctx)
 	for {
@@ -244,22 +250,22 @@
 			lastReason = response.Reason
 		default:
 			if unknown && !holdsForEarlierTries(response.Answer) {
-				return g.giveUp(r, unknown, fmt.Sprintf("an earlier try may have been carried out, the last one was refused: %s: %s", response.Answer, response.Reason))
+				return g.giveUp(r, unknown, fmt.Sprintf("an earlier try may have been carried out, the last one was refused: %s: %s", response.Answer, response.Reason)), unknown
 			}
-			return response
+			return response, unknown
 		}
 		if g.cutOff() {
 			// Waiting would only use up the time that the caller has for another daemon.
-			return g.giveUp(r, unknown, lastReason)
+			return g.giveUp(r, unknown, lastReason), unknown
 		}
 		if limited && !time.Now().Before(answerBy) && (leaderSlow || !g.Connected()) {
-			return g.giveUp(r, unknown, lastReason)
+			return g.giveUp(r, unknown, lastReason), unknown
 		}
 		timer := time.NewTimer(gatewayRetryDelay)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return g.giveUp(r, unknown, lastReason)
+			return g.giveUp(r, unknown, lastReason), unknown
 		case <-timer.C:
 		}
 	}
