Explain: name the evacuation where a step's label or limit excludes the other targets

Cause: where other targets had room but lacked the label or ran as many tasks of the step as one target may, explain said that the task starts in the next round. Change: in pools with targets in evacuated zones these targets do not count as places, and the reason names the evacuation. Without an evacuation the texts stay as they were.

--- a/internal/driver/evacuationmoves_test.go
+++ b/internal/driver/evacuationmoves_test.go
@@ -129,3 +129,18 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// TestExplainNamesEvacuationForTargetLimit guards against an explanation that does not name the evacuation, where the
+// other targets have room but already run as many tasks of the step as one target may.
+func TestExplainNamesEvacuationForTargetLimit(t *testing.T) {
+	r := newZoneRig(t)
+	r.beginEvacuation("b")
+	r.submitLastingStep(2, 1, 1)
+	r.eventually("one", testWait, func() bool { return r.fleet.Running("a") == 1 })
+	time.Sleep(500 * time.Millisecond)
+	explained := r.request(&pb.Request{Operation: pb.Operation_OPERATION_EXPLAIN, Host: "h", Path: "/p/j", Job: &pb.Job{Id: "j"}})
+	all := strings.Join(explained.Lines, "\n") + explained.Reason
+	if !strings.Contains(all, "is evacuated") {
+		t.Errorf("not named: %q", all)
+	}
+}
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -122,10 +122,20 @@
 		return "its workspace is at its limit"
 	}
 	targets, _ := d.planTargets(v, queue.Pool)
-	for _, target := range targets {
-		if workflow.RequiredCapacity(spec).FitsIn(target.Free) {
+	evacuated, excluded := evacuatedNote(v, queue.Pool), false
+	requirements := stepRequirements(v, spec, job.Tasks[occurrence][step])
+	for i := range targets {
+		target := &targets[i]
+		switch {
+		case !requirements.Room.FitsIn(target.Free):
+		case evacuated == "" || requirements.MayRunOn(target) && requirements.BelowTargetLimit(target):
 			return "it starts in the next round, or jobs ahead of it take the room"
+		default:
+			excluded = true
 		}
 	}
-	return fmt.Sprintf("no room on any of the %d targets of pool %s that accept starts", len(targets), queue.Pool) + evacuatedNote(v, queue.Pool)
+	if excluded {
+		return fmt.Sprintf("the targets of pool %s with room lack its label or run as many of its tasks as one target may", queue.Pool) + evacuated
+	}
+	return fmt.Sprintf("no room on any of the %d targets of pool %s that accept starts", len(targets), queue.Pool) + evacuated
 }
