--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -224,7 +224,7 @@
 	}
 	atOnce := d.atOnce(w, len(left)+len(ordered))
 	candidates := d.candidates(w, left)
-	// Maintenance in an evacuated zone takes no capacity: only the wave's cap limits how many VMs go at once.
+	// Maintenance of VMs in an evacuated zone without long-running tasks takes no capacity: only the wave's cap limits how many VMs go at once.
 	evacuated := min(int(w.Cap)-len(ordered), maintenance.CountEvacuated(candidates))
 	d.cordonNext(w, candidates, max(atOnce-len(ordered)+drainAhead, evacuated))
 	down := len(ordered)
@@ -347,8 +347,11 @@
 			if !m.calling && (d.waves.takenByOther(vm, m) || v.MaintenanceOrdered(vm)) {
 				continue
 			}
-			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned(), Evacuated: v.Evacuated(zoneOfVM(v, d.fleet.vms[vm], links[vm]))}
-			if l := links[vm]; l != nil {
+			l := links[vm]
+			c := maintenance.Candidate{VM: vm, Cordoned: m.cordoned(), Evacuated: v.Evacuated(zoneOfVM(v, d.fleet.vms[vm], l))}
+			if l != nil {
+				// Long-running tasks that are still there have no room elsewhere yet: a VM with such tasks is not cheap.
+				c.Evacuated = c.Evacuated && v.UsedOn(l.target.Id).Lasting == 0
 				c.LoadMillis, c.Steps = v.UsedOn(l.target.Id).Room.CPUMillis, lastingSteps(v, l.target.Id)
 			}
 			out = append(out, c)
@@ -484,22 +487,26 @@
 // work, have only just started, or are about to end by an order.
 func (d *Driver) unavailableElsewhere(v *workflow.View, first workflow.TaskID, except string) int {
 	away := 0
-	now := d.cfg.Now()
 	for _, task := range v.Job(first.Job).Tasks[first.Occurrence][first.Step] {
-		vm := v.Target(task.Target).GetVm()
-		if task.State == pb.TaskState_TASK_STATE_PLACED && vm == except {
+		if task.State == pb.TaskState_TASK_STATE_PLACED && v.Target(task.Target).GetVm() == except {
 			continue
 		}
-		r := d.runOn(task, task.Target)
-		atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
-			r.percent >= fullPace && d.hasFreshListing(task.Target)
-		if !atWork || now.Sub(r.progressAt) < minTimeAtWork || d.waves.calling(vm) || v.MaintenanceOrdered(vm) {
+		if d.isUnavailable(v, task) {
 			away++
 		}
 	}
 	return away
 }
 
+// isUnavailable reports whether a lasting task is not at work, has only just started, or is about to end by an order.
+func (d *Driver) isUnavailable(v *workflow.View, task *workflow.Task) bool {
+	vm := v.Target(task.Target).GetVm()
+	r := d.runOn(task, task.Target)
+	atWork := task.State == pb.TaskState_TASK_STATE_PLACED && r != nil && r.phase == runConfirmed &&
+		r.percent >= fullPace && d.hasFreshListing(task.Target)
+	return !atWork || d.cfg.Now().Sub(r.progressAt) < minTimeAtWork || d.waves.calling(vm) || v.MaintenanceOrdered(vm)
+}
+
 // maxListingAge limits the age of a listing on which an order relies.
 const maxListingAge = 900 * time.Millisecond
 
