--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -44,6 +44,9 @@
 	// and VMMaintenance how long during its maintenance.
 	VMMove        Duration `yaml:"vm_move"`
 	VMMaintenance Duration `yaml:"vm_maintenance"`
+	// Evacuation is the time after the acknowledged order to evacuate an availability zone from which
+	// on no task may be started there; 0 if zones are not evacuated.
+	Evacuation Duration `yaml:"evacuation"`
 }
 
 // Admission sets which jobs a leader refuses although it could accept them.
@@ -52,12 +55,31 @@
 	RefuseLate bool `yaml:"refuse_late"`
 }
 
+// Evacuates reports whether operators may order the evacuation of availability zones.
+func (b *PlatformBounds) Evacuates() bool { return b.Evacuation.Duration > 0 }
+
+// LearningSettings switch the uses of what is learned from finished runs (core).
+type LearningSettings struct {
+	// Keep stores a summary in the replicated state and uses it after a change of leader; on if absent.
+	Keep *bool `yaml:"keep"`
+	// Quantiles learns from runs that were cut off as from bounds, and uses quantiles of run times for copies
+	// and stalls; off if absent.
+	Quantiles bool `yaml:"quantiles"`
+	// Placement avoids targets on which a task would be cut off or miss its objective; off if absent.
+	Placement bool `yaml:"placement"`
+}
+
+// KeepsSummary reports whether summaries are kept.
+func (l LearningSettings) KeepsSummary() bool { return l.Keep == nil || *l.Keep }
+
 // RoleSettings configure a daemon with a role.
 type RoleSettings struct {
 	Role   string `yaml:"role"`
 	Name   string `yaml:"name"`
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
+	// Zones are the availability zones of the deployment (core).
+	Zones []string `yaml:"zones"`
 	// DataFolder holds the replicated log (core).
 	DataFolder string     `yaml:"data_folder"`
 	Listen     RoleListen `yaml:"listen"`
@@ -78,6 +100,11 @@
 	Admission       Admission      `yaml:"admission"`
 	// MemoryMB is the memory limit of the process; 0 for none.
 	MemoryMB int `yaml:"memory_mb"`
+	// Descriptors is the number of files that the process may have open; 0 for what the system reports.
+	Descriptors int `yaml:"descriptors"`
+	// Intake limits what accepted connections may use.
+	Intake   Intake           `yaml:"intake"`
+	Learning LearningSettings `yaml:"learning"`
 }
 
 // maxBound is the longest time that PlatformBounds may hold.
@@ -144,9 +171,16 @@
 	if !s.TrustPeerNetwork {
 		src.addFault("trust_peer_network", "must be true: daemons with a role connect to each other without TLS")
 	}
+	for i, zone := range s.Zones {
+		requireName(src, fmt.Sprintf("zones[%d]", i), zone)
+	}
 	if s.MemoryMB < 0 {
 		src.addFault("memory_mb", "%d is below 0", s.MemoryMB)
 	}
+	if s.Descriptors < 0 {
+		src.addFault("descriptors", "%d is below 0", s.Descriptors)
+	}
+	s.Intake.validate(src)
 	s.Bounds.validate(src)
 }
 
@@ -168,4 +202,7 @@
 	} {
 		requireRange(src, "bounds."+bound.field, bound.value, time.Millisecond, maxBound)
 	}
+	if b.Evacuation.Duration != 0 {
+		requireRange(src, "bounds.evacuation", b.Evacuation, time.Millisecond, maxBound)
+	}
 }
--- a/internal/config/role_test.go
+++ b/internal/config/role_test.go
@@ -42,6 +42,15 @@
 	s, err = ParseRoleSettings("f", []byte(coreSettings+"admission: {refuse_late: true}\n"))
 	is.NoErr(err)
 	is.True(s.Admission.RefuseLate)
+	is.True(!s.Bounds.Evacuates()) // unless the settings ask for it
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"  evacuation: 5s\nzones: [\"zone-a\", \"zone-b\"]\n"))
+	is.NoErr(err)
+	is.True(s.Bounds.Evacuates())
+	is.Equal(s.Zones, []string{"zone-a", "zone-b"})
+	is.True(s.Learning.KeepsSummary()) // on if absent
+	s, err = ParseRoleSettings("f", []byte(coreSettings+"learning:\n  keep: false\n  quantiles: true\n  placement: true\n"))
+	is.NoErr(err)
+	is.True(!s.Learning.KeepsSummary() && s.Learning.Quantiles && s.Learning.Placement)
 }
 
 // TestRoleSettingsFaults checks that every fault is reported with its field.
@@ -61,7 +70,16 @@
 		{"no VM move time", "  vm_move: 1.5s\n", "", "bounds.vm_move"},
 		{"edge without callers", "role: core", "role: edge", "listen.callers"},
 		{"unknown admission", "found: true", "found: true\nadmission: {refuse: true}", "admission.refuse"},
+		{"negative descriptors of the process", "found: true", "found: true\ndescriptors: -1", "descriptors"},
 		{"negative memory", "found: true", "found: true\nmemory_mb: -1", "memory_mb"},
+		{"negative evacuation", "bounds:\n", "bounds:\n  evacuation: -1s\n", "bounds.evacuation"},
+		{"zone without a name", "zone: zone-a\n", "zone: zone-a\nzones: [\"\"]\n", "zones[0]"},
+		{"memory share that is no number", "found: true", "found: true\nintake: {memory_share: .nan}", "intake.memory_share"},
+		{"memory share above the runtime's limit", "found: true", "found: true\nintake: {memory_share: 0.5}", "intake.memory_share"},
+		{"negative descriptors", "found: true", "found: true\nintake: {reserved_descriptors: -1}", "intake.reserved_descriptors"},
+		{"negative rate", "found: true", "found: true\nintake: {min_rate: -1}", "intake.min_rate"},
+		{"short window", "found: true", "found: true\nintake: {progress_window: 1ms}", "intake.progress_window"},
+		{"short write timeout", "found: true", "found: true\nintake: {write_timeout: 1ms}", "intake.write_timeout"},
 		{"api without a port", "listen:\n", "listen:\n  api: 10.1.0.26\n", "listen.api"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -19,6 +19,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/outlast"
 	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -44,6 +45,9 @@
 	LateCalls time.Duration
 	// VMMove is how long a VM is away during a move, VMMaintenance during maintenance.
 	VMMove, VMMaintenance time.Duration
+	// TargetConnections is the number of connections to targets that this process can keep open; 0 for
+	// no bound.
+	TargetConnections int
 }
 
 // Config holds what a Driver needs.
@@ -53,8 +57,9 @@
 	Targets TargetClient
 	VMs     VMClient
 	// Advice may be nil if no queue needs it.
-	Advice AdviceClient
-	Limits Limits
+	Advice   AdviceClient
+	Limits   Limits
+	Learning Learning
 	// Epoch is the fencing token of this leadership; later leaders have higher ones.
 	Epoch uint64
 	// FormerEpoch is that of the last leadership before this one that may have made calls.
@@ -69,6 +74,9 @@
 	NowMS func() int64
 	// RefuseLate refuses jobs that would certainly end after their end has lost all worth.
 	RefuseLate bool
+	// Zones returns the availability zones that the settings and the member list name. It is nil if
+	// zones are not evacuated.
+	Zones func() []string
 }
 
 const (
@@ -125,6 +133,10 @@
 	pendingEnds []pendingEnd
 	learned     *learner
 	admission   *admission
+	// learnedSeries holds the names of the metrics that publishLearned has registered.
+	learnedSeries map[string]bool
+	// suspects holds the targets of the current plan that may be unsuitable for long tasks.
+	suspects map[string]outlast.Target
 	// answers holds the answer times of all targets, loss the share of calls without an
 	// answer, resends the calls that may be sent again.
 	answers callTimes
@@ -132,6 +144,10 @@
 	resends silence.Budget
 	waves   *waveState
 	pools   *poolState
+	// waiting counts the listings in progress that may wait for an end; callsShort is set while calls
+	// are limited for lack of connections.
+	waiting    int
+	callsShort bool
 	// advice holds the advice by step, adviceCalls counts the calls in progress.
 	advice      map[workflow.TaskID]*stepAdvice
 	adviceCalls int
@@ -143,6 +159,8 @@
 	// prunedAt is when old jobs were last pruned, checkedAt when runs and targets were last
 	// checked; only the loop uses them.
 	prunedAt, checkedAt time.Time
+	// zonesNoted holds the availability zones that this leader has recorded; only the loop uses it.
+	zonesNoted []string
 	// waitsReportedAt is when the waits of a pool were last logged.
 	waitsReportedAt map[string]time.Time
 	// waitSpans holds the current waits for room, by the step's first task.
@@ -203,6 +221,9 @@
 
 // Run runs rounds until ctx ends, then waits for all calls. Prepare must be called before.
 func (d *Driver) Run(ctx context.Context) {
+	if d.cfg.Learning.Keep {
+		d.background(func() { d.keepLearned(ctx) })
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -225,6 +246,9 @@
 		event.TargetSilent.Emit(event.F("step", "close connections"), event.Err(err))
 	}
 	d.running.Wait()
+	d.mu.Lock()
+	d.unpublishLearned(nil)
+	d.mu.Unlock()
 	event.DriverStopped.Emit(event.F("epoch", d.cfg.Epoch))
 }
 
@@ -264,6 +288,9 @@
 				d.addRun(r)
 			}
 		}
+		if d.cfg.Learning.Keep {
+			d.takeLearned(v.Learned())
+		}
 	})
 }
 
@@ -299,8 +326,10 @@
 	again = d.changeTasks()
 	d.timePart(partPools, d.movePools)
 	if due {
+		d.noteZones()
 		d.failUnplaceableJobs()
 		d.timePart(partWaves, d.runWaves)
+		d.timePart(partWaves, d.evacuateZones)
 		d.prune()
 		d.timePart(partPace, d.paceFillers)
 	}
@@ -314,6 +343,7 @@
 	defer d.mu.Unlock()
 	d.checkLinks()
 	d.checkRuns()
+	d.reportShare()
 	d.leaseScanDue = true
 	d.reportOutcomes(d.cfg.Now())
 }
@@ -398,6 +428,11 @@
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
 	for _, e := range ends {
+		if e.link == nil && e.end.Kind == pb.EndKind_END_KIND_LOST {
+			if r := d.runs.find(workflow.TaskIDOf(e.end.Task), e.end.Task.Attempt); r != nil {
+				d.learnCutOff(r)
+			}
+		}
 		d.forgetRun(e.end)
 		if e.link != nil {
 			d.learned.endLag.Note(float64(now.Sub(e.listed).Milliseconds()))
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -31,6 +31,7 @@
 	var starts []*pb.Start
 	d.cfg.Machine.View(func(v *workflow.View) {
 		d.forgetAdvice(v)
+		d.suspects = d.suspectTargets(v)
 		workspaces := workspacesOf(v)
 		for pool, snapshot := range d.snapshots(v) {
 			if !slices.ContainsFunc(snapshot.Jobs, func(j assign.Job) bool { return len(j.Steps) > 0 }) {
@@ -129,8 +130,8 @@
 // planTargets returns the targets of a pool that may get starts, and their CPU capacity for
 // tasks that are not lasting, whether in use or free, including that of VMs moving to the pool.
 func (d *Driver) planTargets(v *workflow.View, pool string) (out []assign.Target, capacity int64) {
-	for _, m := range d.pools.moving {
-		if m.to == pool {
+	for vm, m := range d.pools.moving {
+		if m.to == pool && !v.Evacuated(d.fleet.vms[vm].Zone) {
 			capacity += m.cpu
 		}
 	}
@@ -140,14 +141,16 @@
 		if known == nil || known.Pool != pool || known.Leaving || known.BornUnixMs != l.target.BornUnixMs {
 			continue
 		}
-		if !d.acceptsStarts(l) || d.waves.cordoned(known.Vm) || v.MaintenanceOrdered(known.Vm) || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.allowsStarts(now) {
+		if v.Evacuated(known.Zone) || !d.acceptsStarts(l) || d.waves.cordoned(known.Vm) || v.MaintenanceOrdered(known.Vm) || d.pools.moving[known.Vm] != nil || d.pools.draining[known.Vm] || !l.health.allowsStarts(now) {
 			continue
 		}
 		used := v.UsedOn(id)
 		free := workflow.ResourcesOf(known.Capacity).Sub(l.unplacedRoom(v, used.Changes)).Sub(used.Room)
+		free = l.offered(now, workflow.ResourcesOf(known.Capacity), free)
 		capacity += used.ShortMillis + max(free.CPUMillis, 0)
 		out = append(out, assign.Target{
 			ID: id, Zone: known.Zone, Rack: rackOf(known), Labels: known.Labels, Free: free, Lasting: used.Lasting, Slowness: l.health.slowness(),
+			ColdFor: l.warmupLeft(now),
 		})
 	}
 	slices.SortFunc(out, func(a, b assign.Target) int { return strings.Compare(a.ID, b.ID) })
@@ -256,6 +259,7 @@
 				continue
 			}
 			step := d.planStep(v, job, k, s, waiting)
+			d.avoidSuspects(&step, job, k, s, queue, nowMS)
 			if queue.Advised {
 				step.Allowed = d.advisedTargets(v, step.Tasks[0], queue.Pool)
 			}
@@ -331,10 +335,13 @@
 	step := assign.Step{
 		Room: workflow.RequiredCapacity(spec), Needs: workflow.ResourcesOf(spec.Needs), Gang: spec.Gang, SameRack: spec.SameRack,
 		Label: spec.Label, DataRack: spec.DataRack, MaxPerTarget: int(spec.MaxPerTarget), Lasting: spec.Lasting,
-		OnTarget: make(map[string]int), OnRack: make(map[string]int),
 	}
 	for _, task := range tasks {
 		for _, id := range task.Targets() {
+			if step.OnTarget == nil {
+				// Most waiting steps have no task on any target.
+				step.OnTarget, step.OnRack = make(map[string]int), make(map[string]int)
+			}
 			step.OnTarget[id]++
 			if target := v.Target(id); target != nil {
 				step.OnRack[rackOf(target)]++
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -26,6 +26,9 @@
 	// resting pool: by then lasting jobs are placed, and the first busy period of a queue has
 	// shown its demand.
 	restAfter = 3 * time.Second
+	// burstChange is how much the start of a burst changes what is known, as summary.Change: half of what a
+	// summary takes.
+	burstChange = 0.15
 	// stuckAfter is how long a waiting task may fit on no target before its pool gets
 	// another VM.
 	stuckAfter = 300 * time.Millisecond
@@ -107,7 +110,10 @@
 		history = new(pools.ArrivalHistory)
 		d.pools.arrivals[queue.Pool] = history
 	}
-	history.Note(d.monotonicMS(), work)
+	if history.Note(d.monotonicMS(), work) {
+		// A rhythm is three bursts: each counts for the next summary.
+		d.learned.change += burstChange
+	}
 }
 
 // monotonicMS is the time since this leadership began, for the history of arrivals; unlike
@@ -292,8 +298,9 @@
 func (d *Driver) addVMs(v *workflow.View, s *pools.Snapshot, index map[string]int, now time.Time) {
 	links := d.linksByVM()
 	for name, vm := range d.fleet.vms {
+		evacuated := v.Evacuated(zoneOfVM(v, vm, links[name]))
 		if m := d.pools.moving[name]; m != nil {
-			if at, ok := index[m.to]; ok && !s.Pools[at].Resting {
+			if at, ok := index[m.to]; ok && !s.Pools[at].Resting && !evacuated {
 				s.Pools[at].IncomingMillis += m.cpu
 				s.Pools[at].Incoming++
 			}
@@ -309,7 +316,7 @@
 		} else if !d.describeVM(v, links[name], &described, now) {
 			continue
 		}
-		described.Unavailable = described.Unavailable || d.waves.cordoned(name) || v.MaintenanceOrdered(name)
+		described.Unavailable = described.Unavailable || evacuated || d.waves.cordoned(name) || v.MaintenanceOrdered(name)
 		described.Fixed = described.Fixed || described.Unavailable
 		s.Pools[at].VMs = append(s.Pools[at].VMs, described)
 	}
@@ -358,8 +365,8 @@
 // speed once that is known. A task without progress that has taken longer than expected is
 // assumed to be half done.
 func (d *Driver) remainingMS(task *workflow.Task, target string, now time.Time) int64 {
-	expected := d.learned.expectedOf(task)
 	r := d.runOn(task, target)
+	expected := d.expectedOn(task, r)
 	if r == nil || r.runningSince.IsZero() {
 		return expected
 	}
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -26,10 +26,14 @@
 		return d.cancel(ctx, r)
 	case pb.Operation_OPERATION_EXPLAIN:
 		return d.explain(r)
+	case pb.Operation_OPERATION_GET_LEARNED:
+		return d.learnedOf(r.QueueName)
 	case pb.Operation_OPERATION_COUNT:
 		return d.count(r)
 	case pb.Operation_OPERATION_ANNOUNCE:
 		return d.Announce(ctx, r)
+	case pb.Operation_OPERATION_NOTE_HEARD:
+		return d.noteHeardTargets(r.Heard)
 	case pb.Operation_OPERATION_DEREGISTER:
 		return d.Deregister(r.Target.GetId(), r.Target.GetBornUnixMs())
 	case pb.Operation_OPERATION_PUT_CATALOGUE:
@@ -40,6 +44,10 @@
 		return d.declareWave(ctx, r.Wave)
 	case pb.Operation_OPERATION_GET_WAVE:
 		return d.getWave(r.Wave.GetId())
+	case pb.Operation_OPERATION_BEGIN_EVACUATION, pb.Operation_OPERATION_END_EVACUATION:
+		return d.orderEvacuation(ctx, r)
+	case pb.Operation_OPERATION_GET_EVACUATION:
+		return d.getEvacuation(r.Zone)
 	}
 	return &pb.Response{Answer: pb.Answer_ANSWER_INVALID, Reason: "unknown operation"}
 }
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -13,8 +13,11 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
+	"time"
 
+	"sapphirering/internal/policy/warmup"
 	"sapphirering/internal/workflow"
 )
 
@@ -30,6 +33,8 @@
 	Lasting int
 	// Slowness is the learned ratio of run times there to those of its peers; 1 is normal.
 	Slowness float64
+	// ColdFor is how much longer the target is slow because it was idle; 0 if it is not.
+	ColdFor time.Duration
 }
 
 // Step holds the waiting tasks of one step in one occurrence of its job.
@@ -127,13 +132,17 @@
 	// and to its job.
 	WaitingStep *Step
 	WaitingJob  *Job
+	cold        coldLimit
 }
 
+// MakesLate reports whether the job waits rather than start on a target with room, since the target is cold.
+func (w *Wait) MakesLate(target *Target) bool { return w.cold.makesLate(target) }
+
 // Plan returns the starts of one round, and why other tasks wait.
 func Plan(s *Snapshot) ([]Start, []Wait) {
 	p := newPlan(s)
 	p.shed = shed(s, func(j *Job) bool { return p.classWithinRate(j) == classInTime })
-	slices.SortStableFunc(s.Jobs, p.compare)
+	p.sortJobs()
 	for i := range s.Jobs {
 		s.Jobs[i].Shed = p.shed[s.Jobs[i].ID] && !s.Jobs[i].Copy
 	}
@@ -151,6 +160,10 @@
 	// and every task tries each of its candidates.
 	withRoom, all []int
 	zones         map[string]string
+	// anyCold is set if a target is cold.
+	anyCold bool
+	// cold is for the step that is being placed.
+	cold coldLimit
 	// shed holds jobs that the pool has no room to end in time beside the others.
 	shed   map[string]bool
 	starts []Start
@@ -162,6 +175,7 @@
 	for i := range s.Targets {
 		p.all = append(p.all, i)
 		p.zones[s.Targets[i].ID] = s.Targets[i].Zone
+		p.anyCold = p.anyCold || s.Targets[i].ColdFor > 0
 	}
 	p.withRoom = slices.Clone(p.all)
 	return p
@@ -240,17 +254,38 @@
 	return classWorthless
 }
 
-// compare orders jobs by class, then priority, then latest start in time, then
+// rankedJob is a job with its class, which does not change while jobs are sorted.
+type rankedJob struct {
+	job   *Job
+	class int
+}
+
+// sortJobs sorts the jobs of the snapshot. Pointers are sorted, since a backlog of a thousand jobs is sorted
+// in each round and jobs are large.
+func (p *plan) sortJobs() {
+	ranked := make([]rankedJob, len(p.snapshot.Jobs))
+	for i := range p.snapshot.Jobs {
+		ranked[i] = rankedJob{&p.snapshot.Jobs[i], p.class(&p.snapshot.Jobs[i])}
+	}
+	slices.SortStableFunc(ranked, compareRanked)
+	sorted := make([]Job, len(ranked))
+	for i := range ranked {
+		sorted[i] = *ranked[i].job
+	}
+	p.snapshot.Jobs = sorted
+}
+
+// compareRanked orders jobs by class, then priority, then latest start in time, then
 // submission.
-func (p *plan) compare(a, b Job) int {
-	ca, cb := p.class(&a), p.class(&b)
-	if c := cmp.Compare(ca, cb); c != 0 {
+func compareRanked(ra, rb rankedJob) int {
+	a, b := ra.job, rb.job
+	if c := cmp.Compare(ra.class, rb.class); c != 0 {
 		return c
 	}
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
-	if hasLatestStart(ca) {
+	if hasLatestStart(ra.class) {
 		if c := cmp.Compare(a.latestStartMS(), b.latestStartMS()); c != 0 {
 			return c
 		}
@@ -271,9 +306,14 @@
 }
 
 func (p *plan) placeJob(j *Job) {
+	p.cold = coldLimit{slackMS: math.MaxInt64, remainingMS: j.RemainingMS}
+	if class := p.class(j); class == classInTime || class == classShed {
+		p.cold.slackMS = j.DeadlineMS - p.snapshot.NowMS - j.RemainingMS
+	}
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		p.dropFullTargets()
+		p.cold.warm = p.anyCold && slices.ContainsFunc(p.targets, func(t Target) bool { return t.ColdFor == 0 && step.MayRunOn(&t) })
 		if step.Gang {
 			if !p.placeGang(j, step) {
 				p.addWait(j, step, 0, WaitRoom)
@@ -317,7 +357,7 @@
 	case p.shed[j.ID]:
 		reason = waitShed
 	}
-	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason, WaitingStep: step, WaitingJob: j})
+	p.waits = append(p.waits, Wait{Job: j.ID, Step: step.Tasks[from], Tasks: len(step.Tasks) - from, Reason: reason, WaitingStep: step, WaitingJob: j, cold: p.cold})
 }
 
 // placeGang places all tasks of a gang or none. Single racks are tried first if
@@ -415,7 +455,7 @@
 	}
 	for _, i := range p.candidates(step) {
 		target := &p.targets[i]
-		if step.MayRunOn(target) {
+		if step.MayRunOn(target) && target.ColdFor == 0 {
 			slots[target.Zone] += target.Free.Slots(step.Room)
 		}
 	}
@@ -460,7 +500,7 @@
 		if rack != "" && target.Rack != rack || !step.Room.FitsIn(target.Free) {
 			continue
 		}
-		if !step.MayRunOn(target) || !step.BelowTargetLimit(target) {
+		if !step.MayRunOn(target) || !step.BelowTargetLimit(target) || p.cold.makesLate(target) {
 			continue
 		}
 		if score := score(step, target, step.OnTarget[target.ID], home); best < 0 || score < bestScore {
@@ -470,6 +510,30 @@
 	return best
 }
 
+// coldLimit decides which cold targets a step may start on.
+type coldLimit struct {
+	// slackMS is what the job may lose without being late, if it can still be in time.
+	slackMS int64
+	// remainingMS is the expected time of what is left of the job.
+	remainingMS int64
+	// warm is set if a target that is not cold may run the step.
+	warm bool
+}
+
+// makesLate reports whether the job would be late because the target is cold. It waits
+// for a warm one, if there is any: once it is late anyway, cold ones count too.
+func (c coldLimit) makesLate(target *Target) bool {
+	return target.ColdFor > 0 && c.warm && warmup.Delay(time.Duration(c.remainingMS)*time.Millisecond, target.ColdFor).Milliseconds() > c.slackMS
+}
+
+// slowness returns the ratio of the run times on the target to those of its peers.
+func (t *Target) slowness() float64 {
+	if t.ColdFor > 0 {
+		return max(t.Slowness, warmup.Slowness)
+	}
+	return t.Slowness
+}
+
 // Weights of the score, in units of a normal run time.
 const (
 	weightSlowness = 4.0
@@ -494,7 +558,7 @@
 
 // score returns the cost of placing a task on a target; the lowest is best.
 func score(step *Step, target *Target, onTarget int, home string) float64 {
-	s := weightSlowness * max(0, target.Slowness-normalSlowness)
+	s := weightSlowness * max(0, target.slowness()-normalSlowness)
 	if step.Avoid[target.ID] {
 		s += weightAvoid
 	}
--- a/internal/policy/pools/pools_test.go
+++ b/internal/policy/pools/pools_test.go
@@ -269,3 +269,61 @@
 		})
 	}
 }
+
+// TestRhythmOutlivesLeader replays bursts every 15 s and a leader that is lost every 20 s. It guards against bursts
+// that no leader foresees because each starts to count anew, and against a rhythm that is kept after it has changed.
+func TestRhythmOutlivesLeader(t *testing.T) {
+	is := is.New(t)
+	history := new(ArrivalHistory)
+	foreseen, bursts := 0, 0
+	for nowMS := int64(1); nowMS < 150_000; nowMS += 100 {
+		if nowMS%20_000 == 1 {
+			starts, peak := history.Rhythm()
+			next := new(ArrivalHistory)
+			next.RestoreRhythm(starts, peak, nowMS)
+			history = next
+		}
+		if nowMS > 60_000 && nowMS%15_000 == 14_001 {
+			if at, _ := history.NextBurst(nowMS); at > nowMS-1000 && at < nowMS+3000 {
+				foreseen++
+			}
+		}
+		work := int64(20_000)
+		if nowMS%15_000 < 4500 {
+			work = 2_000_000
+		}
+		if history.Note(nowMS, Work{MillisMS: work, ChainMS: 100, LeftMS: 1000}) {
+			bursts++
+		}
+	}
+	t.Logf("%d of 6 bursts foreseen, %d of 10 seen", foreseen, bursts)
+	is.Equal(bursts, 10)
+	is.True(foreseen >= 4)
+	starts, peak := history.Rhythm()
+	stopped := new(ArrivalHistory)
+	stopped.RestoreRhythm(starts, peak, 150_000+60_000)
+	is.Equal(len(stopped.starts), 0)
+}
+
+// TestNeedsScaledToSupply guards against a pool that keeps its whole margin in time while another one, whose
+// burst has begun, has no VMs. The margin is all that it gives up.
+func TestNeedsScaledToSupply(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		held, other int64
+		want        int
+	}{
+		{"both needs fit", 190_000, 100_000, 7},
+		{"needs exceed the supply", 300_000, 100_000, 5},
+		{"no more than the margin is given up", 300_000, 3_000_000, 8},
+		{"a pool alone keeps its VMs", 320_000, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := snapshot(Pool{Name: "held", NeedMillis: test.held, VMs: vms("h", 20, nil)}, Pool{Name: "other", NeedMillis: test.other})
+			s.MayRest = false
+			moves, _ := Plan(s)
+			is.Equal(count(moves, "held", "other"), test.want)
+		})
+	}
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -25,6 +25,9 @@
 	maxInputsPerSync = 256
 	// probePollInterval is the time between two checks of the answers to a probe.
 	probePollInterval = 5 * time.Millisecond
+	// snapshotRetryDelay is the time until a snapshot is taken again that could not be saved. Each attempt
+	// encodes the whole state.
+	snapshotRetryDelay = 2 * time.Second
 )
 
 // StateMachine applies committed commands in log order.
@@ -76,6 +79,8 @@
 	// confirmation or under a lease. The commit index then needs no sync of its
 	// own: after a restart nothing is read here before a leader has sent it again.
 	ConfirmedReads bool
+	// OnSnapshotNotSaved is called when a snapshot could not be saved and is taken again later.
+	OnSnapshotNotSaved func(err error)
 	// OnFatal is called when a save, a snapshot or a restore fails, or when the core
 	// reports a fault. The node processes nothing after that.
 	OnFatal func(err error)
@@ -119,7 +124,10 @@
 
 type confirmation struct {
 	round uint64
-	reply chan error
+	// commit is the commit index at the time of the call. Other members may have shown the state at
+	// this index before.
+	commit uint64
+	reply  chan error
 }
 
 // Node drives a Core. All access to the core is on one goroutine.
@@ -147,6 +155,8 @@
 	// saving is set while a save is in progress, which began at saveBegan.
 	saving    bool
 	saveBegan time.Time
+	// snapshotRetryAt is when the next snapshot may be taken after one that could not be saved.
+	snapshotRetryAt time.Time
 
 	lease leaderLease
 	// transferring is set from a request to another voter to campaign until the
@@ -442,7 +452,7 @@
 	confirmed := n.core.ConfirmedRound()
 	rest := n.confirmations[:0]
 	for _, c := range n.confirmations {
-		if c.round <= confirmed && n.core.LeaderReady() {
+		if c.round <= confirmed && n.core.LeaderApplied() && n.core.log.applied >= c.commit {
 			c.reply <- nil
 			continue
 		}
@@ -552,7 +562,7 @@
 }
 
 // ConfirmLeadership returns nil once a quorum has confirmed, after the call
-// began, that this member leads.
+// began, that this member leads. All that was acknowledged before the call is then applied.
 func (n *Node) ConfirmLeadership(ctx context.Context) error {
 	reply := make(chan error, 1)
 	err := n.runOnLoop(ctx, func() {
@@ -560,7 +570,7 @@
 			reply <- ErrNotLeader
 			return
 		}
-		n.confirmations = append(n.confirmations, confirmation{n.core.NextRound(), reply})
+		n.confirmations = append(n.confirmations, confirmation{n.core.NextRound(), n.core.Commit(), reply})
 	})
 	if err != nil {
 		return err
--- a/internal/replica/save.go
+++ b/internal/replica/save.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -72,6 +73,9 @@
 func (n *Node) finishSave(result saveResult) error {
 	n.saving = false
 	switch {
+	case result.ready == nil && errors.Is(result.err, store.ErrSnapshotNotSaved):
+		n.retrySnapshot(result.err)
+		n.core.HoldSaves(false)
 	case result.err != nil && result.ready == nil:
 		return fmt.Errorf("save snapshot: %w", result.err)
 	case result.err != nil:
@@ -88,6 +92,15 @@
 	return nil
 }
 
+// retrySnapshot lets another snapshot be taken after a pause. The stored log is whole.
+func (n *Node) retrySnapshot(err error) {
+	n.snapshotRetryAt = time.Now().Add(snapshotRetryDelay)
+	n.lastSnapshotIndex -= min(n.lastSnapshotIndex, n.cfg.SnapshotEntries)
+	if n.cfg.OnSnapshotNotSaved != nil {
+		n.cfg.OnSnapshotNotSaved(err)
+	}
+}
+
 // releaseSaved sends the messages that waited for the save of r and restores its snapshot.
 func (n *Node) releaseSaved(r Ready) error {
 	n.cfg.Sender.Send(r.Messages)
@@ -103,7 +116,7 @@
 // maybeSnapshot takes a snapshot of the state once enough entries were applied.
 func (n *Node) maybeSnapshot() error {
 	applied := n.core.log.applied
-	if n.cfg.SnapshotEntries == 0 || applied-n.lastSnapshotIndex < n.cfg.SnapshotEntries || n.dueSnapshot != nil || n.core.Restoring() {
+	if n.cfg.SnapshotEntries == 0 || applied-n.lastSnapshotIndex < n.cfg.SnapshotEntries || n.dueSnapshot != nil || n.core.Restoring() || time.Now().Before(n.snapshotRetryAt) {
 		return nil
 	}
 	state, err := n.cfg.Machine.Snapshot()
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -23,6 +23,7 @@
 	"sapphirering/internal/driver"
 	"sapphirering/internal/event"
 	"sapphirering/internal/fsys"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/replica"
 	"sapphirering/internal/replica/store"
 	"sapphirering/internal/stepapi"
@@ -83,7 +84,9 @@
 	dialer     *wire.Dialer
 	peers      *wire.Peers
 	peerServer *wire.Server
+	budget     *intake.Budget
 	gateway    *Gateway
+	collector  *collector
 	clock      *clock.Estimator
 	refusals   refusals
 	servers    []*http.Server
@@ -94,7 +97,9 @@
 
 	// zones holds the availability zones that members have told this daemon, by member id: the
 	// list of a new cluster holds none.
-	zones      sync.Map
+	zones sync.Map
+	// controls holds the addresses for announcements of the daemons that call this one while it leads.
+	controls   controlAddresses
 	leader     atomic.Pointer[string]
 	membership atomic.Pointer[wirepb.Membership]
 	driver     atomic.Pointer[driver.Driver]
@@ -113,6 +118,7 @@
 	c := &Core{
 		settings: s, adapter: newAdapter(s), machine: workflow.New(), applied: replica.NewAppliedTimes(time.Now), dialer: &wire.Dialer{},
 		clock: clock.New(time.Now), fatal: make(chan error, 1),
+		budget: newBudget(s.Intake, s.MemoryMB, s.Descriptors, max(reservedByCore, reservedFiles+TargetConnections(s))),
 	}
 	c.background, c.cancel = context.WithCancel(context.Background())
 	c.gateway = newGateway(c.dialer, s.Listen.Peers, s.Seeds)
@@ -132,14 +138,17 @@
 	}
 	c.gateway.serveLocal = c.serveLocal
 	c.gateway.memberID = func() string { return c.identity.MemberID }
-	c.gateway.zone = s.Zone
+	c.gateway.zone, c.gateway.control = s.Zone, s.Listen.Control
+	c.collector = newCollector(c.gateway, func() bool { return c.driver.Load() != nil })
 	c.gateway.onRemoved = func() {
 		select {
 		case c.fatal <- errRemoved:
 		default:
 		}
 	}
-	c.peerServer = &wire.Server{Listener: listener, Handler: c.serveStream}
+	c.peerServer = &wire.Server{
+		Listener: intake.NewListener(listener, "listen.peers", c.budget), Handler: c.serveStream, Established: intake.Establish,
+	}
 	return c, c.listen()
 }
 
@@ -149,11 +158,11 @@
 		field, address string
 		handler        http.Handler
 	}{
-		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.gateway)},
+		{"listen.control", c.settings.Listen.Control, c.adapter.Control(c.collector)},
 		{"listen.metrics", c.settings.Listen.Metrics, metricsHandler()},
-		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway)},
+		{"listen.api", c.settings.Listen.API, stepapi.New(c.gateway, c.settings.Bounds.Evacuates())},
 	} {
-		server, err := serveRole(service.field, service.address, service.handler)
+		server, err := serveRole(c.budget, service.field, service.address, service.handler)
 		if err != nil {
 			return err
 		}
@@ -176,6 +185,7 @@
 	}
 	c.log = log
 	c.log.OnDiskFull = func(err error) { event.DiskFull.Emit(event.Err(err)) }
+	c.log.OnNoDescriptors = func(err error) { event.NoDescriptors.Emit(event.F("step", "save received snapshot"), event.Err(err)) }
 	id, found, err := log.Identity()
 	if err != nil {
 		return store.Loaded{}, err
@@ -298,7 +308,8 @@
 		Machine: replica.WithAppliedTimes(c.machine, c.applied), Storage: c.log, Sender: coreSender{c}, TickInterval: coreTickInterval,
 		SlowSaveThreshold: slowSaveThreshold, SnapshotEntries: coreSnapshotEntries, SnapshotTail: coreSnapshotTail,
 		OnLeaderChange: c.onLeaderChange, ConfirmedReads: true,
-		OnSlowDisk: func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
+		OnSlowDisk:         func(saved time.Duration) { event.LeaderDiskSlow.Emit(event.F("save", saved.String())) },
+		OnSnapshotNotSaved: func(err error) { event.SnapshotNotSaved.Emit(event.Err(err)) },
 		OnFatal: func(err error) {
 			event.StorageFailed.Emit(event.Err(err))
 			c.fatal <- err
@@ -359,8 +370,9 @@
 	d := driver.New(driver.Config{
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
-		Limits: driverLimits(c.settings.Bounds), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
+		Limits: driverLimits(c.settings.Bounds, TargetConnections(c.settings)), Learning: driverLearning(c.settings.Learning), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
 		RefuseLate: c.settings.Admission.RefuseLate,
+		Zones:      c.namedZones(),
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
@@ -371,12 +383,34 @@
 	d.Run(ctx)
 }
 
+// namedZones returns the function that lists the availability zones that the settings and the members
+// name, or nil if the settings do not ask for evacuations.
+func (c *Core) namedZones() func() []string {
+	if !c.settings.Bounds.Evacuates() {
+		return nil
+	}
+	return func() []string {
+		zones := append(slices.Clone(c.settings.Zones), c.settings.Zone)
+		for _, member := range c.membership.Load().GetMembers() {
+			if zone := c.zoneOf(member); zone != "" {
+				zones = append(zones, zone)
+			}
+		}
+		return zones
+	}
+}
+
+func driverLearning(l config.LearningSettings) driver.Learning {
+	return driver.Learning{Keep: l.KeepsSummary(), Quantiles: l.Quantiles, Placement: l.Placement}
+}
+
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
 const leasePollInterval = 2 * time.Millisecond
 
-func driverLimits(b config.PlatformBounds) driver.Limits {
+func driverLimits(b config.PlatformBounds, connections int) driver.Limits {
 	return driver.Limits{
-		LeaseTTL: b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
+		TargetConnections: connections,
+		LeaseTTL:          b.LeaseTTL.Duration, AnnounceInterval: b.AnnounceInterval.Duration,
 		VMMove: b.VMMove.Duration, VMMaintenance: b.VMMaintenance.Duration,
 	}
 }
@@ -410,10 +444,14 @@
 		if r.Member != "" && r.MemberZone != "" {
 			c.zones.Store(r.Member, r.MemberZone)
 		}
+		c.controls.note(r.Member, r.MemberControl, time.Now())
 		return c.memberList(ctx, r.Member), true
 	}
 	response := d.Serve(ctx, r)
 	response.AnnounceAddress = c.settings.Listen.Control
+	if response.CollectRepeats && r.Operation == workflowpb.Operation_OPERATION_ANNOUNCE {
+		response.AnnounceAddress = c.controls.addressFor(r.Target.GetId(), c.settings.Listen.Control, time.Now())
+	}
 	return response, true
 }
 
@@ -531,6 +569,7 @@
 	go c.peerServer.Serve()
 	go c.node.Run()
 	go c.gateway.watch(c.background)
+	go c.collector.run(c.background)
 	var err error
 	select {
 	case <-ctx.Done():
@@ -550,6 +589,7 @@
 	c.peerServer.Close()
 	c.peers.Close()
 	c.dialer.Close()
+	c.budget.Close()
 	event.DaemonStopped.Emit()
 	return errors.Join(err, c.log.Close())
 }
--- a/internal/server/gateway.go
+++ b/internal/server/gateway.go
@@ -20,6 +20,9 @@
 	// gatewayTryTimeout bounds one try, so that a core daemon that does not answer does not
 	// use up the whole time of a request.
 	gatewayTryTimeout = 900 * time.Millisecond
+	// minSlowTry is how long a try without an answer takes at least if the leader is slow. A shorter
+	// one that was ended by the caller's time tells nothing.
+	minSlowTry = 200 * time.Millisecond
 	// gatewayRetryDelay is the wait between two tries.
 	gatewayRetryDelay = 40 * time.Millisecond
 	// connectedTimeout is how long after an answer the core counts as reachable. With the two
@@ -51,8 +54,8 @@
 	// leader answers that this member was removed. Both are nil on an edge daemon.
 	memberID  func() string
 	onRemoved func()
-	// zone is the availability zone of a core daemon.
-	zone string
+	// zone is the availability zone of a core daemon, control its address for announcements.
+	zone, control string
 	// serveLocal serves a core daemon's requests to itself; nil on an edge daemon.
 	serveLocal func(context.Context, *workflowpb.Request) (*workflowpb.Response, bool)
 
@@ -122,6 +125,13 @@
 	return known[g.nextIndex%len(known)]
 }
 
+// leaderAnswers reports whether the leader has answered a call of this daemon lately.
+func (g *Gateway) leaderAnswers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.leaderAnsweredAt.IsZero() && time.Since(g.leaderAnsweredAt) < connectedTimeout
+}
+
 func (g *Gateway) setLeader(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,23 +183,63 @@
 	return !g.connectedAt.IsZero() && time.Since(g.connectedAt) < connectedTimeout
 }
 
-// Do sends a request to the leader and returns its answer. It tries again until ctx ends or
-// this daemon is cut off: requests carry ids or versions that make a resend idempotent.
-// Without an answer that holds for all tries, the response says whether the request may have
-// been carried out.
+// answerByKey is the key of the time in a context made by WithAnswerBy.
+type answerByKey struct{}
+
+// WithAnswerBy returns a context with which Do gives up at a time before ctx ends, unless the core
+// is without a leader: then no other daemon could answer either, and waiting until ctx ends lets
+// the next leader answer.
+func WithAnswerBy(ctx context.Context, by time.Time) context.Context {
+	return context.WithValue(ctx, answerByKey{}, by)
+}
+
+// AnswerBy returns the time of WithAnswerBy, or false without one.
+func AnswerBy(ctx context.Context) (time.Time, bool) {
+	by, ok := ctx.Value(answerByKey{}).(time.Time)
+	return by, ok
+}
+
+// Do sends a request to the leader and returns its answer. It tries again until ctx ends, the
+// time of WithAnswerBy has come or this daemon is cut off: requests carry ids or versions that
+// make a resend idempotent. Without an answer that holds for all tries, the response says
+// whether the request may have been carried out.
 func (g *Gateway) Do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
 	began := time.Now()
-	response := g.do(ctx, r)
+	response := g.route(ctx, r)
 	metrics.Observe(metrics.Name("gateway_request_us",
 		metrics.L("operation", r.Operation.String()), metrics.L("answer", response.Answer.String())), time.Since(began))
 	return response
 }
 
+// route sends a request the way that its operation needs.
+func (g *Gateway) route(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
+	switch r.Operation {
+	case workflowpb.Operation_OPERATION_BEGIN_EVACUATION, workflowpb.Operation_OPERATION_END_EVACUATION:
+		return g.orderEvacuation(ctx, r)
+	}
+	return g.do(ctx, r)
+}
+
 func (g *Gateway) do(ctx context.Context, r *workflowpb.Request) *workflowpb.Response {
-	unknown := false
+	response, _ := g.doAfter(ctx, r, false)
+	return response
+}
+
+// doAfter is do for a request of which the outcome of earlier tries may be unknown. It also returns
+// whether that of any try is.
+func (g *Gateway) doAfter(ctx context.Context, r *workflowpb.Request, unknown bool) (*workflowpb.Response, bool) {
 	var lastReason string
+	answerBy, limited := AnswerBy(ctx)
 	for {
-		response, maybeReceived, err := g.try(ctx, r)
+		tryCtx, cancel := ctx, context.CancelFunc(func() {})
+		if limited && time.Now().Before(answerBy) {
+			tryCtx, cancel = context.WithDeadline(ctx, answerBy)
+		}
+		began := time.Now()
+		response, maybeReceived, err := g.try(tryCtx, r)
+		// The try used up its time, although there is a leader.
+		leaderSlow := tryCtx.Err() != nil && time.Since(began) >= minSlowTry && (err == nil || g.leaderAnswers())
+		cancel()
 		switch {
 		case err != nil:
 			unknown = unknown || maybeReceived && changesState(r.Operation)
@@ -200,29 +250,37 @@
 			lastReason = response.Reason
 		default:
 			if unknown && !holdsForEarlierTries(response.Answer) {
-				return g.giveUp(r, unknown, fmt.Sprintf("an earlier try may have been carried out, the last one was refused: %s: %s", response.Answer, response.Reason))
+				return g.giveUp(r, unknown, fmt.Sprintf("an earlier try may have been carried out, the last one was refused: %s: %s", response.Answer, response.Reason)), unknown
 			}
-			return response
+			return response, unknown
 		}
 		if g.cutOff() {
 			// Waiting would only use up the time that the caller has for another daemon.
-			return g.giveUp(r, unknown, lastReason)
+			return g.giveUp(r, unknown, lastReason), unknown
+		}
+		if limited && !time.Now().Before(answerBy) && (leaderSlow || !g.Connected()) {
+			return g.giveUp(r, unknown, lastReason), unknown
 		}
 		timer := time.NewTimer(gatewayRetryDelay)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return g.giveUp(r, unknown, lastReason)
+			return g.giveUp(r, unknown, lastReason), unknown
 		case <-timer.C:
 		}
 	}
 }
 
 // holdsForEarlierTries reports whether an answer also holds for earlier tries of the same request: it
-// was carried out, or what it contains is refused whenever it arrives. Other refusals rest on what
+// was carried out, or what it contains is refused whenever it arrives, as is an order that another one
+// has overtaken. Other refusals rest on what
 // was in force at the last try, such as the keys and queues.
 func holdsForEarlierTries(answer workflowpb.Answer) bool {
-	return answer == workflowpb.Answer_ANSWER_OK || answer == workflowpb.Answer_ANSWER_INVALID
+	switch answer {
+	case workflowpb.Answer_ANSWER_OK, workflowpb.Answer_ANSWER_INVALID, workflowpb.Answer_ANSWER_CONFLICT:
+		return true
+	}
+	return false
 }
 
 // changesState reports whether an operation changes the state: without an answer, its outcome
@@ -230,7 +288,8 @@
 func changesState(operation workflowpb.Operation) bool {
 	switch operation {
 	case workflowpb.Operation_OPERATION_STATUS, workflowpb.Operation_OPERATION_COUNT, workflowpb.Operation_OPERATION_EXPLAIN,
-		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS:
+		workflowpb.Operation_OPERATION_GET_CATALOGUE, workflowpb.Operation_OPERATION_GET_WAVE, workflowpb.Operation_OPERATION_MEMBERS,
+		workflowpb.Operation_OPERATION_GET_EVACUATION, workflowpb.Operation_OPERATION_NOTE_HEARD:
 		return false
 	}
 	return true
@@ -292,7 +351,7 @@
 		tryCtx, cancel := context.WithTimeout(ctx, memberListTimeout)
 		request := &workflowpb.Request{Operation: workflowpb.Operation_OPERATION_MEMBERS}
 		if g.memberID != nil {
-			request.Member, request.MemberZone = g.memberID(), g.zone
+			request.Member, request.MemberZone, request.MemberControl = g.memberID(), g.zone, g.control
 		}
 		response, _, err := g.try(tryCtx, request)
 		cancel()
--- a/internal/stepapi/stepapi.go
+++ b/internal/stepapi/stepapi.go
@@ -1,13 +1,11 @@
 // Package stepapi is the product's own HTTP interface to jobs of steps, the
-// catalogue, waves and explanations. Bodies are JSON with the field names of the
+// catalogue, waves, evacuations and explanations. Bodies are JSON with the field names of the
 // messages in workflow.proto.
 package stepapi
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/intake"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -29,8 +28,6 @@
 	callTimeout = 5 * time.Second
 )
 
-var errTooLarge = errors.New("body is too large")
-
 // Requester sends requests to the leader.
 type Requester interface {
 	Do(ctx context.Context, r *pb.Request) *pb.Response
@@ -38,8 +35,9 @@
 
 type api struct{ requester Requester }
 
-// New returns the HTTP handler of the interface.
-func New(requester Requester) http.Handler {
+// New returns the HTTP handler of the interface; evacuations tells whether it takes orders to evacuate
+// availability zones.
+func New(requester Requester, evacuations bool) http.Handler {
 	a := &api{requester: requester}
 	r := mux.NewRouter()
 	jobs := r.PathPrefix("/v1/queues/{queue}").Subrouter()
@@ -50,10 +48,17 @@
 	jobs.HandleFunc("/jobs/{id}/explain", a.jobCall(pb.Operation_OPERATION_EXPLAIN)).Methods(http.MethodGet)
 	jobs.HandleFunc("/jobs/{id}/tasks/{task}/explain", a.explainTask).Methods(http.MethodGet)
 	r.HandleFunc("/v1/vms/{vm}/explain", a.explainVM).Methods(http.MethodGet)
+	r.HandleFunc("/v1/learned", a.learned).Methods(http.MethodGet)
 	r.HandleFunc("/v1/catalogue", a.putCatalogue).Methods(http.MethodPut)
 	r.HandleFunc("/v1/catalogue", a.getCatalogue).Methods(http.MethodGet)
 	r.HandleFunc("/v1/waves/{wave}", a.putWave).Methods(http.MethodPut)
 	r.HandleFunc("/v1/waves/{wave}", a.getWave).Methods(http.MethodGet)
+	if evacuations {
+		const path = "/v1/evacuations/{zone}"
+		r.HandleFunc(path, a.evacuation(pb.Operation_OPERATION_BEGIN_EVACUATION)).Methods(http.MethodPut)
+		r.HandleFunc(path, a.evacuation(pb.Operation_OPERATION_END_EVACUATION)).Methods(http.MethodDelete)
+		r.HandleFunc(path, a.evacuation(pb.Operation_OPERATION_GET_EVACUATION)).Methods(http.MethodGet)
+	}
 	return r
 }
 
@@ -75,7 +80,7 @@
 	pb.Answer_ANSWER_GONE: http.StatusNotFound, pb.Answer_ANSWER_NO_QUEUE: http.StatusNotFound,
 	pb.Answer_ANSWER_BAD_KEY: http.StatusUnauthorized, pb.Answer_ANSWER_BUSY: http.StatusTooManyRequests,
 	pb.Answer_ANSWER_INVALID: http.StatusBadRequest, pb.Answer_ANSWER_NOT_READY: http.StatusServiceUnavailable,
-	pb.Answer_ANSWER_UNKNOWN: http.StatusGatewayTimeout,
+	pb.Answer_ANSWER_UNKNOWN: http.StatusGatewayTimeout, pb.Answer_ANSWER_CONFLICT: http.StatusConflict,
 }
 
 // writeRefusal answers with the reason. 429 and 503 guarantee that nothing was run.
@@ -93,21 +98,18 @@
 // readMessage decodes the body and reports whether it could; unknown fields are refused.
 // If not, it logs the error and answers with 400 or 413.
 func readMessage(w http.ResponseWriter, r *http.Request, into proto.Message) bool {
-	data, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
-	if err == nil && len(data) > MaxBodyBytes {
-		err = errTooLarge
-	}
+	data, err := intake.ReadBody(r, r.Body, MaxBodyBytes)
 	if err == nil {
 		err = protojson.Unmarshal(data, into)
 	}
 	if err == nil {
 		return true
 	}
-	status := http.StatusBadRequest
-	if errors.Is(err, errTooLarge) {
-		status = http.StatusRequestEntityTooLarge
+	status := intake.Status(err)
+	if !intake.Refused(err) {
+		event.BadInput.Emit(event.F("path", r.URL.Path), event.F("peer", r.RemoteAddr), event.F("status", status), event.Err(err))
 	}
-	event.BadInput.Emit(event.F("path", r.URL.Path), event.F("peer", r.RemoteAddr), event.F("status", status), event.Err(err))
+	intake.SetRefusalHeaders(w, err)
 	http.Error(w, err.Error(), status)
 	return false
 }
@@ -115,7 +117,7 @@
 // writeResponse answers with the fields of the response that are meant for callers.
 func writeResponse(w http.ResponseWriter, response *pb.Response) {
 	visible := &pb.Response{
-		State: response.State, Reason: response.Reason, Waiting: response.Waiting, Complete: response.Complete, Lines: response.Lines,
+		State: response.State, Reason: response.Reason, Waiting: response.Waiting, Complete: response.Complete, Lines: response.Lines, Evacuated: response.Evacuated,
 	}
 	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(visible)
 	if err != nil {
@@ -160,6 +162,11 @@
 	a.forward(w, r, &pb.Request{Operation: pb.Operation_OPERATION_EXPLAIN, Vm: mux.Vars(r)["vm"]})
 }
 
+// learned answers what was learned of one queue, or of all.
+func (a *api) learned(w http.ResponseWriter, r *http.Request) {
+	a.forward(w, r, &pb.Request{Operation: pb.Operation_OPERATION_GET_LEARNED, QueueName: r.URL.Query().Get("queue")})
+}
+
 // jobCall returns a handler for calls that name a job and have no body.
 func (a *api) jobCall(operation pb.Operation) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -194,6 +201,13 @@
 	}
 }
 
+// evacuation returns a handler for calls about the evacuation of an availability zone.
+func (a *api) evacuation(operation pb.Operation) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a.forward(w, r, &pb.Request{Operation: operation, Zone: mux.Vars(r)["zone"]})
+	}
+}
+
 func waveNumber(w http.ResponseWriter, r *http.Request) (uint64, bool) {
 	id, err := strconv.ParseUint(mux.Vars(r)["wave"], 10, 64)
 	if err != nil {
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -3,7 +3,7 @@
 // catalogue of queues, pools and workspaces. Apply is deterministic and reads no
 // clock. The safety rules (order of steps, one run of a task at a time unless its
 // step allows copies, maximum attempts, workspace limits, maximum tasks per target,
-// limits on maintenance) are checked when a command is applied, whichever process
+// evacuated zones, limits on maintenance) are checked when a command is applied, whichever process
 // planned it.
 package workflow
 
@@ -76,6 +76,10 @@
 	rates map[string]shares.Bucket
 	// formerQueues holds the queues of open jobs that have left the catalogue.
 	formerQueues map[queueID]*pb.Queue
+	// zones holds the availability zones that are known, by name.
+	zones map[string]*pb.StoredZone
+	// learned is the newest summary of what leaders have learned, or nil. No command depends on it.
+	learned *pb.Learned
 
 	// Derived from the fields above.
 	openJobs map[string]*Job
@@ -106,7 +110,7 @@
 }
 
 func (m *Machine) reset() {
-	m.nowMS, m.leaseEpoch = 0, 0
+	m.nowMS, m.leaseEpoch, m.learned = 0, 0, nil
 	m.catalogue, m.lookup = nil, newCatalogueLookup(nil)
 	m.jobs = make(map[string]*Job)
 	m.openJobs = make(map[string]*Job)
@@ -116,6 +120,7 @@
 	m.formerTargets = make(map[string]*pb.FormerTarget)
 	m.formerQueues = make(map[queueID]*pb.Queue)
 	m.rates = make(map[string]shares.Bucket)
+	m.zones = make(map[string]*pb.StoredZone)
 	m.tasksByTarget = make(map[string]map[TaskID]*Task)
 	m.usedByTarget = make(map[string]TargetUse)
 	m.usedByWorkspace = make(map[string]Resources)
@@ -158,8 +163,19 @@
 		return m.endMaintenance(body.EndMaintenance)
 	case *pb.Command_NoteProgress:
 		return m.noteProgress(body.NoteProgress)
+	case *pb.Command_BeginEvacuation:
+		return m.orderEvacuation(body.BeginEvacuation.GetOrder(), true)
+	case *pb.Command_EndEvacuation:
+		return m.orderEvacuation(body.EndEvacuation.GetOrder(), false)
+	case *pb.Command_NoteZones:
+		for _, zone := range body.NoteZones.Zones {
+			m.noteNamedZone(zone)
+		}
+		return m.ok()
 	case *pb.Command_Prune:
 		return m.prune(body.Prune)
+	case *pb.Command_PutLearned:
+		return m.putLearned(body.PutLearned.GetLearned())
 	}
 	return m.outcome(Invalid, "command has no known body")
 }
--- a/internal/workflow/snapshot.go
+++ b/internal/workflow/snapshot.go
@@ -16,7 +16,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := &pb.Snapshot{NowUnixMs: m.nowMS, Catalogue: m.catalogue, Waves: (*View)(m).Waves(), Leases: m.storeLeases(), LeaseEpoch: m.leaseEpoch, Rates: m.storeRates()}
+	s := &pb.Snapshot{NowUnixMs: m.nowMS, Catalogue: m.catalogue, Waves: (*View)(m).Waves(), Leases: m.storeLeases(), LeaseEpoch: m.leaseEpoch, Rates: m.storeRates(), Learned: m.learned}
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		s.Jobs = append(s.Jobs, storeJob(m.jobs[id]))
 	}
@@ -32,6 +32,7 @@
 	slices.SortFunc(s.FormerQueues, func(a, b *pb.FormerQueue) int {
 		return cmp.Or(cmp.Compare(a.JobQueueHost, b.JobQueueHost), cmp.Compare(a.JobQueuePath, b.JobQueuePath), cmp.Compare(a.JobQueue, b.JobQueue))
 	})
+	s.Zones = (*View)(m).Zones()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	if err != nil {
 		return nil, fmt.Errorf("marshal snapshot: %w", err)
@@ -59,7 +60,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reset()
-	m.nowMS, m.leaseEpoch = s.NowUnixMs, s.LeaseEpoch
+	m.nowMS, m.leaseEpoch, m.learned = s.NowUnixMs, s.LeaseEpoch, s.Learned
 	if s.Catalogue != nil {
 		m.catalogue, m.lookup = s.Catalogue, newCatalogueLookup(s.Catalogue)
 	}
@@ -75,6 +76,16 @@
 	for _, rate := range s.Rates {
 		m.rates[rate.Workspace] = shares.Bucket{Tokens: rate.Tokens, AtMS: rate.AtUnixMs}
 	}
+	for _, zone := range s.Zones {
+		m.zones[zone.Name] = zone
+	}
+	// Snapshots of older versions hold no zones.
+	for _, target := range s.Targets {
+		m.noteZone(target.Zone)
+	}
+	for _, former := range s.FormerTargets {
+		m.noteZone(former.GetTarget().GetZone())
+	}
 	for _, wave := range s.Waves {
 		m.waves[wave.Id] = wave
 	}
