--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -5,9 +5,10 @@
 // urgent of them first, as far as the pool has room for them (see shed); jobs
 // that are already late use what is left, so that one burst does not make all
 // later jobs late. Jobs beyond the rate of their workspace get what those within
-// it leave, but come before late ones if they can still be in time themselves. The tasks of a step are placed in one availability zone if
-// there is room, so that a zone that becomes unreachable delays only the jobs
-// there and not a part of every job.
+// it leave, but come before late ones if they can still be in time themselves.
+// The tasks of a step are placed in one availability zone if there is room, so
+// that a zone that becomes unreachable delays only the jobs there and not a part
+// of every job.
 package assign
 
 import (
--- a/internal/policy/assign/shed.go
+++ b/internal/policy/assign/shed.go
@@ -10,8 +10,8 @@
 // need more than the pool holds: ordered by least slack alone, each job starts at the last
 // moment and delays later ones until nearly all are late. The work that must start by a time
 // has to fit into the processor time available until then; otherwise the jobs with the least
-// worth per work left are shed, those beyond the rate of their workspace before all others. Shed jobs start on the room that the others leave, and every
-// round decides anew.
+// worth per work left are shed, those beyond the rate of their workspace before all others. Shed
+// jobs start on the room that the others leave, and every round decides anew.
 func shed(s *Snapshot, inTime func(*Job) bool) map[string]bool {
 	if s.CapacityMillis <= 0 {
 		return nil
