Eviction: constants of stalled connections named as time-outs

Cause: two constants had names that are no terms of the field. Change: answerPatience -> answerStallTimeout, arrivalPatience -> arrivalStallTimeout; the package comment of turnaway names admission control. Result: tests of eviction, intake and turnaway.

--- a/internal/policy/eviction/eviction.go
+++ b/internal/policy/eviction/eviction.go
@@ -29,16 +29,16 @@
 )
 
 const (
-	// answerPatience is how long an answer may make no progress before its connection may be
+	// answerStallTimeout is how long an answer may make no progress before its connection may be
 	// closed: a link that lost packets recovers within a second or two.
-	answerPatience = 2 * time.Second
+	answerStallTimeout = 2 * time.Second
 	// minStalled is counted for connections that have just made progress, so that among them
 	// those that hold most come first.
 	minStalled = time.Millisecond
-	// arrivalPatience is how long a request that arrives may make no progress before its connection
+	// arrivalStallTimeout is how long a request that arrives may make no progress before its connection
 	// may be closed for another of the same size. Without it, bodies that arrive at the same time
 	// close each other's connections, and few of them ever arrive whole.
-	arrivalPatience = 250 * time.Millisecond
+	arrivalStallTimeout = 250 * time.Millisecond
 	// smallFactor is how many times as much as the one that asks a connection must hold to be closed
 	// although it makes progress, so that a crowd of large bodies does not keep out small ones.
 	smallFactor = 4
@@ -63,7 +63,7 @@
 	case Idle, Receiving:
 		return true
 	case Answering:
-		return h.Stalled >= answerPatience
+		return h.Stalled >= answerStallTimeout
 	default:
 		return false
 	}
@@ -74,7 +74,7 @@
 // progress are closed only for one that will hold far less, which is asks.
 func ForMemory(holders []Holder, need, asks int64) []int {
 	order := slices.DeleteFunc(closable(holders), func(i int) bool {
-		return holders[i].Stalled < arrivalPatience && holders[i].Bytes < smallFactor*asks
+		return holders[i].Stalled < arrivalStallTimeout && holders[i].Bytes < smallFactor*asks
 	})
 	score := func(i int) float64 {
 		return float64(holders[i].Bytes) * float64(max(holders[i].Stalled, minStalled))
@@ -94,7 +94,7 @@
 func ForDescriptors(holders []Holder, need int) []int {
 	order := closable(holders)
 	class := func(i int) int {
-		if holders[i].Stage == Idle && holders[i].Stalled >= arrivalPatience {
+		if holders[i].Stage == Idle && holders[i].Stalled >= arrivalStallTimeout {
 			return 0
 		}
 		return 1
--- a/internal/policy/turnaway/turnaway.go
+++ b/internal/policy/turnaway/turnaway.go
@@ -1,7 +1,7 @@
-// Package turnaway decides which jobs are refused when they are submitted. It has no side effects and
-// reads no clock. It is made for bursts of some seconds of which a pool holds only a part: a job that
-// must wait for others until even a late end has no worth is refused at once, so that its caller
-// can try again when the pool has room.
+// Package turnaway is the admission control for jobs: it decides which jobs are refused when they are
+// submitted. It has no side effects and reads no clock. It is made for bursts of some seconds of which a
+// pool holds only a part: a job that must wait for others until even a late end has no worth is refused
+// at once, so that its caller can try again when the pool has room.
 package turnaway
 
 import (
