New uses are off unless the settings ask for them; crowd tests beside the platform's words

Cause: the kept summary of learned run times and the division of VMs among pools that all lack room took effect without any setting, and test/crowd spoke the platform's protocol outside platform/.

--- a/internal/config/role.go
+++ b/internal/config/role.go
@@ -60,8 +60,8 @@
 
 // LearningSettings switch the uses of what is learned from finished runs (core).
 type LearningSettings struct {
-	// Keep stores a summary in the replicated state and uses it after a change of leader; on if absent.
-	Keep *bool `yaml:"keep"`
+	// Keep stores a summary in the replicated state and uses it after a change of leader; off if absent.
+	Keep bool `yaml:"keep"`
 	// Quantiles learns from runs that were cut off as from bounds, and uses quantiles of run times for copies
 	// and stalls; off if absent.
 	Quantiles bool `yaml:"quantiles"`
@@ -69,8 +69,11 @@
 	Placement bool `yaml:"placement"`
 }
 
-// KeepsSummary reports whether summaries are kept.
-func (l LearningSettings) KeepsSummary() bool { return l.Keep == nil || *l.Keep }
+// PoolSettings set how VMs are divided among pools (core).
+type PoolSettings struct {
+	// ShareShortage reduces the needs of all pools in proportion if they exceed the room of all VMs; off if absent.
+	ShareShortage bool `yaml:"share_shortage"`
+}
 
 // RoleSettings configure a daemon with a role.
 type RoleSettings struct {
@@ -105,6 +108,7 @@
 	// Intake limits what accepted connections may use.
 	Intake   Intake           `yaml:"intake"`
 	Learning LearningSettings `yaml:"learning"`
+	Pools    PoolSettings     `yaml:"pools"`
 }
 
 // maxBound is the longest time that PlatformBounds may hold.
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -74,6 +74,8 @@
 	NowMS func() int64
 	// RefuseLate refuses jobs that would certainly end after their end has lost all worth.
 	RefuseLate bool
+	// ShareShortage reduces the needs of all pools in proportion if they exceed the room of all VMs.
+	ShareShortage bool
 	// Zones returns the availability zones that the settings and the member list name. It is nil if
 	// zones are not evacuated.
 	Zones func() []string
--- a/internal/driver/pools.go
+++ b/internal/driver/pools.go
@@ -177,6 +177,8 @@
 		MayRest: !d.pools.firstArrival.IsZero() && now.Sub(d.pools.firstArrival) > restAfter,
 		Prices:  pools.Prices{MoveVMSeconds: moveVMSeconds, MoveMS: d.cfg.Limits.VMMove.Milliseconds()},
 		Fits:    func(string, string) bool { return true },
+
+		ShareShortage: d.cfg.ShareShortage,
 	}
 	index := make(map[string]int)
 	for _, pool := range v.Catalogue().Pools {
--- a/internal/policy/pools/pools.go
+++ b/internal/policy/pools/pools.go
@@ -92,7 +92,9 @@
 	Budget int
 	// MayRest means that enough load was observed to move idle VMs to the resting pool.
 	MayRest bool
-	Prices  Prices
+	// ShareShortage reduces the needs of all pools in proportion if they exceed the room of all VMs.
+	ShareShortage bool
+	Prices        Prices
 }
 
 const (
@@ -115,7 +117,9 @@
 // tasks, so that they become empty and can go to pools that lack room.
 func Plan(s *Snapshot) (moves []Move, drain []string) {
 	s.addBeyondRate()
-	s.scaleNeeds()
+	if s.ShareShortage {
+		s.scaleNeeds()
+	}
 	var shortPools, sparePools []balance
 	for i := range s.Pools {
 		b := s.balance(&s.Pools[i])
--- a/internal/server/core.go
+++ b/internal/server/core.go
@@ -371,8 +371,8 @@
 		FormerEpoch: status.FormerTerm,
 		Machine:     c.machine, Log: coreLog{c}, Targets: c.adapter.Targets(), VMs: c.adapter.VMs(), Advice: c.adapter.Advice(),
 		Limits: driverLimits(c.settings.Bounds, TargetConnections(c.settings)), Learning: driverLearning(c.settings.Learning), Epoch: term, Holder: c.settings.Name, Now: time.Now, AppliedAt: c.applied.At, NowMS: c.clock.NowMS,
-		RefuseLate: c.settings.Admission.RefuseLate,
-		Zones:      c.namedZones(),
+		RefuseLate: c.settings.Admission.RefuseLate, ShareShortage: c.settings.Pools.ShareShortage,
+		Zones: c.namedZones(),
 	})
 	c.leadMu.Lock()
 	if ctx.Err() == nil {
@@ -401,7 +401,7 @@
 }
 
 func driverLearning(l config.LearningSettings) driver.Learning {
-	return driver.Learning{Keep: l.KeepsSummary(), Quantiles: l.Quantiles, Placement: l.Placement}
+	return driver.Learning{Keep: l.Keep, Quantiles: l.Quantiles, Placement: l.Placement}
 }
 
 // leasePollInterval is the interval at which a new leader checks whether it holds the lease.
--- a/test.sh
+++ b/test.sh
@@ -10,7 +10,7 @@
   cat KNOWN-RED.txt
   skip=$(sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|')
 fi
-crowd=sapphirering/test/crowd
+crowd=sapphirering/platform/crowd
 others=$(go list ./... | grep -v "^$crowd\$") || exit 1
 failed=0
 for packages in "$others" "$crowd"; do
