--- a/internal/driver/heard.go
+++ b/internal/driver/heard.go
@@ -28,7 +28,10 @@
 			l.sequence = h.Sequence
 			l.announcedAt = later(l.announcedAt, now.Add(-time.Duration(h.AgeMs)*time.Millisecond))
 			l.lastAnnounced = later(l.lastAnnounced, l.announcedAt)
-			l.noteHeard()
+			if l.announcedAt.After(l.missingAsked) {
+				// A message from before a list that lacks the VM says nothing against that list.
+				l.noteHeard()
+			}
 			if l.clockAt.IsZero() {
 				// The target's clock is later by now, so that leases end early.
 				d.noteClock(l, h.ClockMs)
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -90,6 +90,8 @@
 	// missingInLists counts the consecutive lists of the platform without the target's VM that
 	// were asked for after its last message.
 	missingInLists int
+	// missingAsked is when the last of them was asked for.
+	missingAsked time.Time
 	// unlisted targets were heard of after a list without their VM, which proves nothing for them.
 	unlisted bool
 	// unannounced incarnations were found by a listing. They are not registered and get no
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -807,6 +807,7 @@
 			}
 		case list.complete():
 			l.missingInLists++
+			l.missingAsked = asked
 		}
 	}
 }
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -231,12 +231,20 @@
 		// A request that was passed on meanwhile is no longer closed.
 		if c := conns[i]; c.stage.CompareAndSwap(stages[i], stageClosed) {
 			b.forget(c)
-			c.reset()
+			c.end(stages[i])
 			closed(why, c, holders[i])
 		}
 	}
 }
 
+// holderOf describes a connection.
+func (b *Budget) holderOf(c *Conn) eviction.Holder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h, _ := c.holder(b.now())
+	return h
+}
+
 // release returns memory of a connection to the budget.
 func (b *Budget) release(c *Conn, bytes int64) {
 	b.mu.Lock()
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -180,7 +180,8 @@
 
 // Write writes in parts, each of which must be taken within the write timeout.
 func (c *Conn) Write(p []byte) (int, error) {
-	if large := int64(len(p)); large > writeChunkBytes {
+	// A session of another daemon must not end for lack of room: all its calls would end with it.
+	if large := int64(len(p)); large > writeChunkBytes && c.stage.Load() != stageKept {
 		if err := c.budget.charge(c, large); err != nil {
 			c.reset()
 			return 0, err
@@ -204,8 +205,7 @@
 		written += n
 		if err != nil {
 			if own == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-				h, _ := c.holder(c.budget.now())
-				closed(reasonUnread, c, h)
+				closed(reasonUnread, c, c.budget.holderOf(c))
 			}
 			return written, err
 		}
@@ -239,6 +239,16 @@
 	_ = c.Conn.Close()
 }
 
+// end closes the connection to make room. An idle one may still have the end of its last answer in
+// the kernel's buffer, which is sent.
+func (c *Conn) end(stage int32) {
+	if stage == stageIdle {
+		_ = c.Conn.Close()
+		return
+	}
+	c.reset()
+}
+
 // Close closes the connection and returns what it holds to the budget.
 func (c *Conn) Close() error {
 	c.once.Do(func() { c.budget.remove(c) })
--- a/internal/server/collector.go
+++ b/internal/server/collector.go
@@ -108,7 +108,7 @@
 	now := c.now()
 	known := c.known[r.Target.GetId()]
 	if known == nil || now.Sub(known.at) >= fullInterval || now.Sub(c.confirmedAt) >= confirmedBound ||
-		r.StaysMs != 0 || r.Sequence < known.sequence || !proto.Equal(r.Target, known.target) {
+		r.StaysMs != 0 || r.WarmupLeftMs != 0 || r.Sequence < known.sequence || !proto.Equal(r.Target, known.target) {
 		return nil
 	}
 	known.sequence = r.Sequence
@@ -121,7 +121,7 @@
 func (c *collector) noteAnswer(r *workflowpb.Request, response *workflowpb.Response, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if response.Answer != workflowpb.Answer_ANSWER_OK || !response.CollectRepeats || r.Target.Leaving || r.StaysMs != 0 {
+	if response.Answer != workflowpb.Answer_ANSWER_OK || !response.CollectRepeats || r.Target.Leaving || r.StaysMs != 0 || r.WarmupLeftMs != 0 {
 		delete(c.known, r.Target.Id)
 		return
 	}
@@ -157,6 +157,10 @@
 	switch {
 	case response.Answer != workflowpb.Answer_ANSWER_OK:
 		event.HeardNotTaken.Emit(event.F("targets", len(request.Heard)), event.F("answer", response.Answer.String()), event.F("reason", response.Reason))
+		for _, heard := range request.Heard {
+			// Its next announcement is passed on: another list that fails would make the target count as silent.
+			delete(c.known, heard.Target)
+		}
 		return
 	case !response.CollectRepeats:
 		clear(c.known)
--- a/internal/server/collector_test.go
+++ b/internal/server/collector_test.go
@@ -80,6 +80,7 @@
 	}{
 		{"leaves", func(r *workflowpb.Request) { r.Target.Leaving = true }},
 		{"states how long it stays", func(r *workflowpb.Request) { r.StaysMs = 100 }},
+		{"is slow for some time", func(r *workflowpb.Request) { r.WarmupLeftMs = 500 }},
 		{"started again", func(r *workflowpb.Request) { r.Target.BornUnixMs++ }},
 		{"has another pool", func(r *workflowpb.Request) { r.Target.Pool = "q" }},
 		{"has another address", func(r *workflowpb.Request) { r.Target.Address = "127.0.0.1:2" }},
@@ -98,6 +99,29 @@
 	}
 }
 
+// TestEndOfWarmupIsPassedOn guards against a leader that does not learn when a target is no longer slow, or anew
+// how long it is.
+func TestEndOfWarmupIsPassedOn(t *testing.T) {
+	r := newCollectorRig(t)
+	r.expect("first", nil, true, true)
+	r.expect("slow", func(q *workflowpb.Request) { q.WarmupLeftMs = 500 }, true, true)
+	r.expect("slow", func(q *workflowpb.Request) { q.WarmupLeftMs = 300 }, true, true)
+	r.expect("no longer slow", nil, true, true)
+	r.expect("repetition", nil, true, false)
+}
+
+// TestLostListIsMadeUp guards against a target whose announcements are acknowledged and fall into one failed list
+// after the other.
+func TestLostListIsMadeUp(t *testing.T) {
+	r := newCollectorRig(t)
+	r.expect("first", nil, true, true)
+	r.expect("repetition", nil, true, false)
+	r.leader.lost = true
+	r.send(context.Background())
+	r.leader.lost = false
+	r.expect("after a lost list", nil, true, true)
+}
+
 // TestHeardTargetsAreListed guards against targets that count as silent at the leader, and against a list
 // that tells less than the leader needs.
 func TestHeardTargetsAreListed(t *testing.T) {
