Review case 11: a delayed start runs again on the next boot of its executor

A start that is held on its way and was sent again, run, done and taken note of reaches the next boot of its executor under the same id and begins the work unit once more (rule TWICE).

--- a/review/11/rig/executor.go
+++ b/review/11/rig/executor.go
@@ -124,6 +124,8 @@
 	blocked map[string]int
 	ended   [][]any
 	pingTo  string
+	// front is the proxy at addr, if there is one before the executor.
+	front *front
 	// failsWork makes all work units fail as soon as they begin to work.
 	failsWork bool
 }
@@ -134,6 +136,22 @@
 
 // add starts an executor.
 func (f *fleet) add(n int, cpu int64, control []string) (*executor, error) {
+	e := f.newExecutor(n, cpu, control)
+	return e, e.boot()
+}
+
+// addBehindProxy starts an executor that is reached through a proxy.
+func (f *fleet) addBehindProxy(n int, cpu int64, control []string) (*executor, error) {
+	e := f.newExecutor(n, cpu, control)
+	front, err := newFront(f.record, e.addr)
+	if err != nil {
+		return nil, err
+	}
+	e.front = front
+	return e, e.boot()
+}
+
+func (f *fleet) newExecutor(n int, cpu int64, control []string) *executor {
 	host := loopback(100 + n)
 	e := &executor{
 		fleet: f, id: fmt.Sprintf("i-%02d", n), machine: fmt.Sprintf("m-%02d", n), zone: fmt.Sprintf("z%d", n%zones+1),
@@ -142,12 +160,16 @@
 	f.mu.Lock()
 	f.executors = append(f.executors, e)
 	f.mu.Unlock()
-	return e, e.boot()
+	return e
 }
 
 // boot begins a new life of the executor, which knows nothing of the one before.
 func (e *executor) boot() error {
-	listener, err := net.Listen("tcp", e.addr)
+	at := e.addr
+	if e.front != nil {
+		at = e.front.inner
+	}
+	listener, err := net.Listen("tcp", at)
 	if err != nil {
 		return err
 	}
