--- a/review/11/rig/clients.go
+++ b/review/11/rig/clients.go
@@ -165,6 +165,9 @@
 // route is a queue of the manifest.
 type route struct{ name, prefix string }
 
+// capCPU limits what the tenant may have running, in thousandths of a core.
+const capCPU = 2681063
+
 // manifest returns a complete manifest with some routes to the one service.
 func manifest(version int, maxAttempts int, routes ...route) map[string]any {
 	var list []map[string]any
@@ -179,11 +182,17 @@
 		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "maxConns": 64, "proto": "h1", "tls": false, "admissionCheck": true, "standby": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{
-			"name": "cugo130", "apiKeys": []string{key}, "prio": 1, "weight": 33, "cap": map[string]int64{"cpu": 2681063, "memMb": 8684317, "gpu": 0},
+			"name": "cugo130", "apiKeys": []string{key}, "prio": 1, "weight": 33, "cap": map[string]int64{"cpu": capCPU, "memMb": 8684317, "gpu": 0},
 		}},
 	}
 }
 
+// withCap sets what the tenant may have running.
+func withCap(m map[string]any, cpu int64) map[string]any {
+	m["tenants"].([]map[string]any)[0]["cap"] = map[string]int64{"cpu": cpu, "memMb": 8684317, "gpu": 0}
+	return m
+}
+
 // replaceManifest sends a manifest until it is acknowledged.
 func replaceManifest(r *record, control []string, body map[string]any, within time.Duration) bool {
 	client := &http.Client{Timeout: time.Second}
