Review case 13: executors are told to start what no requester sent

A job handed in at a route whose prefix does not end with a slash is run under another ID, and its own work units never start (rule UNASKED).

It takes the place of the former case 13, a gang that is shown as failed after one run in which two members failed.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case gang-failures. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case plain-prefix. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 for program in target/sapphireringd target/review-3; do
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review-3 gang-failures target/sapphireringd review/13/record.txt
+exec target/review-3 plain-prefix target/sapphireringd review/13/record.txt
