An end is confirmed once no start of its task can take effect any more

Callers saw a work unit of a completed job begin again.

Cause: the end was confirmed while a copy of the start was still on its way. The stop and the higher fence reach the next incarnation only after its first ping, and only from the leader that sent the start.

Only the confirmation waits, the job goes on from the listing. Before a start is sent a second time a RepeatedStart is committed, by which the next leader holds the end too.

--- /dev/null
+++ b/internal/driver/confirmations.go
@@ -0,0 +1,119 @@
+package driver
+
+import (
+	"time"
+
+	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
+	pb "sapphirering/internal/workflow/workflowpb"
+)
+
+// repeatWindow is how long after its commit a RepeatedStart allows to send the start again.
+const repeatWindow = 2 * time.Second
+
+// mayRepeat reports whether the start of a run may be sent, and asks for the record that it needs if an earlier
+// call may still take effect: the next leader must know that there are two of them.
+func (d *Driver) mayRepeat(r *run) bool {
+	if r.starts.SettledAt().IsZero() || d.cfg.Now().Before(r.repeatUntil) {
+		return true
+	}
+	needed := false
+	d.cfg.Machine.View(func(v *workflow.View) {
+		task := v.Task(r.task)
+		needed = task != nil && endsForGood(task.Spec())
+	})
+	if needed {
+		d.repeatsDue[r] = struct{}{}
+		d.wakeLoop()
+	}
+	return !needed
+}
+
+// endsForGood reports whether a task of a step must not start again once a run has done its work, or its attempts are
+// used up, however late the start.
+func endsForGood(step *pb.Step) bool { return !step.Lasting && !step.Copies }
+
+// takeRepeats returns the runs whose starts are to be sent again.
+func (d *Driver) takeRepeats() []*run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var repeats []*run
+	for r := range d.repeatsDue {
+		if d.tracks(r) && r.phase == runCalling {
+			repeats = append(repeats, r)
+		}
+	}
+	clear(d.repeatsDue)
+	return repeats
+}
+
+// keepRepeats makes the next command carry records again whose commit has an unknown outcome.
+func (d *Driver) keepRepeats(repeats []*run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range repeats {
+		d.repeatsDue[r] = struct{}{}
+	}
+}
+
+// allowRepeats sends starts again. The commit of their records began at a time.
+func (d *Driver) allowRepeats(repeats []*run, began time.Time) {
+	if len(repeats) == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range repeats {
+		r.repeatUntil = began.Add(repeatWindow)
+		if l := d.links[r.target]; l != nil {
+			d.sendQueued(l)
+		}
+	}
+}
+
+// noteUnsettled remembers until when the starts of a run that is over may take effect.
+func (d *Driver) noteUnsettled(r *run) {
+	if at := r.starts.SettledAt(); at.After(d.unsettled[r.task]) {
+		d.unsettled[r.task] = at
+	}
+}
+
+// confirmEnd confirms a committed end to its target once no start of its task can take effect any more.
+func (d *Driver) confirmEnd(v *workflow.View, e pendingEnd) {
+	settledAt := d.startsSettledAt(v, e.end)
+	if now := d.cfg.Now(); now.Before(settledAt) && e.number > e.link.lastCommittedEnd {
+		countHeldEnd()
+		event.ConfirmationHeld.Emit(event.F("target", e.end.Target), event.F("number", e.number), event.F("task", workflow.TaskIDOf(e.end.Task).String()),
+			event.F("attempt", e.end.Task.Attempt), event.F("held_ms", settledAt.Sub(now).Milliseconds()))
+	}
+	e.link.noteCommittedEnd(e.number, settledAt)
+}
+
+// startsSettledAt returns when no start can take effect any more that the end of a run forbids: one of a task that is
+// done, or has failed as often as it may. One end as done counts for all members of a gang.
+func (d *Driver) startsSettledAt(v *workflow.View, end *pb.End) time.Time {
+	task := v.Task(workflow.TaskIDOf(end.Task))
+	if end.Kind != pb.EndKind_END_KIND_DONE && end.Kind != pb.EndKind_END_KIND_FAILED || task == nil || !endsForGood(task.Spec()) {
+		return time.Time{}
+	}
+	members := []*workflow.Task{task}
+	if task.Spec().Gang {
+		members = task.Job.Tasks[task.ID.Occurrence][task.ID.Step]
+	}
+	var settledAt time.Time
+	for _, member := range members {
+		settledAt = later(settledAt, d.unsettled[member.ID])
+		if repeated := member.RepeatedStart; repeated.Index > 0 && repeated.Index <= d.adoptedIndex {
+			settledAt = later(settledAt, d.appliedAt(repeated.Index).Add(time.Duration(repeated.SettlesMS)*time.Millisecond))
+		}
+		if r := d.runs.find(member.ID, member.Attempt); r != nil {
+			settledAt = later(settledAt, r.starts.SettledAt())
+		}
+	}
+	return settledAt
+}
+
+// listsAllItCan reports whether a target can list few more ends while those that it lists may not be confirmed.
+func (d *Driver) listsAllItCan(l *link) bool {
+	return l.unconfirmed.Len()+d.runs.count(l.target.Id) >= maxEndsListed && l.unconfirmed.Holds(d.cfg.Now())
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -19,6 +19,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/confirm"
 	"sapphirering/internal/policy/outlast"
 	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
@@ -114,6 +115,12 @@
 	runs         runTable
 	// lateStarts holds unanswered starts of runs that are over, by target.
 	lateStarts map[string][]lateStart
+	// unsettled holds when the starts of runs that are over can no longer take effect, by task. Those that former
+	// leaders sent are in the state, up to adoptedIndex.
+	unsettled    map[workflow.TaskID]time.Time
+	adoptedIndex uint64
+	// repeatsDue holds the runs whose starts are to be sent again once that is committed.
+	repeatsDue map[*run]struct{}
 	// endedIncarnations holds incarnations of targets that are certainly over, so that late
 	// announcements do not bring them back.
 	endedIncarnations map[incarnation]*endedIncarnation
@@ -205,6 +212,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), startedAt: cfg.Now(),
 		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
+		unsettled: make(map[workflow.TaskID]time.Time), repeatsDue: make(map[*run]struct{}),
 		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), leasesChanged: make(map[*link]struct{}), failing: make(map[string]bool), learned: newLearner(), admission: newAdmission(), waves: newWaveState(), pools: newPoolState(),
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice: make(map[workflow.TaskID]*stepAdvice), kinds: make(map[kindSource]vmKind),
@@ -276,6 +284,7 @@
 	d.cfg.Machine.View(func(v *workflow.View) {
 		// The last leader may have been of an older version, or lost before its first command.
 		d.forgetLeases = v.LeaseEpoch() != d.cfg.FormerEpoch
+		d.adoptedIndex = v.Index()
 		for _, target := range v.Targets() {
 			l := d.addLink(target)
 			lease, unsettledLapse := d.adoptLeases(v, l)
@@ -286,6 +295,7 @@
 				}
 				if !lease.Settles(task.PlacedIndexOn(target.Id)) {
 					r.formerLapseAt = unsettledLapse
+					r.starts = confirm.Starts{Former: true, Until: d.startedAt.Add(d.lateBound())}
 				}
 				d.addRun(r)
 			}
@@ -363,24 +373,28 @@
 		d.plannedAt = planned
 		d.timePart(partPlan, func() { starts = d.plan() })
 	}
-	records := d.leaseRecords(starts, len(ends)+len(starts) > 0)
-	if len(ends) == 0 && len(starts) == 0 && len(records) == 0 && d.keepsRecords() {
+	repeats := d.takeRepeats()
+	records := d.leaseRecords(starts, len(ends)+len(starts)+len(repeats) > 0)
+	if len(ends) == 0 && len(starts) == 0 && len(repeats) == 0 && len(records) == 0 && d.keepsRecords() {
 		return false
 	}
-	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, records, planned) && len(ends) > 0 })
+	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, repeats, records, planned) && len(ends) > 0 })
 	if ended {
 		d.planDue.Store(true)
 	}
 	return ended
 }
 
-// commitChange commits lease records, ends and starts in one command, which take effect in that
+// commitChange commits lease records, starts to be sent again, ends and starts in one command, which take effect in that
 // order. Then it confirms the ends to their targets and sends the starts.
-func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, records []*pb.LeaseRecord, planned time.Time) bool {
+func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, repeats []*run, records []*pb.LeaseRecord, planned time.Time) bool {
 	change := &pb.ChangeTasks{Starts: starts, Leases: records, LeaseEpoch: d.cfg.Epoch, ForgetLeases: d.forgetLeases}
 	for _, e := range ends {
 		change.Ends = append(change.Ends, e.end)
 	}
+	for _, r := range repeats {
+		change.RepeatedStarts = append(change.RepeatedStarts, &pb.RepeatedStart{Task: r.task.Ref(r.attempt), SettlesMs: (d.lateBound() + repeatWindow).Milliseconds()})
+	}
 	began := d.cfg.Now()
 	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
 	took := d.cfg.Now().Sub(began)
@@ -393,10 +407,12 @@
 	if err != nil {
 		d.keepUncommitted(ends, starts, err)
 		d.keepLeases(records)
+		d.keepRepeats(repeats)
 		return false
 	}
 	d.forgetLeases = false
 	d.confirmLeases(records)
+	d.allowRepeats(repeats, began)
 	d.rounds.ends += len(ends)
 	d.rounds.starts += len(starts)
 	if len(ends) > 0 {
@@ -436,11 +452,16 @@
 			}
 		}
 		d.forgetRun(e.end)
-		if e.link != nil {
-			d.learned.endLag.Note(float64(now.Sub(e.listed).Milliseconds()))
-			e.link.confirmEnd(e.number)
-		}
 	}
+	// An end of a gang is held by the starts of all members.
+	d.cfg.Machine.View(func(v *workflow.View) {
+		for _, e := range ends {
+			if e.link != nil {
+				d.learned.endLag.Note(float64(now.Sub(e.listed).Milliseconds()))
+				d.confirmEnd(v, e)
+			}
+		}
+	})
 }
 
 // sendCommitted sends committed starts to their targets, unless they were refused.
--- /dev/null
+++ b/internal/driver/heldends_test.go
@@ -0,0 +1,126 @@
+package driver_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sapphirering/test/standin"
+)
+
+// delayedStart delays the first start call to vm0 by a time; the later ones are carried out at once.
+func delayedStart(lateBy time.Duration) func(standin.ModelCall) standin.ModelFate {
+	var starts atomic.Int32
+	return func(call standin.ModelCall) standin.ModelFate {
+		if call.Kind == standin.CallStart && call.VM == "vm0" && starts.Add(1) == 1 {
+			return late(lateBy)
+		}
+		return standin.ModelFate{}
+	}
+}
+
+// TestDelayedStartReachesNextIncarnation guards against a start that was sent again, done and confirmed meanwhile, and is
+// taken by the next incarnation of its target before that one has taken any other call: a done task would start again.
+func TestDelayedStartReachesNextIncarnation(t *testing.T) {
+	const downFor = 200 * time.Millisecond
+	for _, test := range []struct {
+		name string
+		// change happens between the end of the run and the restart of its target.
+		change func(r *modelRig)
+	}{
+		{"one leader", func(*modelRig) {}},
+		{"leader lost after the end", func(r *modelRig) { r.changeLeader(0) }},
+		{"leaders lost in series", func(r *modelRig) {
+			for range 3 {
+				r.changeLeader(0)
+				time.Sleep(200 * time.Millisecond)
+			}
+		}},
+		{"target starts again twice", func(r *modelRig) {
+			r.restartAll("vm0")
+			time.Sleep(300 * time.Millisecond)
+		}},
+	} {
+		for lateBy := 2 * time.Second; lateBy <= 12*time.Second; lateBy += time.Second {
+			t.Run(fmt.Sprintf("%s, late by %s", test.name, lateBy), func(t *testing.T) {
+				inModel(t, 1, func(t *testing.T, r *modelRig) {
+					r.fleet.SetBehaviour(standin.ModelBehaviour{StartBeforeFirstCall: true})
+					r.fleet.SetFate(delayedStart(lateBy))
+					began := time.Now()
+					r.submitOne("j", 200*time.Millisecond)
+					r.awaitDone(t, "j")
+					test.change(r)
+					time.Sleep(time.Until(began.Add(lateBy - downFor)))
+					r.setMuted("vm0", true)
+					r.restartAll("vm0")
+					time.Sleep(2 * downFor)
+					r.setMuted("vm0", false)
+					time.Sleep(5 * time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestLeaderLostBeforeEndOfRepeatedStart is TestDelayedStartReachesNextIncarnation with a leader that is lost while the run works,
+// so that another one reads its end.
+func TestLeaderLostBeforeEndOfRepeatedStart(t *testing.T) {
+	const lateBy = 6 * time.Second
+	for lostAfter := 100 * time.Millisecond; lostAfter < 2*time.Second; lostAfter += 100 * time.Millisecond {
+		t.Run(fmt.Sprint(lostAfter), func(t *testing.T) {
+			inModel(t, 1, func(t *testing.T, r *modelRig) {
+				r.fleet.SetBehaviour(standin.ModelBehaviour{StartBeforeFirstCall: true})
+				r.fleet.SetFate(delayedStart(lateBy))
+				began := time.Now()
+				r.submitOne("j", 1500*time.Millisecond)
+				time.Sleep(lostAfter)
+				r.changeLeader(0)
+				r.awaitDone(t, "j")
+				time.Sleep(time.Until(began.Add(lateBy - 200*time.Millisecond)))
+				r.setMuted("vm0", true)
+				r.restartAll("vm0")
+				time.Sleep(400 * time.Millisecond)
+				r.setMuted("vm0", false)
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// TestEndsAreConfirmedOnceStartsAreSettled guards against ends that are never confirmed, or held without need: only
+// a start that was sent again and may still take effect holds them, until it can do so no more.
+func TestEndsAreConfirmedOnceStartsAreSettled(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		fate func(standin.ModelCall) standin.ModelFate
+		held bool
+	}{
+		{"answered", func(standin.ModelCall) standin.ModelFate { return standin.ModelFate{} }, false},
+		{"delayed", delayedStart(10 * time.Second), true},
+		{"answered late", func(call standin.ModelCall) standin.ModelFate {
+			if call.Kind == standin.CallStart && call.Number == 1 {
+				return standin.ModelFate{AnswerAfter: 600 * time.Millisecond}
+			}
+			return standin.ModelFate{}
+		}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inModel(t, 1, func(t *testing.T, r *modelRig) {
+				r.fleet.SetFate(test.fate)
+				r.submitOne("i", time.Second)
+				r.submit(modelPools[0], "k", 100*time.Millisecond, false, 3, 3, 3, 3)
+				r.awaitDone(t, "i")
+				r.awaitDone(t, "k")
+				time.Sleep(500 * time.Millisecond)
+				if held := r.fleet.UnconfirmedEnds("vm0") > 0; held != test.held {
+					t.Errorf("ends are held: %t, want %t", held, test.held)
+				}
+				time.Sleep(16 * time.Second)
+				if left := r.fleet.UnconfirmedEnds("vm0"); left > 0 {
+					t.Errorf("%d ends are not confirmed", left)
+				}
+			})
+		})
+	}
+}
--- a/internal/driver/latestarts.go
+++ b/internal/driver/latestarts.go
@@ -1,11 +1,13 @@
 package driver
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/workflow"
 )
 
 // lateCallBound is the default of Limits.LateCalls: an unanswered call may take effect up to 12 s
@@ -34,6 +36,7 @@
 
 // pruneLateStarts removes starts that can no longer take effect.
 func (d *Driver) pruneLateStarts(now time.Time) {
+	maps.DeleteFunc(d.unsettled, func(_ workflow.TaskID, until time.Time) bool { return !now.Before(until) })
 	for target, starts := range d.lateStarts {
 		starts = slices.DeleteFunc(starts, func(late lateStart) bool { return now.After(late.until) })
 		d.lateStarts[target] = starts
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -9,6 +9,7 @@
 
 	"sapphirering/internal/clock"
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/confirm"
 	"sapphirering/internal/policy/silence"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
@@ -27,6 +28,8 @@
 	listingPause    = 25 * time.Millisecond
 	maxListingPause = 150 * time.Millisecond
 	listingCommits  = 2
+	// heldListingPause replaces listingPause while ends may not be confirmed.
+	heldListingPause = 100 * time.Millisecond
 	// retryPause is the time between calls to a target that does not answer.
 	retryPause = 250 * time.Millisecond
 	// maxEndsListed is the largest number of ends in one listing.
@@ -137,6 +140,8 @@
 	// Numbers of the last end that was read from a listing, that is committed, and whose
 	// commit was confirmed to the target.
 	lastReadEnd, lastCommittedEnd, lastConfirmedEnd uint64
+	// unconfirmed holds the committed ends above lastConfirmedEnd.
+	unconfirmed confirm.Ends
 	// unansweredConfirmation is the highest number that calls without an answer confirm, the last of
 	// which was sent at confirmedAt.
 	unansweredConfirmation uint64
@@ -196,13 +201,14 @@
 	}
 }
 
-// confirmEnd lets the target forget the ends up to the number, which are committed. Ends
-// read since then must be committed before the target is told.
-func (l *link) confirmEnd(number uint64) {
+// noteCommittedEnd lets the target forget the ends up to the number, which are committed, once the starts of their tasks are
+// settled. Ends read since then must be committed before the target is told.
+func (l *link) noteCommittedEnd(number uint64, settledAt time.Time) {
 	if number <= l.lastCommittedEnd {
 		return
 	}
 	l.lastCommittedEnd = number
+	l.unconfirmed.Add(number, settledAt)
 	if l.lastCommittedEnd == l.lastReadEnd {
 		l.requestListing()
 	}
@@ -393,6 +399,10 @@
 	usual := min(max(listingCommits*time.Duration(d.commitTook.Load()), listingPause), maxListingPause)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if l.unconfirmed.Len() > 0 && l.unconfirmed.Holds(d.cfg.Now()) {
+		// A target does not wait for another end while it lists one.
+		usual = max(usual, heldListingPause)
+	}
 	pause := d.share().Pause(d.runs.targets(), usual)
 	if pause == usual {
 		return usual
@@ -428,7 +438,8 @@
 	if d.links[l.target.Id] != l || l.lastReadEnd != l.lastCommittedEnd {
 		return RenewCall{}, nil, retryPause
 	}
-	if l.lastConfirmedEnd == l.lastCommittedEnd && !d.hasRuns(l.target.Id) && !d.needsCall(l) {
+	confirmable := l.unconfirmed.Confirmable(d.cfg.Now())
+	if confirmable == 0 && !d.hasRuns(l.target.Id) && !d.needsCall(l) {
 		return RenewCall{}, nil, retryPause
 	}
 	due := d.renewalDue(l)
@@ -439,10 +450,10 @@
 		}
 	}
 	call := RenewCall{Fence: l.fence, Wait: min(listingWait, d.cfg.Limits.LeaseTTL/listingsPerLease)}
-	if l.lastCommittedEnd > l.lastConfirmedEnd && l.unanswered == 0 {
+	if confirmable > 0 && l.unanswered == 0 {
 		// The next incarnation numbers its ends anew and must not forget them, so that as few
 		// confirmations as possible are without an answer when this one ends.
-		call.SeenEnd, call.BornUnixMS = l.lastCommittedEnd, l.target.BornUnixMs
+		call.SeenEnd, call.BornUnixMS = confirmable, l.target.BornUnixMs
 	}
 	if d.waves.active {
 		call.Wait = min(waveListingWait, call.Wait)
@@ -571,6 +582,7 @@
 	}
 	l.listing, l.listedAt, l.answeredAt, l.everListed = listing, asked, d.cfg.Now(), true
 	l.lastConfirmedEnd = max(l.lastConfirmedEnd, listing.SeenEnd)
+	l.unconfirmed.Confirmed(l.lastConfirmedEnd)
 	d.queueEnds(l, listing.Ended)
 	d.reconcileRuns(l)
 	d.wakeLoop()
@@ -658,7 +670,8 @@
 // acceptsStarts reports whether the target may get starts now.
 func (d *Driver) acceptsStarts(l *link) bool {
 	now := d.cfg.Now()
-	return !l.leaving && !l.unannounced && !l.suspended && !l.mayHaveEnded(now) && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero()
+	return !l.leaving && !l.unannounced && !l.suspended && !l.mayHaveEnded(now) && l.failures == 0 && l.overdueFor(now) == 0 && !d.missedAnnouncements(l) && now.After(l.noStartsUntil) && !l.clockAt.IsZero() &&
+		!d.listsAllItCan(l)
 }
 
 // noteRestart handles a new incarnation under the same id before it has announced itself. It has answered a call that
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -54,6 +54,11 @@
 	gometrics.GetOrRegisterCounter("driver_ends_missing", gometrics.DefaultRegistry).Inc(1)
 }
 
+// countHeldEnd counts an end that is not confirmed yet, since a start of its task may still take effect.
+func countHeldEnd() {
+	gometrics.GetOrRegisterCounter("driver_ends_held", gometrics.DefaultRegistry).Inc(1)
+}
+
 // countLeftZone counts a long-running task that is stopped because its zone is evacuated.
 func countLeftZone() {
 	gometrics.GetOrRegisterCounter("driver_zone_moves", gometrics.DefaultRegistry).Inc(1)
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/confirm"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -65,6 +67,10 @@
 	// placedAt is when the run was placed, phaseAnsweredAt when its phase last changed by
 	// an answer, runningSince when it was first known to run.
 	placedAt, phaseAnsweredAt, runningSince time.Time
+	// starts is what is known of the start calls of this leader and of former ones.
+	starts confirm.Starts
+	// repeatUntil is until when its start may be sent again, by what is committed.
+	repeatUntil time.Time
 	// startCalls counts the start calls, startsInProgress those that have not ended.
 	startCalls, startsInProgress int
 	// evacuated is set if the start has no answer and the zone of the target was evacuated when it was last checked.
@@ -197,7 +203,7 @@
 		r.phase = runUnanswered
 		return
 	}
-	if !d.mayStart(r, l) {
+	if !d.mayRepeat(r) || !d.mayStart(r, l) {
 		l.queuedStarts = append(l.queuedStarts, r)
 		return
 	}
@@ -216,6 +222,8 @@
 	r.coldFor = l.warmupLeft(r.lastCallAt)
 	r.startCalls++
 	r.startsInProgress++
+	r.starts.Sent++
+	r.starts.Until = r.startSentAt.Add(d.lateBound())
 	open := d.beginCall(l, r, "start", 0, onLate)
 	open.grants(call.Lease)
 	if call.Lease > startLease {
@@ -228,14 +236,20 @@
 func (d *Driver) nextStart(l *link) (*run, StartCall, *callInProgress) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for len(l.queuedStarts) > 0 && !l.holdsBack(d.cfg.Now()) {
-		r := l.queuedStarts[0]
+	for next := 0; next < len(l.queuedStarts) && !l.holdsBack(d.cfg.Now()); {
+		r := l.queuedStarts[next]
 		needed := d.tracks(r) && r.phase == runCalling
-		if needed && d.links[r.target] == l && !d.mayStart(r, l) {
-			// Sent once the target's record allows it.
-			break
+		if needed && d.links[r.target] == l {
+			if !d.mayRepeat(r) {
+				next++
+				continue
+			}
+			if !d.mayStart(r, l) {
+				// Sent once the target's record allows it.
+				break
+			}
 		}
-		l.queuedStarts = l.queuedStarts[1:]
+		l.queuedStarts = slices.Delete(l.queuedStarts, next, next+1)
 		if !needed {
 			continue
 		}
@@ -300,6 +314,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r.startsInProgress--
+	switch {
+	case err == nil:
+		r.starts.Answered++
+	case !sent || errors.Is(err, ErrNotSent):
+		r.starts.Sent--
+	}
 	d.endCall(open, err)
 	d.leaseChanged(open.link)
 	if err == nil && d.links[r.target] == open.link {
@@ -490,6 +510,7 @@
 		return
 	}
 	r.phase = runEnded
+	r.starts.Listed = true
 	d.learnEnd(l, r, kind)
 }
 
@@ -497,6 +518,7 @@
 func (d *Driver) forgetRun(end *pb.End) {
 	if r := d.runs.find(workflow.TaskIDOf(end.Task), end.Task.Attempt); r != nil {
 		d.noteLateStart(r)
+		d.noteUnsettled(r)
 		d.runs.remove(r.id())
 	}
 }
@@ -514,7 +536,7 @@
 			d.stopUnplaced(l, running)
 			continue
 		}
-		r.listed = true
+		r.listed, r.starts.Listed = true, true
 		if r.phase == runCalling || r.phase == runUnanswered {
 			r.phase, r.phaseAnsweredAt = runConfirmed, now
 			if r.runningSince.IsZero() {
@@ -589,6 +611,7 @@
 			if task == nil || task.TargetOf(r.attempt) == "" {
 				if r.phase == runEnded || now.Sub(r.placedAt) > time.Second {
 					d.noteLateStart(r)
+					d.noteUnsettled(r)
 					d.runs.remove(r.id())
 				}
 				continue
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -27,6 +27,7 @@
 	"driver_starts":              "Calls that start tasks on targets, by the target's answer.",
 	"driver_target_call_us":      "Time of calls to targets by call and outcome, in microseconds, without listing calls.",
 	"driver_misdirected":         "Listing calls that another incarnation of a target answered than the one they were meant for, by what they carried.",
+	"driver_ends_held":           "Ends whose confirmation waits, since a start of the task was sent again and may still take effect.",
 	"driver_ends_missing":        "Runs that a target has listed as running and then lists no more, without an end.",
 	"driver_commit_us":           "Time of the leader's commits by outcome, in microseconds.",
 	"driver_round_us":            "Time of the rounds of the leader's driver by part, in microseconds.",
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -91,12 +91,21 @@
 	// Superseded is set if a former run, which began late, has ended as done while
 	// the newest run may still run: the task is done once the newest run has ended.
 	Superseded bool
+	// RepeatedStart is the last record of starts that were sent again; the zero value if there is none.
+	RepeatedStart RepeatedStart
 	// Copy is an earlier run that may still run in parallel with the newest one, or
 	// after the task is done; the zero Run if there is none.
 	Copy Run
 	Job  *Job
 }
 
+// RepeatedStart is the record that start calls of a task were sent again: none of them takes effect later than SettlesMS
+// milliseconds after the commit at the log index.
+type RepeatedStart struct {
+	Index     uint64
+	SettlesMS int64
+}
+
 // Run is one run of a task on a target.
 type Run struct {
 	Attempt uint32
--- a/internal/workflow/snapshot.go
+++ b/internal/workflow/snapshot.go
@@ -46,6 +46,7 @@
 		stored.Tasks = append(stored.Tasks, &pb.StoredTask{
 			State: t.State, Attempt: t.Attempt, Failed: t.Failed, Target: t.Target, Checkpoint: t.Checkpoint, Superseded: t.Superseded,
 			CopyAttempt: t.Copy.Attempt, CopyTarget: t.Copy.Target, PlacedIndex: t.PlacedIndex, CopyPlacedIndex: t.Copy.PlacedIndex,
+			RepeatedStartIndex: t.RepeatedStart.Index, RepeatedStartSettlesMs: t.RepeatedStart.SettlesMS,
 		})
 	})
 	return stored
@@ -119,6 +120,7 @@
 		t.State, t.Attempt, t.Failed = from.State, from.Attempt, from.Failed
 		t.Target, t.Checkpoint, t.Superseded = from.Target, from.Checkpoint, from.Superseded
 		t.Copy = Run{from.CopyAttempt, from.CopyTarget, 0}
+		t.RepeatedStart = RepeatedStart{from.RepeatedStartIndex, from.RepeatedStartSettlesMs}
 		if t.Target != "" {
 			t.PlacedIndex = max(from.PlacedIndex, firstIndex)
 		}
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -14,6 +14,11 @@
 		clear(m.leases)
 	}
 	m.recordLeases(c.LeaseEpoch, c.Leases)
+	for _, r := range c.RepeatedStarts {
+		if task := m.task(TaskIDOf(r.GetTask())); task != nil {
+			task.RepeatedStart = RepeatedStart{m.index, r.SettlesMs}
+		}
+	}
 	for _, end := range c.Ends {
 		m.endRun(end)
 	}
