Records of repeated starts go with the starts while calls are lost

Cause: a start was sent again only after a command of its own. Other starts on the target wait for an answer meanwhile, so that with half of the orders late the targets stood idle behind each lost call.

Change: while 1% of the calls are lost or more, the record is committed with the start, and the second call is sent at once. Otherwise it has a command beside those of the loop.

--- a/internal/driver/confirmations.go
+++ b/internal/driver/confirmations.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sapphirering/internal/event"
+	"sapphirering/internal/policy/confirm"
 	"sapphirering/internal/workflow"
 	pb "sapphirering/internal/workflow/workflowpb"
 )
@@ -24,16 +25,60 @@
 	})
 	if needed {
 		d.repeatsDue[r] = struct{}{}
-		d.wakeLoop()
+		if !d.recordsRepeats {
+			d.recordsRepeats = true
+			d.background(d.recordRepeats)
+		}
 	}
 	return !needed
 }
 
+// recordRepeats commits that starts are sent again until none is left to be sent. It does not wait for the commands
+// of the loop, as each start occupies its target meanwhile.
+func (d *Driver) recordRepeats() {
+	for {
+		repeats := d.takeRepeats()
+		if len(repeats) == 0 {
+			return
+		}
+		change := new(pb.ChangeTasks)
+		for _, r := range repeats {
+			change.RepeatedStarts = append(change.RepeatedStarts, d.repeatedStart(r.task.Ref(r.attempt)))
+		}
+		began := d.cfg.Now()
+		if _, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}}); err != nil {
+			event.RepeatsUncommitted.Emit(event.F("starts", len(repeats)), event.Err(err))
+			d.giveUpRepeats(repeats)
+			continue
+		}
+		d.allowRepeats(repeats, began)
+	}
+}
+
+// recordsAhead returns the records that go with the starts of a command, if there are to be any.
+func (d *Driver) recordsAhead(starts []*pb.Start) []*pb.RepeatedStart {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !confirm.RecordsAhead(d.loss.Rate()) {
+		return nil
+	}
+	records := make([]*pb.RepeatedStart, len(starts))
+	for i, start := range starts {
+		records[i] = d.repeatedStart(start.Task)
+	}
+	return records
+}
+
+// repeatedStart returns the record that a start will be sent again within repeatWindow.
+func (d *Driver) repeatedStart(task *pb.TaskRef) *pb.RepeatedStart {
+	return &pb.RepeatedStart{Task: task, SettlesMs: (d.lateBound() + repeatWindow).Milliseconds()}
+}
+
 // endsForGood reports whether a task of a step must not start again once a run has done its work, or its attempts are
 // used up, however late the start.
 func endsForGood(step *pb.Step) bool { return !step.Lasting && !step.Copies }
 
-// takeRepeats returns the runs whose starts are to be sent again.
+// takeRepeats returns the runs whose starts are to be sent again; recording ends with none.
 func (d *Driver) takeRepeats() []*run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -44,30 +89,37 @@
 		}
 	}
 	clear(d.repeatsDue)
+	d.recordsRepeats = len(repeats) > 0
 	return repeats
 }
 
-// keepRepeats makes the next command carry records again whose commit has an unknown outcome.
-func (d *Driver) keepRepeats(repeats []*run) {
+// giveUpRepeats leaves the runs to checkRuns, which sends their starts again after a pause.
+func (d *Driver) giveUpRepeats(repeats []*run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range repeats {
-		d.repeatsDue[r] = struct{}{}
+		r.awaitsRepeat = false
+		if d.tracks(r) && r.phase == runCalling {
+			r.phase = runUnanswered
+		}
 	}
 }
 
 // allowRepeats sends starts again. The commit of their records began at a time.
 func (d *Driver) allowRepeats(repeats []*run, began time.Time) {
-	if len(repeats) == 0 {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range repeats {
 		r.repeatUntil = began.Add(repeatWindow)
-		if l := d.links[r.target]; l != nil {
+		l := d.links[r.target]
+		switch {
+		case l == nil:
+		case r.awaitsRepeat && l.target.BornUnixMs == r.born:
+			d.startAgain(r, l)
+		default:
 			d.sendQueued(l)
 		}
+		r.awaitsRepeat = false
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -119,8 +119,10 @@
 	// leaders sent are in the state, up to adoptedIndex.
 	unsettled    map[workflow.TaskID]time.Time
 	adoptedIndex uint64
-	// repeatsDue holds the runs whose starts are to be sent again once that is committed.
-	repeatsDue map[*run]struct{}
+	// repeatsDue holds the runs whose starts are to be sent again once that is committed; recordsRepeats is set while
+	// such a command is in progress.
+	repeatsDue     map[*run]struct{}
+	recordsRepeats bool
 	// endedIncarnations holds incarnations of targets that are certainly over, so that late
 	// announcements do not bring them back.
 	endedIncarnations map[incarnation]*endedIncarnation
@@ -373,28 +375,25 @@
 		d.plannedAt = planned
 		d.timePart(partPlan, func() { starts = d.plan() })
 	}
-	repeats := d.takeRepeats()
-	records := d.leaseRecords(starts, len(ends)+len(starts)+len(repeats) > 0)
-	if len(ends) == 0 && len(starts) == 0 && len(repeats) == 0 && len(records) == 0 && d.keepsRecords() {
+	records := d.leaseRecords(starts, len(ends)+len(starts) > 0)
+	if len(ends) == 0 && len(starts) == 0 && len(records) == 0 && d.keepsRecords() {
 		return false
 	}
-	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, repeats, records, planned) && len(ends) > 0 })
+	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, records, planned) && len(ends) > 0 })
 	if ended {
 		d.planDue.Store(true)
 	}
 	return ended
 }
 
-// commitChange commits lease records, starts to be sent again, ends and starts in one command, which take effect in that
+// commitChange commits lease records, ends and starts in one command, which take effect in that
 // order. Then it confirms the ends to their targets and sends the starts.
-func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, repeats []*run, records []*pb.LeaseRecord, planned time.Time) bool {
+func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, records []*pb.LeaseRecord, planned time.Time) bool {
 	change := &pb.ChangeTasks{Starts: starts, Leases: records, LeaseEpoch: d.cfg.Epoch, ForgetLeases: d.forgetLeases}
 	for _, e := range ends {
 		change.Ends = append(change.Ends, e.end)
 	}
-	for _, r := range repeats {
-		change.RepeatedStarts = append(change.RepeatedStarts, &pb.RepeatedStart{Task: r.task.Ref(r.attempt), SettlesMs: (d.lateBound() + repeatWindow).Milliseconds()})
-	}
+	change.RepeatedStarts = d.recordsAhead(starts)
 	began := d.cfg.Now()
 	out, err := d.commit(&pb.Command{Body: &pb.Command_ChangeTasks{ChangeTasks: change}})
 	took := d.cfg.Now().Sub(began)
@@ -407,12 +406,10 @@
 	if err != nil {
 		d.keepUncommitted(ends, starts, err)
 		d.keepLeases(records)
-		d.keepRepeats(repeats)
 		return false
 	}
 	d.forgetLeases = false
 	d.confirmLeases(records)
-	d.allowRepeats(repeats, began)
 	d.rounds.ends += len(ends)
 	d.rounds.starts += len(starts)
 	if len(ends) > 0 {
@@ -421,7 +418,7 @@
 		d.confirmEnds(ends)
 	}
 	if len(starts) > 0 {
-		d.sendCommitted(starts, planned, out)
+		d.sendCommitted(starts, planned, out, len(change.RepeatedStarts) > 0)
 	}
 	return true
 }
@@ -464,15 +461,20 @@
 	})
 }
 
-// sendCommitted sends committed starts to their targets, unless they were refused.
-func (d *Driver) sendCommitted(starts []*pb.Start, planned time.Time, out *workflow.Outcome) {
+// sendCommitted sends committed starts to their targets, unless they were refused. Recorded reports whether they may be
+// sent again by what is committed.
+func (d *Driver) sendCommitted(starts []*pb.Start, planned time.Time, out *workflow.Outcome, recorded bool) {
 	refused := make(map[workflow.TaskID]bool, len(out.Refused))
 	for _, r := range out.Refused {
 		event.StartRefused.Emit(event.F("task", r.Task.String()), event.F("reason", r.Reason))
 		refused[r.Task] = true
 	}
 	reportStarts(starts, refused, out.Index)
-	d.beginRuns(starts, refused, planned)
+	var repeatUntil time.Time
+	if recorded {
+		repeatUntil = planned.Add(repeatWindow)
+	}
+	d.beginRuns(starts, refused, planned, repeatUntil)
 	d.noteFirstStarts(starts)
 }
 
--- a/internal/driver/heldends_test.go
+++ b/internal/driver/heldends_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"sapphirering/internal/workflow"
 	"sapphirering/test/standin"
 )
 
@@ -88,6 +90,49 @@
 	}
 }
 
+// TestLeaderLostWhileStartsAreLate guards against the same while the first call of each start is late, so that the records of
+// the second ones come with the starts.
+func TestLeaderLostWhileStartsAreLate(t *testing.T) {
+	const lateBy = 6 * time.Second
+	for lostAfter := 300 * time.Millisecond; lostAfter < 1500*time.Millisecond; lostAfter += 50 * time.Millisecond {
+		t.Run(fmt.Sprint(lostAfter), func(t *testing.T) {
+			inModel(t, 1, func(t *testing.T, r *modelRig) {
+				r.fleet.SetBehaviour(standin.ModelBehaviour{StartBeforeFirstCall: true})
+				var mu sync.Mutex
+				sent := make(map[workflow.TaskID]bool)
+				r.fleet.SetFate(func(call standin.ModelCall) standin.ModelFate {
+					mu.Lock()
+					defer mu.Unlock()
+					if call.Kind != standin.CallStart || sent[call.Task] {
+						return standin.ModelFate{}
+					}
+					sent[call.Task] = true
+					return late(lateBy)
+				})
+				began := time.Now()
+				for i := range 20 {
+					r.submitOne(fmt.Sprintf("j%d", i), 200*time.Millisecond)
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(time.Until(began.Add(lostAfter)))
+				r.changeLeader(0)
+				for i := range 20 {
+					r.awaitDone(t, fmt.Sprintf("j%d", i))
+				}
+				for range 5 {
+					time.Sleep(time.Until(began.Add(lateBy - 50*time.Millisecond)))
+					r.setMuted("vm0", true)
+					r.restartAll("vm0")
+					time.Sleep(200 * time.Millisecond)
+					r.setMuted("vm0", false)
+					began = began.Add(300 * time.Millisecond)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // TestEndsAreConfirmedOnceStartsAreSettled guards against ends that are never confirmed, or held without need: only
 // a start that was sent again and may still take effect holds them, until it can do so no more.
 func TestEndsAreConfirmedOnceStartsAreSettled(t *testing.T) {
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -71,6 +71,8 @@
 	starts confirm.Starts
 	// repeatUntil is until when its start may be sent again, by what is committed.
 	repeatUntil time.Time
+	// awaitsRepeat is set while the start is to be sent again at once, whether or not other answers are late.
+	awaitsRepeat bool
 	// startCalls counts the start calls, startsInProgress those that have not ended.
 	startCalls, startsInProgress int
 	// evacuated is set if the start has no answer and the zone of the target was evacuated when it was last checked.
@@ -109,8 +111,9 @@
 // tracks reports whether the driver still tracks the run.
 func (d *Driver) tracks(r *run) bool { return d.runs.find(r.task, r.attempt) == r }
 
-// beginRuns sends the committed starts, planned at the given time, to their targets.
-func (d *Driver) beginRuns(starts []*pb.Start, refused map[workflow.TaskID]bool, planned time.Time) {
+// beginRuns sends the committed starts, planned at the given time, to their targets. What is committed allows to
+// send them again until repeatUntil.
+func (d *Driver) beginRuns(starts []*pb.Start, refused map[workflow.TaskID]bool, planned, repeatUntil time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
@@ -121,7 +124,7 @@
 		}
 		r := &run{
 			task: id, attempt: start.Task.Attempt, target: start.Target, born: start.TargetBornUnixMs,
-			phase: runCalling, plannedAt: planned, placedAt: now, pace: fullPace,
+			phase: runCalling, plannedAt: planned, placedAt: now, pace: fullPace, repeatUntil: repeatUntil,
 		}
 		d.addRun(r)
 		d.queueStart(r)
@@ -203,7 +206,11 @@
 		r.phase = runUnanswered
 		return
 	}
-	if !d.mayRepeat(r) || !d.mayStart(r, l) {
+	if !d.mayRepeat(r) {
+		r.awaitsRepeat = true
+		return
+	}
+	if !d.mayStart(r, l) {
 		l.queuedStarts = append(l.queuedStarts, r)
 		return
 	}
--- a/internal/policy/confirm/confirm.go
+++ b/internal/policy/confirm/confirm.go
@@ -39,6 +39,14 @@
 	return s.Until
 }
 
+// recordedLoss is the share of lost calls from which on each start counts as one that will be sent again.
+const recordedLoss = 0.01
+
+// RecordsAhead reports whether the next leader is to be told of a second call together with the start itself, since many calls
+// are lost: a command of its own before the second call would hold up all starts on the target. If few are lost, a record for
+// each start would hold the ends of each target after every change of leader.
+func RecordsAhead(loss float64) bool { return loss >= recordedLoss }
+
 // Ends holds the ends of one incarnation of a target that are committed and not known to be confirmed. Confirming an
 // end confirms all with lower numbers.
 type Ends struct{ ends []end }
