Tasks larger than their workspace's limit start while little of it is in use

Callers saw a job accepted before stand still with all executors empty, and one accepted after it never start.

Cause: four places read the limit, each by its own words, and three of them wanted the whole task within it. 7005 gave "at its limit" with nothing in use.

Change: one pure rule, workflow.LimitAllows, for apply, planner, explain and submission: tasks that start together fit in what is left, or less than half of the limit is in use and they exceed it by one task at most. A gang beyond that can never start: refused at once with 429, and not failed if it was accepted before.

--- a/internal/driver/admission.go
+++ b/internal/driver/admission.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -80,13 +81,14 @@
 // beginSubmit returns the refusal of a new job, or nil if it is to be committed; endSubmit is called once the
 // outcome is known.
 func (d *Driver) beginSubmit(job *pb.Job, queue *pb.Queue) *turnaway.Refusal {
-	if !d.cfg.RefuseLate {
-		return nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.admission.submitting[job.Id] == 0 {
+		if refusal := d.refuseBeyondLimit(job); refusal != nil {
+			return refusal
+		}
 		if refusal := d.refuseLate(job, queue); refusal != nil {
+			countRefusedLate(job.Workspace)
 			return refusal
 		}
 	}
@@ -95,9 +97,6 @@
 }
 
 func (d *Driver) endSubmit(id string) {
-	if !d.cfg.RefuseLate {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.admission.submitting[id]--; d.admission.submitting[id] == 0 {
@@ -105,9 +104,32 @@
 	}
 }
 
+// limitRetryMS is the time after which a caller may try again whose job the limit of its workspace rules out: once a
+// catalogue with a higher one is in force.
+const limitRetryMS = 30_000
+
+// refuseBeyondLimit returns the refusal of a job with a gang that the limit of its workspace keeps from ever starting, or
+// nil.
+func (d *Driver) refuseBeyondLimit(job *pb.Job) (refusal *turnaway.Refusal) {
+	if workflow.CheckJob(job) != nil {
+		return nil
+	}
+	d.cfg.Machine.View(func(v *workflow.View) {
+		workspace := v.Workspace(job.Workspace)
+		at := slices.IndexFunc(job.Steps, func(step *pb.Step) bool { return workflow.NeverWithinLimit(step, workspace) })
+		if at >= 0 && v.Job(job.Id) == nil {
+			refusal = &turnaway.Refusal{RetryAfterMS: limitRetryMS, Reason: fmt.Sprintf("step %d: its gang of %d tasks needs more than the limit of workspace %q allows", at, job.Steps[at].Tasks, workspace.Name)}
+		}
+	})
+	return refusal
+}
+
 // refuseLate returns the refusal of a job whose end would have no worth, or nil. Lasting jobs and jobs
 // with due times are never refused for load.
 func (d *Driver) refuseLate(job *pb.Job, queue *pb.Queue) *turnaway.Refusal {
+	if !d.cfg.RefuseLate {
+		return nil
+	}
 	now := d.cfg.Now()
 	known, ok := d.admission.backlogs[queue.Pool]
 	if !ok || now.Sub(known.at) > maxBacklogAge || now.Sub(d.startedAt) < minLedTime {
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -115,10 +115,13 @@
 		return "a task has failed as often as its queue allows, the job ends as failed"
 	}
 	workspace := v.Workspace(job.Spec.Workspace)
-	if workflow.ExceedsLimit(spec, workspace) {
-		return "one task needs more than the limit of its workspace, it waits for a catalogue with a higher one"
+	if workflow.NeverWithinLimit(spec, workspace) {
+		return "its gang needs more than the limit of its workspace, it waits for a catalogue with a higher one"
 	}
-	if workspace != nil && !v.WorkspaceUsage(workspace.Name).Add(workflow.ResourcesOf(spec.Needs)).WithinLimit(workflow.ResourcesOf(workspace.Limit)) {
+	if workspace != nil && !workflow.LimitAllows(workflow.ResourcesOf(workspace.Limit), v.WorkspaceUsage(workspace.Name), workflow.ResourcesOf(spec.Needs), workflow.StartsTogether(spec)) {
+		if workflow.LargerThanLimit(spec, workspace) {
+			return "it needs more than the limit of its workspace, it starts while less than half of that is in use"
+		}
 		return "its workspace is at its limit"
 	}
 	targets, _ := d.planTargets(v, queue.Pool)
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -112,7 +112,6 @@
 	}
 	if refusal := d.beginSubmit(r.Job, queue); refusal != nil {
 		d.noteRefused(r, pb.Answer_ANSWER_BUSY.String(), refusal.Reason)
-		countRefusedLate(r.Job.Workspace)
 		return &pb.Response{Answer: pb.Answer_ANSWER_BUSY, Reason: refusal.Reason, RetryAfterMs: refusal.RetryAfterMS}, false
 	}
 	out, err := d.commitWithContext(ctx, &pb.Command{Body: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: r.Job}}})
@@ -135,7 +134,7 @@
 			beyondRate = job.Spec.BeyondRate
 		}
 		workspace := v.Workspace(r.Job.Workspace)
-		if at := slices.IndexFunc(r.Job.Steps, func(step *pb.Step) bool { return workflow.ExceedsLimit(step, workspace) }); at >= 0 {
+		if at := slices.IndexFunc(r.Job.Steps, func(step *pb.Step) bool { return workflow.LargerThanLimit(step, workspace) }); at >= 0 {
 			event.JobExceedsLimit.Emit(event.F("job", r.Job.Id), event.F("workspace", workspace.Name), event.F("step", at),
 				event.F("needs", workflow.ResourcesOf(r.Job.Steps[at].Needs)), event.F("limit", workflow.ResourcesOf(workspace.Limit)))
 		}
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -20,7 +20,7 @@
 	StartsUncommitted    = define(7014, log.WarnLevel, "planned starts could not be committed", "")
 	EndsUncommitted      = define(7015, log.WarnLevel, "ends of runs or jobs, or removals of old jobs, could not be committed yet", "")
 	RunStalled           = define(7017, log.InfoLevel, "run stopped for lack of progress, its task starts elsewhere", "")
-	JobExceedsLimit      = define(7019, log.WarnLevel, "job accepted, but one of its tasks needs more than the limit of its workspace", "Raise the limit in the catalogue, or cancel the job.")
+	JobExceedsLimit      = define(7019, log.WarnLevel, "job accepted, but one of its tasks, or a gang, needs more than the limit of its workspace: it starts only while less than half of that is in use", "Raise the limit in the catalogue, or cancel the job.")
 	JobUsedUp            = define(7018, log.InfoLevel, "job ended as failed, its queue now allows no more attempts of a task", "")
 	FillerPaceChanged    = define(7016, log.InfoLevel, "pace of a filler task changed", "")
 
--- a/internal/policy/assign/assign.go
+++ b/internal/policy/assign/assign.go
@@ -316,7 +316,10 @@
 		p.dropFullTargets()
 		p.cold.warm = p.anyCold && slices.ContainsFunc(p.targets, func(t Target) bool { return t.ColdFor == 0 && step.MayRunOn(&t) })
 		if step.Gang {
-			if !p.placeGang(j, step) {
+			switch {
+			case !p.withinLimit(j.Workspace, step.Needs, len(step.Tasks)):
+				p.addWait(j, step, 0, waitLimit)
+			case !p.placeGang(j, step):
 				p.addWait(j, step, 0, WaitRoom)
 			}
 			continue
@@ -332,7 +335,7 @@
 	}
 	home := p.homeZone(step)
 	for n, task := range step.Tasks {
-		if !p.withinLimit(j.Workspace, step.Needs) {
+		if !p.withinLimit(j.Workspace, step.Needs, 1) {
 			p.addWait(j, step, n, waitLimit)
 			return
 		}
@@ -377,10 +380,7 @@
 func (p *plan) tryGang(j *Job, step *Step, rack string) bool {
 	var placed []int
 	for _, task := range step.Tasks {
-		at := -1
-		if p.withinLimit(j.Workspace, step.Needs) {
-			at = p.bestTarget(step, rack, "")
-		}
+		at := p.bestTarget(step, rack, "")
 		if at < 0 {
 			for i := len(placed) - 1; i >= 0; i-- {
 				p.undoPlace(j, step, placed[i])
@@ -403,9 +403,10 @@
 	return racks
 }
 
-func (p *plan) withinLimit(workspace string, needs workflow.Resources) bool {
+// withinLimit reports whether a workspace may start a number of tasks together.
+func (p *plan) withinLimit(workspace string, needs workflow.Resources, count int) bool {
 	w := p.snapshot.Workspaces[workspace]
-	return w == nil || w.Used.Add(needs).WithinLimit(w.Limit)
+	return w == nil || workflow.LimitAllows(w.Limit, w.Used, needs, count)
 }
 
 func (p *plan) place(j *Job, step *Step, task workflow.TaskID, at int) {
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -363,12 +363,6 @@
 	return m.ok()
 }
 
-// ExceedsLimit reports whether a single task of a step needs more than the limit of a workspace allows, so
-// that it cannot start until a catalogue raises the limit.
-func ExceedsLimit(step *pb.Step, workspace *pb.Workspace) bool {
-	return workspace != nil && !ResourcesOf(step.Needs).WithinLimit(ResourcesOf(workspace.Limit))
-}
-
 // task returns the task with the id, or nil.
 func (m *Machine) task(id TaskID) *Task {
 	job := m.jobs[id.Job]
--- a/internal/workflow/resources.go
+++ b/internal/workflow/resources.go
@@ -47,13 +47,6 @@
 // maxSlots limits the number of tasks that need no resources.
 const maxSlots = 1000
 
-// WithinLimit reports whether r is within a limit; a zero field means no limit.
-func (r Resources) WithinLimit(limit Resources) bool {
-	return (limit.CPUMillis == 0 || r.CPUMillis <= limit.CPUMillis) &&
-		(limit.MemoryMB == 0 || r.MemoryMB <= limit.MemoryMB) &&
-		(limit.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
-}
-
 // RequiredCapacity returns the capacity that a task of the step takes on a target. Tasks
 // of a step with Fills take no CPU capacity: they use what other tasks leave idle.
 func RequiredCapacity(s *pb.Step) Resources {
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -116,12 +116,25 @@
 	case step.MaxPerTarget > 0 && m.stepTasksOnTarget(task, target.Id) >= int(step.MaxPerTarget):
 		return "step has its most tasks on the target"
 	}
-	return m.checkWorkspaceLimit(job.Spec.Workspace, ResourcesOf(step.Needs))
+	return m.checkWorkspaceLimit(task, attempt)
 }
 
-func (m *Machine) checkWorkspaceLimit(workspace string, needs Resources) string {
+// checkWorkspaceLimit counts the members of a gang that this attempt has placed so far as part of the gang.
+func (m *Machine) checkWorkspaceLimit(task *Task, attempt uint32) string {
+	workspace, step := task.Job.Spec.Workspace, task.Spec()
 	w := m.lookup.workspaces[workspace]
-	if w == nil || m.usedByWorkspace[workspace].Add(needs).WithinLimit(ResourcesOf(w.Limit)) {
+	if w == nil {
+		return ""
+	}
+	used, needs := m.usedByWorkspace[workspace], ResourcesOf(step.Needs)
+	if step.Gang {
+		for _, member := range task.Job.Tasks[task.ID.Occurrence][task.ID.Step] {
+			if member.State == pb.TaskState_TASK_STATE_PLACED && member.Attempt == attempt {
+				used = used.Sub(needs)
+			}
+		}
+	}
+	if LimitAllows(ResourcesOf(w.Limit), used, needs, StartsTogether(step)) {
 		return ""
 	}
 	return fmt.Sprintf("workspace %q is at its limit", workspace)
