One place decides what a caller's path names: the queue, and the rest as the id

Cause: the edge took what follows the last slash as the id, the leader the queue with the longest prefix; what lay between belonged to neither, or to both.

Change: workflow.View.Resolve decides both at the leader, by the catalogue in force. What follows the prefix is the id (16 hexadecimal digits, PROTOCOL.md), nothing (the count), or no id: 404 for each operation. A prefix and an id thus determine the path, so that 410 is said only at the job's own place.

Three tests sent a path that did not hold the id of their job; they hold it now.

--- a/internal/driver/admission_test.go
+++ b/internal/driver/admission_test.go
@@ -84,7 +84,7 @@
 			}}}})
 			is.NoErr(err)
 			submit := func(job *pb.Job) *pb.Response {
-				return d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/x", Job: job})
+				return d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/" + job.Id, Job: job})
 			}
 			job := func(id string, tasks uint32) *pb.Job {
 				return &pb.Job{Id: id, Steps: []*pb.Step{{Tasks: tasks, EstimateMs: 1000, Needs: &pb.Resources{CpuMillis: 900}}}}
@@ -113,7 +113,7 @@
 	d := newTestDriver(t, time.Now)
 	log := &machineLog{machine: d.cfg.Machine, index: 100, nowMS: d.cfg.NowMS, err: context.DeadlineExceeded}
 	d.cfg.Log, d.cfg.RefuseLate = log, true
-	request := &pb.Request{Host: "h", Path: "/p/x", Job: &pb.Job{Id: "lost", Steps: []*pb.Step{{Tasks: 1}}}}
+	request := &pb.Request{Host: "h", Path: "/p/lost", Job: &pb.Job{Id: "lost", Steps: []*pb.Step{{Tasks: 1}}}}
 	is.Equal(d.submit(context.Background(), request).Answer, pb.Answer_ANSWER_UNKNOWN)
 	is.Equal(d.admission.submitting["lost"], 1)
 	log.err = nil
--- a/internal/driver/rates_test.go
+++ b/internal/driver/rates_test.go
@@ -93,7 +93,7 @@
 	is.Equal(d.putCatalogue(context.Background(), catalogue(2, 1)).Answer, pb.Answer_ANSWER_OK)
 	is.Equal(d.putCatalogue(context.Background(), catalogue(2, -1)).Answer, pb.Answer_ANSWER_OK) // not newer: no change
 	job := &pb.Job{Id: "large", Steps: []*pb.Step{{Tasks: 1, Needs: &pb.Resources{CpuMillis: 501}}}}
-	is.Equal(d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/x", Key: "k", Job: job}).Answer, pb.Answer_ANSWER_OK)
+	is.Equal(d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/large", Key: "k", Job: job}).Answer, pb.Answer_ANSWER_OK)
 	explained := func(id string) string {
 		return strings.Join(d.explain(&pb.Request{QueueName: "q", Job: &pb.Job{Id: id}, Key: "k"}).Lines, "\n")
 	}
@@ -104,10 +104,10 @@
 	is.NoErr(err)
 	is.Equal(len(out.Refused), 0)
 	second := &pb.Job{Id: "second", Steps: []*pb.Step{{Tasks: 1, Needs: &pb.Resources{CpuMillis: 501}}}}
-	is.Equal(d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/y", Key: "k", Job: second}).Answer, pb.Answer_ANSWER_OK)
+	is.Equal(d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/second", Key: "k", Job: second}).Answer, pb.Answer_ANSWER_OK)
 	is.True(strings.Contains(explained("second"), "it needs more than the limit of its workspace, it starts while less than half of that is in use"))
 	gang := &pb.Job{Id: "gang", Steps: []*pb.Step{{Tasks: 2, Gang: true, Needs: &pb.Resources{CpuMillis: 501}}}}
-	answer := d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/z", Key: "k", Job: gang})
+	answer := d.submit(context.Background(), &pb.Request{Host: "h", Path: "/p/gang", Key: "k", Job: gang})
 	is.Equal(answer.Answer, pb.Answer_ANSWER_BUSY)
 	is.True(strings.Contains(answer.Reason, `its gang of 2 tasks needs more than the limit of workspace "w" allows`))
 }
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -53,27 +53,49 @@
 }
 
 // admit returns the queue of a request and the workspace of its key; the response is nil
-// if the request is admitted.
+// if the request is admitted. The job's id is that in the request's path, if it has one: it is stored in the request.
 func admit(v *workflow.View, r *pb.Request) (*pb.Queue, *pb.Workspace, *pb.Response) {
 	if v.Catalogue() == nil {
 		return nil, nil, notReady("no catalogue is in force yet")
 	}
-	queue := v.Route(r.Host, r.Path)
+	queue, refused := queueOfRequest(v, r)
+	if refused != "" {
+		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_NO_QUEUE, Reason: refused}
+	}
+	workspace := v.WorkspaceOfKey(r.Key)
+	if workspace == nil && !queue.Open {
+		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_BAD_KEY, Reason: "key belongs to no workspace"}
+	}
+	return queue, workspace, nil
+}
+
+// queueOfRequest returns the queue that a request names, or why there is none.
+func queueOfRequest(v *workflow.View, r *pb.Request) (queue *pb.Queue, refused string) {
 	if r.QueueName != "" {
 		queue = v.Queue(r.QueueName)
 		if job := v.Job(r.Job.GetId()); queue == nil && job != nil && job.Spec.Queue == r.QueueName && r.Operation != pb.Operation_OPERATION_SUBMIT {
 			// The queue was renamed or removed since it accepted the job.
 			queue = v.QueueOf(job)
 		}
+		if queue == nil {
+			return nil, fmt.Sprintf("queue %q does not exist", r.QueueName)
+		}
+		return queue, ""
 	}
-	if queue == nil {
-		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_NO_QUEUE, Reason: "no queue at this path"}
+	place := v.Resolve(r.Host, r.Path, int(r.IdDigits))
+	switch {
+	case place.Queue == nil:
+		return nil, "no queue at this path"
+	case !place.Named:
+		return nil, fmt.Sprintf("no job can have this path: %q, after the prefix of queue %q, is no job id", place.JobID, place.Queue.Name)
+	case place.JobID == "" && r.Operation != pb.Operation_OPERATION_STATUS && r.Operation != pb.Operation_OPERATION_COUNT:
+		return nil, fmt.Sprintf("no job can have this path: it is that of queue %q", place.Queue.Name)
 	}
-	workspace := v.WorkspaceOfKey(r.Key)
-	if workspace == nil && !queue.Open {
-		return nil, nil, &pb.Response{Answer: pb.Answer_ANSWER_BAD_KEY, Reason: "key belongs to no workspace"}
+	if r.Job == nil {
+		r.Job = new(pb.Job)
 	}
-	return queue, workspace, nil
+	r.Job.Id = place.JobID
+	return place.Queue, ""
 }
 
 // maxSubmits limits how often a job is committed whose queue is renamed or removed meanwhile.
@@ -179,6 +201,9 @@
 
 func (d *Driver) status(r *pb.Request) *pb.Response {
 	return d.read(r, func(v *workflow.View, queue *pb.Queue) *pb.Response {
+		if r.QueueName == "" && r.Job.GetId() == "" {
+			return countWaiting(v, queue)
+		}
 		job := v.Job(r.Job.GetId())
 		if job == nil || v.QueueOf(job) != queue {
 			return &pb.Response{Answer: pb.Answer_ANSWER_GONE}
@@ -205,15 +230,17 @@
 
 // count returns the number of jobs of a queue that have not started.
 func (d *Driver) count(r *pb.Request) *pb.Response {
-	return d.read(r, func(v *workflow.View, queue *pb.Queue) *pb.Response {
-		response := &pb.Response{Answer: pb.Answer_ANSWER_OK}
-		for _, job := range v.OpenJobs() {
-			if v.QueueOf(job) == queue && job.State == pb.JobState_JOB_STATE_QUEUED {
-				response.Waiting++
-			}
+	return d.read(r, countWaiting)
+}
+
+func countWaiting(v *workflow.View, queue *pb.Queue) *pb.Response {
+	response := &pb.Response{Answer: pb.Answer_ANSWER_OK, Counted: true}
+	for _, job := range v.OpenJobs() {
+		if v.QueueOf(job) == queue && job.State == pb.JobState_JOB_STATE_QUEUED {
+			response.Waiting++
 		}
-		return response
-	})
+	}
+	return response
 }
 
 // putCatalogue answers once the catalogue's version, or a later one, is committed.
--- a/internal/workflow/machine.go
+++ b/internal/workflow/machine.go
@@ -200,9 +200,6 @@
 // Catalogue returns the current catalogue, or nil before the first one.
 func (v *View) Catalogue() *pb.Catalogue { return v.catalogue }
 
-// Route returns the queue that serves a path at a host, or nil.
-func (v *View) Route(host, path string) *pb.Queue { return v.lookup.queueFor(host, path) }
-
 // Queue returns the queue with the name, or nil.
 func (v *View) Queue(name string) *pb.Queue { return v.lookup.queues[name] }
 
