A job counts as begun once a target has begun a task of it

Callers saw `pending` 0 and the state `active` for jobs that had begun nowhere.

Cause: the apply of a start set the job to running, before any target had taken it, and nothing set it back.

Change: a target's answer, its listing or the listed end of a run make a job running.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -123,6 +123,9 @@
 	// such a command is in progress.
 	repeatsDue     map[*run]struct{}
 	recordsRepeats bool
+	// begun holds the jobs of which a task has begun, until that is committed, and begunSince when the first of them came.
+	begun      map[string]struct{}
+	begunSince time.Time
 	// endedIncarnations holds incarnations of targets that are certainly over, so that late
 	// announcements do not bring them back.
 	endedIncarnations map[incarnation]*endedIncarnation
@@ -214,7 +217,7 @@
 	return &Driver{
 		cfg: cfg, wake: make(chan struct{}, 1), startedAt: cfg.Now(),
 		links: make(map[string]*link), runs: newRunTable(), lateStarts: make(map[string][]lateStart),
-		unsettled: make(map[workflow.TaskID]time.Time), repeatsDue: make(map[*run]struct{}),
+		unsettled: make(map[workflow.TaskID]time.Time), repeatsDue: make(map[*run]struct{}), begun: make(map[string]struct{}),
 		endedIncarnations: make(map[incarnation]*endedIncarnation), formerLapse: make(map[string]time.Time), leasesChanged: make(map[*link]struct{}), failing: make(map[string]bool), learned: newLearner(), admission: newAdmission(), waves: newWaveState(), pools: newPoolState(),
 		vmDecisions: newHistory(), jobRefusals: newHistory(),
 		advice: make(map[workflow.TaskID]*stepAdvice), kinds: make(map[kindSource]vmKind),
@@ -375,21 +378,22 @@
 		d.plannedAt = planned
 		d.timePart(partPlan, func() { starts = d.plan() })
 	}
-	records := d.leaseRecords(starts, len(ends)+len(starts) > 0)
-	if len(ends) == 0 && len(starts) == 0 && len(records) == 0 && d.keepsRecords() {
+	begun, begunDue := d.begunJobs()
+	records := d.leaseRecords(starts, len(ends)+len(starts) > 0 || begunDue)
+	if len(ends) == 0 && len(starts) == 0 && len(records) == 0 && !begunDue && d.keepsRecords() {
 		return false
 	}
-	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, records, planned) && len(ends) > 0 })
+	d.timePart(partCommit, func() { ended = d.commitChange(ends, starts, begun, records, planned) && len(ends) > 0 })
 	if ended {
 		d.planDue.Store(true)
 	}
 	return ended
 }
 
-// commitChange commits lease records, ends and starts in one command, which take effect in that
+// commitChange commits lease records, begun jobs, ends and starts in one command, which take effect in that
 // order. Then it confirms the ends to their targets and sends the starts.
-func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, records []*pb.LeaseRecord, planned time.Time) bool {
-	change := &pb.ChangeTasks{Starts: starts, Leases: records, LeaseEpoch: d.cfg.Epoch, ForgetLeases: d.forgetLeases}
+func (d *Driver) commitChange(ends []pendingEnd, starts []*pb.Start, begun []string, records []*pb.LeaseRecord, planned time.Time) bool {
+	change := &pb.ChangeTasks{Starts: starts, BegunJobs: begun, Leases: records, LeaseEpoch: d.cfg.Epoch, ForgetLeases: d.forgetLeases}
 	for _, e := range ends {
 		change.Ends = append(change.Ends, e.end)
 	}
@@ -409,6 +413,7 @@
 		return false
 	}
 	d.forgetLeases = false
+	d.forgetBegun(begun)
 	d.confirmLeases(records)
 	d.rounds.ends += len(ends)
 	d.rounds.starts += len(starts)
@@ -475,7 +480,6 @@
 		repeatUntil = planned.Add(repeatWindow)
 	}
 	d.beginRuns(starts, refused, planned, repeatUntil)
-	d.noteFirstStarts(starts)
 }
 
 func (d *Driver) commit(command *pb.Command) (*workflow.Outcome, error) {
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -26,7 +26,7 @@
 	response := &pb.Response{Answer: pb.Answer_ANSWER_OK}
 	d.cfg.Machine.View(func(v *workflow.View) {
 		job := v.Job(r.Job.Id)
-		response.State, response.Reason = job.State, job.Reason
+		response.State, response.Reason = stateOf(job, d.begun), job.Reason
 		if r.Task != nil {
 			response.Lines = d.explainTask(v, workflow.TaskID{Job: r.Job.Id, Occurrence: r.Task.Occurrence, Step: r.Task.Step, Index: r.Task.Index})
 			return
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -83,17 +83,6 @@
 	metrics.Observe(metrics.Name("driver_commit_us", metrics.L("outcome", outcome)), now.Sub(began))
 }
 
-// observeFirstStart adds the time from a job's acceptance to the start of its first task.
-func (d *Driver) observeFirstStart(v *workflow.View, r *run) {
-	id := r.task
-	if r.attempt != 1 || id.Occurrence+id.Step+id.Index != 0 {
-		return
-	}
-	if task := v.Task(id); task != nil {
-		metrics.Observe("driver_first_start_us", time.Duration(d.cfg.NowMS()-task.Job.Spec.SubmittedUnixMs)*time.Millisecond)
-	}
-}
-
 // observeEnds adds the times from acceptance to end of the jobs that ended with
 // the ends just committed.
 func (d *Driver) observeEnds(ends []pendingEnd) {
--- a/internal/driver/outcomes.go
+++ b/internal/driver/outcomes.go
@@ -51,31 +51,16 @@
 	return &outcomes{firstStarts: make(map[string]firstStart), tallies: make(map[string]*tally)}
 }
 
-// noteFirstStarts records the jobs of which a committed command starts the first tasks.
-func (d *Driver) noteFirstStarts(starts []*pb.Start) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now, nowMS := d.cfg.Now(), d.cfg.NowMS()
-	d.cfg.Machine.View(func(v *workflow.View) {
-		for _, start := range starts {
-			id := start.Task.GetJob()
-			if _, known := d.outcomes.firstStarts[id]; known {
-				continue
-			}
-			job := v.OpenJobs()[id]
-			if job == nil || job.Spec.Occurrences > 0 || job.Spec.Steps[0].Lasting {
-				continue
-			}
-			queue := v.QueueOf(job)
-			if queue == nil {
-				continue
-			}
-			times := d.timesOf(job, queue)
-			d.outcomes.firstStarts[id] = firstStart{
-				at: now, waitedMS: nowMS - job.Spec.SubmittedUnixMs, slackMS: times.deadlineMS - times.remainingMS - nowMS, expectedMS: times.remainingMS,
-			}
-		}
-	})
+// noteFirstStart records that the first task of a job has begun.
+func (d *Driver) noteFirstStart(v *workflow.View, job *workflow.Job, now time.Time) {
+	queue := v.QueueOf(job)
+	if queue == nil || job.Spec.Occurrences > 0 || job.Spec.Steps[0].Lasting {
+		return
+	}
+	times, nowMS := d.timesOf(job, queue), d.cfg.NowMS()
+	d.outcomes.firstStarts[job.Spec.Id] = firstStart{
+		at: now, waitedMS: nowMS - job.Spec.SubmittedUnixMs, slackMS: times.deadlineMS - times.remainingMS - nowMS, expectedMS: times.remainingMS,
+	}
 }
 
 // noteOutcome adds an ended job to the outcomes of its queue if it is done.
--- a/internal/driver/plan.go
+++ b/internal/driver/plan.go
@@ -404,6 +404,11 @@
 			if placeable[id] || job.State != pb.JobState_JOB_STATE_QUEUED {
 				continue
 			}
+			if job.PlacedBefore() {
+				// A task that fitted once may fit again.
+				placeable[id] = true
+				continue
+			}
 			if reason := neverFitsReason(kinds, job); reason != "" {
 				found = append(found, unplaceableJob{id, reason})
 				continue
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -200,15 +200,16 @@
 }
 
 func (d *Driver) status(r *pb.Request) *pb.Response {
+	begun := d.hasBegun()
 	return d.read(r, func(v *workflow.View, queue *pb.Queue) *pb.Response {
 		if r.QueueName == "" && r.Job.GetId() == "" {
-			return countWaiting(v, queue)
+			return countWaiting(v, queue, begun)
 		}
 		job := v.Job(r.Job.GetId())
 		if job == nil || v.QueueOf(job) != queue {
 			return &pb.Response{Answer: pb.Answer_ANSWER_GONE}
 		}
-		return &pb.Response{Answer: pb.Answer_ANSWER_OK, State: job.State, Reason: job.Reason}
+		return &pb.Response{Answer: pb.Answer_ANSWER_OK, State: stateOf(job, begun), Reason: job.Reason}
 	})
 }
 
@@ -228,15 +229,16 @@
 	return &pb.Response{Answer: pb.Answer_ANSWER_OK}
 }
 
-// count returns the number of jobs of a queue that have not started.
+// count returns the number of jobs of a queue of which no task has begun.
 func (d *Driver) count(r *pb.Request) *pb.Response {
-	return d.read(r, countWaiting)
+	begun := d.hasBegun()
+	return d.read(r, func(v *workflow.View, queue *pb.Queue) *pb.Response { return countWaiting(v, queue, begun) })
 }
 
-func countWaiting(v *workflow.View, queue *pb.Queue) *pb.Response {
+func countWaiting(v *workflow.View, queue *pb.Queue, begun map[string]struct{}) *pb.Response {
 	response := &pb.Response{Answer: pb.Answer_ANSWER_OK, Counted: true}
 	for _, job := range v.OpenJobs() {
-		if v.QueueOf(job) == queue && job.State == pb.JobState_JOB_STATE_QUEUED {
+		if v.QueueOf(job) == queue && stateOf(job, begun) == pb.JobState_JOB_STATE_QUEUED {
 			response.Waiting++
 		}
 	}
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -67,6 +67,8 @@
 	// placedAt is when the run was placed, phaseAnsweredAt when its phase last changed by
 	// an answer, runningSince when it was first known to run.
 	placedAt, phaseAnsweredAt, runningSince time.Time
+	// begun is set once the target is known to have begun the run.
+	begun bool
 	// starts is what is known of the start calls of this leader and of former ones.
 	starts confirm.Starts
 	// repeatUntil is until when its start may be sent again, by what is committed.
@@ -375,7 +377,7 @@
 		if !r.plannedAt.IsZero() && !r.unanswered {
 			d.learned.startLag.Note(float64(now.Sub(r.plannedAt).Milliseconds()))
 		}
-		d.cfg.Machine.View(func(v *workflow.View) { d.observeFirstStart(v, r) })
+		d.noteBegun(r)
 		if l != nil {
 			l.requestListing()
 		}
@@ -518,6 +520,7 @@
 	}
 	r.phase = runEnded
 	r.starts.Listed = true
+	d.noteBegun(r)
 	d.learnEnd(l, r, kind)
 }
 
@@ -544,6 +547,7 @@
 			continue
 		}
 		r.listed, r.starts.Listed = true, true
+		d.noteBegun(r)
 		if r.phase == runCalling || r.phase == runUnanswered {
 			r.phase, r.phaseAnsweredAt = runConfirmed, now
 			if r.runningSince.IsZero() {
--- a/internal/metrics/help.go
+++ b/internal/metrics/help.go
@@ -32,7 +32,7 @@
 	"driver_commit_us":           "Time of the leader's commits by outcome, in microseconds.",
 	"driver_round_us":            "Time of the rounds of the leader's driver by part, in microseconds.",
 	"driver_work_core_ms":        "Processor time of ended jobs by outcome, in core milliseconds.",
-	"driver_first_start_us":      "Time from a job's acceptance to the start of its first task, in microseconds.",
+	"driver_first_start_us":      "Time from a job's acceptance until a target has begun its first task, in microseconds.",
 	"driver_job_us":              "Time from a job's acceptance to its end by outcome, in microseconds.",
 	"metrics_series_dropped":     "Series left out of this scrape because it reached the limit.",
 	"process_heap_bytes":         "Bytes of allocated heap objects.",
--- a/internal/workflow/job.go
+++ b/internal/workflow/job.go
@@ -222,6 +222,13 @@
 // PlacedRuns returns the number of runs that run or may run.
 func (j *Job) PlacedRuns() int { return j.placedRuns }
 
+// PlacedBefore reports whether some task of the job was ever placed.
+func (j *Job) PlacedBefore() bool {
+	placed := false
+	j.EachTask(func(t *Task) { placed = placed || t.Attempt > 0 })
+	return placed
+}
+
 // EachTask calls f for every task.
 func (j *Job) EachTask(f func(*Task)) {
 	for _, steps := range j.Tasks {
--- a/internal/workflow/tasks.go
+++ b/internal/workflow/tasks.go
@@ -19,6 +19,11 @@
 			task.RepeatedStart = RepeatedStart{m.index, r.SettlesMs}
 		}
 	}
+	for _, id := range c.BegunJobs {
+		if job := m.jobs[id]; job != nil {
+			job.noteBegun()
+		}
+	}
 	for _, end := range c.Ends {
 		m.endRun(end)
 	}
@@ -160,11 +165,21 @@
 	m.keepAsCopy(task)
 	task.State, task.Attempt, task.Target, task.PlacedIndex = pb.TaskState_TASK_STATE_PLACED, attempt, target, m.index
 	m.addPlacedRun(task, target)
-	if task.Job.State == pb.JobState_JOB_STATE_QUEUED {
-		task.Job.State = pb.JobState_JOB_STATE_RUNNING
+}
+
+// noteBegun records that a target has begun a task of the job. A placed task may never begin: its start may come to
+// nothing.
+func (j *Job) noteBegun() {
+	if j.State == pb.JobState_JOB_STATE_QUEUED {
+		j.State = pb.JobState_JOB_STATE_RUNNING
 	}
 }
 
+// begun reports whether a run that ended so was begun by its target for certain.
+func begun(kind pb.EndKind) bool {
+	return kind != pb.EndKind_END_KIND_UNSPECIFIED && kind != pb.EndKind_END_KIND_NOT_RUN && kind != pb.EndKind_END_KIND_LOST
+}
+
 // keepAsCopy records the newest run of a task, if it is placed, as its Copy.
 func (m *Machine) keepAsCopy(task *Task) {
 	if task.State == pb.TaskState_TASK_STATE_PLACED {
@@ -201,6 +216,9 @@
 	if task == nil || end.Task.Attempt > task.Attempt {
 		return
 	}
+	if end.Task.Attempt > 0 && begun(end.Kind) {
+		task.Job.noteBegun()
+	}
 	newest := task.Attempt == end.Task.Attempt
 	if target := task.TargetOf(end.Task.Attempt); target == "" || target != end.Target {
 		if end.Kind == pb.EndKind_END_KIND_DONE && end.Task.Attempt > 0 {
