A run of a lost target waits while a start of it is out

The task started elsewhere at once, and the next incarnation under the same id took the first copy: two runs at once.

--- a/internal/driver/confirmations.go
+++ b/internal/driver/confirmations.go
@@ -123,6 +123,56 @@
 	}
 }
 
+// endLost ends a run whose target's incarnation is gone. A start that may still reach the next incarnation would make the
+// task run there as well, or again: the task starts elsewhere once the next one has taken a stop, or no start can take effect any more.
+// Lasting tasks do not wait: nobody serves for them meanwhile.
+func (d *Driver) endLost(r *run, reason endReason) {
+	if r.phase == runEnded {
+		return
+	}
+	d.cfg.Machine.View(func(v *workflow.View) { r.elsewhereFrom = d.lostRunSettledAt(v, r) })
+	if wait := r.elsewhereFrom.Sub(d.cfg.Now()); reason.idMayReturn() && wait > 0 {
+		r.phase = runUnanswered
+		event.LostRunWaits.Emit(event.F("task", r.task.String()), event.F("attempt", r.attempt), event.F("target", r.target), event.F("born", r.born), event.F("wait_ms", wait.Milliseconds()))
+		return
+	}
+	r.elsewhereFrom = time.Time{}
+	d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
+}
+
+// lostRunSettledAt returns when no start of a run that is known to be out can take effect any more. One that a former
+// leader may have sent without a record is not waited for: each leader would wait for it anew.
+func (d *Driver) lostRunSettledAt(v *workflow.View, r *run) time.Time {
+	task := v.Task(r.task)
+	if task == nil || !endsForGood(task.Spec()) {
+		return time.Time{}
+	}
+	known := r.starts
+	known.Former = false
+	settledAt := known.SettledAt()
+	if repeated := task.RepeatedStart; r.adopted && repeated.Index > 0 && repeated.Index <= d.adoptedIndex {
+		settledAt = later(settledAt, d.repeatSettledAt(repeated))
+	}
+	return settledAt
+}
+
+// repeatSettledAt returns when the starts of which a former leader has committed a record can no longer take effect.
+func (d *Driver) repeatSettledAt(r workflow.RepeatedStart) time.Time {
+	return d.appliedAt(r.Index).Add(time.Duration(r.SettlesMS) * time.Millisecond)
+}
+
+// hasWaitingRuns reports whether runs of an incarnation that is gone have not ended yet.
+func (d *Driver) hasWaitingRuns(target *pb.Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for r := range d.runs.on(target.Id) {
+		if r.born == target.BornUnixMs && r.phase != runEnded && d.ctx.Err() == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // noteUnsettled remembers until when the starts of a run that is over may take effect.
 func (d *Driver) noteUnsettled(r *run) {
 	if at := r.starts.SettledAt(); at.After(d.unsettled[r.task]) {
@@ -156,7 +206,7 @@
 	for _, member := range members {
 		settledAt = later(settledAt, d.unsettled[member.ID])
 		if repeated := member.RepeatedStart; repeated.Index > 0 && repeated.Index <= d.adoptedIndex {
-			settledAt = later(settledAt, d.appliedAt(repeated.Index).Add(time.Duration(repeated.SettlesMS)*time.Millisecond))
+			settledAt = later(settledAt, d.repeatSettledAt(repeated))
 		}
 		if r := d.runs.find(member.ID, member.Attempt); r != nil {
 			settledAt = later(settledAt, r.starts.SettledAt())
--- a/internal/driver/heldends_test.go
+++ b/internal/driver/heldends_test.go
@@ -133,6 +133,43 @@
 	}
 }
 
+// TestDelayedStartOfRunOnLostTarget guards against a start that was sent again and is taken by the next incarnation of its target,
+// whose former one was lost with the run: the task runs elsewhere by then, or is done there.
+func TestDelayedStartOfRunOnLostTarget(t *testing.T) {
+	const lostAfter = 500 * time.Millisecond
+	for _, work := range []time.Duration{time.Second, 20 * time.Second} {
+		for _, leaderLost := range []bool{false, true} {
+			for lateBy := 3 * time.Second; lateBy <= 12*time.Second; lateBy += time.Second {
+				t.Run(fmt.Sprintf("work %s, leader lost %t, late by %s", work, leaderLost, lateBy), func(t *testing.T) {
+					inModel(t, 2, func(t *testing.T, r *modelRig) {
+						r.fleet.SetBehaviour(standin.ModelBehaviour{StartBeforeFirstCall: true})
+						var starts atomic.Int32
+						r.fleet.SetFate(func(call standin.ModelCall) standin.ModelFate {
+							if call.Kind == standin.CallStart && starts.Add(1) == 1 {
+								return late(lateBy)
+							}
+							return standin.ModelFate{}
+						})
+						began := time.Now()
+						vm := r.awaitRun(t, r.submitOne("j", work))
+						time.Sleep(lostAfter)
+						r.setMuted(vm, true)
+						r.fleet.Restart(vm, time.Until(began.Add(lateBy-200*time.Millisecond)), true)
+						if leaderLost {
+							time.Sleep(time.Second)
+							r.changeLeader(0)
+						}
+						time.Sleep(time.Until(began.Add(lateBy + 200*time.Millisecond)))
+						r.setMuted(vm, false)
+						r.awaitDone(t, "j")
+						time.Sleep(20 * time.Second) // all ends are confirmed
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestEndsAreConfirmedOnceStartsAreSettled guards against ends that are never confirmed, or held without need: only
 // a start that was sent again and may still take effect holds them, until it can do so no more.
 func TestEndsAreConfirmedOnceStartsAreSettled(t *testing.T) {
--- a/internal/driver/link.go
+++ b/internal/driver/link.go
@@ -737,21 +737,38 @@
 	d.endedIncarnations[l.incarnation()] = &endedIncarnation{at: d.cfg.Now(), sequence: l.sequence}
 }
 
+// endReason is why an incarnation of a target is certainly over.
+type endReason string
+
+// Reasons after which a target may start again under its id. After the others its VM has or gets a target with another id.
+const (
+	vmListedAsDown endReason = "the platform lists its VM as down"
+	vmNotListed    endReason = "the platform's lists lack its VM"
+	endedAsPlanned endReason = "it has ended as planned"
+)
+
+func (r endReason) idMayReturn() bool {
+	return r == vmListedAsDown || r == vmNotListed || r == endedAsPlanned
+}
+
 // endIncarnation handles an incarnation that is certainly over, with all its runs.
-func (d *Driver) endIncarnation(l *link, reason string) {
+func (d *Driver) endIncarnation(l *link, reason endReason) {
 	now := d.cfg.Now()
-	event.IncarnationEnded.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", reason),
+	event.IncarnationEnded.Emit(event.F("target", l.target.Id), event.F("born", l.target.BornUnixMs), event.F("reason", string(reason)),
 		event.F("runs", d.runs.count(l.target.Id)), event.F("announced_age_ms", ageMS(l.lastAnnounced, now)), event.F("listed_age_ms", ageMS(l.answeredAt, now)))
 	d.noteEnded(l)
 	d.formerLapse[l.target.Id] = d.inheritedLapse(l)
 	d.dropLink(l)
 	for r := range d.runs.on(l.target.Id) {
 		if r.born == l.target.BornUnixMs {
-			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
+			d.endLost(r, reason)
 		}
 	}
 	target := l.target
 	d.background(func() {
+		for d.hasWaitingRuns(target) {
+			clock.Sleep(d.ctx, time.Second)
+		}
 		// The ends of its runs are committed first: a target with placed tasks is not removed.
 		clock.Sleep(d.ctx, time.Second)
 		_, err := d.commit(&pb.Command{Body: &pb.Command_RemoveTargets{RemoveTargets: &pb.RemoveTargets{Targets: []*pb.Target{target}}}})
@@ -795,7 +812,7 @@
 	for _, l := range d.links {
 		d.sendQueued(l)
 		if l.vmIsGone() {
-			d.endIncarnation(l, "the platform's lists lack its VM")
+			d.endIncarnation(l, vmNotListed)
 			continue
 		}
 		d.readFleetFor(l)
--- a/internal/driver/registry.go
+++ b/internal/driver/registry.go
@@ -169,7 +169,7 @@
 	}
 	closed := l.closedAt.After(l.deregisteredAt.Add(-endingTime))
 	if closed || l.leaving && d.runs.count(l.target.Id) == 0 {
-		d.endIncarnation(l, "it has ended as planned")
+		d.endIncarnation(l, endedAsPlanned)
 	}
 }
 
--- a/internal/driver/runs.go
+++ b/internal/driver/runs.go
@@ -67,6 +67,8 @@
 	// placedAt is when the run was placed, phaseAnsweredAt when its phase last changed by
 	// an answer, runningSince when it was first known to run.
 	placedAt, phaseAnsweredAt, runningSince time.Time
+	// elsewhereFrom is when the task of a run on a lost target may start elsewhere.
+	elsewhereFrom time.Time
 	// begun is set once the target is known to have begun the run.
 	begun bool
 	// starts is what is known of the start calls of this leader and of former ones.
@@ -699,8 +701,8 @@
 	}
 	l := d.links[r.target]
 	if l == nil {
-		if d.endedIncarnations[incarnation{r.target, r.born}] != nil {
-			// The start was committed while the target's incarnation was ending.
+		if d.endedIncarnations[incarnation{r.target, r.born}] != nil && !now.Before(r.elsewhereFrom) {
+			// The start was committed while the target's incarnation was ending, or another one might have taken it.
 			d.endRun(r, pb.EndKind_END_KIND_LOST, "its target is gone")
 		}
 		return actionNone
--- a/internal/driver/waves.go
+++ b/internal/driver/waves.go
@@ -424,7 +424,7 @@
 
 // endIncarnationsOn ends the incarnations on a VM that were started before a time: a VM runs
 // one target, so earlier ones are gone.
-func (d *Driver) endIncarnationsOn(vm string, before bornBefore, reason string) {
+func (d *Driver) endIncarnationsOn(vm string, before bornBefore, reason endReason) {
 	if vm == "" {
 		return
 	}
@@ -803,7 +803,7 @@
 		case present:
 			l.missingInLists = 0
 			if l.failures > 0 && state == VMDown {
-				d.endIncarnation(l, "the platform lists its VM as down")
+				d.endIncarnation(l, vmListedAsDown)
 			}
 		case list.complete():
 			l.missingInLists++
--- a/internal/event/catalogue_workflow.go
+++ b/internal/event/catalogue_workflow.go
@@ -48,6 +48,7 @@
 	CallMisdirected      = define(7094, log.WarnLevel, "call meant for one incarnation of a target was answered by another", "")
 	EndMissing           = define(7095, log.WarnLevel, "target lists neither a run that it has listed as running nor its end", "")
 	RepeatsUncommitted   = define(7135, log.InfoLevel, "it could not be committed that starts are sent again, they wait", "")
+	LostRunWaits         = define(7136, log.InfoLevel, "task of a lost target is not started elsewhere yet, a start sent to that target may still reach its next incarnation", "")
 	ConfirmationHeld     = define(7134, log.InfoLevel, "end of a run is not confirmed to its target yet, a start of its task may still take effect", "")
 	SilentTargetWaits    = define(7092, log.InfoLevel, "runs on a silent target count as running until its leases have certainly lapsed", "")
 	LeaseLapsed          = define(7040, log.WarnLevel, "lease of a target without an answer has expired, its runs are lost", "")
