--- a/internal/server/core_test.go
+++ b/internal/server/core_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +17,7 @@
 	"sapphirering/internal/driver"
 	"sapphirering/internal/wire/wirepb"
 	"sapphirering/internal/workflow/workflowpb"
+	"sapphirering/test/linktest"
 	"sapphirering/test/standin"
 )
 
@@ -46,23 +46,6 @@
 	nodes []*coreNode
 }
 
-// freeAddress returns an address that nothing listens on. Its port is below those that the system gives to
-// outgoing connections: one of these could take it while a daemon of the test is down.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	const lowest, highest, tries = 10_000, 32_000, 100
-	for range tries {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(highest-lowest)))
-		if err != nil {
-			continue
-		}
-		defer listener.Close()
-		return listener.Addr().String()
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 func newCoreCluster(t *testing.T, size int) *coreCluster {
 	t.Helper()
 	return newCoreClusterWith(t, size, func(*config.RoleSettings) {})
@@ -74,13 +57,13 @@
 	c := &coreCluster{t: t}
 	var seeds []string
 	for range size {
-		seeds = append(seeds, freeAddress(t))
+		seeds = append(seeds, linktest.FreeAddress(t))
 	}
 	for i := range size {
 		c.nodes = append(c.nodes, &coreNode{settings: &config.RoleSettings{
 			Role: config.RoleCore, Name: fmt.Sprintf("core-%d", i), Zone: fmt.Sprintf("zone-%d", i),
 			DataFolder: filepath.Join(t.TempDir(), "data"), Seeds: seeds, Bootstrap: true, TrustPeerNetwork: true,
-			Listen: config.RoleListen{Control: freeAddress(t), Peers: seeds[i]},
+			Listen: config.RoleListen{Control: linktest.FreeAddress(t), Peers: seeds[i]},
 		}})
 	}
 	for _, n := range c.nodes {
@@ -291,7 +274,7 @@
 		settings := *gone.settings
 		settings.Name = fmt.Sprintf("core-%d", 3+i)
 		settings.DataFolder = filepath.Join(t.TempDir(), "data")
-		settings.Listen = config.RoleListen{Control: freeAddress(t), Peers: freeAddress(t)}
+		settings.Listen = config.RoleListen{Control: linktest.FreeAddress(t), Peers: linktest.FreeAddress(t)}
 		settings.Bootstrap = false
 		if i > 0 {
 			// The seeds of the settings are those of the first list, all of whom may be gone.
--- a/internal/server/lost_seeds_test.go
+++ b/internal/server/lost_seeds_test.go
@@ -10,6 +10,7 @@
 
 	"sapphirering/internal/config"
 	"sapphirering/internal/policy/voters"
+	"sapphirering/test/linktest"
 )
 
 // addSpares adds core daemons that are no seeds, one per zone, as on users' sites that have
@@ -19,7 +20,7 @@
 		settings := *n.settings
 		settings.Name += "-spare"
 		settings.DataFolder = filepath.Join(c.t.TempDir(), "data")
-		settings.Listen = config.RoleListen{Control: freeAddress(c.t), Peers: freeAddress(c.t)}
+		settings.Listen = config.RoleListen{Control: linktest.FreeAddress(c.t), Peers: linktest.FreeAddress(c.t)}
 		settings.Bootstrap = false
 		spare := &coreNode{settings: &settings}
 		c.nodes = append(c.nodes, spare)
