A repeated start whose target was replaced meanwhile is not left unsent

Cause: a run whose start waits for its record stayed in the phase of a call in progress if its target's incarnation was lost before the record was committed, and a later link to the same incarnation would neither send nor stop it. Found by reading.

--- a/internal/driver/confirmations.go
+++ b/internal/driver/confirmations.go
@@ -111,15 +111,18 @@
 	defer d.mu.Unlock()
 	for _, r := range repeats {
 		r.repeatUntil = began.Add(repeatWindow)
+		again := r.awaitsRepeat
+		r.awaitsRepeat = false
 		l := d.links[r.target]
 		switch {
-		case l == nil:
-		case r.awaitsRepeat && l.target.BornUnixMs == r.born:
+		case l != nil && l.target.BornUnixMs == r.born && again:
 			d.startAgain(r, l)
-		default:
+		case l != nil && l.target.BornUnixMs == r.born:
 			d.sendQueued(l)
+		case d.tracks(r) && r.phase == runCalling:
+			// Its target's incarnation was lost meanwhile.
+			r.phase = runUnanswered
 		}
-		r.awaitsRepeat = false
 	}
 }
 
